--- /dev/null
+++ b/src/libs/transport/frame_link.h
@@ -0,0 +1,90 @@
+// Framed messages between the system's own processes over TCP: a length, a kind, a payload.
+//
+// Every connection carries heartbeats both ways. A link whose connection has gone silent opens a
+// new one beside it and uses that from then on; a frame that was sent on the old one may be lost.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "utils/endpoint.h"
+#include "utils/hooks.h"
+
+namespace kumquat {
+
+// What a frame holds.
+enum class FrameKind : std::uint8_t {
+  kHeartbeat = 0,
+  // A JSON-RPC 2.0 request, notification or answer.
+  kJsonRpc = 1,
+  // A message in CBOR.
+  kCbor = 2,
+};
+
+struct FrameLimits {
+  std::int64_t max_frame_bytes = 64 * 1024 * 1024;
+  Duration heartbeat_interval = std::chrono::milliseconds(500);
+  // Silence after which a connection is replaced.
+  Duration silence_limit = std::chrono::milliseconds(1500);
+  Duration connect_timeout = std::chrono::milliseconds(1000);
+  // Between attempts to connect, doubled up to the longest, with full jitter.
+  Duration reconnect_shortest = std::chrono::milliseconds(50);
+  Duration reconnect_longest = std::chrono::milliseconds(1000);
+};
+
+// What became of the last attempt to connect.
+enum class ConnectOutcome { kNone, kConnected, kRefused, kSilent };
+
+// One accepted connection, on the server's side.
+class FrameConnection {
+ public:
+  virtual ~FrameConnection() = default;
+  virtual void Send(FrameKind kind, std::string_view payload) = 0;
+};
+
+// Accepts connections from other processes.
+class FrameServer {
+ public:
+  // A frame came in. The connection may be kept to answer later.
+  using OnFrame = std::function<void(const std::shared_ptr<FrameConnection>& connection,
+                                     FrameKind kind, std::string_view payload)>;
+
+  virtual ~FrameServer() = default;
+
+  // False when the address can't be had; last_reason() then says why. Port 0 takes a free one.
+  virtual bool Listen(const Endpoint& endpoint) = 0;
+  virtual std::uint16_t port() const = 0;
+  virtual const std::string& last_reason() const = 0;
+};
+
+// A lasting link to one process, which reconnects by itself.
+class FrameLink {
+ public:
+  using OnFrame = std::function<void(FrameKind kind, std::string_view payload)>;
+
+  virtual ~FrameLink() = default;
+
+  // Sends a frame; false when there is no connection now, and nothing is kept for later.
+  virtual bool Send(FrameKind kind, std::string_view payload) = 0;
+
+  virtual bool connected() const = 0;
+
+  // Returns the last attempt's outcome. `kRefused` proves that no process listened there then.
+  virtual ConnectOutcome last_outcome() const = 0;
+
+  // Returns the bytes sent and received so far, with frame headers and heartbeats.
+  virtual std::int64_t bytes_transferred() const = 0;
+
+  // Sets a hook for each change of connected().
+  virtual void OnConnectedChanged(std::function<void(bool connected)> hook) = 0;
+};
+
+std::unique_ptr<FrameServer> MakeFrameServer(FrameServer::OnFrame on_frame,
+                                             const FrameLimits& limits = {});
+std::unique_ptr<FrameLink> MakeFrameLink(const Endpoint& endpoint, FrameLink::OnFrame on_frame,
+                                         Random random, const FrameLimits& limits = {});
+
+}  // namespace kumquat
--- /dev/null
+++ b/src/libs/transport/http_message.h
@@ -0,0 +1,31 @@
+// An HTTP request or answer as it passes between the transport layer and its users.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace kumquat {
+
+// Header fields in the order of the message.
+using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
+
+// Returns the value of the first field with this name, in any case; empty when there is none.
+std::string_view HeaderValue(const HttpHeaders& headers, std::string_view name);
+
+// A whole request of a caller.
+struct HttpRequest {
+  // In capitals, such as "POST".
+  std::string method;
+  // The decoded path, from the leading slash on, without the query.
+  std::string path;
+  // The raw query, without the question mark.
+  std::string query;
+  HttpHeaders headers;
+  std::string body;
+
+  std::string_view Header(std::string_view name) const { return HeaderValue(headers, name); }
+};
+
+}  // namespace kumquat
--- /dev/null
+++ b/src/libs/transport/http_server.h
@@ -0,0 +1,102 @@
+// The HTTP server of a process: bounded requests in, whole or streamed answers out.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "transport/http_message.h"
+#include "utils/endpoint.h"
+#include "utils/hooks.h"
+
+namespace kumquat {
+
+namespace Internal {
+class HttpServerImpl;
+}
+
+// The answer to one request. It may be kept and used after the handler has returned. Every call
+// after the connection has closed is ignored.
+class HttpResponder {
+ public:
+  virtual ~HttpResponder() = default;
+
+  // Sends a whole answer.
+  virtual void Send(int status, const HttpHeaders& headers, std::string_view body) = 0;
+
+  // Starts an answer of unknown length, in chunks.
+  virtual void StartStream(int status, const HttpHeaders& headers) = 0;
+
+  // Sends a chunk of a started stream.
+  virtual void Write(std::string_view chunk) = 0;
+
+  // Ends a started stream as complete.
+  virtual void End() = 0;
+
+  // Closes the connection at once; a started stream then is seen to be incomplete.
+  virtual void Abort() = 0;
+
+  // Returns the bytes that wait because the caller reads slowly.
+  virtual std::int64_t pending_bytes() const = 0;
+
+  // Sets a hook that runs once if the connection closes before the answer is whole.
+  virtual void OnClosed(std::function<void()> hook) = 0;
+};
+
+// What a server accepts; a request past a limit is answered 413 or 431 and its connection closed.
+struct HttpServerLimits {
+  std::int64_t max_header_bytes = 32 * 1024;
+  std::int64_t max_body_bytes = 16 * 1024 * 1024;
+  std::int64_t max_connections = 10'000;
+  // A connection that has sent part of a request and then nothing for this long is closed.
+  Duration request_timeout = std::chrono::seconds(30);
+};
+
+// Serves HTTP/1.1 on one address.
+class HttpServer {
+ public:
+  using Handler = std::function<void(HttpRequest, std::shared_ptr<HttpResponder>)>;
+
+  // Renders the body of an answer that the transport gives itself, for status 413 or 431.
+  using LimitBody = std::function<std::string(int status)>;
+
+  class Builder {
+   public:
+    Builder& WithLimits(const HttpServerLimits& limits);
+    Builder& WithHandler(Handler handler);
+    Builder& WithLimitBody(LimitBody limit_body);
+    std::unique_ptr<HttpServer> Build();
+
+   private:
+    HttpServerLimits limits_;
+    Handler handler_;
+    LimitBody limit_body_;
+  };
+
+  ~HttpServer();
+
+  // Starts to accept connections; port 0 takes a free one. False when the address can't be had;
+  // last_reason() then says why.
+  bool Listen(const Endpoint& endpoint);
+
+  // Stops accepting connections; those that are open go on.
+  void StopListening();
+
+  // Returns the port that is listened on; 0 when there is none.
+  std::uint16_t port() const;
+
+  // Returns the number of requests whose answer is not yet whole.
+  std::int64_t open_requests() const;
+
+  const std::string& last_reason() const { return last_reason_; }
+
+ private:
+  explicit HttpServer(std::unique_ptr<Internal::HttpServerImpl> impl);
+
+  std::unique_ptr<Internal::HttpServerImpl> impl_;
+  std::string last_reason_;
+};
+
+}  // namespace kumquat
