--- a/src/libs/protocol/control_messages.cpp
+++ b/src/libs/protocol/control_messages.cpp
@@ -89,6 +89,7 @@
   }
   return {{"router_id", ToQString(request.router_id)},
           {"router_incarnation", static_cast<qint64>(request.router_incarnation)},
+          {"sequence", static_cast<qint64>(request.sequence)},
           {"term", static_cast<qint64>(request.term)},
           {"plans_revision", static_cast<qint64>(request.plans_revision)},
           {"allowances_revision", static_cast<qint64>(request.allowances_revision)},
@@ -100,6 +101,7 @@
   JsonFields fields(json);
   fields.Read("router_id", &request.router_id)
       .Read("router_incarnation", &request.router_incarnation)
+      .Read("sequence", &request.sequence)
       .Read("term", &request.term)
       .Read("plans_revision", &request.plans_revision)
       .Read("allowances_revision", &request.allowances_revision);
--- a/src/libs/protocol/control_messages.h
+++ b/src/libs/protocol/control_messages.h
@@ -46,6 +46,9 @@
   std::int64_t plans_revision = 0;
   std::int64_t allowances_revision = 0;
   std::vector<ShareRequest> shares;
+  // Grows with each request of this incarnation. Each request is sent once, and only the answer
+  // to the newest one counts.
+  std::int64_t sequence = 0;
 
   bool operator==(const LeaseRequest&) const = default;
 };
--- a/tests/libs/protocol/control_messages_test.cpp
+++ b/tests/libs/protocol/control_messages_test.cpp
@@ -9,7 +9,7 @@
 
 TEST_CASE("Control messages survive their JSON form") {
   std::string reason;
-  const LeaseRequest renewal{"r1", 5, 3, 7, 8, {{"workshop", {1, 2, 3}, {4, 5, 6}}}};
+  const LeaseRequest renewal{"r1", 5, 3, 7, 8, {{"workshop", {1, 2, 3}, {4, 5, 6}}}, 9};
   CHECK(ParseLeaseRequest(ToJson(renewal), &reason) == renewal);
 
   LeaseAnswer lease{3, 3000, 7, 8, PlanList{}, std::nullopt, {{"workshop", {1, 2, 3}}}, {"c1"}};
