--- /dev/null
+++ b/src/libs/coordination/placement/placement.h
@@ -0,0 +1,114 @@
+// Chooses the engine for a request: the one with the least expected time to first token, weighed
+// against the work that the choice costs other requests. Free of sockets and clocks.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string_view>
+
+#include "protocol/announcement.h"
+#include "protocol/lists.h"
+#include "utils/hooks.h"
+
+namespace kumquat {
+
+namespace Internal {
+class PlacementTracker;
+}
+
+// An engine that can run the request, with what is believed of it for this request.
+struct Candidate {
+  std::string_view backend_id;
+  std::int64_t incarnation = 0;
+  std::string_view failure_domain;
+  // A leaving engine is never chosen.
+  BackendState state = BackendState::kServing;
+  std::int64_t concurrent_requests = 1;
+  // Milliseconds of prefill for a thousand prompt tokens.
+  double prefill_ms_per_1k_tokens = 0;
+  // Leading prompt tokens that the engine is believed to hold, or to have been sent already.
+  std::int64_t cached_tokens = 0;
+  // Leading prompt tokens that the engine could import from the store of kept cache.
+  std::int64_t importable_tokens = 0;
+  double import_ms_per_1k_tokens = 0;
+};
+
+// What placement needs to know of a request.
+struct PlacementRequest {
+  std::int64_t prompt_tokens = 0;
+  RequestClass request_class = RequestClass::kReply;
+  // Low bits of the identity of the prompt's first piece, or of its organisation when it has none:
+  // routers agree by it on where a prefix that nobody holds goes.
+  std::uint64_t prefix_root = 0;
+};
+
+// The outcome of a choice.
+struct PlacementChoice {
+  // Into the candidates.
+  std::size_t index = 0;
+  Duration expected_first_token{};
+  // Prompt tokens that the engine will have to compute, after the import if there is one.
+  std::int64_t missing_tokens = 0;
+  // Leading prompt tokens worth importing from the store of kept cache; 0 for no import.
+  std::int64_t import_tokens = 0;
+};
+
+struct PlacementOptions {
+  // Routers that share the engines, this one included: its own dispatches are a sample of theirs.
+  std::int64_t routers = 1;
+  // Weight of a recomputed token's cost to later requests, in units of its own prefill time.
+  double recompute_weight = 1.0;
+  // Share of the engines that drafts keep to while these are not overloaded.
+  double draft_share = 0.34;
+  // Choices within this much of the best one are equal, and are told apart at random.
+  Duration tie = std::chrono::milliseconds(2);
+};
+
+// One dispatch under way.
+using DispatchId = std::uint64_t;
+
+// Places the requests of one router. Keeps, for each engine, its last reported load and this
+// router's own dispatches, so that the lagging report is corrected by what happened since.
+class PlacementPolicy {
+ public:
+  PlacementPolicy(const PlacementOptions& options, Random random);
+  ~PlacementPolicy();
+
+  // Returns the engine to use; nothing when no candidate is serving.
+  std::optional<PlacementChoice> Choose(std::span<const Candidate> candidates,
+                                        const PlacementRequest& request, Instant now);
+
+  // The request went out to this candidate. Returns the handle for the calls below.
+  DispatchId Dispatched(const Candidate& candidate, const PlacementRequest& request,
+                        const PlacementChoice& choice, Instant now);
+
+  // The first token came back.
+  void FirstToken(DispatchId dispatch, Instant now);
+
+  // The answer is whole; `cached_tokens` is the engine's own count.
+  void Finished(DispatchId dispatch, std::int64_t cached_tokens, Instant now);
+
+  // The attempt failed or was cancelled.
+  void Failed(DispatchId dispatch, Instant now);
+
+  // A load report came in that was true at `measured_at`, by this router's clock. Older reports
+  // than the last one, and those of older incarnations, are ignored.
+  void Reported(std::string_view backend_id, std::int64_t incarnation, const BackendLoad& load,
+                Instant measured_at);
+
+  // The engine is gone for good.
+  void Forget(std::string_view backend_id);
+
+  // Changes how many routers share the engines.
+  void SetRouters(std::int64_t routers);
+
+ private:
+  PlacementOptions options_;
+  Random random_;
+  std::unique_ptr<Internal::PlacementTracker> tracker_;
+};
+
+}  // namespace kumquat
