--- a/src/libs/state/index/prefix_index.h
+++ b/src/libs/state/index/prefix_index.h
@@ -7,10 +7,13 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "coordination/prefix/prefix_identity.h"
@@ -19,7 +22,25 @@
 
 namespace Internal {
 class BlockTable;
-}
+
+// What is known of one engine's events.
+struct Holder {
+  std::string backend_id;
+  std::int64_t incarnation = 0;
+  std::int64_t last_sequence = 0;
+  std::int64_t wrong_beliefs_since_resync = 0;
+  bool has_gap = false;
+};
+
+// Lets maps with string keys be searched by views.
+struct StringHash {
+  using is_transparent = void;  // NOLINT(readability-identifier-naming): named by the standard.
+  std::size_t operator()(std::string_view text) const {
+    return std::hash<std::string_view>{}(text);
+  }
+};
+
+}  // namespace Internal
 
 // A change in an engine's cache, without its number.
 struct BlockChange {
@@ -50,7 +71,8 @@
 // What became of a batch.
 enum class BatchOutcome {
   kApplied,
-  // Every event was known already, or the incarnation is an older one: ignored.
+  // Ignored: every event was known already, or the incarnation is an older one, or the engine is
+  // not known.
   kStale,
   // Events between the last known one and this batch are lost. The batch was applied, and a resync
   // is due: needs_resync() holds until Replace().
@@ -73,7 +95,8 @@
   ~PrefixIndex();
 
   // An engine is known to run in this incarnation. A new one empties what was believed of it, an
-  // older one is ignored. Returns whether this is the current incarnation now.
+  // older one is ignored. Returns whether this is the current incarnation now. Every other call
+  // about an engine that was never observed is ignored, so that late messages revive none.
   bool Observe(std::string_view backend_id, std::int64_t incarnation);
 
   // Takes in a batch. Late, repeated and overlapping batches are fine.
@@ -87,12 +110,13 @@
   void Expect(std::string_view backend_id, std::int64_t incarnation,
               std::span<const BlockId> prompt);
 
-  // An answer counted this many leading pieces of the prompt as cached when it began. What was
-  // believed beyond them was wrong; now that the engine has computed it, it holds the whole prompt.
+  // An answer counted this many leading pieces of the prompt as cached when it began. What events
+  // had said beyond them was wrong; now that the engine has computed it, it holds the whole prompt.
+  // An engine that is wrong about again and again has drifted, and is due for a resync.
   void Correct(std::string_view backend_id, std::int64_t incarnation,
                std::span<const BlockId> prompt, std::int64_t cached_pieces);
 
-  // An attempt failed: nothing of the prompt is believed of the engine past what events said.
+  // An attempt failed: what was only expected of it is believed no longer.
   void Retract(std::string_view backend_id, std::int64_t incarnation,
                std::span<const BlockId> prompt);
 
@@ -101,9 +125,9 @@
 
   // Returns, for each engine that is believed to hold the first piece, its longest prefix. The
   // views hold until the next call that changes the index.
-  std::vector<PrefixBelief> Lookup(std::span<const BlockId> prompt) const;
+  std::vector<PrefixBelief> Lookup(std::span<const BlockId> prompt);
 
-  // Returns the engines with a gap in their events.
+  // Returns the engines with a gap in their events, or that have drifted.
   std::vector<std::string> needs_resync() const;
 
   // Returns the number of beliefs, each one piece at one engine.
@@ -116,7 +140,17 @@
   std::int64_t wrong_beliefs() const { return wrong_beliefs_; }
 
  private:
+  using Holder = Internal::Holder;
+
+  // Returns the engine's slot when this is its current incarnation; a newer one becomes it.
+  std::optional<std::size_t> Current(std::string_view backend_id, std::int64_t incarnation);
+  void Empty(std::size_t slot);
+  std::size_t AddHolder(std::string_view backend_id);
+
   std::unique_ptr<Internal::BlockTable> table_;
+  std::vector<Holder> holders_;
+  std::unordered_map<std::string, std::size_t, Internal::StringHash, std::equal_to<>> slots_;
+  std::vector<std::int64_t> depths_;
   std::int64_t wrong_beliefs_ = 0;
 };
 
