Placement policy: expected time to first token with corrected load

Reports lag, so each router adds its own dispatches since the report was true, times the routers that share the engines and do alike; what others made of a report fades to its average.

--- /dev/null
+++ b/src/libs/coordination/placement/placement.cpp
@@ -0,0 +1,156 @@
+#include "coordination/placement/placement.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "coordination/placement/placement_tracker.h"
+
+namespace kumquat {
+
+namespace Internal {
+
+// A candidate with what choosing it would cost.
+struct ScoredCandidate {
+  PlacementChoice choice;
+  double score_us = 0;
+};
+
+std::uint64_t RendezvousScore(std::string_view backend_id, std::uint64_t seed) {
+  return XXH3_64bits_withSeed(backend_id.data(), backend_id.size(), seed);
+}
+
+// Drafts keep to the engines that hash into this share of the range.
+bool IsDraftEngine(std::string_view backend_id, double share) {
+  constexpr double kRange = 18446744073709551616.0;
+  return static_cast<double>(RendezvousScore(backend_id, 0)) < share * kRange;
+}
+
+constexpr double kUsPerMsPerThousand = 1.0;
+
+double ComputeUs(double tokens, double ms_per_1k_tokens) {
+  return tokens * ms_per_1k_tokens * kUsPerMsPerThousand;
+}
+
+// Sets what is missing, and imports where that is cheaper than computing.
+void PlanPrefill(const Candidate& candidate, const PlacementRequest& request,
+                 PlacementChoice& choice) {
+  const std::int64_t cached = std::min(candidate.cached_tokens, request.prompt_tokens);
+  const std::int64_t importable = std::min(candidate.importable_tokens, request.prompt_tokens);
+  const bool imports =
+      importable > cached && candidate.import_ms_per_1k_tokens < candidate.prefill_ms_per_1k_tokens;
+  choice.import_tokens = imports ? importable : 0;
+  choice.missing_tokens = request.prompt_tokens - (imports ? importable : cached);
+}
+
+// Returns the time that the engine spends on the request before its first token.
+double PrefillUs(const Candidate& candidate, const PlacementChoice& choice) {
+  const auto imported = static_cast<double>(
+      std::max<std::int64_t>(0, choice.import_tokens - candidate.cached_tokens));
+  return ComputeUs(static_cast<double>(choice.missing_tokens), candidate.prefill_ms_per_1k_tokens) +
+         ComputeUs(imported, candidate.import_ms_per_1k_tokens);
+}
+
+double QueueUs(const Candidate& candidate, const LoadEstimate& load, RequestClass request_class,
+               Duration mean_decode) {
+  const double ahead = request_class == RequestClass::kReply ? load.reply_tokens : load.tokens;
+  const double slots =
+      static_cast<double>(std::max<std::int64_t>(1, candidate.concurrent_requests));
+  const double over = std::max(0.0, load.requests + 1 - slots);
+  const double slot_us = over * static_cast<double>(mean_decode.count()) / slots;
+  return std::max(slot_us, ComputeUs(ahead, candidate.prefill_ms_per_1k_tokens));
+}
+
+}  // namespace Internal
+
+PlacementPolicy::PlacementPolicy(const PlacementOptions& options, Random random)
+    : options_(options),
+      random_(std::move(random)),
+      tracker_(std::make_unique<Internal::PlacementTracker>()) {
+  tracker_->SetRouters(options.routers);
+}
+
+PlacementPolicy::~PlacementPolicy() = default;
+
+std::optional<PlacementChoice> PlacementPolicy::Choose(std::span<const Candidate> candidates,
+                                                       const PlacementRequest& request,
+                                                       Instant now) {
+  std::vector<Internal::ScoredCandidate> scored;
+  scored.reserve(candidates.size());
+  for (std::size_t index = 0; index < candidates.size(); ++index) {
+    const Candidate& candidate = candidates[index];
+    if (candidate.state != BackendState::kServing) continue;
+    scored.push_back({.choice = {.index = index}});
+    Score(candidate, request, now, scored.back());
+  }
+  if (scored.empty()) return std::nullopt;
+  const auto by_score = [](const auto& left, const auto& right) {
+    return left.score_us < right.score_us;
+  };
+  const double best = std::min_element(scored.begin(), scored.end(), by_score)->score_us;
+  const double limit = best + static_cast<double>(options_.tie.count());
+  std::erase_if(scored, [&](const auto& candidate) { return candidate.score_us > limit; });
+  return scored[BreakTie(candidates, request, scored)].choice;
+}
+
+void PlacementPolicy::Score(const Candidate& candidate, const PlacementRequest& request,
+                            Instant now, Internal::ScoredCandidate& scored) const {
+  const auto load = tracker_->Estimate(candidate.backend_id, candidate.incarnation, now);
+  Internal::PlanPrefill(candidate, request, scored.choice);
+  const double queue_us =
+      Internal::QueueUs(candidate, load, request.request_class, tracker_->mean_decode());
+  const double prefill_us = Internal::PrefillUs(candidate, scored.choice);
+  scored.choice.expected_first_token = Duration(static_cast<std::int64_t>(queue_us + prefill_us));
+  scored.score_us = queue_us + prefill_us * (1 + options_.recompute_weight);
+  if (request.request_class == RequestClass::kDraft &&
+      !Internal::IsDraftEngine(candidate.backend_id, options_.draft_share)) {
+    scored.score_us += static_cast<double>(options_.draft_detour.count());
+  }
+}
+
+// Where nobody holds anything of the prompt, routers that decide at the same moment should agree,
+// so that it is computed once; else they should differ, so that they don't meet at one engine.
+std::size_t PlacementPolicy::BreakTie(std::span<const Candidate> candidates,
+                                      const PlacementRequest& request,
+                                      std::span<const Internal::ScoredCandidate> tied) const {
+  const auto is_cold = [&](const Internal::ScoredCandidate& scored) {
+    return candidates[scored.choice.index].cached_tokens == 0;
+  };
+  if (!std::all_of(tied.begin(), tied.end(), is_cold)) return random_() % tied.size();
+  std::size_t best = 0;
+  std::uint64_t best_score = 0;
+  for (std::size_t at = 0; at < tied.size(); ++at) {
+    const auto backend_id = candidates[tied[at].choice.index].backend_id;
+    const auto score = Internal::RendezvousScore(backend_id, request.prefix_root);
+    if (score < best_score) continue;
+    best = at;
+    best_score = score;
+  }
+  return best;
+}
+
+DispatchId PlacementPolicy::Dispatched(const Candidate& candidate, const PlacementRequest& request,
+                                       const PlacementChoice& choice, Instant now) {
+  return tracker_->Dispatched(candidate, request.request_class, choice.missing_tokens, now);
+}
+
+void PlacementPolicy::FirstToken(DispatchId dispatch, Instant now) {
+  tracker_->FirstToken(dispatch, now);
+}
+
+void PlacementPolicy::Finished(DispatchId dispatch, Instant now) { tracker_->Ended(dispatch, now); }
+
+void PlacementPolicy::Failed(DispatchId dispatch, Instant now) { tracker_->Ended(dispatch, now); }
+
+void PlacementPolicy::Reported(std::string_view backend_id, std::int64_t incarnation,
+                               const BackendLoad& load, Instant measured_at) {
+  tracker_->Reported(backend_id, incarnation, load, measured_at);
+}
+
+void PlacementPolicy::Forget(std::string_view backend_id) { tracker_->Forget(backend_id); }
+
+void PlacementPolicy::SetRouters(std::int64_t routers) { tracker_->SetRouters(routers); }
+
+}  // namespace kumquat
--- a/src/libs/coordination/placement/placement.h
+++ b/src/libs/coordination/placement/placement.h
@@ -17,7 +17,8 @@
 
 namespace Internal {
 class PlacementTracker;
-}
+struct ScoredCandidate;
+}  // namespace Internal
 
 // An engine that can run the request, with what is believed of it for this request.
 struct Candidate {
@@ -63,6 +64,8 @@
   double recompute_weight = 1.0;
   // Share of the engines that drafts keep to while these are not overloaded.
   double draft_share = 0.34;
+  // Expected time that a draft has to gain before it leaves them.
+  Duration draft_detour = std::chrono::seconds(4);
   // Choices within this much of the best one are equal, and are told apart at random.
   Duration tie = std::chrono::milliseconds(2);
 };
@@ -88,8 +91,8 @@
   // The first token came back.
   void FirstToken(DispatchId dispatch, Instant now);
 
-  // The answer is whole; `cached_tokens` is the engine's own count.
-  void Finished(DispatchId dispatch, std::int64_t cached_tokens, Instant now);
+  // The answer is whole.
+  void Finished(DispatchId dispatch, Instant now);
 
   // The attempt failed or was cancelled.
   void Failed(DispatchId dispatch, Instant now);
@@ -106,6 +109,11 @@
   void SetRouters(std::int64_t routers);
 
  private:
+  void Score(const Candidate& candidate, const PlacementRequest& request, Instant now,
+             Internal::ScoredCandidate& scored) const;
+  std::size_t BreakTie(std::span<const Candidate> candidates, const PlacementRequest& request,
+                       std::span<const Internal::ScoredCandidate> tied) const;
+
   PlacementOptions options_;
   Random random_;
   std::unique_ptr<Internal::PlacementTracker> tracker_;
--- /dev/null
+++ b/src/libs/coordination/placement/placement_tracker.cpp
@@ -0,0 +1,149 @@
+#include "coordination/placement/placement_tracker.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace kumquat::Internal {
+
+namespace {
+
+// How fast what other routers' requests made of a report loses its meaning.
+constexpr double kReportHalfLifeUs = 700'000;
+
+// Weight of the newest value in running averages.
+constexpr double kAverageWeight = 0.05;
+
+double Average(double mean, double value) { return mean + kAverageWeight * (value - mean); }
+
+}  // namespace
+
+bool PlacementTracker::Dispatch::WaitsAt(Instant moment) const {
+  if (sent_at > moment) return false;
+  if (first_token_at) return *first_token_at > moment;
+  return RunsAt(moment);
+}
+
+bool PlacementTracker::Dispatch::RunsAt(Instant moment) const {
+  return sent_at <= moment && (!ended_at || *ended_at > moment);
+}
+
+LoadEstimate PlacementTracker::Estimate(std::string_view backend_id, std::int64_t incarnation,
+                                        Instant now) const {
+  LoadEstimate load;
+  const auto found = engines_.find(backend_id);
+  if (found == engines_.end() || found->second.incarnation != incarnation) return load;
+  const Engine& engine = found->second;
+  const Instant measured_at = engine.measured_at.value_or(now);
+  const double age_us = static_cast<double>(std::max(now - measured_at, Duration::zero()).count());
+  const double trust = std::exp2(-age_us / kReportHalfLifeUs);
+  // Other routers see what this one sees and do as it does: what it sent since the report was true
+  // stands for as much from each of them.
+  const double likeness = 1 + (1 - trust) * static_cast<double>(routers_ - 1);
+  for (const Dispatch& dispatch : engine.dispatches) {
+    const double weight = dispatch.sent_at > measured_at ? likeness : 1;
+    if (dispatch.RunsAt(now)) load.requests += weight;
+    if (!dispatch.WaitsAt(now)) continue;
+    load.tokens += weight * dispatch.tokens;
+    if (dispatch.is_reply) load.reply_tokens += weight * dispatch.tokens;
+  }
+  const auto mix = [&](double last, double mean) { return trust * last + (1 - trust) * mean; };
+  const double others = mix(engine.others_tokens, engine.mean_others_tokens);
+  load.tokens += others;
+  load.reply_tokens += others * reply_share_;
+  load.requests += mix(engine.others_requests, engine.mean_others_requests);
+  return load;
+}
+
+DispatchId PlacementTracker::Dispatched(const Candidate& candidate, RequestClass request_class,
+                                        std::int64_t missing_tokens, Instant now) {
+  const DispatchId id = ++last_dispatch_;
+  Engine* const engine = EngineOf(candidate.backend_id, candidate.incarnation);
+  if (engine == nullptr) return id;
+  const bool is_reply = request_class == RequestClass::kReply;
+  reply_share_ = Average(reply_share_, is_reply ? 1 : 0);
+  Dispatch dispatch;
+  dispatch.id = id;
+  dispatch.tokens = static_cast<double>(missing_tokens);
+  dispatch.is_reply = is_reply;
+  dispatch.sent_at = now;
+  engine->dispatches.push_back(dispatch);
+  engine_of_dispatch_.emplace(id, candidate.backend_id);
+  return id;
+}
+
+void PlacementTracker::FirstToken(DispatchId dispatch, Instant now) {
+  Dispatch* const found = Find(dispatch);
+  if (found != nullptr) found->first_token_at = now;
+}
+
+void PlacementTracker::Ended(DispatchId dispatch, Instant now) {
+  Dispatch* const found = Find(dispatch);
+  if (found != nullptr) {
+    found->ended_at = now;
+    if (found->first_token_at) {
+      const double decode_us = static_cast<double>((now - *found->first_token_at).count());
+      const double mean_us = Average(static_cast<double>(mean_decode_.count()), decode_us);
+      mean_decode_ = Duration(static_cast<std::int64_t>(mean_us));
+    }
+  }
+  engine_of_dispatch_.erase(dispatch);
+}
+
+void PlacementTracker::Reported(std::string_view backend_id, std::int64_t incarnation,
+                                const BackendLoad& load, Instant measured_at) {
+  Engine* const engine = EngineOf(backend_id, incarnation);
+  if (engine == nullptr) return;
+  if (engine->measured_at && *engine->measured_at >= measured_at) return;
+  engine->measured_at = measured_at;
+  double own_tokens = 0;
+  double own_requests = 0;
+  for (const Dispatch& dispatch : engine->dispatches) {
+    if (dispatch.WaitsAt(measured_at)) own_tokens += dispatch.tokens;
+    if (dispatch.RunsAt(measured_at)) ++own_requests;
+  }
+  const auto tokens = static_cast<double>(load.queued_tokens);
+  const auto requests = static_cast<double>(load.running_requests + load.queued_requests);
+  engine->others_tokens = std::max(0.0, tokens - own_tokens);
+  engine->others_requests = std::max(0.0, requests - own_requests);
+  engine->mean_others_tokens = Average(engine->mean_others_tokens, engine->others_tokens);
+  engine->mean_others_requests = Average(engine->mean_others_requests, engine->others_requests);
+  std::erase_if(engine->dispatches, [&](const Dispatch& dispatch) {
+    return dispatch.ended_at && *dispatch.ended_at <= measured_at;
+  });
+}
+
+void PlacementTracker::Forget(std::string_view backend_id) {
+  const auto found = engines_.find(backend_id);
+  if (found == engines_.end()) return;
+  for (const Dispatch& dispatch : found->second.dispatches) engine_of_dispatch_.erase(dispatch.id);
+  engines_.erase(found);
+}
+
+// Returns the engine's entry, emptied when the incarnation is newer; null when it is older.
+PlacementTracker::Engine* PlacementTracker::EngineOf(std::string_view backend_id,
+                                                     std::int64_t incarnation) {
+  auto found = engines_.find(backend_id);
+  if (found == engines_.end()) {
+    found = engines_.emplace(backend_id, Engine{}).first;
+    found->second.incarnation = incarnation;
+  }
+  Engine& engine = found->second;
+  if (incarnation < engine.incarnation) return nullptr;
+  if (incarnation > engine.incarnation) {
+    for (const Dispatch& dispatch : engine.dispatches) engine_of_dispatch_.erase(dispatch.id);
+    engine = Engine{};
+    engine.incarnation = incarnation;
+  }
+  return &engine;
+}
+
+PlacementTracker::Dispatch* PlacementTracker::Find(DispatchId dispatch) {
+  const auto entry = engine_of_dispatch_.find(dispatch);
+  if (entry == engine_of_dispatch_.end()) return nullptr;
+  auto& dispatches = engines_.at(entry->second).dispatches;
+  const auto found = std::find_if(dispatches.begin(), dispatches.end(),
+                                  [&](const Dispatch& sent) { return sent.id == dispatch; });
+  return found == dispatches.end() ? nullptr : &*found;
+}
+
+}  // namespace kumquat::Internal
--- /dev/null
+++ b/src/libs/coordination/placement/placement_tracker.h
@@ -0,0 +1,87 @@
+// What one router knows of each engine's load: the last report, which lags, and its own dispatches.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "coordination/placement/placement.h"
+
+namespace kumquat::Internal {
+
+// An engine's load now, as estimated.
+struct LoadEstimate {
+  // Prompt tokens that wait for prefill, of replies and of all classes.
+  double reply_tokens = 0;
+  double tokens = 0;
+  // Requests that run or wait.
+  double requests = 0;
+};
+
+// Corrects reported load by what this router sent and heard since.
+class PlacementTracker {
+ public:
+  void SetRouters(std::int64_t routers) { routers_ = routers; }
+
+  LoadEstimate Estimate(std::string_view backend_id, std::int64_t incarnation, Instant now) const;
+
+  // Returns how long an answer takes from its first token to its end, on average.
+  Duration mean_decode() const { return mean_decode_; }
+
+  DispatchId Dispatched(const Candidate& candidate, RequestClass request_class,
+                        std::int64_t missing_tokens, Instant now);
+  void FirstToken(DispatchId dispatch, Instant now);
+  void Ended(DispatchId dispatch, Instant now);
+  void Reported(std::string_view backend_id, std::int64_t incarnation, const BackendLoad& load,
+                Instant measured_at);
+  void Forget(std::string_view backend_id);
+
+ private:
+  // One of this router's own dispatches, kept until a report is newer than its end.
+  struct Dispatch {
+    DispatchId id = 0;
+    double tokens = 0;
+    bool is_reply = true;
+    Instant sent_at{};
+    std::optional<Instant> first_token_at;
+    std::optional<Instant> ended_at;
+
+    bool WaitsAt(Instant moment) const;
+    bool RunsAt(Instant moment) const;
+  };
+
+  struct Engine {
+    std::int64_t incarnation = 0;
+    std::optional<Instant> measured_at;
+    // What other routers' requests made of the report, and its average over reports.
+    double others_tokens = 0;
+    double others_requests = 0;
+    double mean_others_tokens = 0;
+    double mean_others_requests = 0;
+    std::vector<Dispatch> dispatches;
+  };
+
+  struct StringHash {
+    using is_transparent = void;  // NOLINT(readability-identifier-naming): named by the standard.
+    std::size_t operator()(std::string_view text) const {
+      return std::hash<std::string_view>{}(text);
+    }
+  };
+
+  Engine* EngineOf(std::string_view backend_id, std::int64_t incarnation);
+  Dispatch* Find(DispatchId dispatch);
+
+  std::unordered_map<std::string, Engine, StringHash, std::equal_to<>> engines_;
+  // Which engine each dispatch under way went to.
+  std::unordered_map<DispatchId, std::string> engine_of_dispatch_;
+  DispatchId last_dispatch_ = 0;
+  std::int64_t routers_ = 1;
+  Duration mean_decode_ = std::chrono::seconds(2);
+  // Share of the tokens sent that belonged to replies.
+  double reply_share_ = 1;
+};
+
+}  // namespace kumquat::Internal
--- a/tests/libs/state/index/prefix_index_test.cpp
+++ b/tests/libs/state/index/prefix_index_test.cpp
@@ -291,6 +291,8 @@
   CHECK(index.Apply(batch) == BatchOutcome::kStale);
   index.Observe("engine", 1);
   CHECK(index.Apply(batch) == BatchOutcome::kApplied);
+  CHECK(index.Apply(batch) == BatchOutcome::kStale);
+  CHECK(index.needs_resync().empty());
   CHECK(index.Lookup(std::array{block}).size() == 1);
   index.Forget("engine");
   CHECK(index.Lookup(std::array{block}).empty());
