Leased shares of capacity and the plan lease

ShareLedger hands out shares on the leader, ShareHolder keeps them on a router, PlanLease says whether a router may serve by its lists.

--- a/src/libs/coordination/limits/demand_meter.h
+++ b/src/libs/coordination/limits/demand_meter.h
@@ -5,7 +5,8 @@
 
 namespace kumquat {
 
-// Measures units a second, with exponentially fading memory.
+// Measures units a second, with exponentially fading memory. A quarter of the memory counts where
+// it gives more, so that the rate rises fast and falls slowly.
 class DemandMeter {
  public:
   // Counts units that were asked for now.
@@ -15,7 +16,8 @@
   double Rate(Duration memory, Instant now) const;
 
  private:
-  double rate_ = 0;
+  double slow_rate_ = 0;
+  double fast_rate_ = 0;
   Instant measured_at_{0};
 };
 
--- a/src/libs/coordination/limits/plan_lease.h
+++ b/src/libs/coordination/limits/plan_lease.h
@@ -12,12 +12,6 @@
 
 namespace kumquat {
 
-// Clocks of two instances may differ in rate by one part in so many.
-inline constexpr std::int64_t kClockDriftDivisor = 100;
-
-// Returns how much of a lease may be used on this instance's clock.
-constexpr Duration UsableLease(Duration lease) { return lease - lease / kClockDriftDivisor; }
-
 struct PlanLeaseOptions {
   // How long a replica neither votes nor acknowledges after it begins to listen.
   Duration startup_quiet = std::chrono::seconds(1);
--- a/src/libs/coordination/limits/share_holder.h
+++ b/src/libs/coordination/limits/share_holder.h
@@ -22,7 +22,9 @@
   Duration shortest_interval = std::chrono::milliseconds(100);
   // Expected time until control has answered, told to those who wait for it.
   Duration expected_answer = std::chrono::milliseconds(50);
-  // Retry-after of those who must wait for a share or a free place.
+  // How long a shortage may wait for control's answer before it refuses.
+  Duration longest_wait = std::chrono::milliseconds(500);
+  // When to come back, for those who need a free place or a share.
   Duration retry_after = std::chrono::seconds(1);
   // Time constant of the smoothed demand.
   Duration demand_memory = std::chrono::seconds(2);
@@ -33,7 +35,7 @@
   kOk,
   // Control has to be asked for more first; try again after its next answer.
   kWait,
-  // The plan's limit is reached.
+  // The plan's limit is reached, or control has not answered.
   kRefused,
 };
 
@@ -55,7 +57,7 @@
 class ShareHolder {
  public:
   // Tells whether the lease that ended at `lease_end` goes on because a majority of the control
-  // replicas is proven down since then (see PlanLease::OutageCovers).
+  // replicas is proven down since then (PlanLease::OutageCovers).
   using OutageCovers = std::function<bool(Instant lease_end, Instant now)>;
 
   explicit ShareHolder(ShareHolderOptions options = {}, OutageCovers outage_covers = {});
@@ -75,14 +77,16 @@
   // or share was given back. The caller sends none while one is under way and not timed out.
   bool RequestDue(Instant now) const;
 
-  // Begins the next request: sent now, once. Answers to earlier ones are dropped from here on.
+  // Begins the next request: sent now, once. Answers to earlier ones are dropped from here on, and
+  // organisations without demand give their shares back.
   SharesToRenew BeginRequest(Instant now);
 
   // Takes the answer to the request with this sequence. False when it was dropped: it has a lower
   // term than one seen before, or is not the first answer to the newest request.
   bool Apply(std::int64_t sequence, const LeaseAnswer& answer, Instant now);
 
-  // Returns the valid share; all zero when there is none.
+  // Returns the valid share; all zero when there is none. More requests may still run than its
+  // `concurrent_requests` after a share shrank.
   Capacity Held(const std::string& organisation, Instant now) const;
 
   std::int64_t term() const { return term_; }
@@ -90,11 +94,15 @@
  private:
   struct Share {
     Capacity granted;
+    // The concurrent requests that the leader counts as taken: more than granted while requests
+    // run that began under a larger share.
+    std::int64_t counted_running = 0;
     // The term of the leader that granted it, and the end of its lease.
     std::int64_t term = 0;
     Instant lease_end{0};
-    // What the newest request reported as held.
+    // What the newest request reported.
     Capacity reported;
+    Capacity wanted;
     TokenBucket requests;
     TokenBucket tokens;
     std::int64_t running = 0;
@@ -104,15 +112,20 @@
     DemandMeter unmet;
     // Since when the share falls short; nothing while it does not.
     std::optional<Instant> short_since;
-    // When the request of the newest applied answer was sent.
+    // When the request was sent whose answer was applied last.
     std::optional<Instant> answered_from;
+    Instant created_at{0};
   };
 
-  bool Valid(const Share& share, Instant now) const;
+  bool IsValid(const Share& share, Instant now) const;
+  // What the share admits now, or what other parts of the system must count as taken.
   Capacity Believed(const Share& share, Instant now) const;
-  Capacity Wanted(Share* share, Instant now) const;
-  AdmissionAnswer Shortage(Share* share, Duration retry_after, Instant now);
-  void ApplyGrant(Share* share, const Capacity& granted, Instant lease_end, std::int64_t term,
+  Capacity Wanted(const Share& share, Instant now) const;
+  // How long until the share admits a request; nothing when that can't be known.
+  std::optional<Duration> TimeUntilPlace(const Share& share, std::int64_t tokens,
+                                         Instant now) const;
+  AdmissionAnswer FallShort(Share* share, Duration retry_after, Instant now);
+  void ApplyGrant(Share* share, Capacity granted, std::int64_t term, Instant lease_end,
                   Instant now);
 
   ShareHolderOptions options_;
@@ -122,6 +135,8 @@
   std::int64_t sequence_ = 0;
   bool answer_awaited_ = false;
   bool hurry_ = false;
+  // Whether a new share is still below what is wanted; it is asked for more often.
+  bool settling_ = false;
   std::optional<Instant> sent_at_;
 };
 
--- a/src/libs/coordination/limits/share_ledger.h
+++ b/src/libs/coordination/limits/share_ledger.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "coordination/limits/share_division.h"
 #include "protocol/control_messages.h"
 #include "protocol/lists.h"
 #include "utils/hooks.h"
@@ -17,8 +18,9 @@
   Duration lease = std::chrono::seconds(3);
   // One part in so many of a capacity is kept back for routers that come new to it.
   std::int64_t reserve_divisor = 20;
-  // How long a computed division is used before the demand is looked at again.
-  Duration division_lifetime = std::chrono::milliseconds(50);
+  // How long a division of a capacity is used before the demand is looked at again, for each
+  // router that takes part; it bounds the work for large numbers of routers.
+  Duration division_lifetime_per_router = std::chrono::microseconds(500);
 };
 
 // Hands out each organisation's capacity to the routers as leased shares. The sum over routers of
@@ -37,8 +39,9 @@
   // `now` is the moment the term began.
   ShareLedger(ShareLedgerOptions options, Instant now);
 
-  // Takes the lists as applied. A capacity that shrinks is in force one lease later: until then
-  // routers may hold shares of the larger one.
+  // Takes the lists as applied. A capacity that shrinks is in force one lease later, and not
+  // before the first lease of this ledger is over: until then routers may hold shares of the
+  // larger one.
   void SetLists(const Lists& lists);
 
   // Sets the capacity of one organisation; zero in all parts when it has none.
@@ -49,8 +52,8 @@
   // request again gets the same grants again.
   std::vector<ShareGrant> Renew(const LeaseRequest& request, Instant now);
 
-  // Returns what routers may hold of an organisation by this book; for tests and status.
-  Capacity Outstanding(const std::string& organisation, Instant now) const;
+  // Returns what routers may hold of an organisation by this book; for status.
+  Capacity Outstanding(const std::string& organisation) const;
 
   // Returns whether only held shares are confirmed now.
   bool confirming_only(Instant now) const { return now < began_ + options_.lease; }
@@ -77,9 +80,7 @@
     Capacity committed;
     // No claim ends before this moment.
     Instant earliest_end{0};
-    // The highest share that the division gives to a router, and when it was computed.
-    Capacity level;
-    Capacity remainder;
+    ShareDivision division;
     Instant divided_at{0};
     bool division_valid = false;
   };
@@ -93,9 +94,8 @@
 
   Capacity RenewClaim(Account* account, const std::string& router_id, const ShareRequest& request,
                       Instant now);
-  Capacity TargetOf(const Account& account, const std::string& router_id, const Claim& claim,
-                    Instant now) const;
-  void Divide(Account* account, Instant now);
+  Capacity MostGrantable(const Account& others, const Capacity& held, Instant now) const;
+  void DivideWhenDue(Account* account, Instant now);
   void DropLapsedClaims(Account* account, Instant now);
   void DropLapsedRouters(Instant now);
   void RemoveClaim(const std::string& organisation, const std::string& router_id);
--- a/src/libs/coordination/limits/token_bucket.h
+++ b/src/libs/coordination/limits/token_bucket.h
@@ -14,14 +14,14 @@
   // Changes the rate, in units a second; what has been filled stays, up to the new limit.
   void SetRate(std::int64_t rate, Instant now);
 
-  // Takes units when at least `needed` are there; the level may fall below zero by it.
-  bool TryTake(double units, double needed, Instant now);
+  // Takes units; the level may fall below zero by it.
+  void Take(double units, Instant now);
 
-  // Puts units back, or takes more when negative.
-  void Adjust(double units);
+  // Returns how long it takes until one whole unit is there; Duration::max() without a rate.
+  Duration TimeUntilUnit(Instant now) const;
 
-  // Returns how long it takes until `needed` units are there.
-  Duration TimeUntil(double needed, Instant now) const;
+  // Returns whether more was taken than filled.
+  bool InDebt(Instant now) const { return LevelAt(now) < 0; }
 
  private:
   double LevelAt(Instant now) const;
--- /dev/null
+++ b/tests/libs/coordination/limits/plan_lease_test.cpp
@@ -0,0 +1,240 @@
+// The plan lease against an oracle of the revisions that operators were told are in force.
+#include <array>
+#include <memory>
+#include <vector>
+
+#include "coordination/limits/plan_lease.h"
+#include "property.h"
+#include "virtual_world.h"
+
+namespace kumquat {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kVoters = 3;
+constexpr Duration kLease = seconds(3);
+constexpr Duration kStartupQuiet = seconds(1);
+
+// Replicas that vote and acknowledge as the argument in docs/DECISIONS/plan-lease.md asks of
+// them, an operator who edits, and a router.
+class PlanWorld {
+ public:
+  explicit PlanWorld(std::uint64_t seed) : world_(seed), router_clock_(&world_) {
+    for (std::size_t i = 0; i < kVoters; ++i) {
+      voters_.push_back({DriftingClock(&world_), true, Instant(0), {}});
+      names_.push_back("c" + std::to_string(i) + "@127.0.0.1:" + std::to_string(i + 1));
+    }
+    link_to_router_.fill(true);
+  }
+
+  void Stop(std::size_t voter) {
+    voters_[voter].up = false;
+    if (leader_ == voter) leader_.reset();
+  }
+
+  void Start(std::size_t voter) {
+    if (voters_[voter].up) return;
+    voters_[voter].up = true;
+    voters_[voter].started_at = voters_[voter].clock.Now();
+  }
+
+  // Cuts or joins the links of a replica to the router and to its peers.
+  void SetLinks(std::size_t voter, bool to_router, bool to_peers) {
+    link_to_router_[voter] = to_router;
+    voters_[voter].linked = to_peers;
+  }
+
+  void Elect(std::size_t candidate) {
+    if (!HasMajority(candidate)) return;
+    leader_ = candidate;
+    ++term_;
+    wait_began_ = voters_[candidate].clock.Now();
+  }
+
+  void Edit() {
+    if (!leader_ || !HasMajority(*leader_)) return;
+    ++committed_;
+    wait_began_ = voters_[*leader_].clock.Now();
+  }
+
+  // The leader tells the operator when it has waited a lease and a later round has succeeded.
+  void AnswerOperator() {
+    if (!leader_ || voters_[*leader_].clock.Now() < wait_began_ + kLease) return;
+    if (HasMajority(*leader_)) answered_ = committed_;
+  }
+
+  void Renew() {
+    const Instant sent = router_clock_.Now();
+    const int router = router_;
+    world_.After(AnyDelay(), [=, this] {
+      if (!leader_ || !link_to_router_[*leader_] || !HasMajority(*leader_)) return;
+      LeaseAnswer answer{term_, 3000, committed_, 0, PlanList{}, {}, {}, names_};
+      world_.After(AnyDelay(), [=, this] {
+        if (router == router_) lease_->Apply(answer, sent);
+      });
+    });
+  }
+
+  void Probe(std::size_t voter) {
+    const Instant sent = router_clock_.Now();
+    const int router = router_;
+    const auto tell = [=, this](ProbeResult result) {
+      world_.After(AnyDelay(), [=, this] {
+        if (router == router_) lease_->OnProbe(names_[voter], result, sent, router_clock_.Now());
+      });
+    };
+    world_.After(AnyDelay(), [=, this] {
+      const bool refused = link_to_router_[voter] && !voters_[voter].up;
+      tell(refused ? ProbeResult::kRefused : ProbeResult::kNotRefused);
+    });
+  }
+
+  void RestartRouter() {
+    ++router_;
+    lease_ = std::make_unique<PlanLease>();
+    last_served_ = 0;
+  }
+
+  void Advance(Duration stretch) {
+    world_.Advance(stretch, [this] { Check(); });
+  }
+
+  // Time during which the router served although its lease had ended.
+  int outage_checks() const { return outage_checks_; }
+  std::int64_t answered() const { return answered_; }
+
+ private:
+  struct Voter {
+    DriftingClock clock;
+    bool up = true;
+    Instant started_at;
+    bool linked = true;
+  };
+
+  Duration AnyDelay() {
+    return world_.OneIn(10) ? world_.Between(milliseconds(1), seconds(2))
+                            : world_.Between(milliseconds(0), milliseconds(20));
+  }
+
+  bool Acts(const Voter& voter) const {
+    return voter.up && voter.clock.Now() >= voter.started_at + kStartupQuiet;
+  }
+
+  // Whether a round of this replica gets a majority now, its own voice included.
+  bool HasMajority(std::size_t from) const {
+    if (!Acts(voters_[from])) return false;
+    std::size_t count = 1;
+    for (std::size_t i = 0; i < kVoters; ++i) {
+      if (i == from || !Acts(voters_[i])) continue;
+      if (voters_[i].linked && voters_[from].linked) ++count;
+    }
+    return count > kVoters / 2;
+  }
+
+  void Check() {
+    const Instant now = router_clock_.Now();
+    if (!lease_->MayServe(now)) return;
+    const std::int64_t revision = lease_->lists().plans_revision;
+    RC_ASSERT(revision >= answered_);
+    RC_ASSERT(revision >= last_served_);
+    last_served_ = revision;
+    if (now >= *lease_->lease_end()) ++outage_checks_;
+  }
+
+  VirtualWorld world_;
+  std::vector<Voter> voters_;
+  std::vector<std::string> names_;
+  std::array<bool, kVoters> link_to_router_{};
+  std::optional<std::size_t> leader_;
+  std::int64_t term_ = 0;
+  std::int64_t committed_ = 0;
+  std::int64_t answered_ = 0;
+  Instant wait_began_{0};
+  DriftingClock router_clock_;
+  int router_ = 0;
+  std::unique_ptr<PlanLease> lease_ = std::make_unique<PlanLease>();
+  std::int64_t last_served_ = 0;
+  int outage_checks_ = 0;
+};
+
+struct Step {
+  int kind;
+  std::size_t voter;
+  int amount;
+};
+
+std::ostream& operator<<(std::ostream& out, const Step& step) {
+  return out << '{' << step.kind << ' ' << step.voter << ' ' << step.amount << '}';
+}
+
+void Run(PlanWorld* world, const Step& step) {
+  switch (step.kind) {
+    case 0: world->Stop(step.voter); break;
+    case 1: world->Start(step.voter); break;
+    case 2: world->SetLinks(step.voter, step.amount % 2 == 0, step.amount % 3 != 0); break;
+    case 3: world->SetLinks(step.voter, true, true); break;
+    case 4: world->Elect(step.voter); break;
+    case 5: world->Edit(); break;
+    case 6: world->RestartRouter(); break;
+    case 7: for (std::size_t i = 0; i < kVoters; ++i) world->Start(i); break;
+    case 8: world->Stop(0); world->Stop(1); break;
+    default: break;
+  }
+  // The router's and the leader's own work goes on all the time.
+  for (int i = 0; i < step.amount / 10 + 1; ++i) {
+    world->Renew();
+    for (std::size_t voter = 0; voter < kVoters; ++voter) world->Probe(voter);
+    world->Advance(milliseconds(50 + step.amount));
+    world->AnswerOperator();
+    world->Advance(milliseconds(1));
+  }
+}
+
+}  // namespace
+
+TEST_CASE("No router serves a revoked plan after the operator was answered") {
+  int outage_checks = 0;
+  std::int64_t answered = 0;
+  CheckProperty("served revision is not older than the answered one", [&] {
+    const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    const auto any_step = rc::gen::construct<Step>(
+        rc::gen::weightedElement<int>({{2, 0}, {2, 1}, {2, 2}, {2, 3}, {5, 4}, {5, 5}, {1, 6},
+                                       {1, 7}, {1, 8}, {3, 9}}),
+        rc::gen::inRange<std::size_t>(0, kVoters), rc::gen::inRange(0, 100));
+    const auto steps = *rc::gen::container<std::vector<Step>>(120, any_step);
+    PlanWorld world(seed);
+    world.Elect(0);
+    for (const Step& step : steps) Run(&world, step);
+    outage_checks += world.outage_checks();
+    answered += world.answered();
+  });
+  // Both ways of serving have to have come up, and edits to have been answered.
+  CHECK(outage_checks > 100);
+  CHECK(answered > 100);
+}
+
+TEST_CASE("Silence, a late start of the refusals or a gap in them proves nothing") {
+  const std::vector<std::string> voters = {"a@127.0.0.1:1", "b@127.0.0.1:2", "c@127.0.0.1:3"};
+  PlanLease lease;
+  CHECK_FALSE(lease.MayServe(seconds(1)));
+  REQUIRE(lease.Apply({1, 3000, 0, 0, {}, {}, {}, voters}, seconds(1)));
+  const auto probe = [&](std::size_t voter, Instant moment, ProbeResult result) {
+    lease.OnProbe(voters[voter], result, moment, moment);
+  };
+  for (Instant moment = seconds(3); moment < seconds(9); moment += milliseconds(900)) {
+    probe(0, moment, ProbeResult::kRefused);
+    probe(1, moment, ProbeResult::kRefused);
+  }
+  CHECK(lease.MayServe(seconds(9)));
+  CHECK_FALSE(lease.MayServe(milliseconds(9400)));
+  probe(0, seconds(9), ProbeResult::kRefused);
+  CHECK(lease.MayServe(seconds(9)));
+  probe(1, seconds(9), ProbeResult::kNotRefused);
+  CHECK_FALSE(lease.MayServe(seconds(9)));
+  probe(1, seconds(9), ProbeResult::kRefused);
+  CHECK_FALSE(lease.MayServe(seconds(9)));
+}
+
+}  // namespace kumquat
