--- /dev/null
+++ b/src/libs/coordination/admission/fair_queue.cpp
@@ -0,0 +1,198 @@
+#include "coordination/admission/fair_queue.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace kumquat {
+namespace {
+
+// A rate is taken from at least this part of the window.
+constexpr int kShortestMeasureDivisor = 8;
+// What counts as starts in a window that had none.
+constexpr double kStartsOfStalledWindow = 0.5;
+// Least time to come back after.
+constexpr Duration kShortestRetryAfter = std::chrono::milliseconds(100);
+
+double Seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+Duration ToDuration(double seconds) {
+  return Duration(static_cast<Duration::rep>(std::ceil(seconds * 1e6)));
+}
+
+}  // namespace
+
+FairQueue::FairQueue(FairQueueOptions options) : options_(options) {}
+
+PushAnswer FairQueue::Push(QueuedRequest request, Instant now) {
+  ClassQueue& queue = QueueOf(request.request_class);
+  const auto known = queue.lanes.find(request.organisation);
+  const std::size_t own = known != queue.lanes.end() ? known->second.waiting.size() : 0;
+  const bool full =
+      size() >= options_.most_waiting || own >= options_.most_waiting_per_organisation;
+  const Duration wait =
+      ExpectedWait(request.organisation, request.share, request.request_class, now)
+          .value_or(Duration(0));
+  if (full) return {false, std::max(wait / 2, kShortestRetryAfter)};
+  if (now + wait > request.start_by) {
+    return {false, std::max(now + wait - request.start_by, kShortestRetryAfter)};
+  }
+
+  if (size() == 0) all_starts_.OnBusy(now);
+  if (request.request_class == RequestClass::kDraft && queue.size == 0) draft_starts_.OnBusy(now);
+  Lane& lane = queue.lanes[request.organisation];
+  lane.share = std::max<std::int64_t>(request.share, 1);
+  if (lane.waiting.empty()) lane.virtual_start = std::max(lane.virtual_start, queue.virtual_now);
+  where_[request.id] = {request.request_class, request.organisation};
+  lane.waiting.push_back(std::move(request));
+  ++queue.size;
+  return {true, Duration(0)};
+}
+
+std::optional<QueuedRequest> FairQueue::Pop(Instant now) {
+  for (ClassQueue& queue : queues_) {
+    const std::optional<QueuedRequest> request = PopFrom(&queue, now);
+    if (!request) continue;
+    all_starts_.OnStart(options_.rate_window, now);
+    if (request->request_class == RequestClass::kDraft) {
+      draft_starts_.OnStart(options_.rate_window, now);
+    }
+    NoteIdle();
+    return request;
+  }
+  NoteIdle();
+  return std::nullopt;
+}
+
+std::vector<std::uint64_t> FairQueue::TakeExpired(Instant now) {
+  for (ClassQueue& queue : queues_) {
+    for (auto& [organisation, lane] : queue.lanes) {
+      std::erase_if(lane.waiting, [&](const QueuedRequest& request) {
+        if (request.start_by >= now) return false;
+        expired_.push_back(request.id);
+        Forget(&queue, request.id);
+        return true;
+      });
+    }
+  }
+  NoteIdle();
+  return std::exchange(expired_, {});
+}
+
+bool FairQueue::Remove(std::uint64_t id) {
+  const auto place = where_.find(id);
+  if (place == where_.end()) return false;
+  ClassQueue& queue = QueueOf(place->second.request_class);
+  std::erase_if(queue.lanes[place->second.organisation].waiting,
+                [id](const QueuedRequest& request) { return request.id == id; });
+  Forget(&queue, id);
+  NoteIdle();
+  return true;
+}
+
+std::optional<Duration> FairQueue::ExpectedWait(const std::string& organisation,
+                                                std::int64_t share, RequestClass request_class,
+                                                Instant now) const {
+  const std::optional<double> rate = all_starts_.Rate(options_.rate_window, now);
+  if (!rate) return std::nullopt;
+  const ClassQueue& replies = QueueOf(RequestClass::kReply);
+  if (request_class == RequestClass::kReply) {
+    return ToDuration(PositionOf(replies, organisation, share) / *rate);
+  }
+  const double position = PositionOf(QueueOf(request_class), organisation, share);
+  const double draft_rate = draft_starts_.Rate(options_.rate_window, now).value_or(*rate);
+  return ToDuration(static_cast<double>(replies.size) / *rate + position / draft_rate);
+}
+
+FairQueue::ClassQueue& FairQueue::QueueOf(RequestClass request_class) {
+  return queues_[static_cast<std::size_t>(request_class)];
+}
+
+const FairQueue::ClassQueue& FairQueue::QueueOf(RequestClass request_class) const {
+  return queues_[static_cast<std::size_t>(request_class)];
+}
+
+std::optional<QueuedRequest> FairQueue::PopFrom(ClassQueue* queue, Instant now) {
+  while (queue->size > 0) {
+    auto next = queue->lanes.end();
+    for (auto it = queue->lanes.begin(); it != queue->lanes.end(); ++it) {
+      if (it->second.waiting.empty()) continue;
+      if (next == queue->lanes.end() || it->second.virtual_start < next->second.virtual_start) {
+        next = it;
+      }
+    }
+    Lane& lane = next->second;
+    QueuedRequest request = std::move(lane.waiting.front());
+    lane.waiting.pop_front();
+    Forget(queue, request.id);
+    if (request.start_by < now) {
+      expired_.push_back(request.id);
+      continue;
+    }
+    queue->virtual_now = std::max(queue->virtual_now, lane.virtual_start);
+    lane.virtual_start += 1.0 / static_cast<double>(lane.share);
+    std::erase_if(queue->lanes, [queue](const auto& entry) {
+      return entry.second.waiting.empty() && entry.second.virtual_start <= queue->virtual_now;
+    });
+    return request;
+  }
+  return std::nullopt;
+}
+
+void FairQueue::Forget(ClassQueue* queue, std::uint64_t id) {
+  where_.erase(id);
+  --queue->size;
+}
+
+void FairQueue::NoteIdle() {
+  if (size() == 0) all_starts_.OnIdle();
+  if (QueueOf(RequestClass::kDraft).size == 0) draft_starts_.OnIdle();
+}
+
+// Returns how many requests start before a new one of the organisation: its own, and of each other
+// organisation as many as its weight allows meanwhile.
+double FairQueue::PositionOf(const ClassQueue& queue, const std::string& organisation,
+                             std::int64_t share) {
+  const auto own = queue.lanes.find(organisation);
+  const double own_waiting =
+      own != queue.lanes.end() ? static_cast<double>(own->second.waiting.size()) : 0;
+  const double turns = (own_waiting + 1) / static_cast<double>(std::max<std::int64_t>(share, 1));
+  double position = own_waiting;
+  for (const auto& [name, lane] : queue.lanes) {
+    if (name == organisation) continue;
+    position += std::min(static_cast<double>(lane.waiting.size()),
+                         std::ceil(turns * static_cast<double>(lane.share)));
+  }
+  return position;
+}
+
+void FairQueue::DrainMeter::OnBusy(Instant now) {
+  if (busy_since_) return;
+  busy_since_ = now;
+  starts_.clear();
+}
+
+void FairQueue::DrainMeter::OnIdle() { busy_since_.reset(); }
+
+void FairQueue::DrainMeter::OnStart(Duration window, Instant now) {
+  while (!starts_.empty() && starts_.front() < now - window) starts_.pop_front();
+  starts_.push_back(now);
+  if (const std::optional<double> rate = Measured(window, now)) last_rate_ = rate;
+}
+
+std::optional<double> FairQueue::DrainMeter::Rate(Duration window, Instant now) const {
+  const std::optional<double> rate = Measured(window, now);
+  return rate ? rate : last_rate_;
+}
+
+std::optional<double> FairQueue::DrainMeter::Measured(Duration window, Instant now) const {
+  if (!busy_since_) return std::nullopt;
+  const Duration measured = std::min(window, now - *busy_since_);
+  if (measured < window / kShortestMeasureDivisor) return std::nullopt;
+  const auto recent = std::count_if(starts_.begin(), starts_.end(), [&](Instant start) {
+    return start > now - measured;
+  });
+  return std::max(static_cast<double>(recent), kStartsOfStalledWindow) / Seconds(measured);
+}
+
+}  // namespace kumquat
--- a/src/libs/coordination/admission/fair_queue.h
+++ b/src/libs/coordination/admission/fair_queue.h
@@ -50,21 +50,23 @@
  public:
   explicit FairQueue(FairQueueOptions options = {});
 
+  // Takes in a request with an id that does not wait here yet.
   PushAnswer Push(QueuedRequest request, Instant now);
 
   // Takes out the next request to start; nothing when none waits. Those whose `start_by` has
-  // passed are skipped, and given out by TakeExpired().
+  // passed are left out, and given out by TakeExpired().
   std::optional<QueuedRequest> Pop(Instant now);
 
-  // Returns the ids of the requests that can't start in time any more, and removes them.
+  // Removes the requests that can't start in time any more, and returns their ids.
   std::vector<std::uint64_t> TakeExpired(Instant now);
 
   // Removes a request whose caller is gone; false when it does not wait here.
   bool Remove(std::uint64_t id);
 
-  // Returns how long a request would wait if it came now.
-  Duration ExpectedWait(const std::string& organisation, std::int64_t share,
-                        RequestClass request_class, Instant now) const;
+  // Returns how long a request would wait if it came now; nothing when the queue has not been
+  // measured yet.
+  std::optional<Duration> ExpectedWait(const std::string& organisation, std::int64_t share,
+                                       RequestClass request_class, Instant now) const;
 
   std::size_t size() const { return where_.size(); }
 
@@ -73,7 +75,7 @@
   struct Lane {
     std::deque<QueuedRequest> waiting;
     std::int64_t share = 1;
-    // Virtual start time of the first request.
+    // The turn of its next request; kept while it lies ahead, also when none waits.
     double virtual_start = 0;
   };
 
@@ -81,10 +83,23 @@
     std::map<std::string, Lane> lanes;
     std::size_t size = 0;
     double virtual_now = 0;
-    // When requests were started lately.
-    std::deque<Instant> starts;
-    // Since when requests have waited without a break.
-    Instant busy_since{0};
+  };
+
+  // Starts in the last window, since requests have waited without a break.
+  class DrainMeter {
+   public:
+    void OnBusy(Instant now);
+    void OnIdle();
+    void OnStart(Duration window, Instant now);
+    // Starts a second; nothing before the first measurement.
+    std::optional<double> Rate(Duration window, Instant now) const;
+
+   private:
+    std::optional<double> Measured(Duration window, Instant now) const;
+
+    std::deque<Instant> starts_;
+    std::optional<Instant> busy_since_;
+    std::optional<double> last_rate_;
   };
 
   struct Place {
@@ -94,14 +109,17 @@
 
   ClassQueue& QueueOf(RequestClass request_class);
   const ClassQueue& QueueOf(RequestClass request_class) const;
-  std::map<std::string, Lane>::iterator NextLane(ClassQueue* queue);
   std::optional<QueuedRequest> PopFrom(ClassQueue* queue, Instant now);
-  void EraseIfEmpty(ClassQueue* queue, std::map<std::string, Lane>::iterator lane);
-  std::optional<double> DrainRate(const ClassQueue& queue, Instant now) const;
-  PushAnswer Refusal(Duration wait, const QueuedRequest& request, Instant now) const;
+  void Forget(ClassQueue* queue, std::uint64_t id);
+  void NoteIdle();
+  static double PositionOf(const ClassQueue& queue, const std::string& organisation,
+                           std::int64_t share);
 
   FairQueueOptions options_;
+  // By RequestClass.
   std::array<ClassQueue, 2> queues_;
+  DrainMeter all_starts_;
+  DrainMeter draft_starts_;
   std::unordered_map<std::uint64_t, Place> where_;
   std::vector<std::uint64_t> expired_;
 };
--- /dev/null
+++ b/src/libs/coordination/admission/strike_table.cpp
@@ -0,0 +1,124 @@
+#include "coordination/admission/strike_table.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace kumquat {
+namespace {
+
+// Deaths of this many different backend servers condemn a request.
+constexpr std::size_t kCondemningDeaths = 2;
+
+bool StruckBy(const std::vector<Strike>& strikes, const std::string& backend_id) {
+  return std::any_of(strikes.begin(), strikes.end(),
+                     [&](const Strike& strike) { return strike.backend_id == backend_id; });
+}
+
+// Joins two sorted lists of strikes.
+std::vector<Strike> Joined(const std::vector<Strike>& left, const std::vector<Strike>& right) {
+  std::vector<Strike> result;
+  std::set_union(left.begin(), left.end(), right.begin(), right.end(), std::back_inserter(result));
+  return result;
+}
+
+}  // namespace
+
+StrikeTable::StrikeTable(StrikeTableOptions options, OwnsBackend owns_backend)
+    : options_(options), owns_backend_(std::move(owns_backend)) {}
+
+RequestStanding StrikeTable::StandingOf(const std::string& digest, Instant now) const {
+  const Entry* entry = Find(digest, now);
+  if (entry == nullptr || entry->strikes.empty()) return RequestStanding::kClean;
+  std::set<std::string_view> dead;
+  for (const Strike& strike : entry->strikes) dead.insert(strike.backend_id);
+  return dead.size() < kCondemningDeaths ? RequestStanding::kSuspect : RequestStanding::kCondemned;
+}
+
+RequestStanding StrikeTable::AddStrike(const std::string& digest, const Strike& strike,
+                                       Instant now) {
+  const Entry* known = Find(digest, now);
+  const std::int64_t cleared = known != nullptr ? known->cleared : 0;
+  Merge({digest, {strike}, cleared, Duration(0)}, now);
+  return StandingOf(digest, now);
+}
+
+void StrikeTable::OnSuccess(const std::string& digest, Instant now) {
+  const Entry* known = Find(digest, now);
+  if (known == nullptr || known->strikes.empty()) return;
+  Merge({digest, {}, known->cleared + 1, Duration(0)}, now);
+}
+
+bool StrikeTable::MayPlace(const std::string& digest, const std::string& backend_id,
+                           Instant now) const {
+  const RequestStanding standing = StandingOf(digest, now);
+  if (standing == RequestStanding::kClean) return true;
+  if (standing == RequestStanding::kCondemned) return false;
+  if (owns_backend_ && !owns_backend_(backend_id)) return false;
+  if (StruckBy(Find(digest, now)->strikes, backend_id)) return false;
+  const auto running = running_.find(backend_id);
+  if (running == running_.end()) return true;
+  return std::all_of(running->second.begin(), running->second.end(), [&](const auto& other) {
+    return StandingOf(other, now) == RequestStanding::kClean;
+  });
+}
+
+void StrikeTable::OnStarted(const std::string& digest, const std::string& backend_id) {
+  running_[backend_id].push_back(digest);
+}
+
+void StrikeTable::OnStopped(const std::string& digest, const std::string& backend_id) {
+  const auto running = running_.find(backend_id);
+  if (running == running_.end()) return;
+  std::vector<std::string>& digests = running->second;
+  const auto one = std::find(digests.begin(), digests.end(), digest);
+  if (one != digests.end()) digests.erase(one);
+  if (digests.empty()) running_.erase(running);
+}
+
+bool StrikeTable::Merge(const StrikeEntry& entry, Instant now) {
+  if (entry.age >= options_.longest_age) return false;
+  std::vector<Strike> strikes = entry.strikes;
+  Instant changed_at = now - entry.age;
+  std::sort(strikes.begin(), strikes.end());
+  const Entry* known = Find(entry.digest, now);
+  if (known != nullptr) {
+    if (entry.cleared < known->cleared) return false;
+    if (entry.cleared == known->cleared) strikes = Joined(known->strikes, strikes);
+    if (entry.cleared == known->cleared && strikes == known->strikes) return false;
+    changed_at = std::max(changed_at, known->changed_at);
+  }
+  entries_[entry.digest] = {std::move(strikes), entry.cleared, changed_at, now};
+  Bound(now);
+  return true;
+}
+
+std::vector<StrikeEntry> StrikeTable::ChangedSince(Instant moment, Instant now) const {
+  std::vector<StrikeEntry> result;
+  for (const auto& [digest, entry] : entries_) {
+    if (entry.learned_at < moment || now - entry.changed_at >= options_.longest_age) continue;
+    result.push_back({digest, entry.strikes, entry.cleared, now - entry.changed_at});
+  }
+  return result;
+}
+
+const StrikeTable::Entry* StrikeTable::Find(const std::string& digest, Instant now) const {
+  const auto entry = entries_.find(digest);
+  if (entry == entries_.end()) return nullptr;
+  return now - entry->second.changed_at < options_.longest_age ? &entry->second : nullptr;
+}
+
+void StrikeTable::Bound(Instant now) {
+  if (entries_.size() <= options_.most_entries) return;
+  std::erase_if(entries_, [&](const auto& entry) {
+    return now - entry.second.changed_at >= options_.longest_age;
+  });
+  while (entries_.size() > options_.most_entries) {
+    entries_.erase(std::min_element(entries_.begin(), entries_.end(),
+                                    [](const auto& left, const auto& right) {
+                                      return left.second.changed_at < right.second.changed_at;
+                                    }));
+  }
+}
+
+}  // namespace kumquat
--- a/src/libs/coordination/admission/strike_table.h
+++ b/src/libs/coordination/admission/strike_table.h
@@ -75,7 +75,7 @@
   bool MayPlace(const std::string& digest, const std::string& backend_id, Instant now) const;
 
   // Notes where a request runs, and that it runs no more.
-  void OnStarted(const std::string& digest, const std::string& backend_id, Instant now);
+  void OnStarted(const std::string& digest, const std::string& backend_id);
   void OnStopped(const std::string& digest, const std::string& backend_id);
 
   // Takes in what another router knows; true when it changed anything here.
@@ -102,8 +102,8 @@
   StrikeTableOptions options_;
   OwnsBackend owns_backend_;
   std::map<std::string, Entry> entries_;
-  // Suspects that run now: backend server to digests.
-  std::map<std::string, std::vector<std::string>> running_suspects_;
+  // What runs now: backend server to digests.
+  std::map<std::string, std::vector<std::string>> running_;
 };
 
 }  // namespace kumquat
--- /dev/null
+++ b/tests/libs/coordination/admission/strike_table_test.cpp
@@ -0,0 +1,261 @@
+// Poison requests and bystanders on a fleet of engines and a few routers.
+#include "coordination/admission/strike_table.h"
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <set>
+
+#include "property.h"
+#include "virtual_world.h"
+
+namespace kumquat {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr std::size_t kRouters = 3;
+constexpr std::size_t kEngines = 12;
+constexpr int kMostAttempts = 4;
+constexpr int kMostSends = 4;
+
+// Each request runs for a while on an engine; a poison request kills it soon. Requests that were
+// running then get a strike and are tried again; callers whose poison failed send it again to
+// another router. Routers tell each other of strikes within 100 ms.
+class Fleet {
+ public:
+  Fleet(std::uint64_t seed, bool with_table) : world_(seed), with_table_(with_table) {
+    for (std::size_t i = 0; i < kRouters; ++i) {
+      tables_.push_back(std::make_unique<StrikeTable>(
+          StrikeTableOptions(), [i](const std::string& backend) {
+            return static_cast<std::size_t>(std::stoi(backend)) % kRouters == i;
+          }));
+    }
+  }
+
+  // Lets `requests` come, one each 20 ms, every `poison_every`th of them poison.
+  void Run(int requests, int poison_every) {
+    for (int i = 0; i < requests; ++i) {
+      const bool poison = i % poison_every == poison_every / 2;
+      world_.After(milliseconds(20) * i, [this, i, poison] {
+        Send({"q" + std::to_string(i), poison, 0, 0});
+      });
+    }
+    Gossip();
+    world_.Advance(milliseconds(20) * requests + seconds(60), [] {});
+  }
+
+  std::map<std::string, int> deaths;
+  std::set<std::string> bystanders_condemned;
+  std::set<std::string> bystanders_answered;
+  std::set<std::string> bystanders_given_up;
+
+ private:
+  struct Request {
+    std::string digest;
+    bool poison;
+    int sends;
+    int attempts;
+  };
+
+  struct Execution {
+    std::uint64_t id;
+    std::size_t router;
+    Request request;
+  };
+
+  struct Engine {
+    std::int64_t incarnation = 1;
+    bool up = true;
+    std::vector<Execution> running;
+  };
+
+  void Send(Request request) {
+    ++request.sends;
+    request.attempts = 0;
+    Try(world_.Below(kRouters), request);
+  }
+
+  void Try(std::size_t router, Request request) {
+    StrikeTable& table = *tables_[router];
+    if (with_table_ && table.StandingOf(request.digest, world_.now()) ==
+                           RequestStanding::kCondemned) {
+      if (!request.poison) bystanders_condemned.insert(request.digest);
+      SendAgainLater(request);
+      return;
+    }
+    if (request.attempts >= kMostAttempts) {
+      if (!request.poison) bystanders_given_up.insert(request.digest);
+      SendAgainLater(request);
+      return;
+    }
+    std::vector<std::size_t> choices;
+    for (std::size_t i = 0; i < kEngines; ++i) {
+      if (!engines_[i].up) continue;
+      if (with_table_ && !table.MayPlace(request.digest, std::to_string(i), world_.now())) continue;
+      choices.push_back(i);
+    }
+    if (choices.empty()) {
+      world_.After(milliseconds(50), [=, this] { Try(router, request); });
+      return;
+    }
+    Start(router, request, choices[world_.Below(choices.size())]);
+  }
+
+  void Start(std::size_t router, Request request, std::size_t engine) {
+    ++request.attempts;
+    const std::uint64_t id = ++next_id_;
+    engines_[engine].running.push_back({id, router, request});
+    tables_[router]->OnStarted(request.digest, std::to_string(engine));
+    const std::int64_t incarnation = engines_[engine].incarnation;
+    const Duration time =
+        request.poison ? world_.Between(milliseconds(20), milliseconds(200))
+                       : world_.Between(milliseconds(50), milliseconds(2000));
+    world_.After(time, [=, this] {
+      if (engines_[engine].incarnation != incarnation || !engines_[engine].up) return;
+      if (request.poison) {
+        ++deaths[request.digest];
+        Die(engine);
+        return;
+      }
+      std::erase_if(engines_[engine].running, [id](const Execution& run) { return run.id == id; });
+      tables_[router]->OnStopped(request.digest, std::to_string(engine));
+      tables_[router]->OnSuccess(request.digest, world_.now());
+      bystanders_answered.insert(request.digest);
+    });
+  }
+
+  void Die(std::size_t index) {
+    Engine& engine = engines_[index];
+    engine.up = false;
+    const std::vector<Execution> victims = std::move(engine.running);
+    engine.running.clear();
+    for (const Execution& run : victims) {
+      StrikeTable& table = *tables_[run.router];
+      table.OnStopped(run.request.digest, std::to_string(index));
+      table.AddStrike(run.request.digest, {std::to_string(index), engine.incarnation},
+                      world_.now());
+      world_.After(milliseconds(20), [=, this] { Try(run.router, run.request); });
+    }
+    world_.After(seconds(2), [this, index] {
+      ++engines_[index].incarnation;
+      engines_[index].up = true;
+    });
+  }
+
+  void SendAgainLater(const Request& request) {
+    if (!request.poison || request.sends >= kMostSends) return;
+    world_.After(seconds(1), [=, this] { Send(request); });
+  }
+
+  void Gossip() {
+    const Instant since = world_.now() - milliseconds(200);
+    for (const auto& from : tables_) {
+      const auto entries = from->ChangedSince(since, world_.now());
+      for (const auto& to : tables_) {
+        for (const StrikeEntry& entry : entries) to->Merge(entry, world_.now());
+      }
+    }
+    world_.After(milliseconds(50), [this] { Gossip(); });
+  }
+
+  VirtualWorld world_;
+  bool with_table_;
+  std::vector<std::unique_ptr<StrikeTable>> tables_;
+  std::array<Engine, kEngines> engines_;
+  std::uint64_t next_id_ = 0;
+};
+
+int Sum(const std::map<std::string, int>& counts) {
+  int sum = 0;
+  for (const auto& [name, count] : counts) sum += count;
+  return sum;
+}
+
+}  // namespace
+
+TEST_CASE("A poison request costs two engines at most, and bystanders are not condemned") {
+  int deaths = 0;
+  std::size_t poison = 0;
+  CheckProperty("poison and bystanders", [&] {
+    Fleet fleet(*rc::gen::arbitrary<std::uint64_t>(), true);
+    // One poison request at a time: each has its end before the next one comes.
+    fleet.Run(400, 400);
+    for (const auto& [digest, count] : fleet.deaths) RC_ASSERT(count <= 2);
+    RC_ASSERT(fleet.bystanders_condemned.empty());
+    RC_ASSERT(fleet.bystanders_given_up.empty());
+    RC_ASSERT(fleet.bystanders_answered.size() == 399U);
+    deaths += Sum(fleet.deaths);
+    poison += fleet.deaths.size();
+  });
+  int deaths_before = 0;
+  std::size_t given_up_before = 0;
+  for (std::uint64_t seed = 0; seed < 20; ++seed) {
+    Fleet fleet(seed, false);
+    fleet.Run(400, 400);
+    deaths_before += Sum(fleet.deaths);
+    given_up_before += fleet.bystanders_given_up.size();
+  }
+  MESSAGE("engines lost for each poison request: " << static_cast<double>(deaths_before) / 20
+          << " without the table (bystanders given up: " << given_up_before << " in 20 runs), "
+          << static_cast<double>(deaths) / static_cast<double>(poison) << " with it");
+}
+
+TEST_CASE("Several poison requests at once") {
+  int deaths = 0;
+  std::size_t poison = 0;
+  std::size_t condemned = 0;
+  std::size_t bystanders = 0;
+  for (std::uint64_t seed = 0; seed < 50; ++seed) {
+    Fleet fleet(seed, true);
+    fleet.Run(400, 25);
+    for (const auto& [digest, count] : fleet.deaths) CHECK(count <= 2);
+    deaths += Sum(fleet.deaths);
+    poison += fleet.deaths.size();
+    condemned += fleet.bystanders_condemned.size();
+    bystanders += 384;
+  }
+  MESSAGE("a poison request each 500 ms: " << static_cast<double>(deaths) /
+                                                  static_cast<double>(poison)
+          << " engines lost for each, bystanders condemned " << condemned << " of " << bystanders);
+}
+
+TEST_CASE("Entries merge in any order to the same standing, bounded in number and age") {
+  CheckProperty("merge", [] {
+    const auto picks = *rc::gen::container<std::vector<int>>(30, rc::gen::inRange(0, 60));
+    StrikeTable forward;
+    StrikeTable backward;
+    std::vector<StrikeEntry> entries;
+    for (const int pick : picks) {
+      entries.push_back({"d" + std::to_string(pick % 3),
+                         {{"e" + std::to_string(pick % 4), pick % 2}},
+                         pick / 30,
+                         Duration(0)});
+    }
+    for (const StrikeEntry& entry : entries) forward.Merge(entry, seconds(1));
+    std::reverse(entries.begin(), entries.end());
+    for (const StrikeEntry& entry : entries) backward.Merge(entry, seconds(1));
+    for (const StrikeEntry& entry : entries) RC_ASSERT(!backward.Merge(entry, seconds(1)));
+    RC_ASSERT(forward.ChangedSince(seconds(0), seconds(1)) ==
+              backward.ChangedSince(seconds(0), seconds(1)));
+  });
+
+  StrikeTable table({3, minutes(1)}, {});
+  for (int i = 0; i < 9; ++i) {
+    table.AddStrike("d" + std::to_string(i), {"e", 1}, seconds(i));
+    CHECK(table.size() <= 3);
+  }
+  CHECK(table.StandingOf("d8", seconds(9)) == RequestStanding::kSuspect);
+  CHECK(table.StandingOf("d0", seconds(9)) == RequestStanding::kClean);
+  CHECK(table.StandingOf("d8", seconds(70)) == RequestStanding::kClean);
+  CHECK_FALSE(table.MayPlace("d8", "e", seconds(9)));
+  CHECK(table.MayPlace("d8", "f", seconds(9)));
+  table.OnStarted("d7", "f");
+  CHECK_FALSE(table.MayPlace("d8", "f", seconds(9)));
+  table.OnSuccess("d7", seconds(9));
+  CHECK(table.MayPlace("d8", "f", seconds(9)));
+}
+
+}  // namespace kumquat
