--- a/src/libs/coordination/admission/fair_queue.cpp
+++ b/src/libs/coordination/admission/fair_queue.cpp
@@ -51,7 +51,7 @@
 
 std::optional<QueuedRequest> FairQueue::Pop(Instant now) {
   for (ClassQueue& queue : queues_) {
-    const std::optional<QueuedRequest> request = PopFrom(&queue, now);
+    std::optional<QueuedRequest> request = PopFrom(&queue, now);
     if (!request) continue;
     all_starts_.OnStart(options_.rate_window, now);
     if (request->request_class == RequestClass::kDraft) {
@@ -90,9 +90,8 @@
   return true;
 }
 
-std::optional<Duration> FairQueue::ExpectedWait(const std::string& organisation,
-                                                std::int64_t share, RequestClass request_class,
-                                                Instant now) const {
+std::optional<Duration> FairQueue::ExpectedWait(const std::string& organisation, std::int64_t share,
+                                                RequestClass request_class, Instant now) const {
   const std::optional<double> rate = all_starts_.Rate(options_.rate_window, now);
   if (!rate) return std::nullopt;
   const ClassQueue& replies = QueueOf(RequestClass::kReply);
@@ -189,9 +188,8 @@
   if (!busy_since_) return std::nullopt;
   const Duration measured = std::min(window, now - *busy_since_);
   if (measured < window / kShortestMeasureDivisor) return std::nullopt;
-  const auto recent = std::count_if(starts_.begin(), starts_.end(), [&](Instant start) {
-    return start > now - measured;
-  });
+  const auto recent = std::count_if(starts_.begin(), starts_.end(),
+                                    [&](Instant start) { return start > now - measured; });
   return std::max(static_cast<double>(recent), kStartsOfStalledWindow) / Seconds(measured);
 }
 
--- a/src/libs/coordination/admission/strike_table.cpp
+++ b/src/libs/coordination/admission/strike_table.cpp
@@ -114,10 +114,10 @@
     return now - entry.second.changed_at >= options_.longest_age;
   });
   while (entries_.size() > options_.most_entries) {
-    entries_.erase(std::min_element(entries_.begin(), entries_.end(),
-                                    [](const auto& left, const auto& right) {
-                                      return left.second.changed_at < right.second.changed_at;
-                                    }));
+    entries_.erase(
+        std::min_element(entries_.begin(), entries_.end(), [](const auto& left, const auto& right) {
+          return left.second.changed_at < right.second.changed_at;
+        }));
   }
 }
 
--- a/src/libs/coordination/admission/strike_table.h
+++ b/src/libs/coordination/admission/strike_table.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "utils/hooks.h"
@@ -24,7 +25,10 @@
   std::string backend_id;
   std::int64_t incarnation = 0;
 
-  auto operator<=>(const Strike&) const = default;
+  bool operator==(const Strike&) const = default;
+  bool operator<(const Strike& other) const {
+    return std::tie(backend_id, incarnation) < std::tie(other.backend_id, other.incarnation);
+  }
 };
 
 // What is known of one request, as routers tell each other. Ages travel instead of moments, as
--- a/src/libs/coordination/requests/backend_choice.h
+++ b/src/libs/coordination/requests/backend_choice.h
@@ -14,7 +14,7 @@
   std::string backend_id;
   std::int64_t incarnation = 0;
 
-  auto operator<=>(const BackendChoice&) const = default;
+  bool operator==(const BackendChoice&) const = default;
 };
 
 // Chooses a backend server for the next attempt, other than those in `avoid` where another can
--- a/tests/libs/coordination/admission/fair_queue_test.cpp
+++ b/tests/libs/coordination/admission/fair_queue_test.cpp
@@ -95,7 +95,8 @@
 
 }  // namespace
 
-TEST_CASE("The queue gives out each request once, replies before drafts, each organisation's in order") {
+TEST_CASE(
+    "The queue gives out each request once, replies before drafts, each organisation's in order") {
   CheckProperty("queue against a list", [] {
     FairQueue queue({50, 20, seconds(2)});
     std::list<QueuedRequest> waiting;
@@ -104,7 +105,7 @@
       const auto it = std::find_if(waiting.begin(), waiting.end(),
                                    [id](const auto& request) { return request.id == id; });
       RC_ASSERT(it != waiting.end());
-      const QueuedRequest request = *it;
+      QueuedRequest request = *it;
       waiting.erase(it);
       return request;
     };
@@ -156,7 +157,8 @@
     for (int round = 0; round < 120; ++round) {
       for (std::size_t i = 0; i < weights.size(); ++i) {
         queue.Push({++id, std::string(1, static_cast<char>('a' + i)), weights[i],
-                    RequestClass::kReply, seconds(100)}, seconds(1));
+                    RequestClass::kReply, seconds(100)},
+                   seconds(1));
       }
     }
     int sum = 0;
@@ -175,17 +177,15 @@
   for (const std::uint64_t seed : {1, 2, 3}) {
     for (const double factor : {2.0, 5.0}) {
       const Outcome mixed = Serve({factor / 2, factor / 2}, seed);
-      MESSAGE("load " << factor << "x, seed " << seed << ": goodput " << mixed.goodput
-                      << " of " << kCapacityPerSecond << " requests/s, refused early "
-                      << mixed.refused);
+      MESSAGE("load " << factor << "x, seed " << seed << ": goodput " << mixed.goodput << " of "
+                      << kCapacityPerSecond << " requests/s, refused early " << mixed.refused);
       CHECK(mixed.goodput >= 0.9 * kCapacityPerSecond);
     }
     // Replies at half the capacity: drafts beyond it delay them by the work already started.
     const Outcome drafts = Serve({0.5, 5}, seed);
-    MESSAGE("drafts 5x beside replies 0.5x, seed " << seed << ": replies done "
-                                                   << drafts.reply_goodput
-                                                   << "/s, longest reply wait "
-                                                   << drafts.longest_reply_wait.count() << " us");
+    MESSAGE("drafts 5x beside replies 0.5x, seed "
+            << seed << ": replies done " << drafts.reply_goodput << "/s, longest reply wait "
+            << drafts.longest_reply_wait.count() << " us");
     CHECK(drafts.goodput >= 0.9 * kCapacityPerSecond);
     CHECK(drafts.longest_reply_wait <= 2 * kServiceTime);
   }
--- a/tests/libs/coordination/admission/strike_table_test.cpp
+++ b/tests/libs/coordination/admission/strike_table_test.cpp
@@ -28,8 +28,8 @@
  public:
   Fleet(std::uint64_t seed, bool with_table) : world_(seed), with_table_(with_table) {
     for (std::size_t i = 0; i < kRouters; ++i) {
-      tables_.push_back(std::make_unique<StrikeTable>(
-          StrikeTableOptions(), [i](const std::string& backend) {
+      tables_.push_back(
+          std::make_unique<StrikeTable>(StrikeTableOptions(), [i](const std::string& backend) {
             return static_cast<std::size_t>(std::stoi(backend)) % kRouters == i;
           }));
     }
@@ -78,10 +78,10 @@
     Try(world_.Below(kRouters), request);
   }
 
-  void Try(std::size_t router, Request request) {
+  void Try(std::size_t router, const Request& request) {
     StrikeTable& table = *tables_[router];
-    if (with_table_ && table.StandingOf(request.digest, world_.now()) ==
-                           RequestStanding::kCondemned) {
+    if (with_table_ &&
+        table.StandingOf(request.digest, world_.now()) == RequestStanding::kCondemned) {
       if (!request.poison) bystanders_condemned.insert(request.digest);
       SendAgainLater(request);
       return;
@@ -110,9 +110,8 @@
     engines_[engine].running.push_back({id, router, request});
     tables_[router]->OnStarted(request.digest, std::to_string(engine));
     const std::int64_t incarnation = engines_[engine].incarnation;
-    const Duration time =
-        request.poison ? world_.Between(milliseconds(20), milliseconds(200))
-                       : world_.Between(milliseconds(50), milliseconds(2000));
+    const Duration time = request.poison ? world_.Between(milliseconds(20), milliseconds(200))
+                                         : world_.Between(milliseconds(50), milliseconds(2000));
     world_.After(time, [=, this] {
       if (engines_[engine].incarnation != incarnation || !engines_[engine].up) return;
       if (request.poison) {
@@ -198,7 +197,8 @@
     deaths_before += Sum(fleet.deaths);
     given_up_before += fleet.bystanders_given_up.size();
   }
-  MESSAGE("engines lost for each poison request: " << static_cast<double>(deaths_before) / 20
+  MESSAGE("engines lost for each poison request: "
+          << static_cast<double>(deaths_before) / 20
           << " without the table (bystanders given up: " << given_up_before << " in 20 runs), "
           << static_cast<double>(deaths) / static_cast<double>(poison) << " with it");
 }
@@ -217,8 +217,8 @@
     condemned += fleet.bystanders_condemned.size();
     bystanders += 384;
   }
-  MESSAGE("a poison request each 500 ms: " << static_cast<double>(deaths) /
-                                                  static_cast<double>(poison)
+  MESSAGE("a poison request each 500 ms: "
+          << static_cast<double>(deaths) / static_cast<double>(poison)
           << " engines lost for each, bystanders condemned " << condemned << " of " << bystanders);
 }
 
@@ -228,6 +228,7 @@
     StrikeTable forward;
     StrikeTable backward;
     std::vector<StrikeEntry> entries;
+    entries.reserve(picks.size());
     for (const int pick : picks) {
       entries.push_back({"d" + std::to_string(pick % 3),
                          {{"e" + std::to_string(pick % 4), pick % 2}},
