--- /dev/null
+++ b/src/libs/coordination/log/log_entry.h
@@ -0,0 +1,66 @@
+// What the replicated log holds: entries, the identities of replicas, and who may vote.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace kumquat {
+
+// Names one replica together with the disk it stands on. A replica whose disk was lost comes back
+// with the same name and another storage identity, and is another replica to all the others.
+struct ReplicaId {
+  std::string name;
+
+  // Random, made when the data folder is first initialised. 0 addresses whoever has the name.
+  std::uint64_t storage_identity = 0;
+
+  auto operator<=>(const ReplicaId&) const = default;
+};
+
+// The replicas whose votes and acknowledgements count.
+struct Membership {
+  std::vector<ReplicaId> voters;
+
+  bool Contains(const ReplicaId& id) const;
+
+  // Returns the voter with this name, under whichever storage identity.
+  std::optional<ReplicaId> VoterNamed(std::string_view name) const;
+
+  bool operator==(const Membership&) const = default;
+};
+
+// Encodes a membership as the payload of an entry.
+std::string EncodeMembership(const Membership& membership);
+
+// Returns nothing when the bytes aren't a membership.
+std::optional<Membership> DecodeMembership(std::string_view bytes);
+
+enum class EntryKind { kCommand, kMembership, kNoOp };
+
+// One entry of the log. Indices start at 1 and have no gaps.
+struct LogEntry {
+  std::uint64_t term = 0;
+  std::uint64_t index = 0;
+  EntryKind kind = EntryKind::kCommand;
+
+  // The state machine's command, an encoded Membership, or empty for a no-op.
+  std::string payload;
+
+  bool operator==(const LogEntry&) const = default;
+};
+
+// The state after all entries up to and including `index`, in place of them.
+struct LogSnapshot {
+  std::uint64_t index = 0;
+  std::uint64_t term = 0;
+  Membership membership;
+  std::string state;
+
+  bool operator==(const LogSnapshot&) const = default;
+};
+
+}  // namespace kumquat
