--- /dev/null
+++ b/src/libs/coordination/log/replica.h
@@ -0,0 +1,172 @@
+// The decisions of one replica; ReplicatedLog is its public face.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "coordination/log/durable_log.h"
+#include "coordination/log/peer_progress.h"
+#include "coordination/log/read_queue.h"
+#include "coordination/log/replicated_log.h"
+#include "coordination/log/snapshot_assembler.h"
+
+namespace kumquat::Internal {
+
+struct ReplicaParts {
+  std::string name;
+  std::vector<std::string> member_names;
+  LogOptions options;
+  LogStorage* storage = nullptr;
+  StateMachine* machine = nullptr;
+  Clock clock;
+  Random random;
+  std::function<void(const LogMessage& message)> send;
+  std::function<void(const LogPosition& position, std::string_view answer)> on_applied;
+  std::function<void()> on_changed;
+  std::function<void()> on_flush_wanted;
+  std::function<void(const std::string& reason)> on_failed;
+};
+
+class Replica {
+ public:
+  explicit Replica(ReplicaParts parts);
+
+  bool Start();
+  void Tick();
+  void Receive(const LogMessage& message);
+  std::optional<LogPosition> Propose(std::string_view command);
+  std::optional<LogPosition> ProposeMembership(const Membership& membership);
+  void ConfirmLeadership(std::function<void(bool confirmed)> callback);
+  void Flush();
+
+  LogRole role() const { return role_; }
+  std::uint64_t term() const { return log_.vote().term; }
+  const ReplicaId& self() const { return self_; }
+  const std::optional<ReplicaId>& leader() const { return leader_; }
+  std::uint64_t commit_index() const { return commit_index_; }
+  std::uint64_t applied_index() const { return applied_index_; }
+  const Membership& membership() const { return log_.membership(); }
+  std::vector<ReplicaId> learners() const;
+  LogStatus status() const;
+  const std::string& last_reason() const { return last_reason_; }
+
+ private:
+  // Which election is under way.
+  enum class Campaign { kNone, kPreVote, kVote, kBootstrap };
+
+  // An answer to Join.
+  struct Discovery {
+    ReplicaId id;
+    bool empty = false;
+    std::uint64_t term = 0;
+    Instant at{0};
+  };
+
+  // replica.cpp: what all roles share.
+  Instant Now() const { return parts_.clock(); }
+  bool IsVoter() const { return membership().Contains(self_); }
+  bool IsQuiet() const { return Now() < quiet_until_; }
+  void Queue(const ReplicaId& to, std::uint64_t message_term, LogMessage::Body body);
+  void Answer(const LogMessage& message, LogMessage::Body body);
+  void WantFlush();
+  void FlushOnce();
+  void SendOutbox();
+  void ApplyCommitted();
+  void TakeSnapshotIfDue();
+  void SetRole(LogRole role);
+  void BecomeFollower(std::uint64_t new_term, const std::optional<ReplicaId>& leader);
+  void Fail(const std::string& reason);
+  void Dispatch(const LogMessage& message);
+
+  // replica_election.cpp: campaigns and votes.
+  void ResetElectionDeadline();
+  bool HeardLeaderLately() const;
+  bool IsUpToDate(std::uint64_t last_index, std::uint64_t last_term) const;
+  void StartPreVote();
+  void StartVote();
+  void AskVoters(std::uint64_t message_term, const LogMessage::Body& body);
+  void CountVote(const ReplicaId& from);
+  void Handle(const LogMessage& message, const PreVote& request);
+  void Handle(const LogMessage& message, const PreVoteAnswer& answer);
+  void Handle(const LogMessage& message, const Vote& request);
+  void Handle(const LogMessage& message, const VoteAnswer& answer);
+  bool MayVoteFor(const ReplicaId& candidate, const Vote& request) const;
+
+  // replica_follower.cpp: taking entries and snapshots in.
+  bool AcceptLeader(const LogMessage& message);
+  void Handle(const LogMessage& message, const Append& request);
+  void Handle(const LogMessage& message, const InstallSnapshot& request);
+  std::uint64_t ConflictHint(const Append& request) const;
+  bool TakeEntries(const Append& request);
+  bool InstallWhole(LogSnapshot snapshot);
+
+  // replica_leader.cpp: replication and commitment.
+  void BecomeLeader(const std::optional<Membership>& founding_members);
+  LogPosition AppendOwn(EntryKind kind, std::string_view payload);
+  void TrackVoters();
+  void LeaderTick();
+  bool HasQuorumContact(const Membership& members) const;
+  bool IsInContact(const ReplicaId& id) const;
+  void Replicate();
+  void ReplicateTo(const ReplicaId& id, PeerProgress& peer);
+  void SendHeartbeat(const ReplicaId& id, PeerProgress& peer);
+  void SendEntries(const ReplicaId& id, PeerProgress& peer);
+  void SendChunk(const ReplicaId& id, PeerProgress& peer);
+  void AdvanceCommit();
+  std::uint64_t AgreedByMajority(
+      std::uint64_t own, const std::function<std::uint64_t(const PeerProgress&)>& value) const;
+  PeerProgress* PeerOf(const LogMessage& message);
+  void Handle(const LogMessage& message, const AppendAnswer& answer);
+  void Handle(const LogMessage& message, const InstallSnapshotAnswer& answer);
+  std::optional<LogPosition> Refuse(std::string_view reason);
+
+  // replica_admission.cpp: founding the cluster and replacing lost replicas.
+  void AnnounceIfDue();
+  void StartBootstrapIfPossible();
+  std::optional<Membership> FoundingMembers() const;
+  void AdmitLearners();
+  bool AdmitLearner(const ReplicaId& id, const PeerProgress& peer);
+  void ForgetSilentLearners();
+  bool IsMemberName(std::string_view name) const;
+  void Handle(const LogMessage& message, const Join& request);
+  void Handle(const LogMessage& message, const JoinAnswer& answer);
+
+  ReplicaParts parts_;
+  DurableLog log_;
+  ReplicaId self_;
+  LogRole role_ = LogRole::kLearner;
+  std::optional<ReplicaId> leader_;
+  std::uint64_t commit_index_ = 0;
+  std::uint64_t applied_index_ = 0;
+  Instant quiet_until_{0};
+  std::string last_reason_;
+
+  std::vector<LogMessage> outbox_;
+  bool flush_wanted_ = false;
+  bool in_flush_ = false;
+
+  Campaign campaign_ = Campaign::kNone;
+  std::set<ReplicaId> votes_;
+  Membership founding_members_;
+  Instant election_deadline_{0};
+  std::optional<Instant> last_leader_contact_;
+  SnapshotAssembler assembler_;
+
+  std::map<ReplicaId, PeerProgress> peers_;
+  std::uint64_t round_ = 0;
+  bool round_wanted_ = false;
+  Instant next_heartbeat_{0};
+  std::uint64_t no_op_index_ = 0;
+  ReadQueue reads_;
+
+  Instant next_announcement_{0};
+  std::map<std::string, Discovery> discoveries_;
+};
+
+}  // namespace kumquat::Internal
--- /dev/null
+++ b/src/libs/coordination/log/replica_follower.cpp
@@ -0,0 +1,95 @@
+// Taking the leader's entries and snapshots in.
+#include <algorithm>
+#include <span>
+
+#include "coordination/log/replica.h"
+#include "utils/log.h"
+#include "utils/soft_assert.h"
+
+namespace kumquat::Internal {
+
+// True when the message is from the leader of the current term, which it then follows.
+bool Replica::AcceptLeader(const LogMessage& message) {
+  if (IsQuiet()) return false;
+  if (message.term < term()) {
+    Answer(message, AppendAnswer{});
+    return false;
+  }
+  const bool two_leaders = message.term == term() && role_ == LogRole::kLeader;
+  KUMQUAT_ASSERT(!two_leaders, return false);
+  if (message.term > term() || leader_ != message.from) BecomeFollower(message.term, message.from);
+  last_leader_contact_ = Now();
+  ResetElectionDeadline();
+  return true;
+}
+
+void Replica::Handle(const LogMessage& message, const Append& request) {
+  if (!AcceptLeader(message)) return;
+  const bool below_base = request.previous_index < log_.base_index();
+  const bool matches = log_.TermAt(request.previous_index) == request.previous_term;
+  if (!below_base && !matches) {
+    Answer(message, AppendAnswer{false, ConflictHint(request), request.round});
+    return;
+  }
+  if (!TakeEntries(request)) return;
+  const std::uint64_t equal_up_to = request.previous_index + request.entries.size();
+  commit_index_ = std::max(commit_index_, std::min(request.commit_index, equal_up_to));
+  Answer(message, AppendAnswer{true, equal_up_to, request.round});
+}
+
+// Returns the index after the log's end, or the first index of the conflicting term.
+std::uint64_t Replica::ConflictHint(const Append& request) const {
+  if (request.previous_index > log_.last_index()) return log_.last_index() + 1;
+  const std::uint64_t term_there = *log_.TermAt(request.previous_index);
+  std::uint64_t hint = request.previous_index;
+  while (hint > commit_index_ + 1 && log_.TermAt(hint - 1) == term_there) --hint;
+  return hint;
+}
+
+// Entries up to the base are committed and so equal the leader's.
+bool Replica::TakeEntries(const Append& request) {
+  std::span<const LogEntry> entries = request.entries;
+  while (!entries.empty()) {
+    const LogEntry& entry = entries.front();
+    const bool known = entry.index <= log_.base_index() || log_.TermAt(entry.index) == entry.term;
+    if (!known) break;
+    entries = entries.subspan(1);
+  }
+  if (entries.empty()) return true;
+  const std::uint64_t first = entries.front().index;
+  if (first <= commit_index_) {
+    Fail("The leader's entries contradict committed ones.");
+    return false;
+  }
+  log_.TruncateFrom(first);
+  log_.Append(entries);
+  SetRole(IsVoter() ? LogRole::kFollower : LogRole::kLearner);
+  return true;
+}
+
+void Replica::Handle(const LogMessage& message, const InstallSnapshot& request) {
+  if (!AcceptLeader(message)) return;
+  InstallSnapshotAnswer answer{request.chunk.index, request.total_bytes, true, request.round};
+  if (request.chunk.index > commit_index_) {
+    std::optional<LogSnapshot> whole = assembler_.Add(request);
+    if (whole && !InstallWhole(std::move(*whole))) return;
+    answer.installed = whole.has_value();
+    if (!whole) answer.next_offset = assembler_.next_offset();
+  }
+  Answer(message, answer);
+}
+
+bool Replica::InstallWhole(LogSnapshot snapshot) {
+  if (!parts_.machine->Restore(snapshot.state)) {
+    Fail("The state machine doesn't accept the leader's snapshot.");
+    return false;
+  }
+  commit_index_ = snapshot.index;
+  applied_index_ = snapshot.index;
+  log_.Install(std::move(snapshot));
+  SetRole(IsVoter() ? LogRole::kFollower : LogRole::kLearner);
+  WantFlush();
+  return true;
+}
+
+}  // namespace kumquat::Internal
--- /dev/null
+++ b/src/libs/coordination/log/replica_leader.cpp
@@ -0,0 +1,253 @@
+// Replication and commitment, as the leader does them.
+#include <algorithm>
+#include <utility>
+
+#include "coordination/log/replica.h"
+#include "utils/log.h"
+
+namespace kumquat::Internal {
+namespace {
+
+// The voters that are in one membership and not in the other.
+std::size_t CountDifferences(const Membership& one, const Membership& other) {
+  std::size_t differences = 0;
+  for (const ReplicaId& id : one.voters) differences += other.Contains(id) ? 0 : 1;
+  for (const ReplicaId& id : other.voters) differences += one.Contains(id) ? 0 : 1;
+  return differences;
+}
+
+bool HasDistinctNames(const Membership& membership) {
+  std::set<std::string> names;
+  for (const ReplicaId& id : membership.voters) names.insert(id.name);
+  return names.size() == membership.voters.size();
+}
+
+}  // namespace
+
+void Replica::BecomeLeader(const std::optional<Membership>& founding_members) {
+  campaign_ = Campaign::kNone;
+  votes_.clear();
+  leader_ = self_;
+  last_leader_contact_.reset();
+  peers_.clear();
+  SetRole(LogRole::kLeader);
+  if (founding_members) AppendOwn(EntryKind::kMembership, EncodeMembership(*founding_members));
+  TrackVoters();
+  no_op_index_ = AppendOwn(EntryKind::kNoOp, "").index;
+  round_wanted_ = true;
+  next_heartbeat_ = Now() + parts_.options.heartbeat_interval;
+  if (parts_.on_changed) parts_.on_changed();
+}
+
+LogPosition Replica::AppendOwn(EntryKind kind, std::string_view payload) {
+  const LogEntry entry{term(), log_.last_index() + 1, kind, std::string(payload)};
+  log_.Append({&entry, 1});
+  WantFlush();
+  return {entry.term, entry.index};
+}
+
+void Replica::TrackVoters() {
+  for (const ReplicaId& voter : membership().voters) {
+    if (voter == self_) continue;
+    const auto [entry, added] = peers_.try_emplace(voter);
+    if (!added) continue;
+    entry->second.next_index = log_.last_index() + 1;
+    entry->second.last_contact = Now();
+  }
+}
+
+std::optional<LogPosition> Replica::Refuse(std::string_view reason) {
+  last_reason_ = reason;
+  return std::nullopt;
+}
+
+std::optional<LogPosition> Replica::Propose(std::string_view command) {
+  if (role_ != LogRole::kLeader) return Refuse("This replica isn't the leader.");
+  if (log_.last_index() - commit_index_ >= parts_.options.max_uncommitted_entries) {
+    return Refuse("Too many commands wait to be committed.");
+  }
+  return AppendOwn(EntryKind::kCommand, command);
+}
+
+std::optional<LogPosition> Replica::ProposeMembership(const Membership& wanted) {
+  if (role_ != LogRole::kLeader) return Refuse("This replica isn't the leader.");
+  // Before the leader has committed in its own term, it can't know that the membership it goes
+  // out from is the newest committed one.
+  if (commit_index_ < no_op_index_) return Refuse("The leader has not committed anything yet.");
+  if (log_.membership_index() > commit_index_) {
+    return Refuse("Another change of the membership is under way.");
+  }
+  if (CountDifferences(membership(), wanted) != 1) return Refuse("One voter at a time can change.");
+  if (!wanted.Contains(self_)) return Refuse("The leader can't remove itself.");
+  if (!HasDistinctNames(wanted)) return Refuse("Two voters have the same name.");
+  const Membership before = membership();
+  const LogPosition position = AppendOwn(EntryKind::kMembership, EncodeMembership(wanted));
+  for (const ReplicaId& id : before.voters) {
+    if (!wanted.Contains(id)) peers_.erase(id);
+  }
+  TrackVoters();
+  return position;
+}
+
+void Replica::ConfirmLeadership(std::function<void(bool confirmed)> callback) {
+  if (role_ != LogRole::kLeader) {
+    callback(false);
+    return;
+  }
+  const std::uint64_t index = std::max(commit_index_, no_op_index_);
+  const Instant deadline = Now() + parts_.options.confirm_timeout;
+  reads_.Add({round_ + 1, index, deadline, std::move(callback)});
+  round_wanted_ = true;
+  WantFlush();
+}
+
+void Replica::LeaderTick() {
+  if (!HasQuorumContact(membership())) {
+    LogEvent(LogLevel::kWarning, "log_majority_lost", {{"term", term()}});
+    BecomeFollower(term(), std::nullopt);
+    return;
+  }
+  reads_.Expire(Now());
+  ForgetSilentLearners();
+  AdmitLearners();
+  if (Now() < next_heartbeat_) return;
+  next_heartbeat_ = Now() + parts_.options.heartbeat_interval;
+  round_wanted_ = true;
+  for (auto& [id, peer] : peers_) peer.chunk_under_way = false;
+}
+
+bool Replica::IsInContact(const ReplicaId& id) const {
+  if (id == self_) return true;
+  const auto found = peers_.find(id);
+  if (found == peers_.end()) return false;
+  return Now() - found->second.last_contact <= parts_.options.election_timeout_max;
+}
+
+bool Replica::HasQuorumContact(const Membership& members) const {
+  const auto in_contact = std::count_if(members.voters.begin(), members.voters.end(),
+                                        [&](const ReplicaId& id) { return IsInContact(id); });
+  return static_cast<std::size_t>(in_contact) > members.voters.size() / 2;
+}
+
+void Replica::Replicate() {
+  if (round_wanted_) ++round_;
+  for (auto& [id, peer] : peers_) ReplicateTo(id, peer);
+  round_wanted_ = false;
+}
+
+void Replica::ReplicateTo(const ReplicaId& id, PeerProgress& peer) {
+  const bool behind_the_log = !log_.TermAt(peer.next_index - 1);
+  if (!peer.snapshot && behind_the_log) {
+    peer.snapshot = log_.snapshot();
+    peer.snapshot_offset = 0;
+    peer.chunk_under_way = false;
+  }
+  if (peer.snapshot && !peer.chunk_under_way) SendChunk(id, peer);
+  bool sent = false;
+  while (!peer.snapshot && peer.next_index <= log_.last_index() &&
+         peer.next_index - peer.match_index <= parts_.options.max_unacknowledged_entries) {
+    SendEntries(id, peer);
+    sent = true;
+  }
+  const bool commit_is_news = !peer.snapshot && peer.sent_commit_index < commit_index_;
+  if (!sent && (round_wanted_ || commit_is_news)) SendHeartbeat(id, peer);
+}
+
+void Replica::SendHeartbeat(const ReplicaId& id, PeerProgress& peer) {
+  Append heartbeat;
+  heartbeat.round = round_;
+  if (!peer.snapshot) {
+    heartbeat.previous_index = peer.next_index - 1;
+    heartbeat.previous_term = *log_.TermAt(heartbeat.previous_index);
+    heartbeat.commit_index = commit_index_;
+    peer.sent_commit_index = commit_index_;
+  }
+  Queue(id, term(), heartbeat);
+}
+
+void Replica::SendEntries(const ReplicaId& id, PeerProgress& peer) {
+  const LogOptions& options = parts_.options;
+  Append append;
+  append.previous_index = peer.next_index - 1;
+  append.previous_term = *log_.TermAt(append.previous_index);
+  append.commit_index = commit_index_;
+  append.round = round_;
+  append.entries =
+      log_.Slice(peer.next_index, options.max_append_entries, options.max_append_bytes);
+  peer.next_index += append.entries.size();
+  peer.sent_commit_index = commit_index_;
+  Queue(id, term(), std::move(append));
+}
+
+void Replica::SendChunk(const ReplicaId& id, PeerProgress& peer) {
+  const LogSnapshot& snapshot = *peer.snapshot;
+  InstallSnapshot message;
+  message.chunk.index = snapshot.index;
+  message.chunk.term = snapshot.term;
+  message.chunk.membership = snapshot.membership;
+  message.chunk.state =
+      snapshot.state.substr(peer.snapshot_offset, parts_.options.snapshot_chunk_bytes);
+  message.offset = peer.snapshot_offset;
+  message.total_bytes = snapshot.state.size();
+  message.round = round_;
+  peer.chunk_under_way = true;
+  Queue(id, term(), std::move(message));
+}
+
+// Only an entry of the own term is committed by counting; it commits those before it.
+void Replica::AdvanceCommit() {
+  const std::uint64_t agreed = AgreedByMajority(
+      log_.synced_index(), [](const PeerProgress& peer) { return peer.match_index; });
+  if (agreed <= commit_index_ || log_.TermAt(agreed) != term()) return;
+  commit_index_ = agreed;
+  WantFlush();
+}
+
+// Returns the highest value that a majority of voters has reached.
+std::uint64_t Replica::AgreedByMajority(
+    std::uint64_t own, const std::function<std::uint64_t(const PeerProgress&)>& value) const {
+  std::vector<std::uint64_t> values;
+  for (const ReplicaId& voter : membership().voters) {
+    values.push_back(voter == self_ ? own : value(peers_.at(voter)));
+  }
+  if (values.empty()) return 0;
+  std::sort(values.begin(), values.end(), std::greater<>());
+  return values[values.size() / 2];
+}
+
+PeerProgress* Replica::PeerOf(const LogMessage& message) {
+  if (role_ != LogRole::kLeader || message.term != term()) return nullptr;
+  const auto found = peers_.find(message.from);
+  if (found == peers_.end()) return nullptr;
+  found->second.last_contact = Now();
+  WantFlush();
+  return &found->second;
+}
+
+void Replica::Handle(const LogMessage& message, const AppendAnswer& answer) {
+  PeerProgress* peer = PeerOf(message);
+  if (!peer) return;
+  peer->acknowledged_round = std::max(peer->acknowledged_round, answer.round);
+  if (answer.accepted) {
+    peer->match_index = std::max(peer->match_index, answer.index);
+    peer->next_index = std::max(peer->next_index, peer->match_index + 1);
+    return;
+  }
+  const std::uint64_t hint = std::min(answer.index, peer->next_index);
+  peer->next_index = std::max(peer->match_index + 1, hint);
+}
+
+void Replica::Handle(const LogMessage& message, const InstallSnapshotAnswer& answer) {
+  PeerProgress* peer = PeerOf(message);
+  if (!peer) return;
+  peer->acknowledged_round = std::max(peer->acknowledged_round, answer.round);
+  if (!peer->snapshot || peer->snapshot->index != answer.snapshot_index) return;
+  peer->chunk_under_way = false;
+  peer->snapshot_offset = std::min(answer.next_offset, peer->snapshot->state.size());
+  if (!answer.installed) return;
+  peer->match_index = std::max(peer->match_index, answer.snapshot_index);
+  peer->next_index = peer->match_index + 1;
+  peer->snapshot.reset();
+}
+
+}  // namespace kumquat::Internal
--- a/src/libs/coordination/log/replicated_log.h
+++ b/src/libs/coordination/log/replicated_log.h
@@ -55,6 +55,9 @@
   // Applied entries that stay in memory after a snapshot, for replicas that lag a little.
   std::uint64_t trailing_entries = 1'000;
 
+  // More commands than this aren't taken in while they wait to be committed.
+  std::uint64_t max_uncommitted_entries = 65'536;
+
   std::uint64_t max_append_entries = 512;
   std::uint64_t max_append_bytes = 256 * 1024;
   std::uint64_t max_unacknowledged_entries = 4'096;
--- /dev/null
+++ b/tests/libs/coordination/log/log_cluster.cpp
@@ -0,0 +1,271 @@
+#include "log_cluster.h"
+
+#include <algorithm>
+#include <sstream>
+#include <utility>
+
+namespace kumquat {
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(10);
+constexpr std::uint64_t kLossPercent = 5;
+constexpr std::uint64_t kDuplicatePercent = 5;
+constexpr std::uint64_t kLongDelayPercent = 3;
+constexpr std::uint64_t kShortDelayUs = 15'000;
+constexpr std::uint64_t kLongDelayUs = 2'000'000;
+
+}  // namespace
+
+std::string RecordingMachine::Apply(std::uint64_t index, std::string_view command) {
+  commands_[index] = command;
+  return std::string(command);
+}
+
+std::string RecordingMachine::Snapshot() const {
+  std::string text;
+  for (const auto& [index, command] : commands_) {
+    text += std::to_string(index) + " " + command + "\n";
+  }
+  return text;
+}
+
+bool RecordingMachine::Restore(std::string_view snapshot) {
+  commands_.clear();
+  std::istringstream lines{std::string(snapshot)};
+  std::uint64_t index = 0;
+  std::string command;
+  while (lines >> index >> command) commands_[index] = command;
+  return true;
+}
+
+LogCluster::LogCluster(std::size_t replicas, std::uint64_t seed, const LogOptions& options)
+    : random_(seed), options_(options), nodes_(replicas) {
+  for (std::size_t i = 0; i < replicas; ++i) names_.push_back(std::string(1, char('a' + i)));
+  for (std::size_t i = 0; i < replicas; ++i) {
+    nodes_[i].name = names_[i];
+    nodes_[i].clock_rate = 0.8 + 0.1 * static_cast<double>(random_() % 5);
+    Start(nodes_[i]);
+  }
+}
+
+void LogCluster::Run(Duration time) {
+  for (Duration passed{0}; passed < time; passed += kTick) Step();
+}
+
+void LogCluster::Step() {
+  now_ += kTick;
+  for (Node& node : nodes_) {
+    node.now += Duration(static_cast<std::int64_t>(kTick.count() * node.clock_rate));
+  }
+  Deliver();
+  for (Node& node : nodes_) {
+    if (node.crash_due) Stop(node);
+    if (node.log && !node.frozen) node.log->Tick();
+    if (node.log && node.log->role() == LogRole::kFailed) Stop(node);
+  }
+  Watch();
+}
+
+// A frozen process gets what was sent to it when it goes on.
+void LogCluster::Deliver() {
+  std::vector<std::string> kept;
+  while (!network_.empty() && network_.begin()->first <= now_) {
+    std::string bytes = std::move(network_.begin()->second);
+    network_.erase(network_.begin());
+    const std::optional<LogMessage> message = DecodeLogMessage(bytes);
+    if (!message) {
+      Violate("A message can't be decoded.");
+      return;
+    }
+    Node& node = nodes_[IndexOf(message->to.name)];
+    if (!node.log) continue;
+    if (node.frozen) {
+      kept.push_back(std::move(bytes));
+      continue;
+    }
+    node.log->Receive(*message);
+    if (Chance(50)) node.log->Flush();
+  }
+  for (std::string& bytes : kept) network_.emplace(now_ + kTick, std::move(bytes));
+}
+
+void LogCluster::Send(const LogMessage& message) {
+  const auto link = std::pair(IndexOf(message.from.name), IndexOf(message.to.name));
+  if (cuts_.contains(link)) return;
+  if (!reliable_ && Chance(kLossPercent)) return;
+  const int copies = !reliable_ && Chance(kDuplicatePercent) ? 2 : 1;
+  for (int i = 0; i < copies; ++i) {
+    const bool is_long = !reliable_ && Chance(kLongDelayPercent);
+    const std::uint64_t delay = random_() % (is_long ? kLongDelayUs : kShortDelayUs);
+    network_.emplace(now_ + Duration(static_cast<std::int64_t>(delay)), Encode(message));
+  }
+}
+
+void LogCluster::Stop(Node& node) {
+  node.crash_due = false;
+  node.frozen = false;
+  if (!node.log) return;
+  node.storage->Crash();
+  node.log.reset();
+  node.proposals.clear();
+}
+
+void LogCluster::Start(Node& node) {
+  node.storage = std::make_unique<MemoryLogStorage>(&node.disk, &random_);
+  node.machine = std::make_unique<RecordingMachine>();
+  node.log = ReplicatedLog::Builder()
+                 .Name(node.name)
+                 .MemberNames(names_)
+                 .Options(options_)
+                 .Storage(node.storage.get())
+                 .Machine(node.machine.get())
+                 .Time([&node] { return node.now; })
+                 .Randomness([this] { return random_(); })
+                 .OnSend([this](const LogMessage& message) { Send(message); })
+                 .OnApplied([this, &node](const LogPosition& position, std::string_view answer) {
+                   OnApplied(node, position, answer);
+                 })
+                 .Build();
+  if (!node.log->Start()) Violate("A replica doesn't start: " + node.log->last_reason());
+}
+
+void LogCluster::Restart(std::size_t replica) {
+  if (!nodes_[replica].log) Start(nodes_[replica]);
+}
+
+void LogCluster::FailNextSync(std::size_t replica) {
+  if (nodes_[replica].log) nodes_[replica].storage->FailNextSync();
+}
+
+bool LogCluster::LoseDisk(std::size_t replica) {
+  NoteReadmissions();
+  const auto gone = std::count_if(nodes_.begin(), nodes_.end(), [&](const Node& node) {
+    return node.gone || &node == &nodes_[replica];
+  });
+  if (static_cast<std::size_t>(gone) > (nodes_.size() - 1) / 2) return false;
+  Stop(nodes_[replica]);
+  nodes_[replica].disk = {};
+  nodes_[replica].gone = true;
+  return true;
+}
+
+void LogCluster::NoteReadmissions() {
+  for (Node& node : nodes_) {
+    for (const Node& witness : nodes_) {
+      if (!witness.log) continue;
+      const LogStatus status = witness.log->status();
+      const ReplicaId id{node.name, node.disk.durable.storage_identity};
+      const bool all_committed = status.commit_index == status.last_index;
+      if (all_committed && status.membership.Contains(id)) node.gone = false;
+    }
+  }
+}
+
+bool LogCluster::Propose(std::size_t at) {
+  Node& node = nodes_[at];
+  if (!node.log || node.frozen) return false;
+  const std::string command = "command" + std::to_string(next_command_++);
+  const std::optional<LogPosition> position = node.log->Propose(command);
+  if (position) node.proposals[position->index] = {position->term, command};
+  return position.has_value();
+}
+
+void LogCluster::Confirm(std::size_t at) {
+  Node& node = nodes_[at];
+  if (!node.log || node.frozen) return;
+  const std::uint64_t newest = accepted_.empty() ? 0 : accepted_.rbegin()->first;
+  node.log->ConfirmLeadership([this, &node, newest](bool confirmed) {
+    confirmed ? ++confirmed_ : ++refused_;
+    if (!confirmed || newest == 0 || !violation_.empty()) return;
+    if (!node.machine->commands().contains(newest)) {
+      Violate("A leader was confirmed that lacks a command accepted before.");
+    }
+  });
+}
+
+void LogCluster::OnApplied(Node& node, const LogPosition& position, std::string_view answer) {
+  const auto [known, is_new] = applied_.try_emplace(position.index, answer);
+  if (!is_new && known->second != answer) Violate("Two replicas applied different commands.");
+  const auto proposal = node.proposals.find(position.index);
+  if (proposal == node.proposals.end()) return;
+  const auto [term, command] = proposal->second;
+  node.proposals.erase(proposal);
+  if (term != position.term) return;
+  if (command != answer) Violate("A proposal got another command's answer.");
+  accepted_[position.index] = command;
+}
+
+void LogCluster::Watch() {
+  for (const Node& node : nodes_) {
+    if (!node.log || node.log->role() != LogRole::kLeader) continue;
+    const auto [known, is_new] = leader_of_term_.try_emplace(node.log->term(), node.log->self());
+    if (!is_new && known->second != node.log->self()) Violate("Two leaders in one term.");
+  }
+}
+
+void LogCluster::SetLink(std::size_t from, std::size_t to, bool up) {
+  if (up) {
+    cuts_.erase({from, to});
+  } else {
+    cuts_.insert({from, to});
+  }
+}
+
+void LogCluster::Isolate(std::size_t replica) {
+  for (std::size_t other = 0; other < nodes_.size(); ++other) {
+    SetLink(replica, other, false);
+    SetLink(other, replica, false);
+  }
+}
+
+void LogCluster::Heal() {
+  cuts_.clear();
+  reliable_ = true;
+  for (Node& node : nodes_) {
+    node.frozen = false;
+    if (node.crash_due) Stop(node);
+    if (!node.log) Start(node);
+  }
+}
+
+std::optional<std::size_t> LogCluster::leader() const {
+  std::optional<std::size_t> newest;
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    if (!nodes_[i].log || nodes_[i].log->role() != LogRole::kLeader) continue;
+    if (!newest || nodes_[i].log->term() > nodes_[*newest].log->term()) newest = i;
+  }
+  return newest;
+}
+
+bool LogCluster::everyone_is_voter() const {
+  const auto newest = leader();
+  if (!newest) return false;
+  const std::vector<ReplicaId>& voters = nodes_[*newest].log->voters();
+  return voters.size() == nodes_.size() &&
+         std::all_of(nodes_.begin(), nodes_.end(), [&](const Node& node) {
+           const ReplicaId id{node.name, node.disk.durable.storage_identity};
+           return std::find(voters.begin(), voters.end(), id) != voters.end();
+         });
+}
+
+void LogCluster::CheckAllEqual() {
+  for (const Node& node : nodes_) {
+    const auto& commands = node.machine->commands();
+    if (commands != applied_) Violate("Replica " + node.name + " differs from what was applied.");
+    for (const auto& [index, command] : accepted_) {
+      const auto found = commands.find(index);
+      if (found != commands.end() && found->second == command) continue;
+      Violate("An accepted command was lost: " + command);
+    }
+  }
+}
+
+void LogCluster::Violate(const std::string& what) {
+  if (violation_.empty()) violation_ = what;
+}
+
+std::size_t LogCluster::IndexOf(const std::string& name) const {
+  return static_cast<std::size_t>(name[0] - 'a');
+}
+
+}  // namespace kumquat
