Replicated log: tests of each mechanism by itself

Partition and return (pre-vote), a deaf leader (check-quorum), a second lost disk right after the repair, a lost replica that still lives beside its successor, and empty replicas beside one with entries. The oracle also watches that nobody votes or acknowledges during startup_quiet.

--- a/tests/libs/coordination/log/log_cluster.cpp
+++ b/tests/libs/coordination/log/log_cluster.cpp
@@ -39,7 +39,8 @@
 }
 
 LogCluster::LogCluster(std::size_t replicas, std::uint64_t seed, const LogOptions& options)
-    : random_(seed), options_(options), nodes_(replicas) {
+    : random_(seed), options_(options) {
+  nodes_.resize(replicas);
   for (std::size_t i = 0; i < replicas; ++i) names_.push_back(std::string(1, char('a' + i)));
   for (std::size_t i = 0; i < replicas; ++i) {
     nodes_[i].name = names_[i];
@@ -68,39 +69,50 @@
 
 // A frozen process gets what was sent to it when it goes on.
 void LogCluster::Deliver() {
-  std::vector<std::string> kept;
+  std::vector<Packet> kept;
   while (!network_.empty() && network_.begin()->first <= now_) {
-    std::string bytes = std::move(network_.begin()->second);
+    Packet packet = std::move(network_.begin()->second);
     network_.erase(network_.begin());
-    const std::optional<LogMessage> message = DecodeLogMessage(bytes);
-    if (!message) {
-      Violate("A message can't be decoded.");
-      return;
-    }
-    Node& node = nodes_[IndexOf(message->to.name)];
+    Node& node = nodes_[packet.to];
     if (!node.log) continue;
     if (node.frozen) {
-      kept.push_back(std::move(bytes));
+      kept.push_back(std::move(packet));
       continue;
     }
+    const std::optional<LogMessage> message = DecodeLogMessage(packet.bytes);
+    if (!message) {
+      Violate("A message can't be decoded.");
+      return;
+    }
     node.log->Receive(*message);
     if (Chance(50)) node.log->Flush();
   }
-  for (std::string& bytes : kept) network_.emplace(now_ + kTick, std::move(bytes));
+  for (Packet& packet : kept) network_.emplace(now_ + kTick, std::move(packet));
 }
 
 void LogCluster::Send(const LogMessage& message) {
-  const auto link = std::pair(IndexOf(message.from.name), IndexOf(message.to.name));
-  if (cuts_.contains(link)) return;
-  if (!reliable_ && Chance(kLossPercent)) return;
-  const int copies = !reliable_ && Chance(kDuplicatePercent) ? 2 : 1;
-  for (int i = 0; i < copies; ++i) {
-    const bool is_long = !reliable_ && Chance(kLongDelayPercent);
-    const std::uint64_t delay = random_() % (is_long ? kLongDelayUs : kShortDelayUs);
-    network_.emplace(now_ + Duration(static_cast<std::int64_t>(delay)), Encode(message));
+  const std::size_t from = SenderOf(message);
+  CheckQuiet(nodes_[from], message);
+  const std::string bytes = Encode(message);
+  for (std::size_t to = 0; to < nodes_.size(); ++to) {
+    if (nodes_[to].name != message.to.name || cuts_.contains({from, to})) continue;
+    if (!reliable_ && Chance(kLossPercent)) continue;
+    const int copies = !reliable_ && Chance(kDuplicatePercent) ? 2 : 1;
+    for (int i = 0; i < copies; ++i) {
+      const bool is_long = !reliable_ && Chance(kLongDelayPercent);
+      const std::uint64_t delay = random_() % (is_long ? kLongDelayUs : kShortDelayUs);
+      network_.emplace(now_ + Duration(static_cast<std::int64_t>(delay)), Packet{to, bytes});
+    }
   }
 }
 
+void LogCluster::CheckQuiet(const Node& node, const LogMessage& message) {
+  const bool is_quiet = node.now - node.started_at < options_.startup_quiet;
+  const bool is_silent = std::holds_alternative<Join>(message.body) ||
+                         std::holds_alternative<JoinAnswer>(message.body);
+  if (is_quiet && node.had_entries && !is_silent) Violate("A replica spoke too early.");
+}
+
 void LogCluster::Stop(Node& node) {
   node.crash_due = false;
   node.frozen = false;
@@ -111,6 +123,8 @@
 }
 
 void LogCluster::Start(Node& node) {
+  node.started_at = node.now;
+  node.had_entries = node.disk.durable.snapshot || !node.disk.durable.entries.empty();
   node.storage = std::make_unique<MemoryLogStorage>(&node.disk, &random_);
   node.machine = std::make_unique<RecordingMachine>();
   node.log = ReplicatedLog::Builder()
@@ -143,10 +157,20 @@
     return node.gone || &node == &nodes_[replica];
   });
   if (static_cast<std::size_t>(gone) > (nodes_.size() - 1) / 2) return false;
+  WipeDisk(replica);
+  return true;
+}
+
+void LogCluster::WipeDisk(std::size_t replica) {
   Stop(nodes_[replica]);
   nodes_[replica].disk = {};
   nodes_[replica].gone = true;
-  return true;
+}
+
+void LogCluster::AddTwin(std::size_t replica) {
+  Node& twin = nodes_.emplace_back();
+  twin.name = nodes_[replica].name;
+  Start(twin);
 }
 
 void LogCluster::NoteReadmissions() {
@@ -281,8 +305,11 @@
   if (violation_.empty()) violation_ = what;
 }
 
-std::size_t LogCluster::IndexOf(const std::string& name) const {
-  return static_cast<std::size_t>(name[0] - 'a');
+std::size_t LogCluster::SenderOf(const LogMessage& message) const {
+  const auto sender = std::find_if(nodes_.begin(), nodes_.end(), [&](const Node& node) {
+    return node.disk.durable.storage_identity == message.from.storage_identity;
+  });
+  return static_cast<std::size_t>(sender - nodes_.begin());
 }
 
 }  // namespace kumquat
--- a/tests/libs/coordination/log/log_cluster.h
+++ b/tests/libs/coordination/log/log_cluster.h
@@ -1,6 +1,7 @@
 // Replicas of one log on a virtual clock and a faulty network, watched by an oracle.
 #pragma once
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -50,6 +51,12 @@
   // case. A lost replica counts as gone until a committed membership holds its successor.
   bool LoseDisk(std::size_t replica);
 
+  // The same, whatever may be gone then.
+  void WipeDisk(std::size_t replica);
+
+  // Starts one more process of the same name on an empty disk; it becomes the last replica.
+  void AddTwin(std::size_t replica);
+
   // Ends all faults: links up and reliable, every process running.
   void Heal();
   void SetReliable(bool reliable) { reliable_ = reliable; }
@@ -81,6 +88,8 @@
     std::unique_ptr<ReplicatedLog> log;
     double clock_rate = 1;
     Instant now{0};
+    Instant started_at{0};
+    bool had_entries = false;
     bool frozen = false;
     bool crash_due = false;
     bool gone = false;
@@ -92,20 +101,25 @@
   void Stop(Node& node);
   void Start(Node& node);
   void Send(const LogMessage& message);
+  void CheckQuiet(const Node& node, const LogMessage& message);
   void OnApplied(Node& node, const LogPosition& position, std::string_view answer);
   void Watch();
   void NoteReadmissions();
   void Violate(const std::string& what);
   bool Chance(std::uint64_t percent) { return random_() % 100 < percent; }
-  std::size_t IndexOf(const std::string& name) const;
+  std::size_t SenderOf(const LogMessage& message) const;
 
   std::mt19937_64 random_;
   LogOptions options_;
-  std::vector<Node> nodes_;
+  std::deque<Node> nodes_;
   std::vector<std::string> names_;
   Instant now_{0};
   bool reliable_ = false;
-  std::multimap<Instant, std::string> network_;
+  struct Packet {
+    std::size_t to = 0;
+    std::string bytes;
+  };
+  std::multimap<Instant, Packet> network_;
   std::set<std::pair<std::size_t, std::size_t>> cuts_;
   std::uint64_t next_command_ = 0;
 
--- a/tests/libs/coordination/log/replicated_log_test.cpp
+++ b/tests/libs/coordination/log/replicated_log_test.cpp
@@ -40,15 +40,15 @@
 }
 
 rc::Gen<ScheduleStep> AnyStep() {
-  const auto fault = rc::gen::weightedElement<Fault>({{8, Fault::kNone},
-                                                      {6, Fault::kConfirm},
+  const auto fault = rc::gen::weightedElement<Fault>({{16, Fault::kNone},
+                                                      {8, Fault::kConfirm},
                                                       {2, Fault::kCutOneWay},
                                                       {2, Fault::kIsolate},
-                                                      {3, Fault::kHealLinks},
+                                                      {6, Fault::kHealLinks},
                                                       {2, Fault::kFreeze},
-                                                      {4, Fault::kThaw},
+                                                      {6, Fault::kThaw},
                                                       {3, Fault::kCrash},
-                                                      {6, Fault::kRestart},
+                                                      {10, Fault::kRestart},
                                                       {1, Fault::kFailSync},
                                                       {2, Fault::kLoseDisk}});
   const auto number = [](std::size_t below) { return rc::gen::inRange<std::size_t>(0, below); };
@@ -166,5 +166,131 @@
   CHECK(confirmed >= 100);
 }
 
+// Three healthy replicas with a leader.
+class HealthyCluster : public LogCluster {
+ public:
+  explicit HealthyCluster(std::uint64_t seed) : LogCluster(3, seed, SmallOptions()) {
+    ConfigureLog("test", LogLevel::kError);
+    SetReliable(true);
+    Run(seconds(5));
+    REQUIRE(leader());
+  }
+
+  // Proposes at the leader and returns how many were accepted a second later.
+  std::size_t Accept(std::size_t proposals) {
+    const std::size_t before = accepted_count();
+    for (std::size_t i = 0; i < proposals; ++i) {
+      if (const auto at = leader()) Propose(*at);
+      Run(milliseconds(20));
+    }
+    Run(seconds(1));
+    return accepted_count() - before;
+  }
+
+  std::size_t follower() const { return (*leader() + 1) % 3; }
+  std::size_t other_follower() const { return (*leader() + 2) % 3; }
+};
+
+constexpr std::uint64_t kSeeds = 20;
+
+TEST_CASE("A replica behind a silent partition serves nothing and disturbs no one afterwards") {
+  for (std::uint64_t seed = 0; seed < kSeeds; ++seed) {
+    HealthyCluster cluster(seed);
+    const std::size_t leader = *cluster.leader();
+    const std::size_t cut_off = cluster.follower();
+    const std::uint64_t term = cluster.log(leader).term();
+    cluster.Isolate(cut_off);
+    CHECK(cluster.Accept(50) == 50);
+    cluster.Run(minutes(3));
+    CHECK(!cluster.Propose(cut_off));
+    cluster.Confirm(cut_off);
+    CHECK(cluster.confirmed_count() == 0);
+    cluster.Heal();
+    cluster.Run(seconds(10));
+    CHECK(cluster.leader() == leader);
+    CHECK(cluster.log(leader).term() == term);
+    cluster.CheckAllEqual();
+    CHECK(cluster.violation() == std::string());
+  }
+}
+
+TEST_CASE("A leader that hears no majority steps down and confirms nothing") {
+  for (std::uint64_t seed = 0; seed < kSeeds; ++seed) {
+    HealthyCluster cluster(seed);
+    const std::size_t deaf = *cluster.leader();
+    for (std::size_t other = 0; other < 3; ++other) cluster.SetLink(other, deaf, false);
+    cluster.Confirm(deaf);
+    cluster.Run(seconds(8));
+    CHECK(cluster.confirmed_count() == 0);
+    CHECK(cluster.refused_count() == 1);
+    CHECK(cluster.log(deaf).role() != LogRole::kLeader);
+    REQUIRE(cluster.leader());
+    CHECK(cluster.Accept(10) == 10);
+    CHECK(cluster.violation() == std::string());
+  }
+}
+
+TEST_CASE("A second lost disk right after the repair of the first loses nothing") {
+  for (std::uint64_t seed = 0; seed < kSeeds; ++seed) {
+    HealthyCluster cluster(seed);
+    CHECK(cluster.Accept(50) == 50);
+    const std::size_t first = cluster.follower();
+    const std::size_t second = seed % 2 == 0 ? *cluster.leader() : cluster.other_follower();
+    REQUIRE(cluster.LoseDisk(first));
+    cluster.Restart(first);
+    while (!cluster.LoseDisk(second)) cluster.Run(milliseconds(10));
+    cluster.Restart(second);
+    cluster.Run(seconds(20));
+    CHECK(cluster.everyone_is_voter());
+    CHECK(cluster.Accept(10) == 10);
+    cluster.CheckAllEqual();
+    CHECK(cluster.violation() == std::string());
+  }
+}
+
+TEST_CASE("A lost replica and its living successor never count both") {
+  for (std::uint64_t seed = 0; seed < kSeeds; ++seed) {
+    HealthyCluster cluster(seed);
+    const std::size_t leader = *cluster.leader();
+    const std::size_t old = cluster.follower();
+    const std::size_t other = cluster.other_follower();
+    const ReplicaId old_id = cluster.log(old).self();
+    constexpr std::size_t kTwin = 3;
+    cluster.Isolate(old);
+    cluster.AddTwin(old);
+    cluster.SetLink(old, kTwin, false);
+    cluster.Run(seconds(10));
+    const Membership members = cluster.log(leader).status().membership;
+    CHECK(members.Contains(cluster.log(kTwin).self()));
+    CHECK(!members.Contains(old_id));
+
+    cluster.Heal();
+    cluster.Run(seconds(10));
+    CHECK(cluster.log(old).role() != LogRole::kLeader);
+    CHECK(cluster.Accept(10) == 10);
+    cluster.Isolate(other);
+    CHECK(cluster.Accept(10) == 10);
+    cluster.Isolate(kTwin);
+    CHECK(cluster.Accept(10) == 0);
+    CHECK(cluster.violation() == std::string());
+  }
+}
+
+TEST_CASE("Empty replicas found no cluster while any member may hold entries") {
+  HealthyCluster cluster(1);
+  CHECK(cluster.Accept(10) == 10);
+  constexpr std::size_t kWitness = 2;
+  cluster.Isolate(kWitness);
+  for (const std::size_t lost : {0, 1}) {
+    cluster.WipeDisk(lost);
+    cluster.Restart(lost);
+  }
+  cluster.Run(seconds(20));
+  CHECK(!cluster.leader());
+  cluster.Heal();
+  cluster.Run(seconds(20));
+  CHECK(!cluster.leader());
+}
+
 }  // namespace
 }  // namespace kumquat
