--- /dev/null
+++ b/tests/libs/coordination/log/replicated_log_test.cpp
@@ -0,0 +1,296 @@
+#include "coordination/log/replicated_log.h"
+
+#include "log_cluster.h"
+#include "property.h"
+#include "utils/log.h"
+
+namespace kumquat {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+enum class Fault {
+  kNone,
+  kConfirm,
+  kCutOneWay,
+  kIsolate,
+  kHealLinks,
+  kFreeze,
+  kThaw,
+  kCrash,
+  kRestart,
+  kFailSync,
+  kLoseDisk
+};
+
+// One step of a schedule: proposals, one fault, and some time.
+struct ScheduleStep {
+  std::size_t proposals = 0;
+  Fault fault = Fault::kNone;
+  std::size_t target = 0;
+  std::size_t other = 0;
+  int ticks = 0;
+};
+
+std::ostream& operator<<(std::ostream& out, const ScheduleStep& step) {
+  return out << "{" << step.proposals << ", " << static_cast<int>(step.fault) << ", " << step.target
+             << ", " << step.other << ", " << step.ticks << "}";
+}
+
+rc::Gen<ScheduleStep> AnyStep() {
+  const auto fault = rc::gen::weightedElement<Fault>({{16, Fault::kNone},
+                                                      {8, Fault::kConfirm},
+                                                      {2, Fault::kCutOneWay},
+                                                      {2, Fault::kIsolate},
+                                                      {6, Fault::kHealLinks},
+                                                      {2, Fault::kFreeze},
+                                                      {6, Fault::kThaw},
+                                                      {3, Fault::kCrash},
+                                                      {10, Fault::kRestart},
+                                                      {1, Fault::kFailSync},
+                                                      {2, Fault::kLoseDisk}});
+  const auto number = [](std::size_t below) { return rc::gen::inRange<std::size_t>(0, below); };
+  return rc::gen::build<ScheduleStep>(rc::gen::set(&ScheduleStep::proposals, number(5)),
+                                      rc::gen::set(&ScheduleStep::fault, fault),
+                                      rc::gen::set(&ScheduleStep::target, number(60)),
+                                      rc::gen::set(&ScheduleStep::other, number(60)),
+                                      rc::gen::set(&ScheduleStep::ticks, rc::gen::inRange(0, 60)));
+}
+
+// Draws numbers from their whole range in the first cases too.
+template <typename Value>
+rc::Gen<Value> FullRange(rc::Gen<Value> generator) {
+  return rc::gen::resize(rc::kNominalSize, std::move(generator));
+}
+
+// Small limits, so that snapshots, chunks and full windows are met often.
+LogOptions SmallOptions() {
+  LogOptions options;
+  options.snapshot_after_entries = 20;
+  options.trailing_entries = 5;
+  options.max_append_entries = 4;
+  options.max_unacknowledged_entries = 16;
+  options.snapshot_chunk_bytes = 64;
+  return options;
+}
+
+void Apply(const ScheduleStep& step, LogCluster& cluster) {
+  const std::size_t target = step.target % cluster.size();
+  const std::size_t other = step.other % cluster.size();
+  for (std::size_t i = 0; i < step.proposals; ++i) {
+    for (std::size_t at = 0; at < cluster.size(); ++at) cluster.Propose(at);
+  }
+  switch (step.fault) {
+    case Fault::kNone:
+      break;
+    case Fault::kConfirm:
+      for (std::size_t at = 0; at < cluster.size(); ++at) cluster.Confirm(at);
+      break;
+    case Fault::kCutOneWay:
+      cluster.SetLink(target, other, false);
+      break;
+    case Fault::kIsolate:
+      cluster.Isolate(target);
+      break;
+    case Fault::kHealLinks:
+      for (std::size_t i = 0; i < cluster.size(); ++i) {
+        cluster.SetLink(target, i, true);
+        cluster.SetLink(i, target, true);
+      }
+      break;
+    case Fault::kFreeze:
+      cluster.SetFrozen(target, true);
+      break;
+    case Fault::kThaw:
+      cluster.SetFrozen(target, false);
+      break;
+    case Fault::kCrash:
+      cluster.Crash(target);
+      break;
+    case Fault::kRestart:
+      cluster.Restart(target);
+      break;
+    case Fault::kFailSync:
+      cluster.FailNextSync(target);
+      break;
+    case Fault::kLoseDisk:
+      if (cluster.LoseDisk(target) && step.other % 2 == 0) cluster.Restart(target);
+      break;
+  }
+  cluster.Run(step.ticks * milliseconds(10));
+}
+
+// Brings the cluster back to health and requires that it works, and has forgotten nothing.
+void CheckRecovers(LogCluster& cluster) {
+  cluster.Heal();
+  cluster.Run(seconds(30));
+  const auto leader = cluster.leader();
+  if (!leader || !cluster.everyone_is_voter()) RC_FAIL(cluster.Describe());
+  const std::size_t accepted = cluster.accepted_count();
+  const std::size_t confirmed = cluster.confirmed_count();
+  cluster.Propose(*leader);
+  cluster.Confirm(*leader);
+  cluster.Run(seconds(2));
+  RC_ASSERT(cluster.accepted_count() == accepted + 1);
+  RC_ASSERT(cluster.confirmed_count() == confirmed + 1);
+  cluster.CheckAllEqual();
+  RC_ASSERT(cluster.violation() == std::string());
+}
+
+TEST_CASE("Random faults lose no accepted command") {
+  ConfigureLog("test", LogLevel::kError);
+  constexpr std::size_t kStepsOfSchedule = 150;
+  std::size_t steps = 0;
+  std::size_t accepted = 0;
+  std::size_t confirmed = 0;
+  CheckProperty("Random faults lose no accepted command", [&] {
+    const std::size_t replicas = *rc::gen::element<std::size_t>(3, 3, 5);
+    const auto seed = *FullRange(rc::gen::arbitrary<std::uint64_t>());
+    const auto schedule =
+        *rc::gen::container<std::vector<ScheduleStep>>(kStepsOfSchedule, FullRange(AnyStep()));
+    LogCluster cluster(replicas, seed, SmallOptions());
+    for (const ScheduleStep& step : schedule) {
+      Apply(step, cluster);
+      ++steps;
+      RC_ASSERT(cluster.violation() == std::string());
+    }
+    CheckRecovers(cluster);
+    accepted += cluster.accepted_count();
+    confirmed += cluster.confirmed_count();
+  });
+  MESSAGE("steps ", steps, ", accepted ", accepted, ", confirmed ", confirmed);
+  CHECK(steps >= 10'000);
+  CHECK(accepted >= 1'000);
+  CHECK(confirmed >= 100);
+}
+
+// Three healthy replicas with a leader.
+class HealthyCluster : public LogCluster {
+ public:
+  explicit HealthyCluster(std::uint64_t seed) : LogCluster(3, seed, SmallOptions()) {
+    ConfigureLog("test", LogLevel::kError);
+    SetReliable(true);
+    Run(seconds(5));
+    REQUIRE(leader());
+  }
+
+  // Proposes at the leader and returns how many were accepted a second later.
+  std::size_t Accept(std::size_t proposals) {
+    const std::size_t before = accepted_count();
+    for (std::size_t i = 0; i < proposals; ++i) {
+      if (const auto at = leader()) Propose(*at);
+      Run(milliseconds(20));
+    }
+    Run(seconds(1));
+    return accepted_count() - before;
+  }
+
+  std::size_t follower() const { return (*leader() + 1) % 3; }
+  std::size_t other_follower() const { return (*leader() + 2) % 3; }
+};
+
+constexpr std::uint64_t kSeeds = 20;
+
+TEST_CASE("A replica behind a silent partition serves nothing and disturbs no one afterwards") {
+  for (std::uint64_t seed = 0; seed < kSeeds; ++seed) {
+    HealthyCluster cluster(seed);
+    const std::size_t leader = *cluster.leader();
+    const std::size_t cut_off = cluster.follower();
+    const std::uint64_t term = cluster.log(leader).term();
+    cluster.Isolate(cut_off);
+    CHECK(cluster.Accept(50) == 50);
+    cluster.Run(minutes(3));
+    CHECK(!cluster.Propose(cut_off));
+    cluster.Confirm(cut_off);
+    CHECK(cluster.confirmed_count() == 0);
+    cluster.Heal();
+    cluster.Run(seconds(10));
+    CHECK(cluster.leader() == leader);
+    CHECK(cluster.log(leader).term() == term);
+    cluster.CheckAllEqual();
+    CHECK(cluster.violation() == std::string());
+  }
+}
+
+TEST_CASE("A leader that hears no majority steps down and confirms nothing") {
+  for (std::uint64_t seed = 0; seed < kSeeds; ++seed) {
+    HealthyCluster cluster(seed);
+    const std::size_t deaf = *cluster.leader();
+    for (std::size_t other = 0; other < 3; ++other) cluster.SetLink(other, deaf, false);
+    cluster.Confirm(deaf);
+    cluster.Run(seconds(8));
+    CHECK(cluster.confirmed_count() == 0);
+    CHECK(cluster.refused_count() == 1);
+    CHECK(cluster.log(deaf).role() != LogRole::kLeader);
+    REQUIRE(cluster.leader());
+    CHECK(cluster.Accept(10) == 10);
+    CHECK(cluster.violation() == std::string());
+  }
+}
+
+TEST_CASE("A second lost disk right after the repair of the first loses nothing") {
+  for (std::uint64_t seed = 0; seed < kSeeds; ++seed) {
+    HealthyCluster cluster(seed);
+    CHECK(cluster.Accept(50) == 50);
+    const std::size_t first = cluster.follower();
+    const std::size_t second = seed % 2 == 0 ? *cluster.leader() : cluster.other_follower();
+    REQUIRE(cluster.LoseDisk(first));
+    cluster.Restart(first);
+    while (!cluster.LoseDisk(second)) cluster.Run(milliseconds(10));
+    cluster.Restart(second);
+    cluster.Run(seconds(20));
+    CHECK(cluster.everyone_is_voter());
+    CHECK(cluster.Accept(10) == 10);
+    cluster.CheckAllEqual();
+    CHECK(cluster.violation() == std::string());
+  }
+}
+
+TEST_CASE("A lost replica and its living successor never count both") {
+  for (std::uint64_t seed = 0; seed < kSeeds; ++seed) {
+    HealthyCluster cluster(seed);
+    const std::size_t leader = *cluster.leader();
+    const std::size_t old = cluster.follower();
+    const std::size_t other = cluster.other_follower();
+    const ReplicaId old_id = cluster.log(old).self();
+    constexpr std::size_t kTwin = 3;
+    cluster.Isolate(old);
+    cluster.AddTwin(old);
+    cluster.SetLink(old, kTwin, false);
+    cluster.Run(seconds(10));
+    const Membership members = cluster.log(leader).status().membership;
+    CHECK(members.Contains(cluster.log(kTwin).self()));
+    CHECK(!members.Contains(old_id));
+
+    cluster.Heal();
+    cluster.Run(seconds(10));
+    CHECK(cluster.log(old).role() != LogRole::kLeader);
+    CHECK(cluster.Accept(10) == 10);
+    cluster.Isolate(other);
+    CHECK(cluster.Accept(10) == 10);
+    cluster.Isolate(kTwin);
+    CHECK(cluster.Accept(10) == 0);
+    CHECK(cluster.violation() == std::string());
+  }
+}
+
+TEST_CASE("Empty replicas found no cluster while any member may hold entries") {
+  HealthyCluster cluster(1);
+  CHECK(cluster.Accept(10) == 10);
+  constexpr std::size_t kWitness = 2;
+  cluster.Isolate(kWitness);
+  for (const std::size_t lost : {0, 1}) {
+    cluster.WipeDisk(lost);
+    cluster.Restart(lost);
+  }
+  cluster.Run(seconds(20));
+  CHECK(!cluster.leader());
+  cluster.Heal();
+  cluster.Run(seconds(20));
+  CHECK(!cluster.leader());
+}
+
+}  // namespace
+}  // namespace kumquat
