Frame links and JSON-RPC between the system's processes

Frames over TCP with heartbeats both ways. A link counts as connected once the peer's first heartbeat came in, since the system of a stopped process still accepts. A silent connection gets a new one beside it after 1.5 s; the old one goes on if it speaks first.

Batches are refused.

--- a/src/libs/transport/frame_link.h
+++ b/src/libs/transport/frame_link.h
@@ -26,6 +26,8 @@
 
 struct FrameLimits {
   std::int64_t max_frame_bytes = 64 * 1024 * 1024;
+  // While more than this waits to be sent, further frames are refused.
+  std::int64_t max_buffered_bytes = 8 * 1024 * 1024;
   Duration heartbeat_interval = std::chrono::milliseconds(500);
   // Silence after which a connection is replaced.
   Duration silence_limit = std::chrono::milliseconds(1500);
@@ -35,7 +37,8 @@
   Duration reconnect_longest = std::chrono::milliseconds(1000);
 };
 
-// What became of the last attempt to connect.
+// What became of the last attempt to connect. A connection counts once the peer's first heartbeat
+// came in: a process that is stopped still has its connections accepted by its system.
 enum class ConnectOutcome { kNone, kConnected, kRefused, kSilent };
 
 // One accepted connection, on the server's side.
@@ -58,6 +61,9 @@
   virtual bool Listen(const Endpoint& endpoint) = 0;
   virtual std::uint16_t port() const = 0;
   virtual const std::string& last_reason() const = 0;
+
+  // Sends the frame on every open connection.
+  virtual void Broadcast(FrameKind kind, std::string_view payload) = 0;
 };
 
 // A lasting link to one process, which reconnects by itself.
@@ -67,9 +73,11 @@
 
   virtual ~FrameLink() = default;
 
-  // Sends a frame; false when there is no connection now, and nothing is kept for later.
+  // Sends a frame; false when there is no connection now or too much waits to be sent, and then
+  // nothing is kept for later.
   virtual bool Send(FrameKind kind, std::string_view payload) = 0;
 
+  // Returns whether there is a connection that has not gone silent.
   virtual bool connected() const = 0;
 
   // Returns the last attempt's outcome. `kRefused` proves that no process listened there then.
@@ -82,6 +90,8 @@
   virtual void OnConnectedChanged(std::function<void(bool connected)> hook) = 0;
 };
 
+// Closes a connection that sent an oversized or malformed frame, does not take what is sent to it,
+// or has been silent for several silence limits.
 std::unique_ptr<FrameServer> MakeFrameServer(FrameServer::OnFrame on_frame,
                                              const FrameLimits& limits = {});
 std::unique_ptr<FrameLink> MakeFrameLink(const Endpoint& endpoint, FrameLink::OnFrame on_frame,
--- /dev/null
+++ b/src/libs/transport/frame_socket.h
@@ -0,0 +1,67 @@
+// One TCP connection that carries frames: a big-endian 32-bit length of the payload, one byte of
+// kind, the payload.
+#pragma once
+
+#include <QByteArray>
+#include <QElapsedTimer>
+#include <QTcpSocket>
+#include <QTimer>
+#include <functional>
+#include <memory>
+
+#include "transport/frame_link.h"
+
+namespace kumquat::Internal {
+
+// Cuts the byte stream into frames and sends heartbeats while connected.
+class FrameSocket : public std::enable_shared_from_this<FrameSocket> {
+ public:
+  struct Hooks {
+    // Every frame, heartbeats too.
+    std::function<void(FrameKind kind, std::string_view payload)> on_frame;
+    // The connection closed or failed; runs at most once, and not after Close().
+    std::function<void(QAbstractSocket::SocketError error)> on_closed;
+  };
+
+  // Takes the socket over, connected or not yet.
+  static std::shared_ptr<FrameSocket> Make(std::unique_ptr<QTcpSocket> socket,
+                                           const FrameLimits& limits, Hooks hooks);
+  ~FrameSocket();
+
+  void ConnectTo(const Endpoint& endpoint);
+
+  // False when it isn't connected, the frame is too large, or too much waits to be sent.
+  bool Send(FrameKind kind, std::string_view payload);
+
+  // Drops the connection at once, without a further hook.
+  void Close();
+
+  // Returns the time since the last byte came in, or since the start.
+  Duration silence() const;
+
+  // Returns whether the peer has sent a whole frame.
+  bool heard() const { return heard_; }
+
+  std::int64_t bytes_transferred() const { return bytes_transferred_; }
+
+ private:
+  FrameSocket(std::unique_ptr<QTcpSocket> socket, const FrameLimits& limits, Hooks hooks);
+
+  void Watch();
+  void Read();
+  // Handles the first frame of the buffer; false when none is whole.
+  bool TakeFrame();
+  void Fail(QAbstractSocket::SocketError error);
+
+  FrameLimits limits_;
+  Hooks hooks_;
+  std::unique_ptr<QTcpSocket> socket_;
+  QTimer heartbeat_;
+  QElapsedTimer last_byte_;
+  QByteArray buffer_;
+  std::int64_t bytes_transferred_ = 0;
+  bool heard_ = false;
+  bool closed_ = false;
+};
+
+}  // namespace kumquat::Internal
--- a/src/libs/transport/rpc.h
+++ b/src/libs/transport/rpc.h
@@ -26,7 +26,9 @@
   // Adds a method; before the first call only.
   virtual void AddMethod(std::string_view name, Method method) = 0;
 
-  // Takes the payload of a kJsonRpc frame and answers it on the connection.
+  // Takes the payload of a kJsonRpc frame and answers it on the connection, with error -32700 when
+  // it is not JSON, -32600 when it is not one request (batches are not taken), -32601 for an
+  // unknown method and -32602 when the parameters are not an object.
   virtual void Handle(const std::shared_ptr<FrameConnection>& connection,
                       std::string_view payload) = 0;
 };
@@ -34,7 +36,14 @@
 std::unique_ptr<RpcServer> MakeRpcServer();
 
 // What became of a call that has no result.
-enum class RpcFailure { kNotSent, kTimedOut, kRefused };
+enum class RpcFailure {
+  // Nothing was sent.
+  kNotSent,
+  // It was sent and no answer came, in time or before the connection was lost. It may have run.
+  kTimedOut,
+  // The process answered with an error.
+  kRefused,
+};
 
 // Calls the methods of one process.
 class RpcClient {
