Control state: the two lists and the claims as a replicated state machine

Claims age by a logical clock that commands carry, never by a wall clock: a wrong one could otherwise forget claims at once and let a call run twice.

--- /dev/null
+++ b/src/libs/state/control/control_state.cpp
@@ -0,0 +1,60 @@
+#include "state/control/control_state.h"
+
+#include <QCborArray>
+#include <algorithm>
+#include <utility>
+
+#include "protocol/json_fields.h"
+
+namespace kumquat {
+namespace {
+
+QJsonObject Done(bool done) { return {{"done", done}}; }
+
+}  // namespace
+
+std::string ControlState::Apply(std::uint64_t /*index*/, std::string_view command) {
+  std::string reason;
+  const auto decoded = DecodeControlCommand(command, &reason);
+  if (!decoded) {
+    return ToJsonText({{"error", ToJson(Error{ErrorKind::kBadRequest, reason, std::nullopt})}});
+  }
+  time_ = std::max(time_, decoded->time);
+  claims_.Expire(time_);
+  struct Visitor {
+    QJsonObject operator()(const ListEdit& edit) const { return ToJson(state->lists_.Apply(edit)); }
+    QJsonObject operator()(const ClaimRequest& request) const {
+      return ToJson(state->claims_.Begin(request, state->time_));
+    }
+    QJsonObject operator()(const ClaimFinish& finish) const {
+      return Done(state->claims_.Finish(finish));
+    }
+    QJsonObject operator()(const ClaimRelease& release) const {
+      return Done(state->claims_.Release(release.id, state->time_));
+    }
+    QJsonObject operator()(const ClockMark&) const { return Done(true); }
+
+    ControlState* state;
+  };
+  return ToJsonText(std::visit(Visitor{this}, decoded->body));
+}
+
+std::string ControlState::Snapshot() const {
+  const QCborArray items{static_cast<qint64>(time_.count()), lists_.Snapshot(), claims_.Snapshot()};
+  return items.toCborValue().toCbor().toStdString();
+}
+
+bool ControlState::Restore(std::string_view snapshot) {
+  constexpr qsizetype kItems = 3;
+  const QCborArray items =
+      QCborValue::fromCbor(QByteArray(snapshot.data(), static_cast<qsizetype>(snapshot.size())))
+          .toArray();
+  if (items.size() != kItems) return false;
+  ControlState restored(*this);
+  restored.time_ = LogicalTime(items.at(0).toInteger());
+  if (!restored.lists_.Restore(items.at(1)) || !restored.claims_.Restore(items.at(2))) return false;
+  *this = std::move(restored);
+  return true;
+}
+
+}  // namespace kumquat
