--- a/src/libs/coordination/limits/share_ledger.cpp
+++ b/src/libs/coordination/limits/share_ledger.cpp
@@ -92,8 +92,7 @@
   account->committed = Difference(account->committed, claim.committed);
 
   // A leader that knows nothing has to believe what is presented; later it knows better.
-  const Capacity held =
-      confirming_only(now) ? request.held : Lower(request.held, claim.amount);
+  const Capacity held = confirming_only(now) ? request.held : Lower(request.held, claim.amount);
   const Capacity part = account->division.PartOf({router_id, claim.wanted});
   claim.granted = Lower(part, MostGrantable(*account, held, now));
   claim.amount = Higher(held, claim.granted);
--- a/tests/libs/coordination/limits/plan_lease_test.cpp
+++ b/tests/libs/coordination/limits/plan_lease_test.cpp
@@ -171,16 +171,36 @@
 
 void Run(PlanWorld* world, const Step& step) {
   switch (step.kind) {
-    case 0: world->Stop(step.voter); break;
-    case 1: world->Start(step.voter); break;
-    case 2: world->SetLinks(step.voter, step.amount % 2 == 0, step.amount % 3 != 0); break;
-    case 3: world->SetLinks(step.voter, true, true); break;
-    case 4: world->Elect(step.voter); break;
-    case 5: world->Edit(); break;
-    case 6: world->RestartRouter(); break;
-    case 7: for (std::size_t i = 0; i < kVoters; ++i) world->Start(i); break;
-    case 8: world->Stop(0); world->Stop(1); break;
-    default: break;
+    case 0:
+      world->Stop(step.voter);
+      break;
+    case 1:
+      world->Start(step.voter);
+      break;
+    case 2:
+      world->SetLinks(step.voter, step.amount % 2 == 0, step.amount % 3 != 0);
+      break;
+    case 3:
+      world->SetLinks(step.voter, true, true);
+      break;
+    case 4:
+      world->Elect(step.voter);
+      break;
+    case 5:
+      world->Edit();
+      break;
+    case 6:
+      world->RestartRouter();
+      break;
+    case 7:
+      for (std::size_t i = 0; i < kVoters; ++i) world->Start(i);
+      break;
+    case 8:
+      world->Stop(0);
+      world->Stop(1);
+      break;
+    default:
+      break;
   }
   // The router's and the leader's own work goes on all the time.
   for (int i = 0; i < step.amount / 10 + 1; ++i) {
@@ -200,8 +220,8 @@
   CheckProperty("served revision is not older than the answered one", [&] {
     const auto seed = *rc::gen::arbitrary<std::uint64_t>();
     const auto any_step = rc::gen::construct<Step>(
-        rc::gen::weightedElement<int>({{2, 0}, {2, 1}, {2, 2}, {2, 3}, {5, 4}, {5, 5}, {1, 6},
-                                       {1, 7}, {1, 8}, {3, 9}}),
+        rc::gen::weightedElement<int>(
+            {{2, 0}, {2, 1}, {2, 2}, {2, 3}, {5, 4}, {5, 5}, {1, 6}, {1, 7}, {1, 8}, {3, 9}}),
         rc::gen::inRange<std::size_t>(0, kVoters), rc::gen::inRange(0, 100));
     const auto steps = *rc::gen::container<std::vector<Step>>(120, any_step);
     PlanWorld world(seed);
--- a/tests/libs/coordination/limits/shares_test.cpp
+++ b/tests/libs/coordination/limits/shares_test.cpp
@@ -36,7 +36,8 @@
       routers_.emplace_back(&world_);
       Restart(i);
     }
-    for (const std::string& organisation : kOrganisations) SetCapacity(organisation, {40, 9000, 12});
+    for (const std::string& organisation : kOrganisations)
+      SetCapacity(organisation, {40, 9000, 12});
     Elect();
   }
 
@@ -191,7 +192,16 @@
 };
 
 enum class StepKind {
-  kAcquire, kRelease, kTick, kWait, kRestart, kRestartAll, kElect, kCut, kHeal, kEdit
+  kAcquire,
+  kRelease,
+  kTick,
+  kWait,
+  kRestart,
+  kRestartAll,
+  kElect,
+  kCut,
+  kHeal,
+  kEdit
 };
 
 struct Step {
@@ -202,8 +212,8 @@
 };
 
 std::ostream& operator<<(std::ostream& out, const Step& step) {
-  return out << '{' << static_cast<int>(step.kind) << ' ' << step.router << ' '
-             << step.organisation << ' ' << step.amount << '}';
+  return out << '{' << static_cast<int>(step.kind) << ' ' << step.router << ' ' << step.organisation
+             << ' ' << step.amount << '}';
 }
 
 rc::Gen<Step> AnyStep(std::size_t routers) {
@@ -226,7 +236,8 @@
   const std::string& organisation = kOrganisations[step.organisation];
   switch (step.kind) {
     case StepKind::kAcquire:
-      for (std::int64_t i = 0; i <= step.amount / 100; ++i) world->Acquire(step.router, organisation);
+      for (std::int64_t i = 0; i <= step.amount / 100; ++i)
+        world->Acquire(step.router, organisation);
       break;
     case StepKind::kRelease:
       world->Release(step.router, organisation);
--- a/tests/virtual_world.h
+++ b/tests/virtual_world.h
@@ -58,8 +58,8 @@
         start_(std::chrono::seconds(world->Below(1000))) {}
 
   Instant Now() const {
-    return start_ + Duration(static_cast<std::int64_t>(
-                        static_cast<double>(world_->now().count()) * rate_));
+    return start_ +
+           Duration(static_cast<std::int64_t>(static_cast<double>(world_->now().count()) * rate_));
   }
 
  private:
