--- a/src/fakes/caller/answer_check.h
+++ b/src/fakes/caller/answer_check.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "transport/backend_client.h"
+#include "transport/sse_parser.h"
 
 namespace kumquat {
 
--- a/src/kumquatrouter/chat_exchange.h
+++ b/src/kumquatrouter/chat_exchange.h
@@ -11,6 +11,7 @@
 #include "engine_selector.h"
 #include "exchange.h"
 #include "transport/backend_client.h"
+#include "transport/sse_parser.h"
 
 namespace kumquat {
 
--- a/src/kumquatrouter/control_client.cpp
+++ b/src/kumquatrouter/control_client.cpp
@@ -74,6 +74,7 @@
   LeaseRequest request;
   request.router_id = settings_.instance;
   request.router_incarnation = router_incarnation_;
+  request.sequence = shares.sequence;
   request.term = plan_lease_.term();
   request.plans_revision = plan_lease_.lists().plans_revision;
   request.allowances_revision = plan_lease_.lists().allowances_revision;
@@ -96,7 +97,7 @@
   const Instant now = clock_();
   if (!answer) {
     LogEvent(LogLevel::kDebug, "lease_renewal_failed", {{"reason", reason}});
-    NextReplica();
+    current_replica_ = ReplicaAfter(current_replica_, result);
     // Full jitter, so that a herd of routers doesn't come back at the same moment.
     next_attempt_ =
         now + Duration(random_() % static_cast<std::uint64_t>(kShortestBackoff.count()));
@@ -114,6 +115,20 @@
   if (on_renewed_) on_renewed_();
 }
 
+std::size_t ControlClient::ReplicaAfter(std::size_t replica,
+                                        const std::optional<QJsonObject>& result) const {
+  const std::size_t next = (replica + 1) % replicas_.size();
+  if (!result) return next;
+  std::string reason;
+  const auto error = ParseError((*result)["error"].toObject(), &reason);
+  const auto leader = error ? ParseNamedEndpoint(error->detail) : std::nullopt;
+  if (!leader) return next;
+  for (std::size_t i = 0; i < settings_.control.size(); ++i) {
+    if (settings_.control[i].endpoint == leader->endpoint) return i;
+  }
+  return next;
+}
+
 void ControlClient::ReceivePush(std::string_view /*payload*/) {
   // A push only says that there is a newer revision; the renewal brings it.
   revision_pushed_ = true;
@@ -148,7 +163,7 @@
       call->on_result(result);
       return;
     }
-    call->replica = (call->replica + 1) % replicas_.size();
+    call->replica = ReplicaAfter(call->replica, result);
     const auto pause = Duration(random_() % static_cast<std::uint64_t>(kShortestBackoff.count()));
     QTimer::singleShot(std::chrono::ceil<std::chrono::milliseconds>(pause),
                        [this, call] { TryCall(call); });
--- a/src/kumquatrouter/control_client.h
+++ b/src/kumquatrouter/control_client.h
@@ -62,7 +62,8 @@
   void ProbeVoters();
   void TryCall(const std::shared_ptr<PendingCall>& call);
   RpcClient& replica() { return *replicas_[current_replica_]; }
-  void NextReplica() { current_replica_ = (current_replica_ + 1) % replicas_.size(); }
+  // Returns the replica to ask after this one: the leader where the answer names it, else the next.
+  std::size_t ReplicaAfter(std::size_t replica, const std::optional<QJsonObject>& result) const;
 
   const RouterSettings& settings_;
   std::int64_t router_incarnation_;
--- a/src/kumquatrouter/strike_exchange.cpp
+++ b/src/kumquatrouter/strike_exchange.cpp
@@ -63,7 +63,7 @@
 }
 
 void StrikeExchange::OnStarted(const std::string& digest, const std::string& backend_id) {
-  table_.OnStarted(digest, backend_id, clock_());
+  table_.OnStarted(digest, backend_id);
 }
 
 void StrikeExchange::OnStopped(const std::string& digest, const std::string& backend_id) {
