State machines of streamed requests and of service calls

StreamRequest: each token once and in order, resumed after any cut on a new connection to the same backend server or on another; an end only when every token was sent. ServiceCall: claims, one attempt for what may not be repeated, retries and a raced second attempt for the rest. An answer goes out together with claim.finish; when the finish is lost the key gets unknown, never a second run.

Two cuts in every pair of places and kinds: 2916 streams, all whole. Found while writing: a claim that was released could be granted again to the same claimant by a late copy of claim.begin; it is released again then.

--- /dev/null
+++ b/src/libs/coordination/requests/service_call.cpp
@@ -0,0 +1,292 @@
+#include "coordination/requests/service_call.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace kumquat {
+namespace {
+
+using service_command::Answer;
+using service_command::BeginClaim;
+using service_command::CancelAttempt;
+using service_command::FinishClaim;
+using service_command::NoteSuccess;
+using service_command::Refuse;
+using service_command::ReleaseClaim;
+using service_command::WakeAt;
+
+// How often one call asks for its claim, and the pause before it asks again.
+constexpr int kMostClaimRequests = 3;
+constexpr Duration kClaimPause = std::chrono::milliseconds(100);
+// A claimed call that was not sent is tried on this many backend servers in all.
+constexpr int kMostClaimedAttempts = 2;
+constexpr int kStatusFirstServerError = 500;
+
+}  // namespace
+
+ServiceCall::ServiceCall(ServiceCallOptions options, ServiceCallHooks hooks)
+    : options_(std::move(options)), hooks_(std::move(hooks)) {}
+
+ServiceCommands ServiceCall::Start(Instant now) {
+  ServiceCommands commands;
+  if (now + options_.least_time_to_run > options_.deadline) {
+    FinishNotRun(ErrorKind::kDeadlineBeforeRun, &commands);
+    return commands;
+  }
+  commands.push_back(WakeAt{options_.deadline});
+  if (!options_.repeatable && options_.claim) {
+    AskClaim(&commands);
+  } else {
+    StartAttempt(now, &commands);
+  }
+  return commands;
+}
+
+ServiceCommands ServiceCall::OnClaim(const ClaimAnswer& answer, Instant now) {
+  ServiceCommands commands;
+  if (phase_ != Phase::kClaiming) {
+    // Nothing was sent and nothing will be: the claim must not keep the key.
+    if (claim_released_ && answer.verdict == ClaimVerdict::kGranted) {
+      commands.push_back(ReleaseClaim{options_.claim->id});
+    }
+    return commands;
+  }
+  retry_at_.reset();
+  switch (answer.verdict) {
+    case ClaimVerdict::kGranted:
+      claim_held_ = true;
+      if (now + options_.least_time_to_run > options_.deadline) {
+        FinishNotRun(ErrorKind::kDeadlineBeforeRun, &commands);
+      } else {
+        StartAttempt(now, &commands);
+      }
+      return commands;
+    case ClaimVerdict::kRecorded:
+      if (answer.recorded) {
+        phase_ = Phase::kDone;
+        commands.push_back(Answer{*answer.recorded});
+        return commands;
+      }
+      break;
+    default:
+      break;
+  }
+  phase_ = Phase::kDone;
+  ErrorKind kind = ErrorKind::kOutcomeUnknown;
+  if (answer.verdict == ClaimVerdict::kRunning) kind = ErrorKind::kDuplicateRunning;
+  if (answer.verdict == ClaimVerdict::kConflict) kind = ErrorKind::kIdempotencyConflict;
+  if (answer.verdict == ClaimVerdict::kFull) kind = ErrorKind::kClaimUnavailable;
+  commands.push_back(Refuse{{kind, "", std::nullopt}});
+  return commands;
+}
+
+ServiceCommands ServiceCall::OnClaimFailed(Instant now) {
+  ServiceCommands commands;
+  if (phase_ != Phase::kClaiming || retry_at_) return commands;
+  const Instant again = now + kClaimPause;
+  if (claim_requests_ >= kMostClaimRequests || again >= options_.deadline) {
+    FinishNotRun(ErrorKind::kClaimUnavailable, &commands);
+    return commands;
+  }
+  retry_at_ = again;
+  commands.push_back(WakeAt{again});
+  return commands;
+}
+
+ServiceCommands ServiceCall::OnAnswer(std::string_view attempt_id, const RecordedAnswer& answer,
+                                      Instant now) {
+  ServiceCommands commands;
+  const std::optional<Attempt> attempt = TakeAttempt(attempt_id);
+  if (!attempt) return commands;
+  may_have_run_ = true;
+  const bool failed = answer.status >= kStatusFirstServerError;
+  if (options_.repeatable && failed && !running_.empty()) return commands;
+  if (options_.repeatable && failed && attempts_ < options_.most_attempts) {
+    avoid_.push_back(attempt->backend);
+    const std::optional<Duration> backoff = hooks_.try_retry(attempts_ - 1, now, options_.deadline);
+    if (backoff) {
+      phase_ = Phase::kBackingOff;
+      retry_at_ = now + *backoff;
+      commands.push_back(WakeAt{*retry_at_});
+      return commands;
+    }
+  }
+  if (!failed) commands.push_back(NoteSuccess{});
+  FinishWithAnswer(answer, &commands);
+  return commands;
+}
+
+ServiceCommands ServiceCall::OnFailure(std::string_view attempt_id, CallFailure failure,
+                                       Instant now) {
+  ServiceCommands commands;
+  const std::optional<Attempt> attempt = TakeAttempt(attempt_id);
+  if (!attempt) return commands;
+  avoid_.push_back(attempt->backend);
+  if (failure != CallFailure::kNotSent) may_have_run_ = true;
+  if (!options_.repeatable) {
+    OnOnceFailed(failure, now, &commands);
+  } else if (running_.empty()) {
+    RetryRepeatable(now, &commands);
+  }
+  return commands;
+}
+
+ServiceCommands ServiceCall::OnCallerGone(Instant /*now*/) {
+  ServiceCommands commands;
+  if (phase_ == Phase::kDone) return commands;
+  caller_gone_ = true;
+  if (!options_.repeatable && phase_ == Phase::kRunning) return commands;
+  FinishNotRun(ErrorKind::kCallerGone, &commands);
+  return commands;
+}
+
+ServiceCommands ServiceCall::OnWake(Instant now) {
+  ServiceCommands commands;
+  if (phase_ == Phase::kDone) return commands;
+  if (now >= options_.deadline) {
+    OnDeadline(&commands);
+    return commands;
+  }
+  if (retry_at_ && now >= *retry_at_) {
+    retry_at_.reset();
+    if (phase_ == Phase::kClaiming) {
+      AskClaim(&commands);
+    } else {
+      StartAttempt(now, &commands);
+    }
+    return commands;
+  }
+  if (hedge_at_ && now >= *hedge_at_) StartHedge(now, &commands);
+  return commands;
+}
+
+// Takes the attempt out of those that run; counts a word from any other.
+std::optional<ServiceCall::Attempt> ServiceCall::TakeAttempt(std::string_view attempt_id) {
+  const auto it = std::find_if(running_.begin(), running_.end(),
+                               [&](const Attempt& attempt) { return attempt.id == attempt_id; });
+  if (phase_ != Phase::kRunning || it == running_.end()) {
+    ++dropped_;
+    return std::nullopt;
+  }
+  std::optional<Attempt> attempt = std::move(*it);
+  running_.erase(it);
+  return attempt;
+}
+
+void ServiceCall::AskClaim(ServiceCommands* commands) {
+  phase_ = Phase::kClaiming;
+  ++claim_requests_;
+  commands->push_back(BeginClaim{*options_.claim});
+}
+
+void ServiceCall::StartAttempt(Instant now, ServiceCommands* commands) {
+  const std::optional<BackendChoice> backend = hooks_.choose_backend(avoid_);
+  if (!backend) {
+    if (may_have_run_) {
+      FinishMayHaveRun(commands);
+    } else {
+      FinishNotRun(ErrorKind::kNoBackendServer, commands);
+    }
+    return;
+  }
+  phase_ = Phase::kRunning;
+  ++attempts_;
+  running_.push_back({options_.request_id + "-" + std::to_string(attempts_), *backend});
+  commands->push_back(service_command::StartAttempt{running_.back().id, *backend, attempts_ > 1});
+  ArrangeHedge(now, commands);
+}
+
+void ServiceCall::ArrangeHedge(Instant now, ServiceCommands* commands) {
+  hedge_at_.reset();
+  if (!options_.repeatable || options_.hedge_after.count() == 0 || running_.size() > 1) return;
+  if (attempts_ >= options_.most_attempts) return;
+  hedge_at_ = now + options_.hedge_after;
+  commands->push_back(WakeAt{*hedge_at_});
+}
+
+void ServiceCall::StartHedge(Instant now, ServiceCommands* commands) {
+  hedge_at_.reset();
+  if (!hooks_.try_retry(0, now, options_.deadline)) return;
+  std::vector<BackendChoice> avoid = avoid_;
+  for (const Attempt& attempt : running_) avoid.push_back(attempt.backend);
+  const std::optional<BackendChoice> backend = hooks_.choose_backend(avoid);
+  if (!backend || std::find(avoid.begin(), avoid.end(), *backend) != avoid.end()) return;
+  ++attempts_;
+  running_.push_back({options_.request_id + "-" + std::to_string(attempts_), *backend});
+  commands->push_back(service_command::StartAttempt{running_.back().id, *backend, true});
+}
+
+// The only attempt of a call that may not be repeated failed.
+void ServiceCall::OnOnceFailed(CallFailure failure, Instant now, ServiceCommands* commands) {
+  if (failure != CallFailure::kNotSent) {
+    FinishMayHaveRun(commands);
+    return;
+  }
+  if (claim_held_ && !caller_gone_ && attempts_ < kMostClaimedAttempts) {
+    StartAttempt(now, commands);
+    return;
+  }
+  FinishNotRun(ErrorKind::kNoBackendServer, commands);
+}
+
+void ServiceCall::RetryRepeatable(Instant now, ServiceCommands* commands) {
+  std::optional<Duration> backoff;
+  if (attempts_ < options_.most_attempts) {
+    backoff = hooks_.try_retry(attempts_ - 1, now, options_.deadline);
+  }
+  if (backoff) {
+    phase_ = Phase::kBackingOff;
+    hedge_at_.reset();
+    retry_at_ = now + *backoff;
+    commands->push_back(WakeAt{*retry_at_});
+  } else if (may_have_run_) {
+    FinishMayHaveRun(commands);
+  } else {
+    FinishNotRun(ErrorKind::kNoBackendServer, commands);
+  }
+}
+
+void ServiceCall::OnDeadline(ServiceCommands* commands) {
+  if (may_have_run_ || !running_.empty()) {
+    FinishMayHaveRun(commands);
+  } else {
+    FinishNotRun(ErrorKind::kDeadlineBeforeRun, commands);
+  }
+}
+
+void ServiceCall::FinishWithAnswer(RecordedAnswer answer, ServiceCommands* commands) {
+  CancelRunning(commands);
+  phase_ = Phase::kDone;
+  if (claim_held_) commands->push_back(FinishClaim{{options_.claim->id, answer}});
+  if (!caller_gone_) commands->push_back(Answer{std::move(answer)});
+}
+
+// Only for calls of which no byte was sent, or whose caller is gone and which may be repeated.
+void ServiceCall::FinishNotRun(ErrorKind kind, ServiceCommands* commands) {
+  CancelRunning(commands);
+  phase_ = Phase::kDone;
+  if (claim_requests_ > 0) {
+    commands->push_back(ReleaseClaim{options_.claim->id});
+    claim_released_ = true;
+  }
+  if (!caller_gone_) commands->push_back(Refuse{{kind, "", std::nullopt}});
+}
+
+void ServiceCall::FinishMayHaveRun(ServiceCommands* commands) {
+  CancelRunning(commands);
+  phase_ = Phase::kDone;
+  if (claim_held_) commands->push_back(FinishClaim{{options_.claim->id, std::nullopt}});
+  if (caller_gone_) return;
+  const ErrorKind kind =
+      options_.repeatable ? ErrorKind::kBackendServerFailed : ErrorKind::kOutcomeUnknown;
+  commands->push_back(Refuse{{kind, "", std::nullopt}});
+}
+
+void ServiceCall::CancelRunning(ServiceCommands* commands) {
+  for (const Attempt& attempt : running_) {
+    commands->push_back(CancelAttempt{attempt.id, attempt.backend});
+  }
+  running_.clear();
+}
+
+}  // namespace kumquat
--- a/src/libs/coordination/requests/service_call.h
+++ b/src/libs/coordination/requests/service_call.h
@@ -108,7 +108,7 @@
 // unknown. So the same key sent again gets running, then unknown, or the recorded answer, and
 // never a second run. When claim.begin's own answer is lost, the same claimant asks again; when
 // that brings nothing either, the call is refused as not run and never sent, whatever answer comes
-// later; a claim granted to nobody is released.
+// later; the claim is released then, and again when it turns out to have been granted.
 //
 // Without a key there is one attempt and no claim.
 class ServiceCall {
@@ -137,7 +137,8 @@
   // A moment asked for by WakeAt has come.
   ServiceCommands OnWake(Instant now);
 
-  // Whether the caller has its answer (or is gone) and nothing is under way.
+  // Whether the caller has its answer (or is gone) and nothing is under way. A late answer to
+  // claim.begin should still be handed in.
   bool done() const { return phase_ == Phase::kDone; }
   // Answers of attempts that did not count.
   std::int64_t dropped() const { return dropped_; }
@@ -151,21 +152,27 @@
     BackendChoice backend;
   };
 
-  bool exactly_once() const { return !options_.repeatable; }
   std::optional<Attempt> TakeAttempt(std::string_view attempt_id);
-  void StartAttempt(Instant now, ServiceCommands* commands);
   void AskClaim(ServiceCommands* commands);
-  void OnNotSent(Instant now, ServiceCommands* commands);
-  void OnMaybeSent(ServiceCommands* commands);
+  void StartAttempt(Instant now, ServiceCommands* commands);
+  void ArrangeHedge(Instant now, ServiceCommands* commands);
+  void StartHedge(Instant now, ServiceCommands* commands);
+  void OnOnceFailed(CallFailure failure, Instant now, ServiceCommands* commands);
   void RetryRepeatable(Instant now, ServiceCommands* commands);
-  void RefuseNotRun(ErrorKind kind, ServiceCommands* commands);
-  void Finish(ServiceCommands* commands);
+  void OnDeadline(ServiceCommands* commands);
+  // Ends the call: cancels what runs, settles the claim if it is held, and answers the caller.
+  void FinishWithAnswer(RecordedAnswer answer, ServiceCommands* commands);
+  void FinishNotRun(ErrorKind kind, ServiceCommands* commands);
+  void FinishMayHaveRun(ServiceCommands* commands);
+  void CancelRunning(ServiceCommands* commands);
 
   ServiceCallOptions options_;
   ServiceCallHooks hooks_;
   Phase phase_ = Phase::kNew;
-  bool claim_held_ = false;
   int claim_requests_ = 0;
+  bool claim_held_ = false;
+  // Whether the claim was given up unused.
+  bool claim_released_ = false;
   std::vector<Attempt> running_;
   std::vector<BackendChoice> avoid_;
   std::optional<Instant> hedge_at_;
--- a/src/libs/coordination/requests/stream_request.h
+++ b/src/libs/coordination/requests/stream_request.h
@@ -72,7 +72,7 @@
 // Tell the retry budget and the strike table of the success.
 struct NoteSuccess {};
 
-// Look for a new connection to this backend server: one to it fell silent or broke.
+// Check by a new connection whether this backend server lives: one to it failed.
 struct ProbeBackend {
   BackendChoice backend;
 };
@@ -118,10 +118,13 @@
   std::int64_t after_end = 0;
 };
 
-// Decides for one request; no input returns before the request has decided, and each input
-// returns what is to be done. Each token reaches the caller once and in order, and an end comes
-// only when all tokens were sent. After a failure the same backend server is tried on a new
-// connection when it isn't proven dead and its connection fell silent or broke; else another.
+// Decides for one request: each input returns what is to be done. Each token reaches the caller
+// once and in order, and an end comes only when all tokens were sent. After a failure the same
+// backend server is tried on a new connection when it isn't proven dead and its connection fell
+// silent or broke; else another.
+//
+// A backend server is taken for dead with a strike when the router says so, or when a connection to
+// it was lost and the new one could not be made or met another incarnation.
 class StreamRequest {
  public:
   StreamRequest(StreamRequestOptions options, StreamRequestHooks hooks);
@@ -129,9 +132,9 @@
   // Begins; call it once.
   StreamCommands Start(Instant now);
 
-  // The answer's status came. 200 and event stream: the attempt runs. 409: the backend server has
-  // another incarnation. Others below 500 are final refusals by the backend server, and from 500
-  // on failures.
+  // The answer's status came. 200: the attempt runs. 409: the backend server has another
+  // incarnation. 429 and 503: it does not take the request. Others below 500 are final refusals,
+  // and from 500 on failures.
   StreamCommands OnHeaders(std::string_view attempt_id, int status, Instant now);
 
   // An event of the stream came, a token or the end. The attempt it came on and the attempt that
@@ -166,29 +169,43 @@
   struct Attempt {
     std::string id;
     BackendChoice backend;
-    bool headers_seen = false;
     std::int64_t first_offset = 0;
-    // Whether bytes of the request may have reached the backend server.
-    bool maybe_sent = true;
+    // Whether it is on a new connection to the backend server of the attempt before.
+    bool same_backend = false;
+    bool headers_seen = false;
+  };
+
+  // What an attempt's end says of its backend server.
+  enum class AttemptEnd {
+    // It did not take the request; the request did not run there.
+    kNotRun,
+    // Its connection broke or fell silent; a new one may do.
+    kConnectionLost,
+    // It answered with something that it should not have.
+    kFault,
   };
 
   bool IsCurrent(std::string_view attempt_id);
   void TakeToken(const EngineEvent& event, Instant now, StreamCommands* commands);
   void TakeEnd(const EngineEvent& event, Instant now, StreamCommands* commands);
-  void EndAttempt(bool strike, StreamCommands* commands);
-  void Retry(bool same_backend, const BackendChoice& backend, Instant now,
-             StreamCommands* commands);
+  void EndAttempt(AttemptEnd end, Instant now, StreamCommands* commands);
+  bool MayTryAgain() const;
+  void RetryLater(Instant now, StreamCommands* commands);
   void StartAttempt(Instant now, StreamCommands* commands);
+  void StrikeIfLost(const BackendChoice& backend, StreamCommands* commands);
   void Finish(Error error, StreamCommands* commands);
+  Error DeadlineError() const;
   Error FailureError() const;
 
   StreamRequestOptions options_;
   StreamRequestHooks hooks_;
   std::optional<Attempt> attempt_;
-  // The backend server to try again on a new connection, and when.
+  // The backend server to try again on a new connection.
   std::optional<BackendChoice> same_backend_;
   std::optional<Instant> retry_at_;
   std::vector<BackendChoice> avoid_;
+  // Where attempts lost their connection; the backend server may turn out to have died.
+  std::vector<BackendChoice> lost_on_;
   std::string text_;
   std::int64_t next_offset_ = 0;
   int attempts_ = 0;
--- /dev/null
+++ b/tests/libs/coordination/requests/service_call_test.cpp
@@ -0,0 +1,343 @@
+// Service calls against an oracle that counts the runs that each backend server made.
+#include "coordination/requests/service_call.h"
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "property.h"
+
+namespace kumquat {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// The claims of control: the simplest thing that keeps the rules.
+class Claims {
+ public:
+  ClaimAnswer Begin(const ClaimRequest& request) {
+    if (!holder_) holder_ = request.id.claimant;
+    if (recorded_) return {ClaimVerdict::kRecorded, recorded_};
+    if (unknown_) return {ClaimVerdict::kOutcomeUnknown, {}};
+    return {holder_ == request.id.claimant ? ClaimVerdict::kGranted : ClaimVerdict::kRunning, {}};
+  }
+
+  void Finish(const ClaimFinish& finish) {
+    if (holder_ != finish.id.claimant || recorded_) return;
+    recorded_ = finish.recorded;
+    unknown_ = !recorded_;
+  }
+
+  void Release(const ClaimId& id) {
+    if (holder_ == id.claimant && !recorded_ && !unknown_) holder_.reset();
+  }
+
+  // A claim that nobody finished ends as unknown.
+  void Expire() { unknown_ = holder_ && !recorded_; }
+
+ private:
+  std::optional<std::string> holder_;
+  std::optional<RecordedAnswer> recorded_;
+  bool unknown_ = false;
+};
+
+enum class CallKind { kClaimed, kWithoutKey, kRepeatable };
+
+// Several callers that send the same call, each through a router of its own; messages to and from
+// control come late, twice, crossed or never.
+class ServiceWorld {
+ public:
+  ServiceWorld(CallKind kind, std::size_t callers) : kind_(kind) {
+    for (std::size_t i = 0; i < callers; ++i) {
+      ServiceCallOptions options;
+      options.request_id = "q" + std::to_string(i);
+      options.repeatable = kind == CallKind::kRepeatable;
+      options.deadline = seconds(40);
+      options.hedge_after = milliseconds(kind == CallKind::kRepeatable ? 300 : 0);
+      if (kind == CallKind::kClaimed) {
+        options.claim = ClaimRequest{{"clinic", "key", options.request_id}, "d", "r", 1};
+      }
+      callers_.push_back({std::make_unique<ServiceCall>(options, Hooks())});
+      Apply(i, callers_[i].call->Start(now));
+    }
+  }
+
+  // A message that is under way arrives, and may arrive again.
+  void Deliver(std::size_t pick, bool again) {
+    if (messages_.empty()) return;
+    const auto it = messages_.begin() + static_cast<std::ptrdiff_t>(pick % messages_.size());
+    const auto message = *it;
+    if (!again) messages_.erase(it);
+    message();
+  }
+
+  void Lose(std::size_t pick) {
+    if (messages_.empty()) return;
+    messages_.erase(messages_.begin() + static_cast<std::ptrdiff_t>(pick % messages_.size()));
+  }
+
+  void ClaimTimesOut(std::size_t caller) { Apply(caller, At(caller).OnClaimFailed(now)); }
+  void CallerGone(std::size_t caller) {
+    callers_[caller].gone = true;
+    Apply(caller, At(caller).OnCallerGone(now));
+  }
+  void ExpireClaim() { claims_.Expire(); }
+
+  // The attempt is not sent, runs and answers, runs and breaks, or breaks without having run.
+  void Resolve(std::size_t pick, int outcome) {
+    if (attempts_.empty()) return;
+    Attempt& picked = attempts_[pick % attempts_.size()];
+    // What was never sent says nothing more; what was sent can't become so.
+    if (picked.never_sent || (outcome == 4 && picked.resolved)) return;
+    picked.resolved = true;
+    picked.never_sent = outcome == 4;
+    const Attempt attempt = picked;
+    ServiceCall& call = At(attempt.caller);
+    const auto failure = outcome % 2 == 0 ? CallFailure::kBroken : CallFailure::kSilent;
+    if (outcome >= 2 && outcome != 4 && !attempt.ran) Ran(attempt);
+    if (outcome < 4) {
+      Apply(attempt.caller, call.OnFailure(attempt.id, failure, now));
+    } else if (outcome == 4) {
+      Apply(attempt.caller, call.OnFailure(attempt.id, CallFailure::kNotSent, now));
+    } else {
+      const RecordedAnswer busy{503, "", "busy"};
+      Apply(attempt.caller,
+            call.OnAnswer(attempt.id, outcome == 5 ? busy : Answer(attempt.id), now));
+    }
+  }
+
+  void Wait(Duration time) {
+    now += time;
+    for (std::size_t i = 0; i < callers_.size(); ++i) Apply(i, At(i).OnWake(now));
+  }
+
+  // Every caller that waited to the end got exactly one answer.
+  void CheckEnd() {
+    Wait(seconds(60));
+    for (const Caller& caller : callers_) {
+      RC_ASSERT(caller.call->done());
+      RC_ASSERT(caller.answers == 1 || (caller.gone && caller.answers == 0));
+    }
+  }
+
+  int runs() const { return runs_; }
+  int answered() const { return answered_; }
+
+  Instant now = seconds(1);
+  int retries_left = 6;
+
+ private:
+  struct Caller {
+    std::unique_ptr<ServiceCall> call;
+    int answers = 0;
+    int sent = 0;
+    bool gone = false;
+  };
+
+  struct Attempt {
+    std::size_t caller;
+    std::string id;
+    bool ran = false;
+    bool resolved = false;
+    bool never_sent = false;
+  };
+
+  static RecordedAnswer Answer(const std::string& id) { return {201, "text/plain", "by " + id}; }
+
+  ServiceCallHooks Hooks() {
+    return {[](std::span<const BackendChoice> avoid) -> std::optional<BackendChoice> {
+              if (avoid.size() > 3) return std::nullopt;
+              return BackendChoice{"s" + std::to_string(avoid.size()), 1};
+            },
+            [this](int, Instant, Instant) -> std::optional<Duration> {
+              if (retries_left-- <= 0) return std::nullopt;
+              return milliseconds(10);
+            }};
+  }
+
+  ServiceCall& At(std::size_t caller) { return *callers_[caller].call; }
+
+  // A cancelled or given-up attempt may still run: its bytes are out.
+  void Ran(const Attempt& attempt) {
+    for (Attempt& it : attempts_) {
+      if (it.id == attempt.id) it.ran = true;
+    }
+    ++runs_;
+    ran_by_caller_[attempt.caller] = true;
+    CheckNotRun();
+    if (kind_ != CallKind::kRepeatable) RC_ASSERT(ran_by_caller_.size() <= Limit());
+    if (kind_ == CallKind::kClaimed) RC_ASSERT(runs_ <= 1);
+    if (kind_ == CallKind::kWithoutKey) RC_ASSERT(callers_[attempt.caller].sent == 1);
+  }
+
+  std::size_t Limit() const { return kind_ == CallKind::kClaimed ? 1 : callers_.size(); }
+
+  void Apply(std::size_t caller, const ServiceCommands& commands) {
+    for (const ServiceCommand& command : commands) {
+      std::visit([&](const auto& it) { On(caller, it); }, command);
+    }
+  }
+
+  void On(std::size_t caller, const service_command::BeginClaim& begin) {
+    messages_.push_back([=, this] {
+      const ClaimAnswer answer = claims_.Begin(begin.request);
+      messages_.push_back([=, this] { Apply(caller, At(caller).OnClaim(answer, now)); });
+    });
+  }
+  void On(std::size_t, const service_command::FinishClaim& finish) {
+    messages_.push_back([=, this] { claims_.Finish(finish.finish); });
+  }
+  void On(std::size_t, const service_command::ReleaseClaim& release) {
+    messages_.push_back([=, this] { claims_.Release(release.id); });
+  }
+  void On(std::size_t caller, const service_command::StartAttempt& start) {
+    RC_ASSERT(callers_[caller].answers == 0);
+    ++callers_[caller].sent;
+    RC_ASSERT(callers_[caller].sent <= (kind_ == CallKind::kWithoutKey ? 1 : 3));
+    attempts_.push_back({caller, start.attempt_id});
+  }
+  void On(std::size_t, const service_command::CancelAttempt&) {}
+  void On(std::size_t caller, const service_command::Answer& answer) {
+    ++callers_[caller].answers;
+    ++answered_;
+    RC_ASSERT(callers_[caller].answers == 1);
+    // The body names an attempt that ran.
+    RC_ASSERT(answer.answer.status == 503 ||
+              std::any_of(attempts_.begin(), attempts_.end(), [&](const Attempt& attempt) {
+                return attempt.ran && Answer(attempt.id) == answer.answer;
+              }));
+  }
+  void On(std::size_t caller, const service_command::Refuse& refuse) {
+    ++callers_[caller].answers;
+    RC_ASSERT(callers_[caller].answers == 1);
+    // Other content under the same key is not what this test sends.
+    RC_ASSERT(refuse.error.kind != ErrorKind::kIdempotencyConflict);
+    if (AnswerFor(refuse.error.kind).ran == Ran::kNo) not_run_.push_back(caller);
+    CheckNotRun();
+  }
+  void On(std::size_t, const service_command::WakeAt&) {}
+  void On(std::size_t, const service_command::NoteSuccess&) {}
+
+  // What a caller was told is not run has not run and never runs.
+  void CheckNotRun() {
+    for (const std::size_t caller : not_run_) RC_ASSERT(!ran_by_caller_.contains(caller));
+  }
+
+  CallKind kind_;
+  std::vector<Caller> callers_;
+  std::deque<std::function<void()>> messages_;
+  std::vector<Attempt> attempts_;
+  std::map<std::size_t, bool> ran_by_caller_;
+  std::vector<std::size_t> not_run_;
+  Claims claims_;
+  int runs_ = 0;
+  int answered_ = 0;
+};
+
+struct Step {
+  int kind;
+  std::size_t pick;
+  int amount;
+};
+
+std::ostream& operator<<(std::ostream& out, const Step& step) {
+  return out << '{' << step.kind << ' ' << step.pick << ' ' << step.amount << '}';
+}
+
+void Run(ServiceWorld* world, const Step& step, std::size_t callers) {
+  switch (step.kind) {
+    case 0:
+      world->Deliver(step.pick, false);
+      break;
+    case 1:
+      world->Deliver(step.pick, true);
+      break;
+    case 2:
+      world->Lose(step.pick);
+      break;
+    case 3:
+      world->ClaimTimesOut(step.pick % callers);
+      break;
+    case 4:
+      world->Resolve(step.pick, step.amount % 9);
+      break;
+    case 5:
+      world->Wait(milliseconds(step.amount * 5));
+      break;
+    case 6:
+      world->ExpireClaim();
+      break;
+    case 7:
+      world->CallerGone(step.pick % callers);
+      break;
+    default:
+      break;
+  }
+}
+
+}  // namespace
+
+TEST_CASE("A call that may not be repeated runs at most once, and no refusal lies") {
+  std::int64_t steps_run = 0;
+  std::map<CallKind, int> runs;
+  std::map<CallKind, int> answered;
+  CheckProperty("calls against the runs of the backend servers", [&] {
+    const auto kind = *rc::gen::element(CallKind::kClaimed, CallKind::kClaimed,
+                                        CallKind::kWithoutKey, CallKind::kRepeatable);
+    const auto callers = *rc::gen::inRange<std::size_t>(1, 4);
+    const auto any_step = rc::gen::construct<Step>(
+        rc::gen::weightedElement<int>(
+            {{30, 0}, {6, 1}, {6, 2}, {4, 3}, {25, 4}, {10, 5}, {1, 6}, {1, 7}}),
+        rc::gen::inRange<std::size_t>(0, 1000), rc::gen::inRange(0, 100));
+    const auto steps = *rc::gen::container<std::vector<Step>>(120, any_step);
+    ServiceWorld world(kind, callers);
+    for (const Step& step : steps) Run(&world, step, callers);
+    world.CheckEnd();
+    steps_run += 120;
+    runs[kind] += world.runs();
+    answered[kind] += world.answered();
+  });
+  CHECK(steps_run >= 10'000);
+  for (const CallKind kind : {CallKind::kClaimed, CallKind::kWithoutKey, CallKind::kRepeatable}) {
+    CHECK(runs[kind] > 0);
+    CHECK(answered[kind] > 0);
+  }
+}
+
+TEST_CASE("A lost finish leaves the key unknown, and an unreachable control sends nothing") {
+  const ClaimRequest claim{{"clinic", "key", "q1"}, "d", "r", 1};
+  ServiceCallOptions options;
+  options.request_id = "q1";
+  options.deadline = seconds(10);
+  options.claim = claim;
+  const ServiceCallHooks hooks{
+      [](std::span<const BackendChoice>) {
+        return BackendChoice{"s", 1};
+      },
+      [](int, Instant, Instant) { return std::optional<Duration>(milliseconds(5)); }};
+  ServiceCall call(options, hooks);
+  call.Start(seconds(1));
+  int asked = 1;
+  Instant now = seconds(1);
+  while (!call.done()) {
+    call.OnClaimFailed(now);
+    now += milliseconds(100);
+    for (const ServiceCommand& command : call.OnWake(now)) {
+      REQUIRE(std::holds_alternative<service_command::BeginClaim>(command));
+      CHECK(std::get<service_command::BeginClaim>(command).request == claim);
+      ++asked;
+    }
+  }
+  CHECK(asked == 3);
+  CHECK(call.attempts() == 0);
+  const ServiceCommands late = call.OnClaim({ClaimVerdict::kGranted, {}}, now);
+  REQUIRE(late.size() == 1);
+  CHECK(std::holds_alternative<service_command::ReleaseClaim>(late[0]));
+}
+
+}  // namespace kumquat
--- /dev/null
+++ b/tests/libs/coordination/requests/stream_request_test.cpp
@@ -0,0 +1,387 @@
+// One streamed request against an oracle that keeps the bytes that the caller should see.
+#include "coordination/requests/stream_request.h"
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "property.h"
+
+namespace kumquat {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+std::string TokenText(std::int64_t offset) { return "t" + std::to_string(offset) + ";"; }
+
+// Carries out the commands, keeps every attempt's stream alive for late events, and checks each
+// command against what the caller should see.
+class Harness {
+ public:
+  explicit Harness(std::int64_t tokens)
+      : tokens_(tokens),
+        request_({"q", kDeadline, 4, 16},
+                 {[this](std::span<const BackendChoice> avoid) { return Choose(avoid); },
+                  [this](const BackendChoice& backend) { return IsDead(backend); },
+                  [this](int, Instant at, Instant deadline) { return TryRetry(at, deadline); },
+                  [this] { return condemned; }}) {
+    Apply(request_.Start(now));
+  }
+
+  struct Stream {
+    std::string id;
+    BackendChoice backend;
+    std::int64_t next = 0;
+    bool headers = false;
+    bool cancelled = false;
+    bool ran = true;
+  };
+
+  // Sends the next thing that the attempt's backend server has to say.
+  void Say(Stream& stream) {
+    if (!stream.headers) {
+      stream.headers = true;
+      Apply(request_.OnHeaders(stream.id, 200, now));
+      return;
+    }
+    if (stream.next > tokens_) return;
+    Event(stream, stream.id, stream.next);
+    ++stream.next;
+  }
+
+  // Sends the event with this offset on a stream, under this attempt's id.
+  void Event(const Stream& stream, const std::string& named, std::int64_t offset) {
+    const bool is_end = offset >= tokens_;
+    const EngineEvent event{named,  std::min(offset, tokens_), is_end ? "" : TokenText(offset),
+                            is_end, is_end ? "stop" : "",      {}};
+    Apply(request_.OnEvent(stream.id, event, now));
+  }
+
+  void Status(Stream& stream, int status) {
+    if (stream.headers || stream.cancelled) return;
+    stream.headers = true;
+    stream.ran = status != 409 && status != 429 && status != 503;
+    Apply(request_.OnHeaders(stream.id, status, now));
+  }
+
+  void Fail(Stream& stream, CallFailure failure) {
+    if (failure == CallFailure::kNotSent && stream.headers) return;
+    if (failure == CallFailure::kNotSent && !stream.cancelled) stream.ran = false;
+    Apply(request_.OnFailure(stream.id, failure, now));
+  }
+
+  void Garble(const Stream& stream) { Apply(request_.OnBrokenEvent(stream.id, now)); }
+  void Close(const Stream& stream) { Apply(request_.OnConnectionEnd(stream.id, now)); }
+  void CallerGone() {
+    Apply(request_.OnCallerGone(now));
+    gone_ = true;
+  }
+
+  void Die(const BackendChoice& backend) {
+    dead_.push_back(backend);
+    Apply(request_.OnBackendDead(backend, now));
+  }
+
+  void Wait(Duration time) {
+    now += time;
+    Apply(request_.OnWake(now));
+  }
+
+  // Lets the request go on without faults until it is done.
+  void RunToEnd() {
+    for (int i = 0; i < 200 && !request_.done(); ++i) {
+      if (Stream* live = Live()) Say(*live);
+      Wait(milliseconds(20));
+    }
+  }
+
+  Stream* Live() {
+    const auto it = std::find_if(streams.begin(), streams.end(),
+                                 [](const Stream& stream) { return !stream.cancelled; });
+    return it != streams.end() ? &*it : nullptr;
+  }
+
+  bool done() const { return request_.done(); }
+  bool ended() const { return ended_; }
+  const std::optional<Error>& error() const { return error_; }
+  const std::string& seen() const { return seen_; }
+  const StreamRequest& request() const { return request_; }
+
+  Instant now = seconds(1);
+  std::vector<Stream> streams;
+  bool condemned = false;
+  int retries_left = 1000;
+  int strikes = 0;
+
+  static constexpr Instant kDeadline = seconds(60);
+
+ private:
+  std::optional<BackendChoice> Choose(std::span<const BackendChoice> avoid) const {
+    for (int i = 0; i < 20; ++i) {
+      const BackendChoice choice{"e" + std::to_string(i), 1};
+      if (std::find(avoid.begin(), avoid.end(), choice) == avoid.end() && !IsDead(choice)) {
+        return choice;
+      }
+    }
+    return std::nullopt;
+  }
+
+  bool IsDead(const BackendChoice& backend) const {
+    return std::find(dead_.begin(), dead_.end(), backend) != dead_.end();
+  }
+
+  std::optional<Duration> TryRetry(Instant at, Instant deadline) {
+    if (retries_left <= 0 || at + milliseconds(10) >= deadline) return std::nullopt;
+    --retries_left;
+    return milliseconds(10);
+  }
+
+  void Apply(const StreamCommands& commands) {
+    for (const StreamCommand& command : commands) {
+      std::visit([this](const auto& it) { On(it); }, command);
+    }
+  }
+
+  void On(const stream_command::StartAttempt& start) {
+    RC_ASSERT(!finished_);
+    RC_ASSERT(Live() == nullptr);
+    RC_ASSERT(now < kDeadline);
+    RC_ASSERT(!condemned);
+    RC_ASSERT(start.resume_text == seen_);
+    RC_ASSERT(start.resume_offset == next_);
+    RC_ASSERT(!IsDead(start.backend));
+    for (const Stream& stream : streams) RC_ASSERT(stream.id != start.attempt_id);
+    streams.push_back({start.attempt_id, start.backend, start.resume_offset});
+    RC_ASSERT(streams.size() <= 16U);
+  }
+
+  void On(const stream_command::CancelAttempt& cancel) {
+    RC_ASSERT(Live() != nullptr);
+    RC_ASSERT(Live()->id == cancel.attempt_id);
+    Live()->cancelled = true;
+  }
+
+  void On(const stream_command::EmitText& emit) {
+    RC_ASSERT(!finished_);
+    RC_ASSERT(emit.offset == next_);
+    RC_ASSERT(emit.text == TokenText(next_));
+    ++next_;
+    seen_ += emit.text;
+  }
+
+  void On(const stream_command::EmitEnd& /*end*/) {
+    RC_ASSERT(!finished_);
+    RC_ASSERT(next_ == tokens_);
+    finished_ = ended_ = true;
+    Live()->cancelled = true;
+  }
+
+  void On(const stream_command::EmitError& emit) {
+    RC_ASSERT(!finished_);
+    RC_ASSERT(next_ > 0);
+    RC_ASSERT(AnswerFor(emit.error.kind).ran == Ran::kUnknown);
+    finished_ = true;
+    error_ = emit.error;
+  }
+
+  void On(const stream_command::Refuse& refuse) {
+    RC_ASSERT(!finished_);
+    RC_ASSERT(next_ == 0);
+    const bool ran = std::any_of(streams.begin(), streams.end(),
+                                 [](const Stream& stream) { return stream.ran; });
+    // A refusal by the backend server itself says that the request is not well formed.
+    if (refuse.error.kind != ErrorKind::kBadRequest) {
+      RC_ASSERT(!ran || AnswerFor(refuse.error.kind).ran == Ran::kUnknown);
+    }
+    finished_ = true;
+    error_ = refuse.error;
+  }
+
+  void On(const stream_command::GiveStrike& /*strike*/) { ++strikes; }
+  void On(const stream_command::WakeAt& /*wake*/) {}
+  void On(const stream_command::NoteSuccess& /*success*/) { RC_ASSERT(ended_); }
+  void On(const stream_command::ProbeBackend& /*probe*/) {}
+
+  std::int64_t tokens_;
+  std::vector<BackendChoice> dead_;
+  bool finished_ = false;
+  bool ended_ = false;
+  bool gone_ = false;
+  std::int64_t next_ = 0;
+  std::string seen_;
+  std::optional<Error> error_;
+  StreamRequest request_;
+};
+
+std::string WholeText(std::int64_t tokens) {
+  std::string text;
+  for (std::int64_t i = 0; i < tokens; ++i) text += TokenText(i);
+  return text;
+}
+
+struct Step {
+  int kind;
+  std::size_t stream;
+  int amount;
+};
+
+std::ostream& operator<<(std::ostream& out, const Step& step) {
+  return out << '{' << step.kind << ' ' << step.stream << ' ' << step.amount << '}';
+}
+
+// Any thing may happen on any attempt, also on one that was given up long ago.
+void Run(Harness* harness, const Step& step) {
+  std::vector<Harness::Stream>& streams = harness->streams;
+  Harness::Stream& stream = streams[streams.size() - 1 - step.stream % streams.size()];
+  const std::int64_t near = std::max<std::int64_t>(stream.next + step.amount % 5 - 2, 0);
+  switch (step.kind) {
+    case 0:
+      harness->Say(stream);
+      break;
+    case 1:
+      harness->Event(stream, streams[step.amount % streams.size()].id, near);
+      break;
+    case 2:
+      harness->Event(stream, "other-1", near);
+      break;
+    case 3:
+      harness->Fail(stream, static_cast<CallFailure>(step.amount % 3));
+      break;
+    case 4:
+      harness->Status(stream, std::array{409, 429, 500, 503, 400}[step.amount % 5]);
+      break;
+    case 5:
+      harness->Garble(stream);
+      break;
+    case 6:
+      harness->Close(stream);
+      break;
+    case 7:
+      harness->Die(stream.backend);
+      break;
+    case 8:
+      harness->Wait(milliseconds(step.amount * step.amount / 50));
+      break;
+    case 9:
+      harness->retries_left = step.amount;
+      break;
+    case 10:
+      harness->condemned = step.amount < 20;
+      break;
+    case 11:
+      harness->CallerGone();
+      break;
+    default:
+      break;
+  }
+}
+
+}  // namespace
+
+TEST_CASE("Whatever comes, the caller sees each token once and in order, and an honest end") {
+  std::int64_t steps_run = 0;
+  int ends = 0;
+  int errors = 0;
+  CheckProperty("stream against its text", [&] {
+    const auto any_step = rc::gen::construct<Step>(
+        rc::gen::weightedElement<int>({{60, 0},
+                                       {6, 1},
+                                       {3, 2},
+                                       {4, 3},
+                                       {2, 4},
+                                       {1, 5},
+                                       {1, 6},
+                                       {1, 7},
+                                       {12, 8},
+                                       {1, 9},
+                                       {1, 10},
+                                       {1, 11}}),
+        rc::gen::weightedOneOf<std::size_t>(
+            {{4, rc::gen::just<std::size_t>(0)}, {1, rc::gen::inRange<std::size_t>(0, 16)}}),
+        rc::gen::inRange(0, 100));
+    const auto steps = *rc::gen::container<std::vector<Step>>(150, any_step);
+    Harness harness(*rc::gen::inRange<std::int64_t>(0, 30));
+    for (const Step& step : steps) Run(&harness, step);
+    steps_run += 150;
+    ends += harness.ended() ? 1 : 0;
+    errors += harness.error() ? 1 : 0;
+  });
+  CHECK(steps_run >= 10'000);
+  CHECK(ends > 0);
+  CHECK(errors > 0);
+}
+
+TEST_CASE("A stream cut anywhere, twice, in any way comes whole") {
+  constexpr std::int64_t kTokens = 7;
+  // How a stream can break, after any number of things that it said.
+  const std::vector<std::function<void(Harness&, Harness::Stream&)>> cuts = {
+      [](Harness& it, Harness::Stream& live) { it.Fail(live, CallFailure::kBroken); },
+      [](Harness& it, Harness::Stream& live) { it.Fail(live, CallFailure::kSilent); },
+      [](Harness& it, Harness::Stream& live) { it.Close(live); },
+      [](Harness& it, Harness::Stream& live) { it.Garble(live); },
+      [](Harness& it, Harness::Stream& live) { it.Die(live.backend); },
+      [](Harness& it, Harness::Stream& live) { it.Event(live, live.id, live.next + 1); },
+  };
+  int streams = 0;
+  for (const auto& first : cuts) {
+    for (const auto& second : cuts) {
+      for (std::int64_t at = 0; at <= kTokens + 1; ++at) {
+        for (std::int64_t then = 0; then <= kTokens + 1; ++then) {
+          Harness harness(kTokens);
+          for (std::int64_t i = 0; i < at; ++i) harness.Say(*harness.Live());
+          first(harness, *harness.Live());
+          harness.Wait(milliseconds(20));
+          for (std::int64_t i = 0; i < then && harness.Live() != nullptr; ++i) {
+            harness.Say(*harness.Live());
+          }
+          if (harness.Live() != nullptr) second(harness, *harness.Live());
+          harness.RunToEnd();
+          REQUIRE(harness.ended());
+          REQUIRE(harness.seen() == WholeText(kTokens));
+          ++streams;
+        }
+      }
+    }
+  }
+  CHECK(streams == 6 * 6 * 9 * 9);
+}
+
+TEST_CASE("A lost connection is tried again on the same backend server, then on another") {
+  Harness harness(5);
+  harness.Say(harness.streams[0]);
+  harness.Fail(harness.streams[0], CallFailure::kSilent);
+  harness.Wait(milliseconds(20));
+  CHECK(harness.streams[1].backend == harness.streams[0].backend);
+  CHECK(harness.strikes == 0);
+  harness.Fail(harness.streams[1], CallFailure::kNotSent);
+  CHECK(harness.strikes == 1);
+  harness.Wait(milliseconds(20));
+  CHECK(harness.streams[2].backend != harness.streams[0].backend);
+  harness.Die(harness.streams[0].backend);
+  CHECK(harness.strikes == 1);
+  harness.RunToEnd();
+  CHECK(harness.ended());
+}
+
+TEST_CASE("At the deadline or without budget the refusal is final and honest") {
+  Harness late(5);
+  late.Wait(Harness::kDeadline);
+  CHECK(late.error()->kind == ErrorKind::kBackendServerFailed);
+
+  Harness not_run(5);
+  not_run.retries_left = 0;
+  not_run.Fail(not_run.streams[0], CallFailure::kNotSent);
+  CHECK(not_run.error()->kind == ErrorKind::kNoBackendServer);
+
+  Harness poison(5);
+  poison.Say(poison.streams[0]);
+  poison.Say(poison.streams[0]);
+  poison.Die(poison.streams[0].backend);
+  poison.condemned = true;
+  poison.Wait(milliseconds(20));
+  CHECK(poison.strikes == 1);
+  CHECK(poison.error()->kind == ErrorKind::kPoisonRequest);
+}
+
+}  // namespace kumquat
