--- a/src/libs/state/control_service/control_service.cpp
+++ b/src/libs/state/control_service/control_service.cpp
@@ -116,7 +116,9 @@
   return {ErrorKind::kNotLeader, other ? hooks_.address_of(leader->name) : "", std::nullopt};
 }
 
-void ControlService::Refuse(const RpcReply& reply, Error error) const { reply(RefusalJson(error)); }
+void ControlService::Refuse(const RpcReply& reply, const Error& error) const {
+  reply(RefusalJson(error));
+}
 
 void ControlService::Propose(ControlCommand::Body body, const RpcReply& reply,
                              RpcReply on_applied) {
--- a/src/libs/state/control_service/control_service.h
+++ b/src/libs/state/control_service/control_service.h
@@ -92,7 +92,7 @@
   };
 
   Error NotLeader() const;
-  void Refuse(const RpcReply& reply, Error error) const;
+  void Refuse(const RpcReply& reply, const Error& error) const;
   // Proposes a command; `on_applied` gets its answer, `reply` the refusal.
   void Propose(ControlCommand::Body body, const RpcReply& reply, RpcReply on_applied);
   // Runs the action once this replica is known to lead in the present term, else refuses.
--- a/tests/libs/state/control/control_state_test.cpp
+++ b/tests/libs/state/control/control_state_test.cpp
@@ -95,7 +95,7 @@
   std::string Apply(const ControlCommand& command) {
     ++index_;
     const std::string bytes = Encode(command);
-    const std::string answer = steady_.Apply(index_, bytes);
+    std::string answer = steady_.Apply(index_, bytes);
     RC_ASSERT(restored_->Apply(index_, bytes) == answer);
     return answer;
   }
