kumquat-control: replicas of the durable state as processes

Test: control_process_test, 2 cases on three processes: edits by files, a race of two operators, a leader killed during an edit, one frozen, a wiped disk with a second failure after it, loss of the majority.

--- /dev/null
+++ b/src/kumquatcontrol/main.cpp
@@ -0,0 +1,86 @@
+// kumquat-control: one replica of the system's durable state, on an instance with a disk.
+#include <fmt/format.h>
+
+#include <QCoreApplication>
+#include <QRandomGenerator>
+#include <string>
+
+#include "control_node.h"
+#include "state/storage/log_file_storage.h"
+#include "utils/log.h"
+#include "utils/program.h"
+#include "utils/settings.h"
+
+namespace kumquat {
+namespace {
+
+constexpr int kExitFailed = 1;
+constexpr std::string_view kName = "kumquat-control";
+constexpr std::string_view kPurpose =
+    "Keeps the plans, the allowances and the claims together with the other replicas, and hands\n"
+    "out leases and shares of capacity to the routers.";
+
+struct Settings {
+  ControlNodeOptions node;
+  std::string failure_domain;
+  std::string data_dir;
+  std::string log_level = "info";
+  std::int64_t snapshot_entries = 10'000;
+};
+
+void Declare(Settings* settings, SettingsReader* reader) {
+  ControlNodeOptions& node = settings->node;
+  reader->Add("instance", &node.instance, "This replica's name, unique among the replicas.")
+      .Required();
+  reader->Add("failure_domain", &settings->failure_domain, "The failure domain of this instance.")
+      .Required();
+  reader->Add("listen", &node.listen, "The address that routers and other replicas connect to.")
+      .Required();
+  reader->Add("peers", &node.peers, "The other replicas.").Required();
+  reader->Add("data_dir", &settings->data_dir, "The folder of the durable state.").Required();
+  reader->Add("log_level", &settings->log_level, "debug, info, warning or error.");
+  reader->Add("lease_ms", &node.service.lease, {500, 5000},
+              "How long a router may serve by an answer.");
+  reader->Add("heartbeat_ms", &node.log.heartbeat_interval, {10, 1000},
+              "Time between the leader's heartbeats.");
+  reader->Add("election_shortest_ms", &node.log.election_timeout_min, {100, 10'000},
+              "Shortest silence of the leader before an election.");
+  reader->Add("election_longest_ms", &node.log.election_timeout_max, {200, 20'000},
+              "Longest silence of the leader before an election.");
+  reader->Add("snapshot_entries", &settings->snapshot_entries, {10, 1'000'000},
+              "Entries of the log after which a snapshot is taken.");
+}
+
+Random SystemRandom() {
+  return [] { return QRandomGenerator::system()->generate64(); };
+}
+
+int Main(int argc, char** argv) {
+  Settings settings;
+  SettingsReader reader;
+  Declare(&settings, &reader);
+  if (const auto status = StartProgram(&argc, &argv, kName, KUMQUAT_VERSION, kPurpose, reader)) {
+    return *status;
+  }
+  settings.node.log.snapshot_after_entries = static_cast<std::uint64_t>(settings.snapshot_entries);
+  ConfigureLog(settings.node.instance, LogLevelFromName(settings.log_level));
+  const QCoreApplication application(argc, argv);
+  LogFileStorage storage(settings.data_dir, SystemRandom());
+  ControlNode node(settings.node, &storage, SystemRandom(), [](const std::string& reason) {
+    LogEvent(LogLevel::kError, "control_failed", {{"reason", reason}});
+    QCoreApplication::exit(kExitFailed);
+  });
+  if (!node.Start()) {
+    fmt::print(stderr, "{}: {}\n", kName, node.last_reason());
+    return kExitFailed;
+  }
+  LogEvent(
+      LogLevel::kInfo, "control_started",
+      {{"listen", settings.node.listen.ToString()}, {"failure_domain", settings.failure_domain}});
+  return QCoreApplication::exec();
+}
+
+}  // namespace
+}  // namespace kumquat
+
+int main(int argc, char** argv) { return kumquat::Main(argc, argv); }
--- /dev/null
+++ b/tests/process/control/control_cluster.cpp
@@ -0,0 +1,165 @@
+#include "process/control/control_cluster.h"
+
+#include <doctest/doctest.h>
+#include <signal.h>
+
+#include <QDir>
+#include <QFile>
+#include <QHostAddress>
+#include <QTcpServer>
+#include <random>
+
+#include "event_loop.h"
+#include "protocol/control_messages.h"
+#include "protocol/json_fields.h"
+
+namespace kumquat {
+namespace {
+
+constexpr std::chrono::seconds kLongest{30};
+constexpr std::chrono::seconds kCallTimeout{2};
+
+std::vector<std::uint16_t> FreePorts(int count) {
+  std::vector<std::unique_ptr<QTcpServer>> servers;
+  std::vector<std::uint16_t> ports;
+  for (int i = 0; i < count; ++i) {
+    servers.push_back(std::make_unique<QTcpServer>());
+    servers.back()->listen(QHostAddress::LocalHost);
+    ports.push_back(servers.back()->serverPort());
+  }
+  return ports;
+}
+
+std::string Name(int replica) { return "c" + std::to_string(replica + 1); }
+
+}  // namespace
+
+ControlCluster::ControlCluster() : ports_(FreePorts(kReplicas)), processes_(kReplicas) {
+  std::string control;
+  for (int i = 0; i < kReplicas; ++i) {
+    const std::string endpoint = "127.0.0.1:" + std::to_string(ports_[i]);
+    control += "\"" + Name(i) + "@" + endpoint + "\", ";
+    std::string peers;
+    for (int j = 0; j < kReplicas; ++j) {
+      if (j == i) continue;
+      peers += "\"" + Name(j) + "@127.0.0.1:" + std::to_string(ports_[j]) + "\", ";
+    }
+    WriteFile(Name(i) + ".toml", "instance = \"" + Name(i) + "\"\nfailure_domain = \"d1\"\n" +
+                                     "listen = \"" + endpoint + "\"\npeers = [" + peers +
+                                     "]\ndata_dir = \"" + Path(Name(i)) +
+                                     "\"\nlog_level = \"warning\"\nsnapshot_entries = 20\n");
+    clients_.push_back(
+        MakeRpcClient({"127.0.0.1", ports_[i]},
+                      [generator = std::mt19937_64(i)]() mutable { return generator(); }));
+  }
+  WriteFile("ctl.toml", "control = [" + control + "]\n");
+  for (int i = 0; i < kReplicas; ++i) Start(i);
+  Leader();
+}
+
+ControlCluster::~ControlCluster() {
+  for (int i = 0; i < kReplicas; ++i) Kill(i);
+}
+
+std::string ControlCluster::Path(const std::string& name) const {
+  return folder_.filePath(QString::fromStdString(name)).toStdString();
+}
+
+std::string ControlCluster::WriteFile(const std::string& name, const std::string& text) {
+  QFile file(QString::fromStdString(Path(name)));
+  REQUIRE(file.open(QIODevice::WriteOnly));
+  file.write(QByteArray::fromStdString(text));
+  return Path(name);
+}
+
+void ControlCluster::Start(int replica) {
+  auto process = std::make_unique<QProcess>();
+  process->setProcessChannelMode(QProcess::ForwardedErrorChannel);
+  process->start(KUMQUAT_BIN_DIR "/kumquat-control",
+                 {"--config", QString::fromStdString(Path(Name(replica) + ".toml"))});
+  REQUIRE(process->waitForStarted());
+  processes_[replica] = std::move(process);
+}
+
+void ControlCluster::Kill(int replica) {
+  if (!processes_[replica]) return;
+  processes_[replica]->kill();
+  processes_[replica]->waitForFinished();
+  processes_[replica].reset();
+}
+
+void ControlCluster::Signal(int replica, int signal) {
+  ::kill(static_cast<pid_t>(processes_[replica]->processId()), signal);
+}
+
+void ControlCluster::WipeDisk(int replica) {
+  CHECK(QDir(QString::fromStdString(Path(Name(replica)))).removeRecursively());
+}
+
+std::unique_ptr<QProcess> ControlCluster::Begin(const std::vector<std::string>& words) {
+  QStringList arguments{"--config", QString::fromStdString(Path("ctl.toml"))};
+  for (const std::string& word : words) arguments.append(QString::fromStdString(word));
+  auto process = std::make_unique<QProcess>();
+  process->start(KUMQUAT_BIN_DIR "/kumquatctl", arguments);
+  REQUIRE(process->waitForStarted());
+  return process;
+}
+
+CommandResult ControlCluster::Finish(QProcess& process) {
+  const bool finished =
+      RunUntil([&] { return process.state() == QProcess::NotRunning; }, 2 * kLongest);
+  REQUIRE(finished);
+  return {process.exitCode(), process.readAllStandardOutput().toStdString(),
+          process.readAllStandardError().toStdString()};
+}
+
+CommandResult ControlCluster::Run(const std::vector<std::string>& words) {
+  return Finish(*Begin(words));
+}
+
+std::optional<QJsonObject> ControlCluster::Call(int replica, std::string_view method,
+                                                const QJsonObject& params) {
+  bool done = false;
+  std::optional<QJsonObject> answer;
+  clients_[replica]->Call(method, params, kCallTimeout,
+                          [&](const std::optional<QJsonObject>& result, RpcFailure) {
+                            done = true;
+                            answer = result;
+                          });
+  RunUntil([&] { return done; }, kLongest);
+  return answer;
+}
+
+std::optional<QJsonObject> ControlCluster::Status(int replica) {
+  return Call(replica, control_method::kStatus, {});
+}
+
+int ControlCluster::Leader() {
+  int leader = -1;
+  const bool found = RunUntil(
+      [&] {
+        for (int i = 0; i < kReplicas && leader < 0; ++i) {
+          const auto status = Status(i);
+          if (status && status->value("role").toString() == "leader") leader = i;
+        }
+        return leader >= 0;
+      },
+      kLongest);
+  REQUIRE(found);
+  return leader;
+}
+
+QJsonObject ControlCluster::CallLeader(std::string_view method, const QJsonObject& params) {
+  std::optional<QJsonObject> answer;
+  int replica = 0;
+  const bool answered = RunUntil(
+      [&] {
+        answer = Call(replica++ % kReplicas, method, params);
+        return answer && !answer->contains("error");
+      },
+      kLongest);
+  REQUIRE(answered);
+  return *answer;
+}
+
+}  // namespace kumquat
--- /dev/null
+++ b/tests/process/control/control_process_test.cpp
@@ -0,0 +1,165 @@
+// Real replicas and operators: edits, races, and failures in between.
+#include <doctest/doctest.h>
+#include <signal.h>
+
+#include <QElapsedTimer>
+#include <QJsonArray>
+
+#include "event_loop.h"
+#include "process/control/control_cluster.h"
+#include "protocol/control_messages.h"
+
+namespace kumquat {
+namespace {
+
+constexpr std::chrono::seconds kLongest{30};
+constexpr int kExitConflict = 3;
+constexpr int kExitInvalid = 4;
+constexpr int kExitUnreachable = 5;
+
+std::string AllowancesFile(int revision, int rate) {
+  return "revision = " + std::to_string(revision) +
+         "\n[[allowances]]\nplan = \"large\"\nrequests_per_second = " + std::to_string(rate) +
+         "\ntokens_per_second = 10\nconcurrent_requests = 2\nservices = [\"bookings\"]\n"
+         "models = [{ model = \"m\", version = \"v1\" }]\n";
+}
+
+const std::string kPlansFile =
+    "revision = 0\n[[plans]]\norganisation = \"workshop\"\nplan = \"large\"\nkey_digests = []\n";
+
+CommandResult SetAllowances(ControlCluster& cluster, int revision, int rate) {
+  const std::string name = "a" + std::to_string(revision) + "-" + std::to_string(rate) + ".toml";
+  return cluster.Run(
+      {"allowances", "set", cluster.WriteFile(name, AllowancesFile(revision, rate))});
+}
+
+bool HasRevision(ControlCluster& cluster, int replica, int revision) {
+  return RunUntil(
+      [&] {
+        const auto status = cluster.Status(replica);
+        return status && status->value("allowances_revision").toInt() == revision;
+      },
+      kLongest);
+}
+
+TEST_CASE("Operators edit the lists by files, and of a race one wins") {
+  ControlCluster cluster;
+  CHECK(cluster.Run({"plans", "set", cluster.WriteFile("early.toml", kPlansFile)}).exit_status ==
+        kExitInvalid);
+  const CommandResult first = SetAllowances(cluster, 0, 5);
+  CHECK(first.exit_status == 0);
+  CHECK(first.output == "Revision 1 is in force on every router.\n");
+  CHECK(SetAllowances(cluster, 0, 5).output == first.output);
+  CHECK(cluster.Run({"plans", "set", cluster.WriteFile("plans.toml", kPlansFile)}).exit_status ==
+        0);
+
+  // What `get` writes is what `set` takes.
+  const CommandResult got = cluster.Run({"allowances", "get"});
+  REQUIRE(got.exit_status == 0);
+  CHECK(cluster.Run({"allowances", "set", cluster.WriteFile("got.toml", got.output)}).output ==
+        "Revision 2 is in force on every router.\n");
+  CHECK(cluster.Run({"plans", "set", cluster.WriteFile("empty.toml", "revision = 1\n")})
+            .exit_status == kExitInvalid);
+  const std::string typo = cluster.WriteFile("typo.toml", kPlansFile + "colour = 1\n");
+  CHECK(cluster.Run({"plans", "set", typo}).errors.find("colour") != std::string::npos);
+
+  const auto one =
+      cluster.Begin({"allowances", "set", cluster.WriteFile("one.toml", AllowancesFile(2, 11))});
+  const auto two =
+      cluster.Begin({"allowances", "set", cluster.WriteFile("two.toml", AllowancesFile(2, 12))});
+  const CommandResult one_result = ControlCluster::Finish(*one);
+  const CommandResult two_result = ControlCluster::Finish(*two);
+  CHECK(std::min(one_result.exit_status, two_result.exit_status) == 0);
+  CHECK(std::max(one_result.exit_status, two_result.exit_status) == kExitConflict);
+  const CommandResult& loser = one_result.exit_status == 0 ? two_result : one_result;
+  CHECK(loser.errors.find("The current revision is 3.") != std::string::npos);
+  const std::string rate = one_result.exit_status == 0 ? "= 11\n" : "= 12\n";
+  CHECK(cluster.Run({"allowances", "get"}).output.find(rate) != std::string::npos);
+  CHECK(cluster.Run({"status"}).output.find("\"role\":\"leader\"") != std::string::npos);
+}
+
+TEST_CASE("Edits and claims survive kills and freezes of the leader and a lost disk") {
+  ControlCluster cluster;
+  int revision = 0;
+  const auto edit = [&] {
+    const int rate = 100 + revision;
+    QElapsedTimer timer;
+    timer.start();
+    const CommandResult result = SetAllowances(cluster, revision, rate);
+    CAPTURE(result.errors);
+    REQUIRE(result.exit_status == 0);
+    ++revision;
+    CHECK(cluster.Run({"allowances", "get"}).output.find("= " + std::to_string(rate) + "\n") !=
+          std::string::npos);
+    return timer.elapsed();
+  };
+  CHECK(edit() < 7000);
+  CHECK(edit() < 7000);
+
+  const ClaimRequest claim{{"workshop", "booking", "r1-1"}, "d", "r1", 1};
+  ClaimRequest other = claim;
+  other.id.claimant = "r2-1";
+  CHECK(cluster.CallLeader("claim.begin", ToJson(claim))["verdict"].toString() == "granted");
+
+  // Killed while an edit is under way: it is done by the next leader.
+  const int killed = cluster.Leader();
+  const auto under_way =
+      cluster.Begin({"allowances", "set",
+                     cluster.WriteFile("kill.toml", AllowancesFile(revision, 100 + revision))});
+  cluster.Kill(killed);
+  CHECK(ControlCluster::Finish(*under_way).exit_status == 0);
+  ++revision;
+  edit();
+  CHECK(cluster.CallLeader("claim.begin", ToJson(other))["verdict"].toString() == "running");
+  cluster.Start(killed);
+  CHECK(HasRevision(cluster, killed, revision));
+
+  // Frozen: the others go on, and it follows when it wakes.
+  const int frozen = cluster.Leader();
+  cluster.Signal(frozen, SIGSTOP);
+  edit();
+  edit();
+  cluster.Signal(frozen, SIGCONT);
+  CHECK(HasRevision(cluster, frozen, revision));
+  const ClaimFinish finish{claim.id, RecordedAnswer{201, "text/plain", "booked"}};
+  CHECK(cluster.CallLeader("claim.finish", ToJson(finish))["done"].toBool());
+
+  // A lost disk, and another replica fails once that one is back.
+  const int lost = (cluster.Leader() + 1) % ControlCluster::kReplicas;
+  cluster.Kill(lost);
+  cluster.WipeDisk(lost);
+  cluster.Start(lost);
+  for (int i = 0; i < 30; ++i) edit();
+  CHECK(HasRevision(cluster, lost, revision));
+  const auto has_three_voters = [&] {
+    const auto status = cluster.Status(cluster.Leader());
+    int voters = 0;
+    for (const auto& peer : status->value("peers").toArray()) {
+      if (peer.toObject()["voter"].toBool()) ++voters;
+    }
+    return voters >= ControlCluster::kReplicas - 1;
+  };
+  CHECK(RunUntil(has_three_voters, kLongest));
+  const int second = (lost + 1) % ControlCluster::kReplicas;
+  cluster.Kill(second);
+  edit();
+  CHECK(cluster.CallLeader("claim.begin", ToJson(other))["verdict"].toString() == "recorded");
+
+  // Without a majority nothing is accepted and nothing is served.
+  cluster.Kill((lost + 2) % ControlCluster::kReplicas);
+  CHECK(SetAllowances(cluster, revision, 1).exit_status == kExitUnreachable);
+  CHECK(cluster.Run({"allowances", "get"}).exit_status == kExitUnreachable);
+  for (int i = 0; i < ControlCluster::kReplicas; ++i) {
+    if (i != lost) cluster.Start(i);
+  }
+  for (int i = 0; i < ControlCluster::kReplicas; ++i) {
+    CHECK(RunUntil([&] { return cluster.Status(i).has_value(); }, kLongest));
+  }
+  // The refused edit may have reached the log of the one that was left, so it may win or not.
+  const CommandResult again = SetAllowances(cluster, revision, 1);
+  CHECK(again.exit_status == 0);
+  CHECK(cluster.CallLeader("claim.begin", ToJson(other))["verdict"].toString() == "recorded");
+}
+
+}  // namespace
+}  // namespace kumquat
