--- a/src/kumquatrouter/exchange.cpp
+++ b/src/kumquatrouter/exchange.cpp
@@ -32,7 +32,8 @@
                           std::function<void(const Error&)> on_refused) {
   const Instant now = services_.clock();
   const AdmissionAnswer answer =
-      services_.control->share_holder().TryAcquire(organisation_, tokens_, now);
+      services_.control->share_holder().TryAcquire(organisation_, tokens_, now, asked_first_);
+  if (!asked_first_) asked_first_ = now;
   if (answer.verdict == AdmissionVerdict::kOk) {
     is_held_ = true;
     on_acquired();
--- a/src/kumquatrouter/exchange.h
+++ b/src/kumquatrouter/exchange.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "protocol/error_kind.h"
@@ -45,6 +46,7 @@
   std::string organisation_;
   std::int64_t tokens_;
   bool is_held_ = false;
+  std::optional<Instant> asked_first_;
   // Ends the retries of Acquire() when this is destroyed.
   std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true);
 };
--- a/src/libs/coordination/limits/share_holder.cpp
+++ b/src/libs/coordination/limits/share_holder.cpp
@@ -14,7 +14,9 @@
 using Internal::kCapacityParts;
 
 // What is asked for above the measured demand.
-constexpr double kHeadroom = 1.25;
+constexpr double kHeadroom = 2;
+// Requests of the largest size seen that a share should admit each second.
+constexpr std::int64_t kLeastRequestsPerSecond = 4;
 // Below this rate, in requests a second, there is no demand.
 constexpr double kNoDemand = 0.05;
 // A new share asks this much more often, for this many renewal intervals, until it has enough.
@@ -31,20 +33,31 @@
     : options_(options), outage_covers_(std::move(outage_covers)) {}
 
 AdmissionAnswer ShareHolder::TryAcquire(const std::string& organisation,
-                                        std::int64_t estimated_tokens, Instant now) {
+                                        std::int64_t estimated_tokens, Instant now,
+                                        std::optional<Instant> asked_first) {
   const auto [entry, created] = shares_.try_emplace(organisation);
   Share& share = entry->second;
   if (created) share.created_at = now;
-  share.request_demand.Add(1, options_.demand_memory, now);
-  share.token_demand.Add(static_cast<double>(estimated_tokens), options_.demand_memory, now);
+  if (!asked_first) {
+    share.request_demand.Add(1, options_.demand_memory, now);
+    share.token_demand.Add(static_cast<double>(estimated_tokens), options_.demand_memory, now);
+    share.largest_request = std::max(share.largest_request, estimated_tokens);
+  }
   const std::optional<Duration> wait = TimeUntilPlace(share, estimated_tokens, now);
-  if (!wait) return FallShort(&share, options_.retry_after, now);
-  if (wait->count() > 0) return FallShort(&share, *wait, now);
+  const Duration shortage = wait.value_or(options_.retry_after);
+  if (!wait || shortage.count() > 0) {
+    if (!asked_first) share.unmet.Add(1, options_.demand_memory, now);
+    const Instant first = asked_first.value_or(now);
+    // A place that comes free by the rate within the longest wait is worth waiting for.
+    if (wait && now + *wait <= first + options_.longest_wait) {
+      return {AdmissionVerdict::kWait, *wait};
+    }
+    return FallShort(&share, shortage, first, now);
+  }
 
   share.requests.Take(1, now);
   share.tokens.Take(static_cast<double>(estimated_tokens), now);
   ++share.running;
-  share.short_since.reset();
   return {AdmissionVerdict::kOk, Duration(0)};
 }
 
@@ -131,8 +144,9 @@
   const double unmet =
       share.unmet.Rate(memory, now) * std::chrono::duration<double>(memory).count();
   Capacity wanted;
-  wanted.requests_per_second = WithHeadroom(requests);
-  wanted.tokens_per_second = WithHeadroom(share.token_demand.Rate(memory, now));
+  wanted.requests_per_second = WithHeadroom(requests) + kLeastRequestsPerSecond;
+  wanted.tokens_per_second = WithHeadroom(share.token_demand.Rate(memory, now)) +
+                             kLeastRequestsPerSecond * share.largest_request;
   wanted.concurrent_requests = WithHeadroom(static_cast<double>(share.running) + unmet);
   return wanted;
 }
@@ -148,16 +162,15 @@
   return wait;
 }
 
-// Asks control unless it has answered since the shortage began, or has said lately that there is
-// no more.
-AdmissionAnswer ShareHolder::FallShort(Share* share, Duration retry_after, Instant now) {
-  share->unmet.Add(1, options_.demand_memory, now);
-  if (!share->short_since) share->short_since = now;
-  const bool answered = share->answered_from && *share->answered_from >= *share->short_since;
+// Asks control unless it has answered since the request came, or has said lately that there is no
+// more.
+AdmissionAnswer ShareHolder::FallShort(Share* share, Duration retry_after, Instant asked_first,
+                                       Instant now) {
+  const bool answered = share->answered_from && *share->answered_from >= asked_first;
   const bool told_lately = share->answered_from && IsValid(*share, now) &&
                            now - *share->answered_from < options_.renew_interval &&
                            AnyPartBelow(share->granted, share->wanted);
-  const bool waited = now - *share->short_since >= options_.longest_wait;
+  const bool waited = now - asked_first >= options_.longest_wait;
   if (answered || told_lately || waited) return {AdmissionVerdict::kRefused, retry_after};
   hurry_ = true;
   return {AdmissionVerdict::kWait, options_.expected_answer};
--- a/src/libs/coordination/limits/share_holder.h
+++ b/src/libs/coordination/limits/share_holder.h
@@ -62,9 +62,11 @@
 
   explicit ShareHolder(ShareHolderOptions options = {}, OutageCovers outage_covers = {});
 
-  // Asks for a place for one request.
+  // Asks for a place for one request. Whoever was told to wait asks again, with the moment at which
+  // it asked first: it is refused only when control has answered a request that was sent since
+  // then, so that its own demand was counted.
   AdmissionAnswer TryAcquire(const std::string& organisation, std::int64_t estimated_tokens,
-                             Instant now);
+                             Instant now, std::optional<Instant> asked_first = std::nullopt);
 
   // Gives the place back; the request has ended.
   void Release(const std::string& organisation);
@@ -108,10 +110,10 @@
     std::int64_t running = 0;
     DemandMeter request_demand;
     DemandMeter token_demand;
+    // Most tokens of one request.
+    std::int64_t largest_request = 0;
     // Requests that found no place.
     DemandMeter unmet;
-    // Since when the share falls short; nothing while it does not.
-    std::optional<Instant> short_since;
     // When the request was sent whose answer was applied last.
     std::optional<Instant> answered_from;
     Instant created_at{0};
@@ -124,7 +126,7 @@
   // How long until the share admits a request; nothing when that can't be known.
   std::optional<Duration> TimeUntilPlace(const Share& share, std::int64_t tokens,
                                          Instant now) const;
-  AdmissionAnswer FallShort(Share* share, Duration retry_after, Instant now);
+  AdmissionAnswer FallShort(Share* share, Duration retry_after, Instant asked_first, Instant now);
   void ApplyGrant(Share* share, Capacity granted, std::int64_t term, Instant lease_end,
                   Instant now);
 
--- a/tests/libs/coordination/limits/shares_test.cpp
+++ b/tests/libs/coordination/limits/shares_test.cpp
@@ -325,6 +325,34 @@
   });
 }
 
+TEST_CASE(
+    "A burst waits until control has heard of all of it, then what exceeds the plan is refused") {
+  ShareHolder holder;
+  const Instant start = seconds(5);
+  CHECK(holder.TryAcquire("clinic", 10, start).verdict == AdmissionVerdict::kWait);
+  const SharesToRenew first = holder.BeginRequest(start);
+  const Instant second = start + milliseconds(2);
+  const Instant third = start + milliseconds(3);
+  CHECK(holder.TryAcquire("clinic", 10, second).verdict == AdmissionVerdict::kWait);
+  CHECK(holder.TryAcquire("clinic", 10, third).verdict == AdmissionVerdict::kWait);
+  LeaseAnswer answer{4, 3000, 0, 0, {}, {}, {{"clinic", first.shares.front().wanted}}, {}};
+  answer.shares.front().granted.requests_per_second = 20;
+  CHECK(holder.Apply(first.sequence, answer, start + milliseconds(5)));
+
+  // The rate brings a place for the first one soon. The others wait for a place of their own.
+  const Instant later = start + milliseconds(60);
+  CHECK(holder.TryAcquire("clinic", 10, later, start).verdict == AdmissionVerdict::kOk);
+  CHECK(holder.TryAcquire("clinic", 10, later, second).verdict == AdmissionVerdict::kWait);
+  CHECK(holder.RequestDue(start + milliseconds(100)));
+  const SharesToRenew next = holder.BeginRequest(start + milliseconds(100));
+  CHECK(next.shares.front().wanted.concurrent_requests >= 3);
+  answer.shares = {{"clinic", {100, 1000, 2}}};
+  CHECK(holder.Apply(next.sequence, answer, start + milliseconds(105)));
+  const Instant end = start + milliseconds(150);
+  CHECK(holder.TryAcquire("clinic", 10, end, second).verdict == AdmissionVerdict::kOk);
+  CHECK(holder.TryAcquire("clinic", 10, end, third).verdict == AdmissionVerdict::kRefused);
+}
+
 TEST_CASE("An expired share refuses, and says when to come back") {
   ShareHolder holder;
   const Instant start = seconds(5);
@@ -335,8 +363,10 @@
   CHECK_FALSE(holder.Apply(request.sequence, answer, start + milliseconds(6)));
   CHECK(holder.TryAcquire("clinic", 10, start + milliseconds(2969)).verdict ==
         AdmissionVerdict::kOk);
-  holder.TryAcquire("clinic", 10, start + milliseconds(2970));
-  const AdmissionAnswer late = holder.TryAcquire("clinic", 10, start + milliseconds(3600));
+  const Instant asked_first = start + milliseconds(2970);
+  CHECK(holder.TryAcquire("clinic", 10, asked_first).verdict == AdmissionVerdict::kWait);
+  const AdmissionAnswer late =
+      holder.TryAcquire("clinic", 10, start + milliseconds(3600), asked_first);
   CHECK(late.verdict == AdmissionVerdict::kRefused);
   CHECK(late.after > Duration(0));
   answer.term = 3;
