--- a/src/libs/coordination/log/log_codec.cpp
+++ b/src/libs/coordination/log/log_codec.cpp
@@ -7,25 +7,24 @@
 
 QCborValue ToCbor(std::uint64_t value) { return static_cast<qint64>(value); }
 
-QCborValue ToCbor(std::string_view bytes) {
+QCborValue ToCbor(const std::string& bytes) {
   return QByteArray(bytes.data(), static_cast<qsizetype>(bytes.size()));
 }
 
 QCborValue ToCbor(const ReplicaId& id) {
-  return QCborArray{ToCbor(std::string_view(id.name)), ToCbor(id.storage_identity)};
+  return QCborArray{ToCbor(id.name), ToCbor(id.storage_identity)};
 }
 
 QCborValue ToCbor(const Membership& membership) { return ListToCbor(membership.voters); }
 
 QCborValue ToCbor(const LogEntry& entry) {
   return QCborArray{ToCbor(entry.term), ToCbor(entry.index),
-                    ToCbor(static_cast<std::uint64_t>(entry.kind)),
-                    ToCbor(std::string_view(entry.payload))};
+                    ToCbor(static_cast<std::uint64_t>(entry.kind)), ToCbor(entry.payload)};
 }
 
 QCborValue ToCbor(const LogSnapshot& snapshot) {
   return QCborArray{ToCbor(snapshot.index), ToCbor(snapshot.term), ToCbor(snapshot.membership),
-                    ToCbor(std::string_view(snapshot.state))};
+                    ToCbor(snapshot.state)};
 }
 
 bool FromCbor(const QCborValue& value, std::uint64_t* target) {
@@ -72,8 +71,7 @@
 QCborValue FromBytes(std::string_view bytes) {
   const auto size = static_cast<qsizetype>(bytes.size());
   QCborParserError error;
-  const QCborValue value =
-      QCborValue::fromCbor(QByteArray::fromRawData(bytes.data(), size), &error);
+  QCborValue value = QCborValue::fromCbor(QByteArray::fromRawData(bytes.data(), size), &error);
   if (error.error != QCborError::NoError || error.offset != size) return QCborValue::Invalid;
   return value;
 }
--- a/src/libs/coordination/log/log_codec.h
+++ b/src/libs/coordination/log/log_codec.h
@@ -11,7 +11,7 @@
 namespace kumquat::Internal {
 
 QCborValue ToCbor(std::uint64_t value);
-QCborValue ToCbor(std::string_view bytes);
+QCborValue ToCbor(const std::string& bytes);
 QCborValue ToCbor(const ReplicaId& id);
 QCborValue ToCbor(const Membership& membership);
 QCborValue ToCbor(const LogEntry& entry);
--- a/src/libs/coordination/log/log_entry.h
+++ b/src/libs/coordination/log/log_entry.h
@@ -1,11 +1,11 @@
 // What the replicated log holds: entries, the identities of replicas, and who may vote.
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace kumquat {
@@ -18,7 +18,10 @@
   // Random, made when the data folder is first initialised. 0 addresses whoever has the name.
   std::uint64_t storage_identity = 0;
 
-  auto operator<=>(const ReplicaId&) const = default;
+  bool operator==(const ReplicaId&) const = default;
+  bool operator<(const ReplicaId& other) const {
+    return std::tie(name, storage_identity) < std::tie(other.name, other.storage_identity);
+  }
 };
 
 // The replicas whose votes and acknowledgements count.
--- a/src/libs/coordination/log/log_messages.cpp
+++ b/src/libs/coordination/log/log_messages.cpp
@@ -8,7 +8,6 @@
 namespace {
 
 using Internal::FieldsFromCbor;
-using Internal::FromCbor;
 using Internal::ListFromCbor;
 using Internal::ListToCbor;
 using Internal::ToCbor;
--- a/tests/libs/coordination/log/log_cluster.cpp
+++ b/tests/libs/coordination/log/log_cluster.cpp
@@ -41,7 +41,8 @@
 LogCluster::LogCluster(std::size_t replicas, std::uint64_t seed, const LogOptions& options)
     : random_(seed), options_(options) {
   nodes_.resize(replicas);
-  for (std::size_t i = 0; i < replicas; ++i) names_.push_back(std::string(1, char('a' + i)));
+  for (std::size_t i = 0; i < replicas; ++i)
+    names_.push_back(std::string(1, static_cast<char>('a' + i)));
   for (std::size_t i = 0; i < replicas; ++i) {
     nodes_[i].name = names_[i];
     nodes_[i].clock_rate = 0.8 + 0.1 * static_cast<double>(random_() % 5);
