--- a/tests/libs/state/storage/log_file_storage_test.cpp
+++ b/tests/libs/state/storage/log_file_storage_test.cpp
@@ -5,6 +5,7 @@
 #include <cerrno>
 #include <filesystem>
 #include <fstream>
+#include <functional>
 #include <sstream>
 #include <utility>
 
@@ -70,17 +71,33 @@
   REQUIRE(storage.Sync());
 }
 
+// Returns the length of the log before the last batch.
+std::size_t WriteThreeBatches(const Folder& folder) {
+  const auto storage = folder.Open();
+  REQUIRE(storage->Load());
+  AppendAndSync(*storage, Entry(1, 1, "first"));
+  AppendAndSync(*storage, Entry(1, 2, "second"));
+  const std::size_t length_of_two = fs::file_size(folder.FileNamed("log-"));
+  AppendAndSync(*storage, Entry(2, 3, "third"));
+  return length_of_two;
+}
+
+// Calls `check` for every byte of the first `length` that is flipped in turn.
+void FlipEachByte(const std::string& file, std::size_t length,
+                  const std::function<void(const std::string& damaged)>& check) {
+  const std::string whole = Folder::Read(file);
+  for (std::size_t offset = 0; offset < std::min(length, whole.size()); ++offset) {
+    std::string damaged = whole;
+    damaged[offset] = static_cast<char>(damaged[offset] ^ 0x10);
+    Folder::Write(file, damaged);
+    check(damaged);
+  }
+  Folder::Write(file, whole);
+}
+
 TEST_CASE("A log cut at any byte of its last record loads without that record") {
   Folder folder;
-  std::size_t length_of_two = 0;
-  {
-    const auto storage = folder.Open();
-    REQUIRE(storage->Load());
-    AppendAndSync(*storage, Entry(1, 1, "first"));
-    AppendAndSync(*storage, Entry(1, 2, "second"));
-    length_of_two = fs::file_size(folder.FileNamed("log-"));
-    AppendAndSync(*storage, Entry(2, 3, "third"));
-  }
+  const std::size_t length_of_two = WriteThreeBatches(folder);
   const std::string file = folder.FileNamed("log-");
   const std::string whole = Folder::Read(file);
   CHECK(folder.Load()->entries.size() == 3);
@@ -98,26 +115,14 @@
 
 TEST_CASE("A flipped byte before the last record is refused with file and offset") {
   Folder folder;
-  std::size_t length_of_two = 0;
-  {
-    const auto storage = folder.Open();
-    REQUIRE(storage->Load());
-    AppendAndSync(*storage, Entry(1, 1, "first"));
-    AppendAndSync(*storage, Entry(1, 2, "second"));
-    length_of_two = fs::file_size(folder.FileNamed("log-"));
-    AppendAndSync(*storage, Entry(2, 3, "third"));
-  }
+  const std::size_t length_of_two = WriteThreeBatches(folder);
   const std::string file = folder.FileNamed("log-");
-  const std::string whole = Folder::Read(file);
-  for (std::size_t offset = 0; offset < length_of_two; ++offset) {
-    std::string damaged = whole;
-    damaged[offset] = static_cast<char>(damaged[offset] ^ 0x10);
-    Folder::Write(file, damaged);
+  FlipEachByte(file, length_of_two, [&](const std::string& damaged) {
     REQUIRE(!folder.Load());
     REQUIRE(folder.last_reason().find(file) != std::string::npos);
     REQUIRE(folder.last_reason().find("offset") != std::string::npos);
     REQUIRE(Folder::Read(file) == damaged);
-  }
+  });
 }
 
 TEST_CASE("A flipped byte in vote, identity or snapshot, and a missing file, are refused") {
@@ -133,14 +138,7 @@
   }
   for (const std::string prefix : {"vote", "identity", "snapshot-"}) {
     const std::string file = folder.FileNamed(prefix);
-    const std::string whole = Folder::Read(file);
-    for (std::size_t offset = 0; offset < whole.size(); ++offset) {
-      std::string damaged = whole;
-      damaged[offset] = static_cast<char>(damaged[offset] ^ 0x10);
-      Folder::Write(file, damaged);
-      REQUIRE(!folder.Load());
-    }
-    Folder::Write(file, whole);
+    FlipEachByte(file, fs::file_size(file), [&](const std::string&) { REQUIRE(!folder.Load()); });
   }
   for (const std::string prefix : {"identity", "snapshot-", "log-"}) {
     const std::string file = folder.FileNamed(prefix);
