--- a/tests/libs/coordination/log/log_cluster.cpp
+++ b/tests/libs/coordination/log/log_cluster.cpp
@@ -41,7 +41,8 @@
 LogCluster::LogCluster(std::size_t replicas, std::uint64_t seed, const LogOptions& options)
     : random_(seed), options_(options) {
   nodes_.resize(replicas);
-  for (std::size_t i = 0; i < replicas; ++i) names_.push_back(std::string(1, char('a' + i)));
+  for (std::size_t i = 0; i < replicas; ++i)
+    names_.push_back(std::string(1, static_cast<char>('a' + i)));
   for (std::size_t i = 0; i < replicas; ++i) {
     nodes_[i].name = names_[i];
     nodes_[i].clock_rate = 0.8 + 0.1 * static_cast<double>(random_() % 5);
@@ -224,6 +225,15 @@
     if (!node.log || node.log->role() != LogRole::kLeader) continue;
     const auto [known, is_new] = leader_of_term_.try_emplace(node.log->term(), node.log->self());
     if (!is_new && known->second != node.log->self()) Violate("Two leaders in one term.");
+    std::vector<ReplicaId> voters = node.log->voters();
+    std::sort(voters.begin(), voters.end());
+    std::vector<ReplicaId>& before =
+        voters_of_term_.try_emplace(node.log->term(), voters).first->second;
+    std::vector<ReplicaId> changed;
+    std::set_symmetric_difference(voters.begin(), voters.end(), before.begin(), before.end(),
+                                  std::back_inserter(changed));
+    if (changed.size() > 1) Violate("Two voters changed at once.");
+    before = std::move(voters);
   }
 }
 
