--- a/src/libs/coordination/admission/strike_table.h
+++ b/src/libs/coordination/admission/strike_table.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "utils/hooks.h"
@@ -24,7 +25,10 @@
   std::string backend_id;
   std::int64_t incarnation = 0;
 
-  auto operator<=>(const Strike&) const = default;
+  bool operator==(const Strike&) const = default;
+  bool operator<(const Strike& other) const {
+    return std::tie(backend_id, incarnation) < std::tie(other.backend_id, other.incarnation);
+  }
 };
 
 // What is known of one request, as routers tell each other. Ages travel instead of moments, as
@@ -75,7 +79,7 @@
   bool MayPlace(const std::string& digest, const std::string& backend_id, Instant now) const;
 
   // Notes where a request runs, and that it runs no more.
-  void OnStarted(const std::string& digest, const std::string& backend_id, Instant now);
+  void OnStarted(const std::string& digest, const std::string& backend_id);
   void OnStopped(const std::string& digest, const std::string& backend_id);
 
   // Takes in what another router knows; true when it changed anything here.
@@ -102,8 +106,8 @@
   StrikeTableOptions options_;
   OwnsBackend owns_backend_;
   std::map<std::string, Entry> entries_;
-  // Suspects that run now: backend server to digests.
-  std::map<std::string, std::vector<std::string>> running_suspects_;
+  // What runs now: backend server to digests.
+  std::map<std::string, std::vector<std::string>> running_;
 };
 
 }  // namespace kumquat
