Orders to engines from the control leader

Routers report engines and demand by backends.report; the leader of the term derives the placement and sends orders over HTTP, each after a confirmed round no older than its lease. Announcements that are told again don't count as heard, so an engine that ignores fencing is really read back.

--- a/src/kumquatcontrol/control_node.cpp
+++ b/src/kumquatcontrol/control_node.cpp
@@ -4,12 +4,16 @@
 #include <QCborValue>
 #include <utility>
 
+#include "protocol/engine_messages.h"
+#include "protocol/json_fields.h"
 #include "utils/log.h"
 
 namespace kumquat {
 namespace {
 
 constexpr std::chrono::milliseconds kTickInterval{20};
+// An order that is silent for longer is given up, well within the longest life of a message.
+constexpr Duration kOrderSilence = std::chrono::seconds(2);
 
 }  // namespace
 
@@ -18,9 +22,13 @@
     : options_(std::move(options)),
       service_(options_.service,
                {SteadyClock(), [this](std::string_view name) { return AddressOf(name); },
-                [this](std::int64_t revision) { AnnounceRevision(revision); }},
+                [this](std::int64_t revision) { AnnounceRevision(revision); },
+                [this](const Announcement& engine, const EngineOrder& order) {
+                  SendOrder(engine, order);
+                }},
                &state_),
-      rpc_(MakeRpcServer()) {
+      rpc_(MakeRpcServer()),
+      backend_client_(MakeHttpBackendClient()) {
   service_.AddMethods(rpc_.get());
   server_ =
       MakeFrameServer([this](const std::shared_ptr<FrameConnection>& connection, FrameKind kind,
@@ -110,4 +118,31 @@
   server_->Broadcast(FrameKind::kCbor, announcement.toCborValue().toCbor().toStdString());
 }
 
+void ControlNode::SendOrder(const Announcement& engine, const EngineOrder& order) {
+  const std::int64_t number = order.fencing_number;
+  LogEvent(LogLevel::kInfo, "order_sent",
+           {{"engine", engine.backend_id}, {"number", number}, {"models", order.models.size()}});
+  BackendCallRequest request;
+  request.endpoint = engine.endpoint;
+  request.target = "/orders";
+  request.headers = {{"Content-Type", "application/json"}};
+  request.body = ToJsonText(ToJson(order));
+  request.timeouts.first_byte = kOrderSilence;
+  request.new_connection = true;
+  BackendCallHooks hooks;
+  hooks.on_headers = [](int, const HttpHeaders&) {};
+  hooks.on_data = [](std::string_view) {};
+  hooks.on_end = [this, number] { OrderEnded(number, "answered"); };
+  hooks.on_failure = [this, number](CallFailure failure, std::string_view) {
+    OrderEnded(number, CallFailureName(failure));
+  };
+  orders_[number] = backend_client_->Start(std::move(request), std::move(hooks));
+}
+
+void ControlNode::OrderEnded(std::int64_t fencing_number, std::string_view outcome) {
+  LogEvent(LogLevel::kDebug, "order_ended", {{"number", fencing_number}, {"outcome", outcome}});
+  // The call can't be destroyed within its own hook.
+  QTimer::singleShot(0, &tick_, [this, fencing_number] { orders_.erase(fencing_number); });
+}
+
 }  // namespace kumquat
--- a/src/kumquatcontrol/control_node.h
+++ b/src/kumquatcontrol/control_node.h
@@ -11,6 +11,7 @@
 #include "coordination/log/replicated_log.h"
 #include "state/control/control_state.h"
 #include "state/control_service/control_service.h"
+#include "transport/backend_client.h"
 #include "transport/frame_link.h"
 #include "transport/rpc.h"
 #include "utils/endpoint.h"
@@ -48,6 +49,8 @@
                 std::string_view payload);
   void Send(const LogMessage& message);
   void AnnounceRevision(std::int64_t revision);
+  void SendOrder(const Announcement& engine, const EngineOrder& order);
+  void OrderEnded(std::int64_t fencing_number, std::string_view outcome);
 
   ControlNodeOptions options_;
   std::string last_reason_;
@@ -57,6 +60,9 @@
   std::unique_ptr<FrameServer> server_;
   std::map<std::string, std::unique_ptr<FrameLink>, std::less<>> links_;
   std::unique_ptr<ReplicatedLog> log_;
+  std::unique_ptr<BackendClient> backend_client_;
+  // Orders under way, by fencing number.
+  std::map<std::int64_t, std::unique_ptr<BackendCall>> orders_;
   QTimer tick_;
   QTimer flush_;
 };
--- a/src/kumquatcontrol/main.cpp
+++ b/src/kumquatcontrol/main.cpp
@@ -26,6 +26,7 @@
   std::string data_dir;
   std::string log_level = "info";
   std::int64_t snapshot_entries = 10'000;
+  std::int64_t loads_at_once = 2;
 };
 
 void Declare(Settings* settings, SettingsReader* reader) {
@@ -47,6 +48,10 @@
               "Shortest silence of the leader before an election.");
   reader->Add("election_longest_ms", &node.log.election_timeout_max, {200, 20'000},
               "Longest silence of the leader before an election.");
+  reader->Add("loads_at_once", &settings->loads_at_once, {1, 1000},
+              "Engines that may load weights at the same time.");
+  reader->Add("order_message_life_ms", &node.service.orders.message_life, {500, 60'000},
+              "Longest time from sending an order to its last possible effect.");
   reader->Add("snapshot_entries", &settings->snapshot_entries, {10, 1'000'000},
               "Entries of the log after which a snapshot is taken.");
 }
@@ -63,6 +68,7 @@
     return *status;
   }
   settings.node.log.snapshot_after_entries = static_cast<std::uint64_t>(settings.snapshot_entries);
+  settings.node.service.orders.loads_at_once = static_cast<std::size_t>(settings.loads_at_once);
   ConfigureLog(settings.node.instance, LogLevelFromName(settings.log_level));
   const QCoreApplication application(argc, argv);
   LogFileStorage storage(settings.data_dir, SystemRandom());
--- a/src/libs/state/control_service/control_service.cpp
+++ b/src/libs/state/control_service/control_service.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "protocol/json_fields.h"
+#include "state/control_service/engine_orders.h"
 #include "state/control_service/leader_term.h"
 #include "utils/log.h"
 
@@ -17,6 +18,8 @@
   return {ErrorKind::kBadRequest, std::move(reason), std::nullopt};
 }
 
+const RpcReply kIgnore = [](const QJsonObject&) {};
+
 QJsonArray PeersJson(const LogStatus& status) {
   QJsonArray peers;
   for (const LogStatus::Peer& peer : status.peers) {
@@ -63,6 +66,7 @@
   add(control_method::kGetList, &ControlService::GetList);
   add(control_method::kSetList, &ControlService::SetList);
   add(control_method::kStatus, &ControlService::Status);
+  add(control_method::kReportBackends, &ControlService::ReportBackends);
 }
 
 void ControlService::OnChanged() {
@@ -74,12 +78,16 @@
 void ControlService::BeginTerm() {
   LogEvent(LogLevel::kInfo, "control_leads", {{"term", log_->term()}});
   leading_ = std::make_unique<Internal::LeaderTerm>(log_->term(), options_.lease, *state_, Now());
+  engine_orders_ = std::make_unique<Internal::EngineOrders>(
+      options_.orders, hooks_.send_order, static_cast<std::int64_t>(log_->term()), Now());
   next_clock_mark_ = Now() + options_.clock_mark_interval;
+  next_orders_ = Now() + options_.order_interval;
 }
 
 void ControlService::EndTerm() {
   LogEvent(LogLevel::kInfo, "control_leads_no_more", {{"term", leading_->term()}});
   leading_.reset();
+  engine_orders_.reset();
   // Some of these may still be committed by the next leader; the callers ask it again.
   const auto pending = std::exchange(pending_, {});
   for (const auto& [index, call] : pending) Refuse(call.reply, NotLeader());
@@ -104,10 +112,23 @@
   if (!leading_) return;
   leading_->Expire(Now());
   AnswerEditsInForce();
-  if (Now() < next_clock_mark_) return;
+  if (Now() >= next_clock_mark_) MarkClock();
+  if (leading_ && Now() >= next_orders_) OrderEngines();
+}
+
+void ControlService::MarkClock() {
   next_clock_mark_ = Now() + options_.clock_mark_interval;
-  const RpcReply ignore = [](const QJsonObject&) {};
-  Propose(ClockMark{}, ignore, ignore);
+  Propose(ClockMark{}, kIgnore, kIgnore);
+}
+
+void ControlService::OrderEngines() {
+  next_orders_ = Now() + options_.order_interval;
+  if (engine_orders_->engines() == 0) return;
+  // The next leader waits for this long before it orders.
+  const Instant send_before = Now() + options_.orders.leader_lease;
+  WhenConfirmed(kIgnore, [this, send_before] {
+    if (Now() < send_before) engine_orders_->Advance(state_->lists().lists().allowances, Now());
+  });
 }
 
 Error ControlService::NotLeader() const {
@@ -233,6 +254,15 @@
   edit.reply(ToJson(ListAnswer{edit.revision, {}, {}, in_force}));
 }
 
+void ControlService::ReportBackends(const QJsonObject& params, const RpcReply& reply) {
+  std::string reason;
+  const auto report = ParseBackendReport(params, &reason);
+  if (!report) return Refuse(reply, BadRequest(reason));
+  if (!leading_) return Refuse(reply, NotLeader());
+  engine_orders_->OnReport(*report, Now());
+  reply({});
+}
+
 void ControlService::Status(const QJsonObject& /*params*/, const RpcReply& reply) {
   QJsonObject status = StatusJson(log_->status());
   const Lists& lists = state_->lists().lists();
@@ -240,6 +270,7 @@
   status["allowances_revision"] = static_cast<qint64>(lists.allowances_revision);
   status["claims"] = static_cast<qint64>(state_->claims().size());
   status["voters"] = ToJsonArray(VoterAddresses());
+  status["engines"] = static_cast<qint64>(engine_orders_ ? engine_orders_->engines() : 0);
   status["routers"] = static_cast<qint64>(leading_ ? leading_->routers() : 0);
   reply(status);
 }
--- a/src/libs/state/control_service/control_service.h
+++ b/src/libs/state/control_service/control_service.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "coordination/log/replicated_log.h"
+#include "coordination/orders/order_scheduler.h"
 #include "protocol/control_messages.h"
 #include "state/control/control_state.h"
 #include "transport/rpc.h"
@@ -19,6 +20,7 @@
 namespace kumquat {
 
 namespace Internal {
+class EngineOrders;
 class LeaderTerm;
 }  // namespace Internal
 
@@ -29,6 +31,9 @@
   Duration edit_patience = std::chrono::seconds(8);
   // The leader moves the logical clock on this often.
   Duration clock_mark_interval = std::chrono::minutes(1);
+  // The placement of models is looked at this often.
+  Duration order_interval = std::chrono::milliseconds(500);
+  OrderSchedulerOptions orders;
   // Further calls are refused while this many wait for the log.
   std::size_t max_pending_calls = 20'000;
 };
@@ -39,6 +44,8 @@
   std::function<std::string(std::string_view name)> address_of;
   // Tells all routers that a list has reached this revision, so that they renew at once.
   std::function<void(std::int64_t revision)> announce_revision;
+  // Sends an order to an engine, once.
+  OrderScheduler::Send send_order;
 };
 
 // Serves the methods of control_method from the replicated log and its state. Only the leader
@@ -75,6 +82,7 @@
   void GetList(const QJsonObject& params, const RpcReply& reply);
   void SetList(const QJsonObject& params, const RpcReply& reply);
   void Status(const QJsonObject& params, const RpcReply& reply);
+  void ReportBackends(const QJsonObject& params, const RpcReply& reply);
 
  private:
   // A command that was proposed in the present term and is not applied yet.
@@ -102,6 +110,8 @@
   void EditApplied(ListName list, const QJsonObject& answer, const RpcReply& reply);
   void AnswerEditsInForce();
   void AnswerEdit(const WaitingEdit& edit, bool in_force) const;
+  void MarkClock();
+  void OrderEngines();
   std::vector<std::string> VoterAddresses() const;
   Instant Now() const { return hooks_.clock(); }
 
@@ -111,10 +121,12 @@
   ReplicatedLog* log_ = nullptr;
   // There while this replica leads.
   std::unique_ptr<Internal::LeaderTerm> leading_;
+  std::unique_ptr<Internal::EngineOrders> engine_orders_;
   // By index in the log.
   std::map<std::uint64_t, Pending> pending_;
   std::vector<WaitingEdit> waiting_edits_;
   Instant next_clock_mark_{0};
+  Instant next_orders_{0};
 };
 
 }  // namespace kumquat
--- a/tests/libs/protocol/control_messages_test.cpp
+++ b/tests/libs/protocol/control_messages_test.cpp
@@ -4,6 +4,8 @@
 
 #include <QJsonArray>
 
+#include "protocol/backend_report.h"
+
 namespace kumquat {
 namespace {
 
@@ -28,6 +30,12 @@
   }
   const ClaimFinish finish{id, recorded};
   CHECK(ParseClaimFinish(ToJson(finish), &reason) == finish);
+  Announcement engine;
+  engine.backend_id = "e1";
+  engine.endpoint = {"127.0.0.1", 8080};
+  engine.failure_domain = "d1";
+  const BackendReport report{"r1", {engine}, {{{"m", "", "v1"}, 3}}};
+  CHECK(ParseBackendReport(ToJson(report), &reason) == report);
   const ListEdit edit{ListName::kAllowances, 4, QJsonObject{{"allowances", QJsonArray{}}}};
   CHECK(ParseListEdit(ToJson(edit), &reason) == edit);
   const ListAnswer refused{4, Error{ErrorKind::kListInvalid, "Empty.", std::nullopt}, {}, false};
--- a/tests/libs/state/control_service/control_service_test.cpp
+++ b/tests/libs/state/control_service/control_service_test.cpp
@@ -6,6 +6,7 @@
 #include <random>
 
 #include "libs/coordination/log/memory_log_storage.h"
+#include "protocol/backend_report.h"
 
 namespace kumquat {
 namespace {
@@ -79,12 +80,16 @@
   }
 
   std::vector<std::int64_t> announced;
+  std::vector<std::pair<std::string, EngineOrder>> orders;
 
  private:
   ControlServiceHooks Hooks() {
     return {[this] { return now_; },
             [](std::string_view name) { return std::string(name) + "@127.0.0.1:1"; },
-            [this](std::int64_t revision) { announced.push_back(revision); }};
+            [this](std::int64_t revision) { announced.push_back(revision); },
+            [this](const Announcement& engine, const EngineOrder& order) {
+              orders.push_back({engine.backend_id, order});
+            }};
   }
 
   Instant now_{seconds(1)};
@@ -196,5 +201,51 @@
   CHECK(list->value()["revision"].toInt() == 1);
 }
 
+TEST_CASE("Engines are ordered to hold what the allowances reach") {
+  Fixture fixture;
+  fixture.Lead();
+  const ModelVersion model{"m", "", "v2"};
+  const AllowanceList allowances = {{"large", {model}, {}, {1, 100, 10}, 1, true}};
+  fixture.Edit({ListName::kAllowances, 0, ToJson(allowances)}, seconds(7));
+
+  BackendReport report{"r1", {}, {{model, 3}}};
+  for (const bool checks_fencing : {true, false}) {
+    Announcement engine;
+    engine.backend_id = checks_fencing ? "checks" : "ignores";
+    engine.endpoint = {"127.0.0.1", 1};
+    engine.failure_domain = "d1";
+    engine.incarnation = 1;
+    engine.checks_fencing = checks_fencing;
+    engine.models = {{"m", "", "v1"}};
+    report.announcements.push_back(engine);
+  }
+  const auto tell = [&] {
+    for (Announcement& engine : report.announcements) ++engine.sequence;
+    const auto result = fixture.Call(&ControlService::ReportBackends, ToJson(report));
+    CHECK(!result->value().contains("error"));
+    fixture.Run(seconds(1));
+  };
+  tell();
+  REQUIRE(fixture.orders.size() == 1);
+  CHECK(fixture.orders[0].first == "checks");
+  CHECK(fixture.orders[0].second.models == std::vector<ModelVersion>{model});
+  report.announcements[0].models = {model};
+  for (int i = 0; i < 10; ++i) tell();
+  REQUIRE(fixture.orders.size() >= 2);
+  CHECK(fixture.orders[1].first == "ignores");
+  CHECK(fixture.orders[1].second.fencing_number > fixture.orders[0].second.fencing_number);
+  report.announcements[1].models = {model};
+  tell();
+  const std::size_t orders = fixture.orders.size();
+
+  // A restarted engine is brought back.
+  report.announcements[0].incarnation = 2;
+  report.announcements[0].models = {{"m", "", "v1"}};
+  tell();
+  REQUIRE(fixture.orders.size() == orders + 1);
+  CHECK(fixture.orders.back().first == "checks");
+  CHECK(ErrorName(*fixture.Call(&ControlService::ReportBackends, {})) == "bad_request");
+}
+
 }  // namespace
 }  // namespace kumquat
