--- a/src/libs/coordination/placement/placement.cpp
+++ b/src/libs/coordination/placement/placement.cpp
@@ -72,6 +72,8 @@
   tracker_->SetRouters(options.routers);
 }
 
+PlacementPolicy::PlacementPolicy(PlacementPolicy&&) noexcept = default;
+
 PlacementPolicy::~PlacementPolicy() = default;
 
 std::optional<PlacementChoice> PlacementPolicy::Choose(std::span<const Candidate> candidates,
--- a/src/libs/coordination/placement/placement.h
+++ b/src/libs/coordination/placement/placement.h
@@ -78,6 +78,7 @@
 class PlacementPolicy {
  public:
   PlacementPolicy(const PlacementOptions& options, Random random);
+  PlacementPolicy(PlacementPolicy&&) noexcept;
   ~PlacementPolicy();
 
   // Returns the engine to use; nothing when no candidate is serving.
--- a/src/libs/state/index/prefix_index.cpp
+++ b/src/libs/state/index/prefix_index.cpp
@@ -64,22 +64,25 @@
   }
 }
 
-void PrefixIndex::Correct(std::string_view backend_id, std::int64_t incarnation,
-                          std::span<const BlockId> prompt, std::int64_t cached_pieces) {
+void PrefixIndex::Computed(std::string_view backend_id, std::int64_t incarnation,
+                           std::span<const BlockId> prompt) {
   const auto slot = Current(backend_id, incarnation);
   if (!slot) return;
   const auto id = static_cast<std::uint16_t>(*slot);
-  const auto cached = static_cast<std::size_t>(std::max<std::int64_t>(cached_pieces, 0));
-  if (cached < prompt.size() && (table_->Sources(prompt[cached], id) & Internal::kConfirmed) != 0) {
-    ++wrong_beliefs_;
-    ++holders_[*slot].wrong_beliefs_since_resync;
-  }
   for (const BlockId& block : prompt) {
     table_->Add(block, id, Internal::kConfirmed);
     table_->Remove(block, id, Internal::kExpected);
   }
 }
 
+void PrefixIndex::Correct(std::string_view backend_id, std::int64_t incarnation,
+                          std::int64_t believed_pieces, std::int64_t cached_pieces) {
+  const auto slot = Current(backend_id, incarnation);
+  if (!slot || cached_pieces >= believed_pieces) return;
+  ++wrong_beliefs_;
+  ++holders_[*slot].wrong_beliefs_since_resync;
+}
+
 void PrefixIndex::Retract(std::string_view backend_id, std::int64_t incarnation,
                           std::span<const BlockId> prompt) {
   const auto slot = Current(backend_id, incarnation);
--- a/src/libs/state/index/prefix_index.h
+++ b/src/libs/state/index/prefix_index.h
@@ -110,11 +110,15 @@
   void Expect(std::string_view backend_id, std::int64_t incarnation,
               std::span<const BlockId> prompt);
 
-  // An answer counted this many leading pieces of the prompt as cached when it began. What events
-  // had said beyond them was wrong; now that the engine has computed it, it holds the whole prompt.
-  // An engine that is wrong about again and again has drifted, and is due for a resync.
-  void Correct(std::string_view backend_id, std::int64_t incarnation,
-               std::span<const BlockId> prompt, std::int64_t cached_pieces);
+  // The first token of the prompt's answer came: the engine holds all its pieces now.
+  void Computed(std::string_view backend_id, std::int64_t incarnation,
+                std::span<const BlockId> prompt);
+
+  // An answer counted fewer leading pieces as cached than were believed when it was sent. The
+  // engine has computed them since, so no belief goes; but an engine that is wrong about again and
+  // again has drifted, and is due for a resync.
+  void Correct(std::string_view backend_id, std::int64_t incarnation, std::int64_t believed_pieces,
+               std::int64_t cached_pieces);
 
   // An attempt failed: what was only expected of it is believed no longer.
   void Retract(std::string_view backend_id, std::int64_t incarnation,
