Placement: no draft subset; drafts weigh what they recompute instead

Drafts share their organisation's catalogue with replies, so a subset holds a second copy of it. A missing token now weighs more than its own time, for each class.

--- a/bench/placement/policies.h
+++ b/bench/placement/policies.h
@@ -20,9 +20,8 @@
 // the router's own requests under way.
 std::unique_ptr<Policy> MakeBoundedHashing(Fleet& fleet, const Deployment& deployment);
 
-// Sees every engine's true cache and queue at the moment of its choice, and weighs them as the
-// project's policy does.
-std::unique_ptr<Policy> MakeClairvoyant(Fleet& fleet, const Deployment& deployment,
-                                        const PlacementOptions& options);
+// Sees every engine's true cache and queue at the moment of its choice, and takes the engine with
+// the least time to first token.
+std::unique_ptr<Policy> MakeClairvoyant(Fleet& fleet, const Deployment& deployment);
 
 }  // namespace kumquat::bench
--- a/bench/placement/trace.cpp
+++ b/bench/placement/trace.cpp
@@ -75,7 +75,10 @@
   session.organisation = static_cast<int>(dice.Weighted(organisation_weights));
   session.is_draft = dice.Unit() < deployment.draft_share;
   session.catalogue = dice.Unit() < kHotCatalogueShare ? 0 : kCatalogues - 1;
-  session.customer = static_cast<int>(dice.Weighted(customer_weights));
+  // Drafts go through customers evenly, with documents of their own.
+  session.customer = session.is_draft
+                         ? static_cast<int>(dice.Between(kCustomers, 2 * kCustomers - 1))
+                         : static_cast<int>(dice.Weighted(customer_weights));
   session.id = dice.Bits();
   return session;
 }
--- a/src/libs/coordination/placement/placement.cpp
+++ b/src/libs/coordination/placement/placement.cpp
@@ -22,17 +22,8 @@
   return XXH3_64bits_withSeed(backend_id.data(), backend_id.size(), seed);
 }
 
-// Drafts keep to the engines that hash into this share of the range.
-bool IsDraftEngine(std::string_view backend_id, double share) {
-  constexpr double kRange = 18446744073709551616.0;
-  return static_cast<double>(RendezvousScore(backend_id, 0)) < share * kRange;
-}
-
-constexpr double kUsPerMsPerThousand = 1.0;
-
-double ComputeUs(double tokens, double ms_per_1k_tokens) {
-  return tokens * ms_per_1k_tokens * kUsPerMsPerThousand;
-}
+// Milliseconds for a thousand tokens are microseconds for one.
+double ComputeUs(double tokens, double ms_per_1k_tokens) { return tokens * ms_per_1k_tokens; }
 
 // Sets what is missing, and imports where that is cheaper than computing.
 void PlanPrefill(const Candidate& candidate, const PlacementRequest& request,
@@ -105,11 +96,10 @@
       Internal::QueueUs(candidate, load, request.request_class, tracker_->mean_decode());
   const double prefill_us = Internal::PrefillUs(candidate, scored.choice);
   scored.choice.expected_first_token = Duration(static_cast<std::int64_t>(queue_us + prefill_us));
-  scored.score_us = queue_us + prefill_us * (1 + options_.recompute_weight);
-  if (request.request_class == RequestClass::kDraft &&
-      !Internal::IsDraftEngine(candidate.backend_id, options_.draft_share)) {
-    scored.score_us += static_cast<double>(options_.draft_detour.count());
-  }
+  const double weight = request.request_class == RequestClass::kReply
+                            ? options_.reply_recompute_weight
+                            : options_.draft_recompute_weight;
+  scored.score_us = queue_us + prefill_us * (1 + weight);
 }
 
 // Where nobody holds anything of the prompt, routers that decide at the same moment should agree,
--- a/src/libs/coordination/placement/placement.h
+++ b/src/libs/coordination/placement/placement.h
@@ -60,12 +60,10 @@
 struct PlacementOptions {
   // Routers that share the engines, this one included: its own dispatches are a sample of theirs.
   std::int64_t routers = 1;
-  // Weight of a recomputed token's cost to later requests, in units of its own prefill time.
-  double recompute_weight = 1.0;
-  // Share of the engines that drafts keep to while these are not overloaded.
-  double draft_share = 0.34;
-  // Expected time that a draft has to gain before it leaves them.
-  Duration draft_detour = std::chrono::seconds(4);
+  // Weight of a missing token's cost to other requests, in units of its own prefill time: the
+  // prefill delays those that come after, and what it stores evicts what they would have hit.
+  double reply_recompute_weight = 0.7;
+  double draft_recompute_weight = 0.7;
   // Choices within this much of the best one are equal, and are told apart at random.
   Duration tie = std::chrono::milliseconds(2);
 };
