--- a/bench/placement/policies.cpp
+++ b/bench/placement/policies.cpp
@@ -39,6 +39,13 @@
     for (int router = 0; router < deployment.routers; ++router) {
       routers_.emplace_back(options, [this] { return dice_.Bits(); });
     }
+    static const int kDigest = getenv("DG") ? atoi(getenv("DG")) : 100;
+    if (kDigest > 0) {
+      for (std::size_t router = 0; router < routers_.size(); ++router) {
+        fleet.time.After(std::chrono::milliseconds(7 * router),
+                         [this, router] { TellPeers(router); });
+      }
+    }
   }
 
   Pick Choose(int router, const TraceRequest& request) override {
@@ -96,6 +103,19 @@
 
   const std::string& IdOf(std::size_t engine) const { return fleet_.engines[engine]->id(); }
 
+  void TellPeers(std::size_t router) {
+    static const int kDigest = getenv("DG") ? atoi(getenv("DG")) : 100;
+    fleet_.time.After(kNoteDelay,
+                      [this, router, loads = routers_[router].TakeSentLoads(fleet_.time.now())] {
+                        for (std::size_t peer = 0; peer < routers_.size(); ++peer) {
+                          if (peer == router) continue;
+                          routers_[peer].PeerSent(std::to_string(router), loads, fleet_.time.now());
+                        }
+                      });
+    if (fleet_.time.now() < Instant(std::chrono::seconds(700)))
+      fleet_.time.After(std::chrono::milliseconds(kDigest), [this, router] { TellPeers(router); });
+  }
+
   std::vector<Candidate> Candidates(const TraceRequest& request) {
     const auto beliefs = index_.Lookup(request.blocks);
     const auto importable = static_cast<std::int64_t>(fleet_.ImportablePieces(request));
--- a/src/libs/coordination/placement/placement.cpp
+++ b/src/libs/coordination/placement/placement.cpp
@@ -141,6 +141,15 @@
   tracker_->Reported(backend_id, incarnation, load, measured_at);
 }
 
+std::vector<SentLoad> PlacementPolicy::TakeSentLoads(Instant now) {
+  return tracker_->TakeSentLoads(now);
+}
+
+void PlacementPolicy::PeerSent(std::string_view router, std::span<const SentLoad> loads,
+                               Instant now) {
+  tracker_->PeerSent(router, loads, now);
+}
+
 void PlacementPolicy::Forget(std::string_view backend_id) { tracker_->Forget(backend_id); }
 
 void PlacementPolicy::SetRouters(std::int64_t routers) { tracker_->SetRouters(routers); }
--- a/src/libs/coordination/placement/placement.h
+++ b/src/libs/coordination/placement/placement.h
@@ -7,7 +7,9 @@
 #include <memory>
 #include <optional>
 #include <span>
+#include <string>
 #include <string_view>
+#include <vector>
 
 #include "protocol/announcement.h"
 #include "protocol/lists.h"
@@ -68,6 +70,18 @@
   Duration tie = std::chrono::milliseconds(2);
 };
 
+// What one router has sent to an engine that waits for its first token. Routers tell each other,
+// since engines' own reports lag.
+struct SentLoad {
+  std::string backend_id;
+  std::int64_t incarnation = 0;
+  // Prompt tokens to compute, of replies and of all classes.
+  std::int64_t reply_tokens = 0;
+  std::int64_t tokens = 0;
+
+  bool operator==(const SentLoad&) const = default;
+};
+
 // One dispatch under way.
 using DispatchId = std::uint64_t;
 
@@ -101,6 +115,14 @@
   void Reported(std::string_view backend_id, std::int64_t incarnation, const BackendLoad& load,
                 Instant measured_at);
 
+  // Returns what to tell the other routers now: the engines whose load from this router changed
+  // since the last call, and from time to time those where it waits long. Tell even if it is empty:
+  // a router that is not heard from for 1.5 s is guessed again.
+  std::vector<SentLoad> TakeSentLoads(Instant now);
+
+  // Another router told what it sent.
+  void PeerSent(std::string_view router, std::span<const SentLoad> loads, Instant now);
+
   // The engine is gone for good.
   void Forget(std::string_view backend_id);
 
--- a/src/libs/coordination/placement/placement_tracker.cpp
+++ b/src/libs/coordination/placement/placement_tracker.cpp
@@ -10,9 +10,25 @@
 // How fast what other routers' requests made of a report loses its meaning.
 constexpr double kReportHalfLifeUs = 700'000;
 
+// How much of what other routers sent is guessed from this router's own dispatches; the rest is
+// guessed from their average.
+constexpr double kLikenessWeight = 0.5;
+
+// A peer that is silent for longer is guessed like one that never told anything.
+constexpr Duration kPeerSilence = std::chrono::milliseconds(1500);
+
+// What is sent waits seldom for longer than this; if it does, it is told again.
+constexpr Duration kRefreshInterval = std::chrono::seconds(1);
+
 // Weight of the newest value in running averages.
 constexpr double kAverageWeight = 0.05;
 
+// Returns how much a report of this age still says, from 1 down to 0.
+double TrustAt(Duration age) {
+  const double age_us = static_cast<double>(std::max(age, Duration::zero()).count());
+  return std::exp2(-age_us / kReportHalfLifeUs);
+}
+
 double Average(double mean, double value) { return mean + kAverageWeight * (value - mean); }
 
 }  // namespace
@@ -33,12 +49,14 @@
   const auto found = engines_.find(backend_id);
   if (found == engines_.end() || found->second.incarnation != incarnation) return load;
   const Engine& engine = found->second;
-  const Instant measured_at = engine.measured_at.value_or(now);
-  const double age_us = static_cast<double>(std::max(now - measured_at, Duration::zero()).count());
-  const double trust = std::exp2(-age_us / kReportHalfLifeUs);
+  // Before the first report nothing is known of what others sent.
+  const Instant measured_at = engine.measured_at.value_or(Instant::min());
+  const double trust = engine.measured_at ? TrustAt(now - measured_at) : 0;
   // Other routers see what this one sees and do as it does: what it sent since the report was true
-  // stands for as much from each of them.
-  const double likeness = 1 + (1 - trust) * static_cast<double>(routers_ - 1);
+  // stands for as much from each of them, and is weighed against their average.
+  const double unheard = UnheardShare(now);
+  const double likeness =
+      1 + unheard * kLikenessWeight * (1 - trust) * static_cast<double>(routers_ - 1);
   for (const Dispatch& dispatch : engine.dispatches) {
     const double weight = dispatch.sent_at > measured_at ? likeness : 1;
     if (dispatch.RunsAt(now)) load.requests += weight;
@@ -46,14 +64,67 @@
     load.tokens += weight * dispatch.tokens;
     if (dispatch.is_reply) load.reply_tokens += weight * dispatch.tokens;
   }
-  const auto mix = [&](double last, double mean) { return trust * last + (1 - trust) * mean; };
-  const double others = mix(engine.others_tokens, engine.mean_others_tokens);
-  load.tokens += others;
-  load.reply_tokens += others * reply_share_;
-  load.requests += mix(engine.others_requests, engine.mean_others_requests);
+  const double doubt = (1 - trust) * (1 - kLikenessWeight);
+  const double others = trust * engine.others_tokens + doubt * engine.mean_others_tokens;
+  load.tokens += unheard * others;
+  load.reply_tokens += unheard * others * reply_share_;
+  load.requests += trust * engine.others_requests + (1 - trust) * engine.mean_others_requests;
+  for (const auto& [router, peer] : peers_) {
+    if (!peer.IsHeard(now)) continue;
+    const auto told = peer.loads.find(backend_id);
+    if (told == peer.loads.end() || told->second.incarnation != incarnation) continue;
+    load.tokens += static_cast<double>(told->second.tokens);
+    load.reply_tokens += static_cast<double>(told->second.reply_tokens);
+  }
   return load;
 }
 
+std::vector<SentLoad> PlacementTracker::TakeSentLoads(Instant now) {
+  std::vector<SentLoad> loads;
+  for (auto& [backend_id, engine] : engines_) {
+    SentLoad load{.backend_id = backend_id, .incarnation = engine.incarnation};
+    for (const Dispatch& dispatch : engine.dispatches) {
+      if (!dispatch.WaitsAt(now)) continue;
+      load.tokens += static_cast<std::int64_t>(dispatch.tokens);
+      if (dispatch.is_reply) load.reply_tokens += static_cast<std::int64_t>(dispatch.tokens);
+    }
+    const bool is_due = load.tokens != 0 && now - engine.told_at >= kRefreshInterval;
+    if (load.tokens == engine.told_tokens && !is_due) continue;
+    engine.told_tokens = load.tokens;
+    engine.told_at = now;
+    loads.push_back(std::move(load));
+  }
+  return loads;
+}
+
+void PlacementTracker::PeerSent(std::string_view router, std::span<const SentLoad> loads,
+                                Instant now) {
+  auto found = peers_.find(router);
+  if (found == peers_.end()) found = peers_.emplace(router, Peer{}).first;
+  Peer& peer = found->second;
+  if (!peer.IsHeard(now)) peer.loads.clear();
+  peer.heard_at = now;
+  for (const SentLoad& load : loads) {
+    const auto told = peer.loads.find(load.backend_id);
+    if (told != peer.loads.end() && told->second.incarnation > load.incarnation) continue;
+    if (load.tokens == 0) {
+      if (told != peer.loads.end()) peer.loads.erase(told);
+    } else {
+      peer.loads.insert_or_assign(load.backend_id, load);
+    }
+  }
+}
+
+bool PlacementTracker::Peer::IsHeard(Instant now) const { return now - heard_at < kPeerSilence; }
+
+// Returns the share of the other routers whose dispatches have to be guessed.
+double PlacementTracker::UnheardShare(Instant now) const {
+  if (routers_ <= 1) return 0;
+  const auto heard = std::count_if(peers_.begin(), peers_.end(),
+                                   [&](const auto& entry) { return entry.second.IsHeard(now); });
+  return std::max(0.0, 1 - static_cast<double>(heard) / static_cast<double>(routers_ - 1));
+}
+
 DispatchId PlacementTracker::Dispatched(const Candidate& candidate, RequestClass request_class,
                                         std::int64_t missing_tokens, Instant now) {
   const DispatchId id = ++last_dispatch_;
--- a/src/libs/coordination/placement/placement_tracker.h
+++ b/src/libs/coordination/placement/placement_tracker.h
@@ -39,6 +39,9 @@
                 Instant measured_at);
   void Forget(std::string_view backend_id);
 
+  std::vector<SentLoad> TakeSentLoads(Instant now);
+  void PeerSent(std::string_view router, std::span<const SentLoad> loads, Instant now);
+
  private:
   // One of this router's own dispatches, kept until a report is newer than its end.
   struct Dispatch {
@@ -62,6 +65,9 @@
     double mean_others_tokens = 0;
     double mean_others_requests = 0;
     std::vector<Dispatch> dispatches;
+    // What peers were told last.
+    std::int64_t told_tokens = 0;
+    Instant told_at{};
   };
 
   struct StringHash {
@@ -71,10 +77,23 @@
     }
   };
 
+  template <typename Value>
+  using ByName = std::unordered_map<std::string, Value, StringHash, std::equal_to<>>;
+
+  // Another router, with what it told of its dispatches that wait for a first token.
+  struct Peer {
+    Instant heard_at{};
+    ByName<SentLoad> loads;
+
+    bool IsHeard(Instant now) const;
+  };
+
+  double UnheardShare(Instant now) const;
   Engine* EngineOf(std::string_view backend_id, std::int64_t incarnation);
   Dispatch* Find(DispatchId dispatch);
 
-  std::unordered_map<std::string, Engine, StringHash, std::equal_to<>> engines_;
+  ByName<Engine> engines_;
+  ByName<Peer> peers_;
   // Which engine each dispatch under way went to.
   std::unordered_map<DispatchId, std::string> engine_of_dispatch_;
   DispatchId last_dispatch_ = 0;
