--- a/bench/placement/main.cpp
+++ b/bench/placement/main.cpp
@@ -17,6 +17,7 @@
 DEFINE_int32(threads, 4, "Simulations to run at once.");
 DEFINE_double(reply_weight, -1, "Overrides the policy's reply_recompute_weight.");
 DEFINE_double(draft_weight, -1, "Overrides the policy's draft_recompute_weight.");
+DEFINE_int32(tell_ms, 100, "Interval at which routers tell each other what waits; 0 for never.");
 DEFINE_bool(classes, true, "Prints each class, besides all requests.");
 
 namespace kumquat::bench {
@@ -48,7 +49,7 @@
 // The project's policy is first, the clairvoyant last.
 std::vector<NamedPolicy> Policies() {
   const auto kumquat = [](Fleet& fleet, const Deployment& deployment) {
-    return MakeKumquat(fleet, deployment, Options());
+    return MakeKumquat(fleet, deployment, Options(), milliseconds(FLAGS_tell_ms));
   };
   return {{"kumquat", kumquat},
           {"round robin", MakeRoundRobin},
--- a/bench/placement/policies.cpp
+++ b/bench/placement/policies.cpp
@@ -16,6 +16,7 @@
 constexpr std::size_t kIndexEntries = 20'000;
 constexpr std::size_t kHashedPieces = 4;
 constexpr double kLoadBound = 1.25;
+constexpr double kTieUs = 2000;
 
 std::vector<std::size_t> LiveEngines(const Fleet& fleet) {
   std::vector<std::size_t> live;
@@ -31,20 +32,21 @@
 
 class Kumquat : public Policy {
  public:
-  Kumquat(Fleet& fleet, const Deployment& deployment, PlacementOptions options)
+  Kumquat(Fleet& fleet, const Deployment& deployment, PlacementOptions options,
+          Duration tell_interval)
       : fleet_(fleet),
+        end_(2 * deployment.length),
+        tell_interval_(tell_interval),
         index_(kIndexEntries),
         dice_(static_cast<std::uint64_t>(deployment.engines)) {
     options.routers = deployment.routers;
     for (int router = 0; router < deployment.routers; ++router) {
       routers_.emplace_back(options, [this] { return dice_.Bits(); });
     }
-    static const int kDigest = getenv("DG") ? atoi(getenv("DG")) : 100;
-    if (kDigest > 0) {
-      for (std::size_t router = 0; router < routers_.size(); ++router) {
-        fleet.time.After(std::chrono::milliseconds(7 * router),
-                         [this, router] { TellPeers(router); });
-      }
+    if (tell_interval_ == Duration::zero()) return;
+    for (std::size_t router = 0; router < routers_.size(); ++router) {
+      const Duration offset = kTellOffset * static_cast<int>(router);
+      fleet.time.After(offset, [this, router] { TellPeers(router); });
     }
   }
 
@@ -100,20 +102,20 @@
 
  private:
   static constexpr Duration kNoteDelay = std::chrono::milliseconds(1);
+  static constexpr Duration kTellOffset = std::chrono::milliseconds(7);
 
   const std::string& IdOf(std::size_t engine) const { return fleet_.engines[engine]->id(); }
 
   void TellPeers(std::size_t router) {
-    static const int kDigest = getenv("DG") ? atoi(getenv("DG")) : 100;
-    fleet_.time.After(kNoteDelay,
-                      [this, router, loads = routers_[router].TakeSentLoads(fleet_.time.now())] {
-                        for (std::size_t peer = 0; peer < routers_.size(); ++peer) {
-                          if (peer == router) continue;
-                          routers_[peer].PeerSent(std::to_string(router), loads, fleet_.time.now());
-                        }
-                      });
-    if (fleet_.time.now() < Instant(std::chrono::seconds(700)))
-      fleet_.time.After(std::chrono::milliseconds(kDigest), [this, router] { TellPeers(router); });
+    auto tell = [this, router, loads = routers_[router].TakeSentLoads(fleet_.time.now())] {
+      for (std::size_t peer = 0; peer < routers_.size(); ++peer) {
+        if (peer == router) continue;
+        routers_[peer].PeerSent(std::to_string(router), loads, fleet_.time.now());
+      }
+    };
+    fleet_.time.After(kNoteDelay, std::move(tell));
+    if (fleet_.time.now() > end_) return;
+    fleet_.time.After(tell_interval_, [this, router] { TellPeers(router); });
   }
 
   std::vector<Candidate> Candidates(const TraceRequest& request) {
@@ -140,6 +142,8 @@
   }
 
   Fleet& fleet_;
+  Instant end_;
+  Duration tell_interval_;
   PrefixIndex index_;
   Dice dice_;
   std::vector<PlacementPolicy> routers_;
@@ -273,7 +277,7 @@
     const auto best = std::min_element(
         all.begin(), all.end(),
         [](const auto& left, const auto& right) { return left.score_us < right.score_us; });
-    const double limit = best->score_us + static_cast<double>(PlacementOptions().tie.count());
+    const double limit = best->score_us + kTieUs;
     std::erase_if(all, [&](const Scored& scored) { return scored.score_us > limit; });
     const auto by_hash = [](const auto& left, const auto& right) { return left.hash < right.hash; };
     if (all.front().is_cold) return std::max_element(all.begin(), all.end(), by_hash)->pick;
@@ -313,8 +317,8 @@
 }  // namespace
 
 std::unique_ptr<Policy> MakeKumquat(Fleet& fleet, const Deployment& deployment,
-                                    const PlacementOptions& options) {
-  return std::make_unique<Kumquat>(fleet, deployment, options);
+                                    const PlacementOptions& options, Duration tell_interval) {
+  return std::make_unique<Kumquat>(fleet, deployment, options, tell_interval);
 }
 
 std::unique_ptr<Policy> MakeRoundRobin(Fleet& fleet, const Deployment& deployment) {
--- a/bench/placement/policies.h
+++ b/bench/placement/policies.h
@@ -8,9 +8,10 @@
 
 namespace kumquat::bench {
 
-// The project's own: each router with its own state, one prefix index with late events.
+// The project's own: each router with its own state, one prefix index with late events. Routers
+// tell each other what waits at this interval; never for 0.
 std::unique_ptr<Policy> MakeKumquat(Fleet& fleet, const Deployment& deployment,
-                                    const PlacementOptions& options);
+                                    const PlacementOptions& options, Duration tell_interval);
 
 std::unique_ptr<Policy> MakeRoundRobin(Fleet& fleet, const Deployment& deployment);
 std::unique_ptr<Policy> MakeLeastLoad(Fleet& fleet, const Deployment& deployment);
--- a/src/libs/coordination/placement/placement.cpp
+++ b/src/libs/coordination/placement/placement.cpp
@@ -22,18 +22,21 @@
   return XXH3_64bits_withSeed(backend_id.data(), backend_id.size(), seed);
 }
 
+// The most that waiting drafts are taken to hold up a reply by.
+constexpr double kMostTokensOfDraft = 25'000;
+
 // Milliseconds for a thousand tokens are microseconds for one.
 double ComputeUs(double tokens, double ms_per_1k_tokens) { return tokens * ms_per_1k_tokens; }
 
-// Sets what is missing, and imports where that is cheaper than computing.
+// Imports where that is cheaper than computing. What can be imported is named even if the engine is
+// believed to hold it: the belief may be wrong.
 void PlanPrefill(const Candidate& candidate, const PlacementRequest& request,
                  PlacementChoice& choice) {
+  const bool is_cheaper = candidate.import_ms_per_1k_tokens < candidate.prefill_ms_per_1k_tokens;
+  choice.import_tokens =
+      is_cheaper ? std::min(candidate.importable_tokens, request.prompt_tokens) : 0;
   const std::int64_t cached = std::min(candidate.cached_tokens, request.prompt_tokens);
-  const std::int64_t importable = std::min(candidate.importable_tokens, request.prompt_tokens);
-  const bool imports =
-      importable > cached && candidate.import_ms_per_1k_tokens < candidate.prefill_ms_per_1k_tokens;
-  choice.import_tokens = imports ? importable : 0;
-  choice.missing_tokens = request.prompt_tokens - (imports ? importable : cached);
+  choice.missing_tokens = request.prompt_tokens - std::max(cached, choice.import_tokens);
 }
 
 // Returns the time that the engine spends on the request before its first token.
@@ -46,7 +49,12 @@
 
 double QueueUs(const Candidate& candidate, const LoadEstimate& load, RequestClass request_class,
                Duration mean_decode) {
-  const double ahead = request_class == RequestClass::kReply ? load.reply_tokens : load.tokens;
+  double ahead = load.tokens;
+  if (request_class == RequestClass::kReply) {
+    // Replies go first, but a draft's prefill that has begun is not broken off.
+    const double drafts = std::min(load.tokens - load.reply_tokens, kMostTokensOfDraft);
+    ahead = load.reply_tokens + drafts / 2;
+  }
   const double slots =
       static_cast<double>(std::max<std::int64_t>(1, candidate.concurrent_requests));
   const double over = std::max(0.0, load.requests + 1 - slots);
@@ -125,7 +133,7 @@
 
 DispatchId PlacementPolicy::Dispatched(const Candidate& candidate, const PlacementRequest& request,
                                        const PlacementChoice& choice, Instant now) {
-  return tracker_->Dispatched(candidate, request.request_class, choice.missing_tokens, now);
+  return tracker_->Dispatched(candidate, request.request_class, choice, now);
 }
 
 void PlacementPolicy::FirstToken(DispatchId dispatch, Instant now) {
--- a/src/libs/coordination/placement/placement.h
+++ b/src/libs/coordination/placement/placement.h
@@ -55,7 +55,8 @@
   Duration expected_first_token{};
   // Prompt tokens that the engine will have to compute, after the import if there is one.
   std::int64_t missing_tokens = 0;
-  // Leading prompt tokens worth importing from the store of kept cache; 0 for no import.
+  // Leading prompt tokens to import from the store of kept cache, as far as the engine turns out
+  // not to hold them; 0 for no import.
   std::int64_t import_tokens = 0;
 };
 
@@ -65,7 +66,7 @@
   // Weight of a missing token's cost to other requests, in units of its own prefill time: the
   // prefill delays those that come after, and what it stores evicts what they would have hit.
   double reply_recompute_weight = 0.7;
-  double draft_recompute_weight = 0.7;
+  double draft_recompute_weight = 0.4;
   // Choices within this much of the best one are equal, and are told apart at random.
   Duration tie = std::chrono::milliseconds(2);
 };
--- a/src/libs/coordination/placement/placement_tracker.cpp
+++ b/src/libs/coordination/placement/placement_tracker.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 // How fast what other routers' requests made of a report loses its meaning.
-constexpr double kReportHalfLifeUs = 700'000;
+constexpr Duration kReportHalfLife = std::chrono::milliseconds(800);
 
 // How much of what other routers sent is guessed from this router's own dispatches; the rest is
 // guessed from their average.
@@ -17,16 +17,20 @@
 // A peer that is silent for longer is guessed like one that never told anything.
 constexpr Duration kPeerSilence = std::chrono::milliseconds(1500);
 
-// What is sent waits seldom for longer than this; if it does, it is told again.
-constexpr Duration kRefreshInterval = std::chrono::seconds(1);
+// Peers are told again of an engine when its waiting tokens changed by this much.
+constexpr std::int64_t kToldStepTokens = 1024;
+
+// Past states of what peers told that are kept for each engine.
+constexpr std::size_t kMostTold = 128;
 
 // Weight of the newest value in running averages.
 constexpr double kAverageWeight = 0.05;
 
 // Returns how much a report of this age still says, from 1 down to 0.
 double TrustAt(Duration age) {
-  const double age_us = static_cast<double>(std::max(age, Duration::zero()).count());
-  return std::exp2(-age_us / kReportHalfLifeUs);
+  const auto age_us = static_cast<double>(std::max(age, Duration::zero()).count());
+  const double ratio = age_us / static_cast<double>(kReportHalfLife.count());
+  return std::exp2(-ratio * ratio);
 }
 
 double Average(double mean, double value) { return mean + kAverageWeight * (value - mean); }
@@ -61,22 +65,32 @@
     const double weight = dispatch.sent_at > measured_at ? likeness : 1;
     if (dispatch.RunsAt(now)) load.requests += weight;
     if (!dispatch.WaitsAt(now)) continue;
-    load.tokens += weight * dispatch.tokens;
-    if (dispatch.is_reply) load.reply_tokens += weight * dispatch.tokens;
+    const double tokens = weight * dispatch.tokens;
+    load.tokens += tokens;
+    if (dispatch.is_reply) load.reply_tokens += tokens;
   }
   const double doubt = (1 - trust) * (1 - kLikenessWeight);
-  const double others = trust * engine.others_tokens + doubt * engine.mean_others_tokens;
-  load.tokens += unheard * others;
-  load.reply_tokens += unheard * others * reply_share_;
+  const double others = trust * engine.others_tokens + unheard * doubt * engine.mean_others_tokens;
+  load.tokens += others;
+  load.reply_tokens += others * reply_share_;
   load.requests += trust * engine.others_requests + (1 - trust) * engine.mean_others_requests;
+  const LoadEstimate told = ToldByPeers(backend_id, incarnation, now);
+  load.tokens = std::max(0.0, load.tokens + told.tokens);
+  load.reply_tokens = std::max(0.0, load.reply_tokens + told.reply_tokens);
+  return load;
+}
+
+LoadEstimate PlacementTracker::ToldByPeers(std::string_view backend_id, std::int64_t incarnation,
+                                           Instant now) const {
+  LoadEstimate told;
   for (const auto& [router, peer] : peers_) {
     if (!peer.IsHeard(now)) continue;
-    const auto told = peer.loads.find(backend_id);
-    if (told == peer.loads.end() || told->second.incarnation != incarnation) continue;
-    load.tokens += static_cast<double>(told->second.tokens);
-    load.reply_tokens += static_cast<double>(told->second.reply_tokens);
+    const auto found = peer.loads.find(backend_id);
+    if (found == peer.loads.end() || found->second.incarnation != incarnation) continue;
+    told.tokens += static_cast<double>(found->second.tokens);
+    told.reply_tokens += static_cast<double>(found->second.reply_tokens);
   }
-  return load;
+  return told;
 }
 
 std::vector<SentLoad> PlacementTracker::TakeSentLoads(Instant now) {
@@ -85,13 +99,13 @@
     SentLoad load{.backend_id = backend_id, .incarnation = engine.incarnation};
     for (const Dispatch& dispatch : engine.dispatches) {
       if (!dispatch.WaitsAt(now)) continue;
-      load.tokens += static_cast<std::int64_t>(dispatch.tokens);
-      if (dispatch.is_reply) load.reply_tokens += static_cast<std::int64_t>(dispatch.tokens);
+      const auto tokens = static_cast<std::int64_t>(dispatch.tokens);
+      load.tokens += tokens;
+      if (dispatch.is_reply) load.reply_tokens += tokens;
     }
-    const bool is_due = load.tokens != 0 && now - engine.told_at >= kRefreshInterval;
-    if (load.tokens == engine.told_tokens && !is_due) continue;
+    const bool is_settled = (load.tokens == 0) == (engine.told_tokens == 0);
+    if (is_settled && std::abs(load.tokens - engine.told_tokens) < kToldStepTokens) continue;
     engine.told_tokens = load.tokens;
-    engine.told_at = now;
     loads.push_back(std::move(load));
   }
   return loads;
@@ -112,9 +126,20 @@
     } else {
       peer.loads.insert_or_assign(load.backend_id, load);
     }
+    RememberTold(load.backend_id, load.incarnation, now);
   }
 }
 
+// Keeps what peers told of an engine until a report is as new.
+void PlacementTracker::RememberTold(std::string_view backend_id, std::int64_t incarnation,
+                                    Instant now) {
+  Engine* const engine = EngineOf(backend_id, incarnation);
+  if (engine == nullptr) return;
+  const double tokens = ToldByPeers(backend_id, incarnation, now).tokens;
+  engine->told.push_back({.at = now, .tokens = tokens});
+  if (engine->told.size() > kMostTold) engine->told.pop_front();
+}
+
 bool PlacementTracker::Peer::IsHeard(Instant now) const { return now - heard_at < kPeerSilence; }
 
 // Returns the share of the other routers whose dispatches have to be guessed.
@@ -126,7 +151,7 @@
 }
 
 DispatchId PlacementTracker::Dispatched(const Candidate& candidate, RequestClass request_class,
-                                        std::int64_t missing_tokens, Instant now) {
+                                        const PlacementChoice& choice, Instant now) {
   const DispatchId id = ++last_dispatch_;
   Engine* const engine = EngineOf(candidate.backend_id, candidate.incarnation);
   if (engine == nullptr) return id;
@@ -134,7 +159,7 @@
   reply_share_ = Average(reply_share_, is_reply ? 1 : 0);
   Dispatch dispatch;
   dispatch.id = id;
-  dispatch.tokens = static_cast<double>(missing_tokens);
+  dispatch.tokens = static_cast<double>(choice.missing_tokens);
   dispatch.is_reply = is_reply;
   dispatch.sent_at = now;
   engine->dispatches.push_back(dispatch);
@@ -174,9 +199,11 @@
   }
   const auto tokens = static_cast<double>(load.queued_tokens);
   const auto requests = static_cast<double>(load.running_requests + load.queued_requests);
-  engine->others_tokens = std::max(0.0, tokens - own_tokens);
+  const double told_tokens = engine->ToldAt(measured_at);
+  engine->others_tokens = std::max(0.0, tokens - own_tokens - told_tokens);
   engine->others_requests = std::max(0.0, requests - own_requests);
-  engine->mean_others_tokens = Average(engine->mean_others_tokens, engine->others_tokens);
+  engine->mean_others_tokens =
+      Average(engine->mean_others_tokens, std::max(0.0, tokens - own_tokens));
   engine->mean_others_requests = Average(engine->mean_others_requests, engine->others_requests);
   std::erase_if(engine->dispatches, [&](const Dispatch& dispatch) {
     return dispatch.ended_at && *dispatch.ended_at <= measured_at;
@@ -208,6 +235,12 @@
   return &engine;
 }
 
+// Returns what peers had told by that moment, and drops what is older.
+double PlacementTracker::Engine::ToldAt(Instant moment) {
+  while (told.size() > 1 && told[1].at <= moment) told.pop_front();
+  return told.empty() || told.front().at > moment ? 0 : told.front().tokens;
+}
+
 PlacementTracker::Dispatch* PlacementTracker::Find(DispatchId dispatch) {
   const auto entry = engine_of_dispatch_.find(dispatch);
   if (entry == engine_of_dispatch_.end()) return nullptr;
--- a/src/libs/coordination/placement/placement_tracker.h
+++ b/src/libs/coordination/placement/placement_tracker.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -32,7 +33,7 @@
   Duration mean_decode() const { return mean_decode_; }
 
   DispatchId Dispatched(const Candidate& candidate, RequestClass request_class,
-                        std::int64_t missing_tokens, Instant now);
+                        const PlacementChoice& choice, Instant now);
   void FirstToken(DispatchId dispatch, Instant now);
   void Ended(DispatchId dispatch, Instant now);
   void Reported(std::string_view backend_id, std::int64_t incarnation, const BackendLoad& load,
@@ -56,18 +57,27 @@
     bool RunsAt(Instant moment) const;
   };
 
+  // What all peers together had told of an engine from a moment on.
+  struct Told {
+    Instant at{};
+    double tokens = 0;
+  };
+
   struct Engine {
     std::int64_t incarnation = 0;
     std::optional<Instant> measured_at;
-    // What other routers' requests made of the report, and its average over reports.
+    // What in the report neither this router nor its peers know of.
     double others_tokens = 0;
     double others_requests = 0;
+    // Averages over reports of what other routers' requests made of them.
     double mean_others_tokens = 0;
     double mean_others_requests = 0;
     std::vector<Dispatch> dispatches;
     // What peers were told last.
     std::int64_t told_tokens = 0;
-    Instant told_at{};
+    std::deque<Told> told;
+
+    double ToldAt(Instant moment);
   };
 
   struct StringHash {
@@ -88,6 +98,9 @@
     bool IsHeard(Instant now) const;
   };
 
+  LoadEstimate ToldByPeers(std::string_view backend_id, std::int64_t incarnation,
+                           Instant now) const;
+  void RememberTold(std::string_view backend_id, std::int64_t incarnation, Instant now);
   double UnheardShare(Instant now) const;
   Engine* EngineOf(std::string_view backend_id, std::int64_t incarnation);
   Dispatch* Find(DispatchId dispatch);
