--- a/src/libs/coordination/placement/placement_tracker.cpp
+++ b/src/libs/coordination/placement/placement_tracker.cpp
@@ -23,6 +23,9 @@
 // Past states of what peers told that are kept for each engine.
 constexpr std::size_t kMostTold = 128;
 
+// Reports that are older are not waited for.
+constexpr Duration kOldestReport = std::chrono::seconds(10);
+
 // Weight of the newest value in running averages.
 constexpr double kAverageWeight = 0.05;
 
@@ -157,6 +160,9 @@
   if (engine == nullptr) return id;
   const bool is_reply = request_class == RequestClass::kReply;
   reply_share_ = Average(reply_share_, is_reply ? 1 : 0);
+  std::erase_if(engine->dispatches, [&](const Dispatch& sent) {
+    return sent.ended_at && now - *sent.ended_at > kOldestReport;
+  });
   Dispatch dispatch;
   dispatch.id = id;
   dispatch.tokens = static_cast<double>(choice.missing_tokens);
