--- a/src/kumquatrouter/chat_exchange.cpp
+++ b/src/kumquatrouter/chat_exchange.cpp
@@ -272,7 +272,7 @@
   if (tokens_sent_ == 0) {
     services_.metrics->Observe("kumquat_first_token_seconds", MetricLabels(),
                                Seconds(now - start_.received));
-    if (attempt_) services_.engines->FirstToken(attempt_->dispatch);
+    if (attempt_) services_.engines->FirstToken(attempt_->dispatch, demand_);
   } else {
     services_.metrics->Observe("kumquat_token_interval_seconds", MetricLabels(),
                                Seconds(now - last_token_at_));
--- a/src/kumquatrouter/engine_selector.cpp
+++ b/src/kumquatrouter/engine_selector.cpp
@@ -63,7 +63,7 @@
 
 EngineDispatch EngineSelector::Dispatched(const EngineDemand& demand,
                                           const BackendChoice& backend) {
-  EngineDispatch dispatch{0, backend};
+  EngineDispatch dispatch{0, backend, 0};
   ++running_[backend.backend_id];
   const CandidateSet set = CandidatesFor(demand, {}, {}, true);
   const auto place = std::find(set.backends.begin(), set.backends.end(), backend);
@@ -72,14 +72,17 @@
         set.candidates[static_cast<std::size_t>(place - set.backends.begin())];
     PlacementChoice choice = last_choice_.value_or(PlacementChoice{});
     choice.missing_tokens = demand.prefix.prompt_tokens - candidate.cached_tokens;
+    dispatch.believed_pieces = candidate.cached_tokens / kPieceTokens;
     dispatch.id = policy_.Dispatched(candidate, RequestOf(demand), choice, clock_());
   }
   index_->Expect(backend.backend_id, backend.incarnation, demand.prefix.blocks);
   return dispatch;
 }
 
-void EngineSelector::FirstToken(const EngineDispatch& dispatch) {
+void EngineSelector::FirstToken(const EngineDispatch& dispatch, const EngineDemand& demand) {
   policy_.FirstToken(dispatch.id, clock_());
+  const BackendChoice& backend = dispatch.backend;
+  index_->Computed(backend.backend_id, backend.incarnation, demand.prefix.blocks);
 }
 
 void EngineSelector::Finished(const EngineDispatch& dispatch, const EngineDemand& demand,
@@ -87,7 +90,7 @@
   --running_[dispatch.backend.backend_id];
   policy_.Finished(dispatch.id, clock_());
   index_->Correct(dispatch.backend.backend_id, dispatch.backend.incarnation, demand.prefix.blocks,
-                  cached_tokens / kPieceTokens);
+                  dispatch.believed_pieces, cached_tokens / kPieceTokens);
 }
 
 void EngineSelector::Failed(const EngineDispatch& dispatch, const EngineDemand& demand) {
--- a/src/kumquatrouter/engine_selector.h
+++ b/src/kumquatrouter/engine_selector.h
@@ -35,6 +35,8 @@
 struct EngineDispatch {
   DispatchId id = 0;
   BackendChoice backend;
+  // Leading pieces that the engine was believed to hold.
+  std::int64_t believed_pieces = 0;
 };
 
 class EngineSelector {
@@ -56,7 +58,7 @@
 
   // The attempt goes out to the engine that was chosen.
   EngineDispatch Dispatched(const EngineDemand& demand, const BackendChoice& backend);
-  void FirstToken(const EngineDispatch& dispatch);
+  void FirstToken(const EngineDispatch& dispatch, const EngineDemand& demand);
   void Finished(const EngineDispatch& dispatch, const EngineDemand& demand,
                 std::int64_t cached_tokens);
   void Failed(const EngineDispatch& dispatch, const EngineDemand& demand);
@@ -64,6 +66,12 @@
   void LoadReported(const Announcement& engine, Instant measured_at);
   void SetRouters(std::size_t routers);
 
+  // What routers tell each other of the work that they sent and that still waits.
+  std::vector<SentLoad> TakeSentLoads() { return policy_.TakeSentLoads(clock_()); }
+  void PeerSent(std::string_view router, std::span<const SentLoad> loads) {
+    policy_.PeerSent(router, loads, clock_());
+  }
+
  private:
   // Candidates with the members that they stand for.
   struct CandidateSet {
--- a/src/kumquatrouter/index_messages.cpp
+++ b/src/kumquatrouter/index_messages.cpp
@@ -76,6 +76,27 @@
   return names;
 }
 
+QJsonObject ToJson(const std::vector<SentLoad>& loads) {
+  QJsonArray array;
+  for (const SentLoad& load : loads) {
+    array.append(QJsonArray{ToQString(load.backend_id), static_cast<qint64>(load.incarnation),
+                            static_cast<qint64>(load.reply_tokens),
+                            static_cast<qint64>(load.tokens)});
+  }
+  return {{"loads", array}};
+}
+
+std::optional<std::vector<SentLoad>> ParseSentLoads(const QJsonObject& json) {
+  std::vector<SentLoad> loads;
+  JsonFields fields(json);
+  for (const QJsonValue& item : fields.Array("loads", kMaxBeliefs)) {
+    const QJsonArray values = item.toArray();
+    loads.push_back({values[0].toString().toStdString(), values[1].toInteger(),
+                     values[2].toInteger(), values[3].toInteger()});
+  }
+  return Finish(fields, std::move(loads));
+}
+
 QJsonObject ToJson(const LookupMessage& message) {
   QJsonArray segments;
   for (const auto& segment : message.segments) segments.append(BlocksJson(segment));
@@ -115,6 +136,7 @@
           {"backend", ToQString(message.backend_id)},
           {"incarnation", static_cast<qint64>(message.incarnation)},
           {"segment", BlocksJson(message.segment)},
+          {"believed", static_cast<qint64>(message.believed_pieces)},
           {"cached", static_cast<qint64>(message.cached_pieces)}};
 }
 
@@ -125,6 +147,7 @@
   fields.Read("kind", &kind, 0, static_cast<std::int64_t>(IndexNoteKind::kRetract))
       .Read("backend", &message.backend_id)
       .Read("incarnation", &message.incarnation)
+      .Read("believed", &message.believed_pieces)
       .Read("cached", &message.cached_pieces);
   message.kind = static_cast<IndexNoteKind>(kind);
   message.segment = ReadBlocks(fields, "segment");
--- a/src/kumquatrouter/index_messages.h
+++ b/src/kumquatrouter/index_messages.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "coordination/placement/placement.h"
 #include "coordination/prefix/prefix_identity.h"
 #include "state/index/prefix_index.h"
 
@@ -51,7 +52,7 @@
   std::vector<std::vector<EngineBelief>> beliefs;
 };
 
-enum class IndexNoteKind { kExpect, kCorrect, kRetract };
+enum class IndexNoteKind { kExpect, kComputed, kCorrect, kRetract };
 
 // Tells the owner of a segment what a router learned from its own dispatch.
 struct IndexNote {
@@ -59,7 +60,8 @@
   std::string backend_id;
   std::int64_t incarnation = 0;
   std::vector<BlockId> segment;
-  // kCorrect: leading pieces of the segment that were cached.
+  // kCorrect: leading pieces of the segment that were believed to be cached, and that were.
+  std::int64_t believed_pieces = 0;
   std::int64_t cached_pieces = 0;
 };
 
@@ -70,6 +72,10 @@
   bool is_contents = false;
 };
 
+// What a router tells the others of the work that it sent.
+QJsonObject ToJson(const std::vector<SentLoad>& loads);
+std::optional<std::vector<SentLoad>> ParseSentLoads(const QJsonObject& json);
+
 QJsonObject ToJson(const LookupMessage& message);
 QJsonObject ToJson(const LookupAnswer& message);
 QJsonObject ToJson(const IndexNote& message);
--- a/src/kumquatrouter/index_service.cpp
+++ b/src/kumquatrouter/index_service.cpp
@@ -146,28 +146,44 @@
 
 void IndexService::Expect(std::string_view backend_id, std::int64_t incarnation,
                           std::span<const BlockId> prompt) {
-  NoteEach(IndexNoteKind::kExpect, backend_id, incarnation, prompt, 0);
+  NoteEach(IndexNoteKind::kExpect, backend_id, incarnation, prompt);
 }
 
-void IndexService::Correct(std::string_view backend_id, std::int64_t incarnation,
-                           std::span<const BlockId> prompt, std::int64_t cached_pieces) {
-  NoteEach(IndexNoteKind::kCorrect, backend_id, incarnation, prompt, cached_pieces);
+void IndexService::Computed(std::string_view backend_id, std::int64_t incarnation,
+                            std::span<const BlockId> prompt) {
+  NoteEach(IndexNoteKind::kComputed, backend_id, incarnation, prompt);
 }
 
 void IndexService::Retract(std::string_view backend_id, std::int64_t incarnation,
                            std::span<const BlockId> prompt) {
-  NoteEach(IndexNoteKind::kRetract, backend_id, incarnation, prompt, 0);
+  NoteEach(IndexNoteKind::kRetract, backend_id, incarnation, prompt);
+}
+
+void IndexService::Correct(std::string_view backend_id, std::int64_t incarnation,
+                           std::span<const BlockId> prompt, std::int64_t believed_pieces,
+                           std::int64_t cached_pieces) {
+  if (cached_pieces >= believed_pieces) return;
+  NoteEach(IndexNoteKind::kCorrect, backend_id, incarnation, prompt,
+           [=](std::int64_t first_piece, IndexNote* note) {
+             const auto size = static_cast<std::int64_t>(note->segment.size());
+             note->believed_pieces =
+                 std::clamp(believed_pieces - first_piece, std::int64_t{0}, size);
+             note->cached_pieces = std::clamp(cached_pieces - first_piece, std::int64_t{0}, size);
+             return note->cached_pieces < note->believed_pieces;
+           });
 }
 
 void IndexService::NoteEach(IndexNoteKind kind, std::string_view backend_id,
                             std::int64_t incarnation, std::span<const BlockId> prompt,
-                            std::int64_t cached_pieces) {
+                            const FillNote& fill) {
   for (std::size_t i = 0; i < SegmentCount(prompt); ++i) {
     const auto segment = SegmentOf(prompt, i);
-    const auto before = static_cast<std::int64_t>(i * kSegmentPieces);
-    IndexNote note{kind, std::string(backend_id), incarnation, {segment.begin(), segment.end()}, 0};
-    note.cached_pieces = std::clamp(cached_pieces - before, std::int64_t{0},
-                                    static_cast<std::int64_t>(segment.size()));
+    IndexNote note;
+    note.kind = kind;
+    note.backend_id = backend_id;
+    note.incarnation = incarnation;
+    note.segment.assign(segment.begin(), segment.end());
+    if (fill && !fill(static_cast<std::int64_t>(i * kSegmentPieces), &note)) continue;
     const std::string owner(owners_.OwnerOf(segment.front()));
     if (owner.empty() || owner == self_) {
       Note(note);
@@ -181,8 +197,11 @@
   switch (note.kind) {
     case IndexNoteKind::kExpect:
       return shard_.Expect(note.backend_id, note.incarnation, note.segment);
+    case IndexNoteKind::kComputed:
+      return shard_.Computed(note.backend_id, note.incarnation, note.segment);
     case IndexNoteKind::kCorrect:
-      return shard_.Correct(note.backend_id, note.incarnation, note.segment, note.cached_pieces);
+      return shard_.Correct(note.backend_id, note.incarnation, note.believed_pieces,
+                            note.cached_pieces);
     case IndexNoteKind::kRetract:
       return shard_.Retract(note.backend_id, note.incarnation, note.segment);
   }
--- a/src/kumquatrouter/index_service.h
+++ b/src/kumquatrouter/index_service.h
@@ -35,13 +35,17 @@
   // once, at once or after the owners have answered, at the latest after kLookupPatience.
   void Lookup(std::span<const BlockId> prompt, OnBeliefs on_beliefs);
 
-  // The prompt went out to the engine; its answer counted so many cached pieces; it failed.
+  // What this router learned from its own dispatch of the prompt: it went out to the engine; its
+  // first token came; it failed; its answer counted other cached pieces than were believed.
   void Expect(std::string_view backend_id, std::int64_t incarnation,
               std::span<const BlockId> prompt);
-  void Correct(std::string_view backend_id, std::int64_t incarnation,
-               std::span<const BlockId> prompt, std::int64_t cached_pieces);
+  void Computed(std::string_view backend_id, std::int64_t incarnation,
+                std::span<const BlockId> prompt);
   void Retract(std::string_view backend_id, std::int64_t incarnation,
                std::span<const BlockId> prompt);
+  void Correct(std::string_view backend_id, std::int64_t incarnation,
+               std::span<const BlockId> prompt, std::int64_t believed_pieces,
+               std::int64_t cached_pieces);
 
   // An engine is known to run in this incarnation, or is gone.
   void Observe(std::string_view backend_id, std::int64_t incarnation);
@@ -73,8 +77,10 @@
   std::vector<EngineBelief> LookupHere(std::span<const BlockId> segment);
   void Complete(std::int64_t id);
   void Note(const IndexNote& note);
+  // Fills in one segment's part of a note; false when the segment's owner need not hear of it.
+  using FillNote = std::function<bool(std::int64_t first_piece, IndexNote* note)>;
   void NoteEach(IndexNoteKind kind, std::string_view backend_id, std::int64_t incarnation,
-                std::span<const BlockId> prompt, std::int64_t cached_pieces);
+                std::span<const BlockId> prompt, const FillNote& fill = {});
   void Apply(const CacheEventsMessage& message);
   void SendToOwner(const std::string& owner, const CacheEventsMessage& message);
   void ReceiveLookup(const std::string& from, const QJsonObject& body);
--- a/src/kumquatrouter/peer_network.h
+++ b/src/kumquatrouter/peer_network.h
@@ -23,6 +23,7 @@
   kCacheEvents,
   kIndexNote,
   kResync,
+  kSentLoads,
   kLookup,
   kLookupAnswer,
 };
--- a/src/kumquatrouter/router.cpp
+++ b/src/kumquatrouter/router.cpp
@@ -24,6 +24,7 @@
 // A router that has just started waits for its lease and its picture of the backend servers instead
 // of refusing, for this long and at this interval.
 constexpr Duration kStartupGrace = std::chrono::seconds(3);
+constexpr Duration kSentLoadInterval = std::chrono::milliseconds(100);
 constexpr Duration kStartupRetry = std::chrono::milliseconds(20);
 constexpr int kStatusOk = 200;
 constexpr int kStatusAccepted = 202;
@@ -97,6 +98,11 @@
                       [this](const std::string& /*from*/, const QJsonObject& body) {
                         cache_follower_->Resync(body["engine"].toString().toStdString());
                       });
+  network_.SetHandler(PeerMessageType::kSentLoads,
+                      [this](const std::string& from, const QJsonObject& body) {
+                        const auto loads = ParseSentLoads(body);
+                        if (loads) engines_.PeerSent(from, *loads);
+                      });
   membership_.OnBackendDown([this](const std::string& id, std::int64_t incarnation) {
     const auto chats = chats_;
     for (const auto& [key, chat] : chats) chat->OnBackendDown({id, incarnation});
@@ -134,6 +140,7 @@
   auto* context = new QObject;
   StartTimer(context, ControlClient::kTickInterval, [this] { TickOften(); });
   StartTimer(context, MembershipService::kTickInterval, [this] { TickMembership(); });
+  StartTimer(context, kSentLoadInterval, [this] { SendSentLoads(); });
   LogEvent(LogLevel::kInfo, "router_started",
            {{"listen", settings_.listen.ToString()},
             {"peer_listen", settings_.peer_listen.ToString()},
@@ -179,6 +186,13 @@
   SetGauges();
 }
 
+void Router::SendSentLoads() {
+  const QJsonObject body = ToJson(engines_.TakeSentLoads());
+  for (const std::string& peer : network_.connected_peers()) {
+    network_.Send(peer, PeerMessageType::kSentLoads, body);
+  }
+}
+
 void Router::RequestResyncs() {
   for (const std::string& engine : index_.shard().needs_resync()) {
     const std::string keeper = membership_.FirstKeeperOf(engine);
--- a/src/kumquatrouter/router.h
+++ b/src/kumquatrouter/router.h
@@ -62,6 +62,7 @@
   void TickOften();
   void TickMembership();
   void RequestResyncs();
+  void SendSentLoads();
   void SetGauges();
   void CheckDrained();
 
