--- a/src/fakes/engine/answer_text.cpp
+++ b/src/fakes/engine/answer_text.cpp
@@ -9,7 +9,7 @@
 
 std::string AnswerHash(const QJsonArray& messages) {
   std::string text;
-  for (const QJsonValue& value : messages) {
+  for (const auto& value : messages) {
     const QJsonObject message = value.toObject();
     text += message.value(QLatin1String("role")).toString().toStdString() + '\0';
     text += message.value(QLatin1String("content")).toString().toStdString() + '\0';
--- a/src/fakes/engine/engine_model.h
+++ b/src/fakes/engine/engine_model.h
@@ -5,11 +5,11 @@
 // other running requests.
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "engine/prefix_cache.h"
@@ -82,7 +82,9 @@
     RequestClass request_class;
     std::uint64_t job;
 
-    auto operator<=>(const QueueKey&) const = default;
+    bool operator<(const QueueKey& other) const {
+      return std::tie(request_class, job) < std::tie(other.request_class, other.job);
+    }
   };
   struct Running {
     EngineJob job;
--- a/src/fakes/engine/main.cpp
+++ b/src/fakes/engine/main.cpp
@@ -3,8 +3,8 @@
 
 #include <QCoreApplication>
 
-#include "common/termination.h"
 #include "engine/engine_server.h"
+#include "transport/termination_signal.h"
 #include "utils/program.h"
 
 namespace {
@@ -41,12 +41,12 @@
                                             "A model engine for tests and the demo.", reader);
   if (status) return *status;
   kumquat::ApplyFakeSettings(&settings.fake);
-  QCoreApplication application(argc, argv);
+  const QCoreApplication application(argc, argv);
   kumquat::EngineServer server(settings);
   if (!server.Start()) {
     fmt::print(stderr, "{}\n", server.last_reason());
     return 1;
   }
-  kumquat::OnTermination(&application, [&server] { server.Leave(); });
+  const kumquat::TerminationSignal termination([&server] { server.Leave(); });
   return QCoreApplication::exec();
 }
--- a/src/fakes/weight_store/main.cpp
+++ b/src/fakes/weight_store/main.cpp
@@ -5,8 +5,8 @@
 #include <utility>
 
 #include "common/fake_settings.h"
-#include "common/termination.h"
 #include "transport/http_server.h"
+#include "transport/termination_signal.h"
 #include "utils/program.h"
 
 namespace kumquat {
@@ -64,7 +64,7 @@
     fmt::print(stderr, "{}\n", server->last_reason());
     return 1;
   }
-  OnTermination(QCoreApplication::instance(), [] { QCoreApplication::quit(); });
+  const TerminationSignal termination([] { QCoreApplication::quit(); });
   return QCoreApplication::exec();
 }
 
--- a/tests/fakes/engine_model_test.cpp
+++ b/tests/fakes/engine_model_test.cpp
@@ -96,6 +96,7 @@
 TEST_CASE("Replies go before drafts that still wait") {
   Bench bench(OneAtATime());
   std::vector<std::uint64_t> drafts;
+  drafts.reserve(3);
   for (int i = 0; i < 3; ++i) {
     drafts.push_back(bench.model.Submit(Job({}, 1000, 1, RequestClass::kDraft)));
   }
--- /dev/null
+++ b/tests/process/test_program.h
@@ -0,0 +1,73 @@
+// Starts and stops the system's programs for process tests.
+#pragma once
+
+#include <doctest/doctest.h>
+
+#include <QProcess>
+#include <QTcpServer>
+#include <QTemporaryDir>
+#include <csignal>
+#include <fstream>
+#include <string>
+
+#include "libs/transport/raw_peer.h"
+#include "utils/endpoint.h"
+
+namespace kumquat {
+
+// Returns a port on loopback that was free a moment ago.
+inline Endpoint FreeEndpoint() {
+  QTcpServer server;
+  REQUIRE(server.listen(QHostAddress::LocalHost));
+  return {"127.0.0.1", server.serverPort()};
+}
+
+// One program with its settings file. What still runs at the end is killed.
+class TestProgram {
+ public:
+  TestProgram(std::string name, std::string settings)
+      : name_(std::move(name)), settings_(std::move(settings)) {}
+  TestProgram(const TestProgram&) = delete;
+  TestProgram& operator=(const TestProgram&) = delete;
+  ~TestProgram() { Kill(); }
+
+  void Start() {
+    const std::string path = folder_.filePath(QStringLiteral("settings.toml")).toStdString();
+    std::ofstream(path) << settings_;
+    process_.setProcessChannelMode(QProcess::ForwardedChannels);
+    process_.start(QString::fromStdString(std::string(KUMQUAT_BIN_DIR) + "/" + name_),
+                   {QStringLiteral("--config"), QString::fromStdString(path)});
+    REQUIRE(process_.waitForStarted());
+  }
+
+  void Kill() {
+    process_.kill();
+    process_.waitForFinished();
+  }
+
+  void Signal(int number) const { ::kill(static_cast<pid_t>(process_.processId()), number); }
+
+  bool running() const { return process_.state() != QProcess::NotRunning; }
+
+  // Returns the exit status of a program that has ended; -1 when it was killed or crashed.
+  int exit_status() const {
+    return process_.exitStatus() == QProcess::NormalExit ? process_.exitCode() : -1;
+  }
+
+ private:
+  std::string name_;
+  std::string settings_;
+  QTemporaryDir folder_;
+  QProcess process_;
+};
+
+// Waits until something accepts connections there.
+inline bool WaitForListener(const Endpoint& endpoint) {
+  return SpinUntil([&] {
+    QTcpSocket socket;
+    socket.connectToHost(QString::fromStdString(endpoint.ip), endpoint.port);
+    return socket.waitForConnected(100);
+  });
+}
+
+}  // namespace kumquat
