--- a/tests/libs/coordination/log/replica_test.cpp
+++ b/tests/libs/coordination/log/replica_test.cpp
@@ -102,13 +102,18 @@
   CHECK(replica.CountSent<PreVoteAnswer>([](const auto& answer) { return answer.granted; }) == 0);
 }
 
-TEST_CASE("A majority that holds an entry of an earlier term doesn't commit it") {
-  MemoryDisk disk = MemberDisk();
-  LoneReplica replica("a", &disk);
+// Makes the replica the leader of term 2, by b's vote; its no-op is entry 3.
+void Elect(LoneReplica& replica) {
   replica.Wait(std::chrono::seconds(2));
   replica.Receive(kB, 1, PreVoteAnswer{true, 2});
   replica.Receive(kB, 2, VoteAnswer{true});
   REQUIRE(replica.log().role() == LogRole::kLeader);
+}
+
+TEST_CASE("A majority that holds an entry of an earlier term doesn't commit it") {
+  MemoryDisk disk = MemberDisk();
+  LoneReplica replica("a", &disk);
+  Elect(replica);
   replica.Receive(kB, 2, AppendAnswer{true, 2, 0});
   replica.log().Flush();
   CHECK(replica.log().commit_index() == 0);
@@ -117,6 +122,24 @@
   CHECK(replica.log().commit_index() == 3);
 }
 
+TEST_CASE("Voters change one at a time, after the leader has committed in its own term") {
+  MemoryDisk disk = MemberDisk();
+  LoneReplica replica("a", &disk);
+  const auto propose = [&](const Membership& wanted) {
+    return replica.log().ProposeMembership(wanted).has_value();
+  };
+  Elect(replica);
+  CHECK(!propose({{kA, kB}}));
+  replica.Receive(kB, 2, AppendAnswer{true, 3, 0});
+  replica.log().Flush();
+  CHECK(!propose({{kA}}));
+  CHECK(!propose({{kB, kC}}));
+  CHECK(!propose({{kA, kB, {"c", 2}}}));
+  CHECK(!propose({{kA, kB, kC, {"c", 2}}}));
+  CHECK(propose({{kA, kB}}));
+  CHECK(!propose(kMembers));
+}
+
 TEST_CASE("An acknowledgement that waited while the term rose isn't sent") {
   MemoryDisk disk = MemberDisk();
   LoneReplica replica("b", &disk);
