--- a/tests/libs/coordination/log/replica_test.cpp
+++ b/tests/libs/coordination/log/replica_test.cpp
@@ -128,6 +128,9 @@
   const auto propose = [&](const Membership& wanted) {
     return replica.log().ProposeMembership(wanted).has_value();
   };
+  replica.Receive(kC, 1, Append{2, 1, 2, 1, {}});
+  replica.log().Flush();
+  REQUIRE(replica.log().commit_index() == 2);
   Elect(replica);
   CHECK(!propose({{kA, kB}}));
   replica.Receive(kB, 2, AppendAnswer{true, 3, 0});
