--- a/tests/process/control/control_process_test.cpp
+++ b/tests/process/control/control_process_test.cpp
@@ -3,11 +3,17 @@
 #include <signal.h>
 
 #include <QElapsedTimer>
+#include <QHostAddress>
 #include <QJsonArray>
+#include <QTcpServer>
+#include <QTcpSocket>
 
 #include "event_loop.h"
 #include "process/control/control_cluster.h"
+#include "protocol/backend_report.h"
 #include "protocol/control_messages.h"
+#include "protocol/engine_messages.h"
+#include "protocol/json_fields.h"
 
 namespace kumquat {
 namespace {
@@ -186,5 +192,63 @@
   CHECK(SetAllowances(cluster, 3, 103).exit_status == 0);
 }
 
+// Takes orders over HTTP and answers them all.
+class OrderTaker {
+ public:
+  OrderTaker() {
+    server_.listen(QHostAddress::LocalHost);
+    QObject::connect(&server_, &QTcpServer::newConnection, &server_, [this] {
+      QTcpSocket* socket = server_.nextPendingConnection();
+      QObject::connect(socket, &QTcpSocket::readyRead, socket, [this, socket] { Read(socket); });
+    });
+  }
+
+  Endpoint endpoint() const { return {"127.0.0.1", server_.serverPort()}; }
+
+  std::vector<EngineOrder> orders;
+
+ private:
+  void Read(QTcpSocket* socket) {
+    received_ += socket->readAll();
+    const std::string body = received_.mid(received_.indexOf("\r\n\r\n") + 4).toStdString();
+    std::string reason;
+    const auto json = ParseJsonObject(body);
+    const auto order = json ? ParseEngineOrder(*json, &reason) : std::nullopt;
+    if (!order) return;
+    orders.push_back(*order);
+    received_.clear();
+    socket->write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+    socket->disconnectFromHost();
+  }
+
+  QTcpServer server_;
+  QByteArray received_;
+};
+
+TEST_CASE("A restarted engine is ordered again by the next leader, under a higher number") {
+  ControlCluster cluster;
+  REQUIRE(SetAllowances(cluster, 0, 5).exit_status == 0);
+  OrderTaker engine;
+  Announcement announcement;
+  announcement.backend_id = "e1";
+  announcement.endpoint = engine.endpoint();
+  announcement.failure_domain = "d1";
+  announcement.checks_fencing = true;
+  const auto tell = [&] {
+    ++announcement.sequence;
+    cluster.CallLeader("backends.report", ToJson(BackendReport{"r1", {announcement}, {}}));
+  };
+  tell();
+  REQUIRE(RunUntil([&] { return !engine.orders.empty(); }, kLongest));
+  CHECK(engine.orders[0].models == std::vector<ModelVersion>{{"m", "", "v1"}});
+
+  cluster.Kill(cluster.Leader());
+  announcement.incarnation = 1;
+  const std::size_t orders = engine.orders.size();
+  tell();
+  REQUIRE(RunUntil([&] { return engine.orders.size() > orders; }, kLongest));
+  CHECK(engine.orders.back().fencing_number > engine.orders[0].fencing_number);
+}
+
 }  // namespace
 }  // namespace kumquat
