Suspects of different routers keep apart by leased slots

Each backend server's first keeper leases its one slot for suspects. Before, a router placed suspects only on backend servers that it owned; with more routers than engines most routers own none, so bystanders of a crash there would have been refused. The property test found a grant that came after its lease had ended and was kept, and slots of suspects that were given up and never let go.

--- a/src/kumquatrouter/chat_exchange.cpp
+++ b/src/kumquatrouter/chat_exchange.cpp
@@ -121,12 +121,23 @@
   hooks.try_retry = [this](int retries_before, Instant now, Instant deadline) {
     return services_.retry_budget->TryRetry(retries_before, now, deadline);
   };
+  hooks.may_wait_for_place = [this] { return MayWaitForPlace(); };
   hooks.is_condemned = [this] {
     return services_.strikes->StandingOf(digest_) == RequestStanding::kCondemned;
   };
   return hooks;
 }
 
+// A suspect asks each engine's owner for the slot, and takes the first that it gets.
+bool ChatExchange::MayWaitForPlace() {
+  if (services_.strikes->StandingOf(digest_) != RequestStanding::kSuspect) return false;
+  bool may_wait = false;
+  for (const std::string& engine : services_.engines->EnginesFor(demand_.model)) {
+    may_wait = services_.strikes->RequestSlot(digest_, engine) || may_wait;
+  }
+  return may_wait;
+}
+
 bool ChatExchange::IsDead(const BackendChoice& backend) const {
   const Member* member = services_.membership->table().Find(backend.backend_id);
   if (!member) return true;
@@ -379,6 +390,7 @@
 void ChatExchange::Finish(std::string_view outcome) {
   if (is_done_) return;
   is_done_ = true;
+  services_.strikes->Abandon(digest_);
   services_.metrics->Count("kumquat_requests_total",
                            fmt::format("{},outcome=\"{}\"", MetricLabels(), outcome));
   LogEvent(LogLevel::kInfo, "request_done",
--- a/src/kumquatrouter/chat_exchange.h
+++ b/src/kumquatrouter/chat_exchange.h
@@ -57,6 +57,7 @@
   BackendCallRequest CallFor(const stream_command::StartAttempt& command) const;
   BackendCallHooks HooksFor(const std::string& attempt_id);
   StreamRequestHooks DecisionHooks();
+  bool MayWaitForPlace();
   bool IsDead(const BackendChoice& backend) const;
   void OnData(const std::string& attempt_id, std::string_view data);
   void OnCallFailed(const std::string& attempt_id, CallFailure failure);
--- a/src/kumquatrouter/engine_selector.cpp
+++ b/src/kumquatrouter/engine_selector.cpp
@@ -61,6 +61,14 @@
   return is_served;
 }
 
+std::vector<std::string> EngineSelector::EnginesFor(const ModelVersion& model) const {
+  std::vector<std::string> engines;
+  table_->ForEach([&](const Member& member) {
+    if (Serves(member.record, model) && IsUp(member.record)) engines.push_back(member.record.id);
+  });
+  return engines;
+}
+
 EngineDispatch EngineSelector::Dispatched(const EngineDemand& demand,
                                           const BackendChoice& backend) {
   EngineDispatch dispatch{0, backend, 0};
--- a/src/kumquatrouter/engine_selector.h
+++ b/src/kumquatrouter/engine_selector.h
@@ -53,9 +53,12 @@
   // Whether an engine with this model has a free place, by this router's picture.
   bool HasRoom(const ModelVersion& model) const;
 
-  // Whether any engine that is up serves this model.
+  // Whether any engine that is not leaving serves this model.
   bool IsServed(const ModelVersion& model) const;
 
+  // Returns the engines that are up and serve this model.
+  std::vector<std::string> EnginesFor(const ModelVersion& model) const;
+
   // The attempt goes out to the engine that was chosen.
   EngineDispatch Dispatched(const EngineDemand& demand, const BackendChoice& backend);
   void FirstToken(const EngineDispatch& dispatch, const EngineDemand& demand);
--- a/src/kumquatrouter/peer_network.h
+++ b/src/kumquatrouter/peer_network.h
@@ -24,6 +24,7 @@
   kIndexNote,
   kResync,
   kSentLoads,
+  kSuspectSlot,
   kLookup,
   kLookupAnswer,
 };
--- a/src/kumquatrouter/router.cpp
+++ b/src/kumquatrouter/router.cpp
@@ -14,7 +14,6 @@
 #include "router_settings.h"
 #include "service_exchange.h"
 #include "utils/log.h"
-#include "utils/rendezvous.h"
 
 namespace kumquat {
 namespace {
@@ -80,12 +79,11 @@
           [this](const ModelVersion& model) { return engines_.HasRoom(model); }, clock_),
       retry_budget_({}, random_),
       strikes_(
-          &network_,
-          [this](const std::string& backend_id) {
-            const auto owners = RendezvousTop(backend_id, membership_.live_routers(), 1);
-            return !owners.empty() && owners.front() == settings_.instance;
+          settings.instance, &network_,
+          [this](std::string_view backend_id) {
+            return membership_.FirstKeeperOf(std::string(backend_id));
           },
-          clock_),
+          settings.request_deadline, clock_),
       cache_follower_(std::make_unique<CacheFollower>(&membership_, &index_, client_.get(), clock_,
                                                       settings.cache_poll_interval)) {
   services_ = {&settings_,     client_.get(), &control_, &membership_, &engines_, &index_, &queues_,
@@ -177,6 +175,7 @@
   strikes_.Tick();
   const auto routers = membership_.live_routers();
   engines_.SetRouters(routers.size());
+  strikes_.SetRouters(routers);
   if (index_.SetRouters(routers)) cache_follower_->ResyncAll();
   membership_.table().ForEach([this](const Member& member) {
     if (member.record.backend) index_.Observe(member.record.id, member.record.incarnation);
--- a/src/kumquatrouter/strike_exchange.cpp
+++ b/src/kumquatrouter/strike_exchange.cpp
@@ -1,5 +1,6 @@
 #include "strike_exchange.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "peer_network.h"
@@ -13,6 +14,29 @@
 // Changes are told again for this long.
 constexpr Duration kToldAgain = std::chrono::seconds(3);
 
+// A slot is leased for this much longer than a request may run.
+constexpr Duration kLeaseMargin = std::chrono::seconds(30);
+
+QJsonObject ToJson(const SlotMessage& message) {
+  return {{"kind", static_cast<int>(message.kind)},
+          {"backend", ToQString(message.backend_id)},
+          {"digest", ToQString(message.digest)},
+          {"number", static_cast<qint64>(message.number)}};
+}
+
+std::optional<SlotMessage> ParseSlotMessage(const QJsonObject& json) {
+  SlotMessage message;
+  std::int64_t kind = 0;
+  JsonFields fields(json);
+  fields.Read("kind", &kind, 0, static_cast<std::int64_t>(SlotMessageKind::kRelease))
+      .Read("backend", &message.backend_id)
+      .Read("digest", &message.digest)
+      .Read("number", &message.number);
+  message.kind = static_cast<SlotMessageKind>(kind);
+  if (!fields.ok()) return std::nullopt;
+  return message;
+}
+
 QJsonObject ToJson(const StrikeEntry& entry) {
   QJsonArray strikes;
   for (const Strike& strike : entry.strikes) {
@@ -41,14 +65,56 @@
 
 }  // namespace
 
-StrikeExchange::StrikeExchange(PeerNetwork* network, StrikeTable::OwnsBackend owns_backend,
-                               Clock clock)
-    : network_(network), clock_(std::move(clock)), table_({}, std::move(owns_backend)) {
+StrikeExchange::StrikeExchange(std::string self, PeerNetwork* network, OwnerOf owner_of,
+                               Duration longest_run, Clock clock)
+    : network_(network),
+      clock_(std::move(clock)),
+      slots_(std::move(self), longest_run + kLeaseMargin, SlotHooks(std::move(owner_of))) {
+  network_->SetHandler(PeerMessageType::kSuspectSlot,
+                       [this](const std::string& from, const QJsonObject& body) {
+                         const auto message = ParseSlotMessage(body);
+                         if (message) slots_.Receive(from, *message, clock_());
+                       });
   network_->SetHandler(
       PeerMessageType::kStrikes,
       [this](const std::string& /*from*/, const QJsonObject& body) { Receive(body); });
 }
 
+SuspectSlotsHooks StrikeExchange::SlotHooks(OwnerOf owner_of) {
+  SuspectSlotsHooks hooks;
+  hooks.owner_of = std::move(owner_of);
+  hooks.is_free = [this](const std::string& backend_id) {
+    return table_.IsFreeOfSuspects(backend_id, clock_());
+  };
+  hooks.send = [this](const std::string& router, const SlotMessage& message) {
+    network_->Send(router, PeerMessageType::kSuspectSlot, ToJson(message));
+  };
+  return hooks;
+}
+
+bool StrikeExchange::MayPlace(const std::string& digest, const std::string& backend_id) const {
+  const Instant now = clock_();
+  if (!table_.MayPlace(digest, backend_id, now)) return false;
+  const bool is_suspect = table_.StandingOf(digest, now) == RequestStanding::kSuspect;
+  return !is_suspect || slots_.Holds(digest, backend_id, now);
+}
+
+bool StrikeExchange::RequestSlot(const std::string& digest, const std::string& backend_id) {
+  const Instant now = clock_();
+  if (table_.WasStruckOn(digest, backend_id, now)) return false;
+  slots_.Request(digest, backend_id, now);
+  return true;
+}
+
+void StrikeExchange::SetRouters(const std::vector<std::string>& routers) {
+  for (const std::string& known : routers_) {
+    if (std::find(routers.begin(), routers.end(), known) == routers.end()) {
+      slots_.DropRouter(known);
+    }
+  }
+  routers_ = routers;
+}
+
 void StrikeExchange::AddStrike(const std::string& digest, const Strike& strike) {
   const Instant now = clock_();
   table_.AddStrike(digest, strike, now);
@@ -64,10 +130,12 @@
 
 void StrikeExchange::OnStarted(const std::string& digest, const std::string& backend_id) {
   table_.OnStarted(digest, backend_id);
+  slots_.Started(digest, backend_id);
 }
 
 void StrikeExchange::OnStopped(const std::string& digest, const std::string& backend_id) {
   table_.OnStopped(digest, backend_id);
+  slots_.Stopped(digest, backend_id);
 }
 
 void StrikeExchange::Tick() { SendChangedSince(clock_() - kToldAgain); }
--- a/src/kumquatrouter/strike_exchange.h
+++ b/src/kumquatrouter/strike_exchange.h
@@ -5,8 +5,11 @@
 #include <QJsonObject>
 #include <functional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "coordination/admission/strike_table.h"
+#include "coordination/admission/suspect_slots.h"
 #include "utils/hooks.h"
 
 namespace kumquat {
@@ -15,16 +18,28 @@
 
 class StrikeExchange {
  public:
-  StrikeExchange(PeerNetwork* network, StrikeTable::OwnsBackend owns_backend, Clock clock);
+  // Returns the router that lets suspects onto a backend server, one at a time.
+  using OwnerOf = std::function<std::string(std::string_view backend_id)>;
 
-  StrikeTable& table() { return table_; }
+  // `longest_run` bounds how long a suspect may hold a backend server.
+  StrikeExchange(std::string self, PeerNetwork* network, OwnerOf owner_of, Duration longest_run,
+                 Clock clock);
 
   RequestStanding StandingOf(const std::string& digest) const {
     return table_.StandingOf(digest, clock_());
   }
-  bool MayPlace(const std::string& digest, const std::string& backend_id) const {
-    return table_.MayPlace(digest, backend_id, clock_());
-  }
+
+  // Whether the request may go to the backend server now. A suspect needs the slot for suspects.
+  bool MayPlace(const std::string& digest, const std::string& backend_id) const;
+
+  // Asks for the slot of a backend server that a suspect may go to; false when it may never.
+  bool RequestSlot(const std::string& digest, const std::string& backend_id);
+
+  // The request has ended, in whichever way.
+  void Abandon(const std::string& digest) { slots_.Abandon(digest); }
+
+  // Sets the live routers: what those that are gone had been leased is free again.
+  void SetRouters(const std::vector<std::string>& routers);
 
   // Each notes an event and tells the other routers when it changed a standing.
   void AddStrike(const std::string& digest, const Strike& strike);
@@ -39,11 +54,14 @@
 
  private:
   void Receive(const QJsonObject& body);
+  SuspectSlotsHooks SlotHooks(OwnerOf owner_of);
   void SendChangedSince(Instant moment);
 
   PeerNetwork* network_;
   Clock clock_;
   StrikeTable table_;
+  SuspectSlots slots_;
+  std::vector<std::string> routers_;
 };
 
 }  // namespace kumquat
--- a/src/libs/coordination/admission/strike_table.cpp
+++ b/src/libs/coordination/admission/strike_table.cpp
@@ -55,7 +55,16 @@
   if (standing == RequestStanding::kClean) return true;
   if (standing == RequestStanding::kCondemned) return false;
   if (owns_backend_ && !owns_backend_(backend_id)) return false;
-  if (StruckBy(Find(digest, now)->strikes, backend_id)) return false;
+  return !WasStruckOn(digest, backend_id, now) && IsFreeOfSuspects(backend_id, now);
+}
+
+bool StrikeTable::WasStruckOn(const std::string& digest, const std::string& backend_id,
+                              Instant now) const {
+  const Entry* entry = Find(digest, now);
+  return entry && StruckBy(entry->strikes, backend_id);
+}
+
+bool StrikeTable::IsFreeOfSuspects(const std::string& backend_id, Instant now) const {
   const auto running = running_.find(backend_id);
   if (running == running_.end()) return true;
   return std::all_of(running->second.begin(), running->second.end(), [&](const auto& other) {
--- a/src/libs/coordination/admission/strike_table.h
+++ b/src/libs/coordination/admission/strike_table.h
@@ -73,11 +73,17 @@
   // The request was answered whole: it kills no backend server.
   void OnSuccess(const std::string& digest, Instant now);
 
+  // Returns whether the request was struck on the backend server.
+  bool WasStruckOn(const std::string& digest, const std::string& backend_id, Instant now) const;
+
   // Returns whether the request may be placed on the backend server: always when it is clean,
   // never when it is condemned; a suspect only where this router owns the placing of suspects, no
   // other suspect runs, and it was not struck before.
   bool MayPlace(const std::string& digest, const std::string& backend_id, Instant now) const;
 
+  // Returns whether no suspect is noted to run on the backend server.
+  bool IsFreeOfSuspects(const std::string& backend_id, Instant now) const;
+
   // Notes where a request runs, and that it runs no more.
   void OnStarted(const std::string& digest, const std::string& backend_id);
   void OnStopped(const std::string& digest, const std::string& backend_id);
--- a/src/libs/coordination/requests/stream_request.h
+++ b/src/libs/coordination/requests/stream_request.h
@@ -95,6 +95,9 @@
       try_retry;
   // Returns whether the strike table refuses the request for good.
   std::function<bool()> is_condemned;
+  // Returns whether a backend server may come free for the request though none can be chosen now:
+  // a suspect waits for its turn, until its deadline. No hook: never.
+  std::function<bool()> may_wait_for_place = {};
 };
 
 struct StreamRequestOptions {
