--- a/src/libs/coordination/admission/strike_table.h
+++ b/src/libs/coordination/admission/strike_table.h
@@ -60,7 +60,9 @@
 class StrikeTable {
  public:
   // Tells whether this router is the one that may place suspects on the backend server; one
-  // router for each backend server, so that two routers' suspects never meet.
+  // router for each backend server, so that two routers' suspects never meet. Where a router owns
+  // none of those that could take its suspect, the hook should let it place anywhere: a rare
+  // meeting is better than a bystander that never runs.
   using OwnsBackend = std::function<bool(const std::string& backend_id)>;
 
   explicit StrikeTable(StrikeTableOptions options = {}, OwnsBackend owns_backend = {});
--- a/src/libs/coordination/requests/stream_request.cpp
+++ b/src/libs/coordination/requests/stream_request.cpp
@@ -239,15 +239,11 @@
   }
   const bool same_backend = backend.has_value();
   if (!backend) backend = hooks_.choose_backend(avoid_);
-  if (!backend && attempts_ == 0) {
-    Finish({ErrorKind::kNoBackendServer, "", std::nullopt}, commands);
-    return;
-  }
   if (!backend) {
-    ++fruitless_;
-    RetryLater(now, commands);
+    WaitForBackend(now, commands);
     return;
   }
+  waiting_since_.reset();
   ++attempts_;
   attempt_ = {options_.request_id + "-" + std::to_string(attempts_), *backend, next_offset_,
               same_backend, false};
@@ -255,6 +251,18 @@
       stream_command::StartAttempt{attempt_->id, *backend, next_offset_, text_, same_backend});
 }
 
+// Waiting is no failure, so it takes nothing from the budget: a bystander of a poison request has
+// to wait for its turn among the suspects.
+void StreamRequest::WaitForBackend(Instant now, StreamCommands* commands) {
+  if (!waiting_since_) waiting_since_ = now;
+  if (attempts_ == 0 || now - *waiting_since_ >= options_.longest_wait_for_backend) {
+    Finish(FailureError(), commands);
+    return;
+  }
+  retry_at_ = now + options_.look_for_backend_every;
+  commands->push_back(WakeAt{*retry_at_});
+}
+
 // Gives the strike for an attempt that lost its connection there, once.
 void StreamRequest::StrikeIfLost(const BackendChoice& backend, StreamCommands* commands) {
   if (std::erase(lost_on_, backend) > 0) commands->push_back(GiveStrike{backend});
--- a/src/libs/coordination/requests/stream_request.h
+++ b/src/libs/coordination/requests/stream_request.h
@@ -106,6 +106,10 @@
   int most_fruitless_attempts = 4;
   // Most attempts in all.
   int most_attempts = 16;
+  // How long a request that has run may wait for a backend server that may take it again, such as
+  // one without another suspect, and how often it looks.
+  Duration longest_wait_for_backend = std::chrono::seconds(10);
+  Duration look_for_backend_every = std::chrono::milliseconds(50);
 };
 
 // Events that did not count.
@@ -192,6 +196,7 @@
   bool MayTryAgain() const;
   void RetryLater(Instant now, StreamCommands* commands);
   void StartAttempt(Instant now, StreamCommands* commands);
+  void WaitForBackend(Instant now, StreamCommands* commands);
   void StrikeIfLost(const BackendChoice& backend, StreamCommands* commands);
   void Finish(Error error, StreamCommands* commands);
   Error DeadlineError() const;
@@ -203,6 +208,8 @@
   // The backend server to try again on a new connection.
   std::optional<BackendChoice> same_backend_;
   std::optional<Instant> retry_at_;
+  // Since when no backend server may take the request.
+  std::optional<Instant> waiting_since_;
   std::vector<BackendChoice> avoid_;
   // Where attempts lost their connection; the backend server may turn out to have died.
   std::vector<BackendChoice> lost_on_;
--- a/tests/libs/coordination/requests/stream_request_test.cpp
+++ b/tests/libs/coordination/requests/stream_request_test.cpp
@@ -117,11 +117,14 @@
   bool condemned = false;
   int retries_left = 1000;
   int strikes = 0;
+  // No backend server may take the request before this moment.
+  Instant none_until{0};
 
   static constexpr Instant kDeadline = seconds(60);
 
  private:
   std::optional<BackendChoice> Choose(std::span<const BackendChoice> avoid) const {
+    if (now < none_until) return std::nullopt;
     for (int i = 0; i < 20; ++i) {
       const BackendChoice choice{"e" + std::to_string(i), 1};
       if (std::find(avoid.begin(), avoid.end(), choice) == avoid.end() && !IsDead(choice)) {
@@ -272,6 +275,9 @@
     case 11:
       harness->CallerGone();
       break;
+    case 12:
+      harness->none_until = harness->now + milliseconds(step.amount * 150);
+      break;
     default:
       break;
   }
@@ -296,7 +302,8 @@
                                        {12, 8},
                                        {1, 9},
                                        {1, 10},
-                                       {1, 11}}),
+                                       {1, 11},
+                                       {1, 12}}),
         rc::gen::weightedOneOf<std::size_t>(
             {{4, rc::gen::just<std::size_t>(0)}, {1, rc::gen::inRange<std::size_t>(0, 16)}}),
         rc::gen::inRange(0, 100));
@@ -374,6 +381,13 @@
   not_run.Fail(not_run.streams[0], CallFailure::kNotSent);
   CHECK(not_run.error()->kind == ErrorKind::kNoBackendServer);
 
+  Harness bystander(5);
+  bystander.Die(bystander.streams[0].backend);
+  bystander.none_until = bystander.now + seconds(9);
+  for (int i = 0; i < 200; ++i) bystander.Wait(milliseconds(50));
+  CHECK(bystander.streams.size() == 2);
+  CHECK(bystander.retries_left == 999);
+
   Harness poison(5);
   poison.Say(poison.streams[0]);
   poison.Say(poison.streams[0]);
