--- a/tests/libs/state/storage/log_file_storage_test.cpp
+++ b/tests/libs/state/storage/log_file_storage_test.cpp
@@ -185,6 +185,30 @@
   return calls;
 }
 
+TEST_CASE("A vote, a snapshot or an entry counts as saved only after its own sync") {
+  using Write = void (*)(LogStorage & storage);
+  const std::vector<Write> writes = {
+      [](LogStorage& storage) {
+        storage.SaveVote({3, ReplicaId{"a", 5}});
+      },
+      [](LogStorage& storage) {
+        storage.SaveSnapshot({1, 1, {}, "state"});
+      },
+      [](LogStorage& storage) { storage.Append(std::vector{Entry(1, 1, "first")}); }};
+  for (const Write& write : writes) {
+    Folder folder;
+    std::size_t budget = 1'000'000;
+    std::size_t syncs = budget;
+    const auto storage = folder.Open(FailingCalls(&budget, &syncs));
+    REQUIRE(storage->Load());
+    syncs = 0;
+    write(*storage);
+    CHECK(!storage->Sync());
+    syncs = budget;
+    CHECK(!storage->Sync());
+  }
+}
+
 class SilentMachine : public StateMachine {
  public:
   std::string Apply(std::uint64_t, std::string_view) override { return ""; }
