--- a/src/libs/coordination/requests/stream_request.cpp
+++ b/src/libs/coordination/requests/stream_request.cpp
@@ -255,7 +255,9 @@
 // to wait for its turn among the suspects.
 void StreamRequest::WaitForBackend(Instant now, StreamCommands* commands) {
   if (!waiting_since_) waiting_since_ = now;
-  if (attempts_ == 0 || now - *waiting_since_ >= options_.longest_wait_for_backend) {
+  const bool may_wait = hooks_.may_wait_for_place && hooks_.may_wait_for_place();
+  if (may_wait) waiting_since_ = now;
+  if ((attempts_ == 0 && !may_wait) || now - *waiting_since_ >= options_.longest_wait_for_backend) {
     Finish(FailureError(), commands);
     return;
   }
