--- a/src/kumquatrouter/chat_exchange.cpp
+++ b/src/kumquatrouter/chat_exchange.cpp
@@ -23,6 +23,8 @@
 
 // Longest wait for a share from control.
 constexpr Duration kShareWait = std::chrono::milliseconds(1500);
+// Longest wait for an engine that has the model: one may be loading it, or starting again.
+constexpr Duration kEngineWait = std::chrono::seconds(2);
 // How long a broken stream may take to hand its error event to the caller.
 constexpr std::chrono::milliseconds kErrorFlushTime{500};
 
@@ -60,10 +62,6 @@
     Refuse({ErrorKind::kPoisonRequest, "", std::nullopt});
     return;
   }
-  if (!services_.engines->IsServed(demand_.model)) {
-    Refuse({ErrorKind::kNoBackendServer, "", std::nullopt});
-    return;
-  }
   ticket_.Acquire(
       start_.received + kShareWait, [this] { EnterQueue(); },
       [this](const Error& refusal) { Refuse(refusal); });
@@ -76,13 +74,19 @@
   queued.share = start_.share;
   queued.request_class = demand_.request_class;
   queued.start_by = start_.deadline;
+  if (!services_.engines->IsServed(demand_.model)) {
+    queued.start_by = std::min(start_.deadline, start_.received + kEngineWait);
+  }
   const auto weak = weak_from_this();
   ModelQueues::Hooks hooks;
   hooks.on_turn = [weak] {
     if (const auto exchange = weak.lock()) exchange->LookUpPrefix();
   };
   hooks.on_refused = [weak](const Error& refusal) {
-    if (const auto exchange = weak.lock()) exchange->Refuse(refusal);
+    const auto exchange = weak.lock();
+    if (!exchange) return;
+    const bool is_served = exchange->services_.engines->IsServed(exchange->demand_.model);
+    exchange->Refuse(is_served ? refusal : Error{ErrorKind::kNoBackendServer, "", std::nullopt});
   };
   queue_id_ = services_.queues->Enter(demand_.model, queued, std::move(hooks));
 }
--- a/src/kumquatrouter/engine_selector.cpp
+++ b/src/kumquatrouter/engine_selector.cpp
@@ -41,16 +41,25 @@
 
 bool EngineSelector::HasRoom(const ModelVersion& model) const {
   bool has_room = false;
+  bool has_engine = false;
+  bool has_down_engine = false;
+  const Instant now = clock_();
   table_->ForEach([&](const Member& member) {
     const MemberRecord& record = member.record;
-    if (!Serves(record, model) || !IsUp(record)) return;
+    if (!Serves(record, model) || record.leaving) return;
+    if (record.down) {
+      has_down_engine = has_down_engine || now >= member.retry_at;
+      return;
+    }
+    has_engine = true;
     const auto own = running_.find(record.id);
     const std::int64_t own_running = own == running_.end() ? 0 : own->second;
     const BackendLoad& load = record.backend->load;
     const std::int64_t reported = load.running_requests + load.queued_requests;
     has_room = has_room || std::max(own_running, reported) < record.backend->concurrent_requests;
   });
-  return has_room;
+  // When health signals leave none, those that are said to be down are tried; see Choose().
+  return has_room || (!has_engine && has_down_engine);
 }
 
 bool EngineSelector::IsServed(const ModelVersion& model) const {
