--- a/src/kumquatrouter/chat_exchange.h
+++ b/src/kumquatrouter/chat_exchange.h
@@ -35,6 +35,8 @@
   // Begins. `on_done` runs once, after the caller has its whole answer or is gone.
   void Start(std::function<void()> on_done);
 
+  const ModelVersion& model() const { return demand_.model; }
+
   // The backend server is known to have died.
   void OnBackendDown(const BackendChoice& backend);
 
--- a/src/kumquatrouter/control_client.cpp
+++ b/src/kumquatrouter/control_client.cpp
@@ -53,11 +53,6 @@
   QTimer::singleShot(0, [this, call] { TryCall(call); });
 }
 
-void ControlClient::Notify(std::string_view method, const QJsonObject& params) {
-  replica().Call(method, params, kCallTimeout,
-                 [](const std::optional<QJsonObject>& /*result*/, RpcFailure /*failure*/) {});
-}
-
 void ControlClient::Tick() {
   const Instant now = clock_();
   const bool due = share_holder_.RequestDue(now) || revision_pushed_;
--- a/src/kumquatrouter/control_client.h
+++ b/src/kumquatrouter/control_client.h
@@ -42,9 +42,6 @@
   void Call(std::string_view method, const QJsonObject& params, Duration patience,
             OnResult on_result);
 
-  // Tells the control leader of the backend servers that this router keeps.
-  void Notify(std::string_view method, const QJsonObject& params);
-
   // Renews and probes when that is due; called every kTickInterval.
   void Tick();
 
--- a/src/kumquatrouter/router.cpp
+++ b/src/kumquatrouter/router.cpp
@@ -10,6 +10,8 @@
 #include "caller_identity.h"
 #include "chat_exchange.h"
 #include "exchange.h"
+#include "protocol/backend_report.h"
+#include "protocol/control_messages.h"
 #include "protocol/json_fields.h"
 #include "router_settings.h"
 #include "service_exchange.h"
@@ -24,6 +26,7 @@
 // of refusing, for this long and at this interval.
 constexpr Duration kStartupGrace = std::chrono::seconds(3);
 constexpr Duration kSentLoadInterval = std::chrono::milliseconds(100);
+constexpr Duration kReportInterval = std::chrono::seconds(1);
 constexpr Duration kStartupRetry = std::chrono::milliseconds(20);
 constexpr int kStatusOk = 200;
 constexpr int kStatusAccepted = 202;
@@ -139,6 +142,7 @@
   StartTimer(context, ControlClient::kTickInterval, [this] { TickOften(); });
   StartTimer(context, MembershipService::kTickInterval, [this] { TickMembership(); });
   StartTimer(context, kSentLoadInterval, [this] { SendSentLoads(); });
+  StartTimer(context, kReportInterval, [this] { ReportBackends(); });
   LogEvent(LogLevel::kInfo, "router_started",
            {{"listen", settings_.listen.ToString()},
             {"peer_listen", settings_.peer_listen.ToString()},
@@ -192,6 +196,23 @@
   }
 }
 
+void Router::ReportBackends() {
+  BackendReport report;
+  report.router_id = settings_.instance;
+  membership_.table().ForEach([&](const Member& member) {
+    const MemberRecord& record = member.record;
+    const bool is_engine = record.backend && record.backend->kind == BackendKind::kEngine;
+    if (!is_engine || record.down || !membership_.IsFirstKeeperOf(record.id)) return;
+    report.announcements.push_back(*record.backend);
+  });
+  std::map<ModelVersion, std::int64_t> demand;
+  for (const auto& [key, chat] : chats_) ++demand[chat->model()];
+  for (const auto& [model, requests] : demand) report.demand.push_back({model, requests});
+  if (report.announcements.empty() && report.demand.empty()) return;
+  control_.Call(control_method::kReportBackends, ToJson(report), kReportInterval,
+                [](const std::optional<QJsonObject>& /*result*/) {});
+}
+
 void Router::RequestResyncs() {
   for (const std::string& engine : index_.shard().needs_resync()) {
     const std::string keeper = membership_.FirstKeeperOf(engine);
--- a/src/kumquatrouter/router.h
+++ b/src/kumquatrouter/router.h
@@ -63,6 +63,7 @@
   void TickMembership();
   void RequestResyncs();
   void SendSentLoads();
+  void ReportBackends();
   void SetGauges();
   void CheckDrained();
 
--- a/src/kumquatrouter/router_settings.cpp
+++ b/src/kumquatrouter/router_settings.cpp
@@ -45,7 +45,7 @@
              "Silence of a backend server before its keepers probe it, in milliseconds.");
   reader.Add("membership.cache_poll_ms", &s->cache_poll_interval, kMillis,
              "Interval between reads of an engine's cache events, in milliseconds.");
-  reader.Add("control_plane.lease_ms", &s->lease_interval, {50, 2500},
+  reader.Add("lease.renew_ms", &s->lease_interval, {50, 2500},
              "Interval between renewals of the plan lease, in milliseconds.");
   return reader;
 }
