--- a/src/libs/coordination/admission/suspect_slots.cpp
+++ b/src/libs/coordination/admission/suspect_slots.cpp
@@ -70,8 +70,8 @@
                            wanted->second.owner == from;
     if (is_wanted) wanted->second.is_granted = true;
     if (is_wanted && IsValid(wanted->second, now)) return;
-    hooks_.send(from, {SlotMessageKind::kRelease, message.backend_id, message.digest,
-                       message.number});
+    hooks_.send(from,
+                {SlotMessageKind::kRelease, message.backend_id, message.digest, message.number});
     return;
   }
   const auto leased = leased_.find(message.backend_id);
@@ -84,8 +84,8 @@
   if (hooks_.owner_of(message.backend_id) != self_) return;
   const auto leased = leased_.find(message.backend_id);
   const bool is_leased = leased != leased_.end() && now < leased->second.ends;
-  const bool is_own = is_leased && leased->second.router == from &&
-                      leased->second.digest == message.digest;
+  const bool is_own =
+      is_leased && leased->second.router == from && leased->second.digest == message.digest;
   if (is_leased && !is_own) return;
   if (!is_leased && !hooks_.is_free(message.backend_id)) return;
   // A request that comes late must not take the place of a newer one of the same router.
