Process test of control: the second replica fails only after the lost one is re-admitted

The condition was true from the beginning: the lost identity counts as a voter until it is replaced.

--- a/tests/process/control/control_process_test.cpp
+++ b/tests/process/control/control_process_test.cpp
@@ -19,6 +19,7 @@
 namespace {
 
 constexpr std::chrono::seconds kLongest{30};
+constexpr int kLongestSilenceMs = 1000;
 constexpr int kExitConflict = 3;
 constexpr int kExitInvalid = 4;
 constexpr int kExitUnreachable = 5;
@@ -137,15 +138,19 @@
   cluster.Start(lost);
   for (int i = 0; i < 30; ++i) edit();
   CHECK(HasRevision(cluster, lost, revision));
-  const auto has_three_voters = [&] {
+  // The lost identity counts as a voter until it is replaced, but it has been silent since.
+  const auto is_readmitted = [&] {
     const auto status = cluster.Status(cluster.Leader());
-    int voters = 0;
-    for (const auto& peer : status->value("peers").toArray()) {
-      if (peer.toObject()["voter"].toBool()) ++voters;
+    if (!status) return false;
+    int living_voters = 0;
+    const QJsonArray peers = status->value("peers").toArray();
+    for (const auto& peer : peers) {
+      const bool lives = peer.toObject()["silent_ms"].toInt() < kLongestSilenceMs;
+      if (lives && peer.toObject()["voter"].toBool()) ++living_voters;
     }
-    return voters >= ControlCluster::kReplicas - 1;
+    return peers.size() == ControlCluster::kReplicas - 1 && living_voters == peers.size();
   };
-  CHECK(RunUntil(has_three_voters, kLongest));
+  CHECK(RunUntil(is_readmitted, kLongest));
   const int second = (lost + 1) % ControlCluster::kReplicas;
   cluster.Kill(second);
   edit();
