Replicated log: probe with one message at a time after a rejected append

Each rejected message of a window set the next index back and sent the whole window again, so a lost message could bring up to window squared.

--- a/src/libs/coordination/log/peer_progress.h
+++ b/src/libs/coordination/log/peer_progress.h
@@ -23,6 +23,11 @@
   std::uint64_t sent_commit_index = 0;
   Instant last_contact{0};
 
+  // While it isn't known where the logs part, one message at a time is under way, and next_index
+  // stays. Otherwise each rejected message of a window would send the whole window again.
+  bool probing = true;
+  bool probe_under_way = false;
+
   // Set while a snapshot is on its way in place of entries.
   std::shared_ptr<const LogSnapshot> snapshot;
   std::uint64_t snapshot_offset = 0;
--- a/src/libs/coordination/log/replica_leader.cpp
+++ b/src/libs/coordination/log/replica_leader.cpp
@@ -113,7 +113,10 @@
   if (Now() < next_heartbeat_) return;
   next_heartbeat_ = Now() + parts_.options.heartbeat_interval;
   round_wanted_ = true;
-  for (auto& [id, peer] : peers_) peer.chunk_under_way = false;
+  for (auto& [id, peer] : peers_) {
+    peer.chunk_under_way = false;
+    peer.probe_under_way = false;
+  }
 }
 
 bool Replica::IsInContact(const ReplicaId& id) const {
@@ -144,7 +147,7 @@
   }
   if (peer.snapshot && !peer.chunk_under_way) SendChunk(id, peer);
   bool sent = false;
-  while (!peer.snapshot && peer.next_index <= log_.last_index() &&
+  while (!peer.snapshot && !peer.probe_under_way && peer.next_index <= log_.last_index() &&
          peer.next_index - peer.match_index <= parts_.options.max_unacknowledged_entries) {
     SendEntries(id, peer);
     sent = true;
@@ -174,7 +177,8 @@
   append.round = round_;
   append.entries =
       log_.Slice(peer.next_index, options.max_append_entries, options.max_append_bytes);
-  peer.next_index += append.entries.size();
+  peer.probe_under_way = peer.probing;
+  if (!peer.probing) peer.next_index += append.entries.size();
   peer.sent_commit_index = commit_index_;
   Queue(id, term(), std::move(append));
 }
@@ -231,10 +235,17 @@
   if (answer.accepted) {
     peer->match_index = std::max(peer->match_index, answer.index);
     peer->next_index = std::max(peer->next_index, peer->match_index + 1);
+    peer->probing = false;
+    peer->probe_under_way = false;
     return;
   }
   const std::uint64_t hint = std::min(answer.index, peer->next_index);
-  peer->next_index = std::max(peer->match_index + 1, hint);
+  const std::uint64_t next_index = std::max(peer->match_index + 1, hint);
+  const bool is_known = peer->probing && next_index == peer->next_index;
+  if (is_known) return;
+  peer->next_index = next_index;
+  peer->probing = true;
+  peer->probe_under_way = false;
 }
 
 void Replica::Handle(const LogMessage& message, const InstallSnapshotAnswer& answer) {
@@ -247,6 +258,8 @@
   if (!answer.installed) return;
   peer->match_index = std::max(peer->match_index, answer.snapshot_index);
   peer->next_index = peer->match_index + 1;
+  peer->probing = false;
+  peer->probe_under_way = false;
   peer->snapshot.reset();
 }
 
