--- a/tests/libs/coordination/log/replica_test.cpp
+++ b/tests/libs/coordination/log/replica_test.cpp
@@ -20,6 +20,7 @@
     ConfigureLog("test", LogLevel::kError);
     LogOptions options;
     options.startup_quiet = Duration(0);
+    options.max_append_entries = 1;
     log_ = ReplicatedLog::Builder()
                .Name(name)
                .MemberNames({"a", "b", "c"})
@@ -143,6 +144,25 @@
   CHECK(!propose(kMembers));
 }
 
+TEST_CASE("The rejected messages of one window cause one message, not a window each") {
+  MemoryDisk disk = MemberDisk();
+  LoneReplica replica("a", &disk);
+  const auto sent = [&] {
+    return replica.CountSent<Append>(
+        [](const Append& append) { return append.previous_index == 3 && !append.entries.empty(); });
+  };
+  Elect(replica);
+  replica.Receive(kB, 2, AppendAnswer{true, 3, 0});
+  for (int i = 0; i < 8; ++i) replica.log().Propose("command");
+  replica.log().Flush();
+  const std::size_t before = sent();
+  for (int i = 0; i < 7; ++i) {
+    replica.Receive(kB, 2, AppendAnswer{false, 4, 0});
+    replica.log().Flush();
+  }
+  CHECK(sent() == before + 1);
+}
+
 TEST_CASE("An acknowledgement that waited while the term rose isn't sent") {
   MemoryDisk disk = MemberDisk();
   LoneReplica replica("b", &disk);
