Placement: drafts that wait are not expected in the index

A draft may wait for long behind replies, so replies were sent after pieces that were not there yet.

--- a/bench/placement/policies.cpp
+++ b/bench/placement/policies.cpp
@@ -64,6 +64,7 @@
               .dispatch = policy.Dispatched(chosen, asked, choice, fleet_.time.now())};
     fleet_.time.After(kNoteDelay,
                       [this, &request, at = pick.engine, incarnation = chosen.incarnation] {
+                        if (request.request_class == RequestClass::kDraft) return;
                         index_.Expect(fleet_.engines[at]->id(), incarnation, request.blocks);
                       });
     return pick;
--- a/src/libs/state/index/prefix_index.h
+++ b/src/libs/state/index/prefix_index.h
@@ -106,7 +106,8 @@
   // what was applied already.
   bool Replace(const CacheContents& contents);
 
-  // A prompt was sent to the engine, which will hold its pieces shortly.
+  // A prompt was sent to the engine, which will hold its pieces shortly. Not for drafts: one may
+  // wait for long behind replies, which then would be sent after pieces that are not there yet.
   void Expect(std::string_view backend_id, std::int64_t incarnation,
               std::span<const BlockId> prompt);
 
