--- a/bench/control_edits/main.cpp
+++ b/bench/control_edits/main.cpp
@@ -151,6 +151,7 @@
   const int edits = std::atoi(argv[2]);
   const int claims = std::atoi(argv[3]);
   std::vector<std::unique_ptr<Router>> all;
+  all.reserve(static_cast<std::size_t>(routers));
   for (int i = 0; i < routers; ++i) all.push_back(std::make_unique<Router>(replicas, i + 1));
   Caller operators(replicas, 1);
   fmt::print("{} routers\n", routers);
