--- a/bench/control_edits/main.cpp
+++ b/bench/control_edits/main.cpp
@@ -35,7 +35,7 @@
 
   Caller(
       const std::vector<NamedEndpoint>& replicas, std::uint64_t seed,
-      std::function<void()> on_push = [] {}) {
+      const std::function<void()>& on_push = [] {}) {
     for (const NamedEndpoint& replica : replicas) {
       clients_.push_back(MakeRpcClient(replica.endpoint, SeededRandom(seed++), {},
                                        [on_push](std::string_view) { on_push(); }));
