--- a/src/kumquatrouter/chat_exchange.cpp
+++ b/src/kumquatrouter/chat_exchange.cpp
@@ -23,6 +23,8 @@
 
 // Longest wait for a share from control.
 constexpr Duration kShareWait = std::chrono::milliseconds(1500);
+// Longest wait for an engine that has the model: one may be loading it, or starting again.
+constexpr Duration kEngineWait = std::chrono::seconds(2);
 // How long a broken stream may take to hand its error event to the caller.
 constexpr std::chrono::milliseconds kErrorFlushTime{500};
 
@@ -60,10 +62,6 @@
     Refuse({ErrorKind::kPoisonRequest, "", std::nullopt});
     return;
   }
-  if (!services_.engines->IsServed(demand_.model)) {
-    Refuse({ErrorKind::kNoBackendServer, "", std::nullopt});
-    return;
-  }
   ticket_.Acquire(
       start_.received + kShareWait, [this] { EnterQueue(); },
       [this](const Error& refusal) { Refuse(refusal); });
@@ -76,13 +74,19 @@
   queued.share = start_.share;
   queued.request_class = demand_.request_class;
   queued.start_by = start_.deadline;
+  if (!services_.engines->IsServed(demand_.model)) {
+    queued.start_by = std::min(start_.deadline, start_.received + kEngineWait);
+  }
   const auto weak = weak_from_this();
   ModelQueues::Hooks hooks;
   hooks.on_turn = [weak] {
     if (const auto exchange = weak.lock()) exchange->LookUpPrefix();
   };
   hooks.on_refused = [weak](const Error& refusal) {
-    if (const auto exchange = weak.lock()) exchange->Refuse(refusal);
+    const auto exchange = weak.lock();
+    if (!exchange) return;
+    const bool is_served = exchange->services_.engines->IsServed(exchange->demand_.model);
+    exchange->Refuse(is_served ? refusal : Error{ErrorKind::kNoBackendServer, "", std::nullopt});
   };
   queue_id_ = services_.queues->Enter(demand_.model, queued, std::move(hooks));
 }
@@ -121,12 +125,23 @@
   hooks.try_retry = [this](int retries_before, Instant now, Instant deadline) {
     return services_.retry_budget->TryRetry(retries_before, now, deadline);
   };
+  hooks.may_wait_for_place = [this] { return MayWaitForPlace(); };
   hooks.is_condemned = [this] {
     return services_.strikes->StandingOf(digest_) == RequestStanding::kCondemned;
   };
   return hooks;
 }
 
+// A suspect asks each engine's owner for the slot, and takes the first that it gets.
+bool ChatExchange::MayWaitForPlace() {
+  if (services_.strikes->StandingOf(digest_) != RequestStanding::kSuspect) return false;
+  bool may_wait = false;
+  for (const std::string& engine : services_.engines->EnginesFor(demand_.model)) {
+    may_wait = services_.strikes->RequestSlot(digest_, engine) || may_wait;
+  }
+  return may_wait;
+}
+
 bool ChatExchange::IsDead(const BackendChoice& backend) const {
   const Member* member = services_.membership->table().Find(backend.backend_id);
   if (!member) return true;
@@ -272,7 +287,7 @@
   if (tokens_sent_ == 0) {
     services_.metrics->Observe("kumquat_first_token_seconds", MetricLabels(),
                                Seconds(now - start_.received));
-    if (attempt_) services_.engines->FirstToken(attempt_->dispatch);
+    if (attempt_) services_.engines->FirstToken(attempt_->dispatch, demand_);
   } else {
     services_.metrics->Observe("kumquat_token_interval_seconds", MetricLabels(),
                                Seconds(now - last_token_at_));
@@ -379,6 +394,7 @@
 void ChatExchange::Finish(std::string_view outcome) {
   if (is_done_) return;
   is_done_ = true;
+  services_.strikes->Abandon(digest_);
   services_.metrics->Count("kumquat_requests_total",
                            fmt::format("{},outcome=\"{}\"", MetricLabels(), outcome));
   LogEvent(LogLevel::kInfo, "request_done",
--- a/src/kumquatrouter/engine_selector.cpp
+++ b/src/kumquatrouter/engine_selector.cpp
@@ -41,16 +41,25 @@
 
 bool EngineSelector::HasRoom(const ModelVersion& model) const {
   bool has_room = false;
+  bool has_engine = false;
+  bool has_down_engine = false;
+  const Instant now = clock_();
   table_->ForEach([&](const Member& member) {
     const MemberRecord& record = member.record;
-    if (!Serves(record, model) || !IsUp(record)) return;
+    if (!Serves(record, model) || record.leaving) return;
+    if (record.down) {
+      has_down_engine = has_down_engine || now >= member.retry_at;
+      return;
+    }
+    has_engine = true;
     const auto own = running_.find(record.id);
     const std::int64_t own_running = own == running_.end() ? 0 : own->second;
     const BackendLoad& load = record.backend->load;
     const std::int64_t reported = load.running_requests + load.queued_requests;
     has_room = has_room || std::max(own_running, reported) < record.backend->concurrent_requests;
   });
-  return has_room;
+  // When health signals leave none, those that are said to be down are tried; see Choose().
+  return has_room || (!has_engine && has_down_engine);
 }
 
 bool EngineSelector::IsServed(const ModelVersion& model) const {
@@ -61,9 +70,17 @@
   return is_served;
 }
 
+std::vector<std::string> EngineSelector::EnginesFor(const ModelVersion& model) const {
+  std::vector<std::string> engines;
+  table_->ForEach([&](const Member& member) {
+    if (Serves(member.record, model) && IsUp(member.record)) engines.push_back(member.record.id);
+  });
+  return engines;
+}
+
 EngineDispatch EngineSelector::Dispatched(const EngineDemand& demand,
                                           const BackendChoice& backend) {
-  EngineDispatch dispatch{0, backend};
+  EngineDispatch dispatch{0, backend, 0};
   ++running_[backend.backend_id];
   const CandidateSet set = CandidatesFor(demand, {}, {}, true);
   const auto place = std::find(set.backends.begin(), set.backends.end(), backend);
@@ -72,14 +89,17 @@
         set.candidates[static_cast<std::size_t>(place - set.backends.begin())];
     PlacementChoice choice = last_choice_.value_or(PlacementChoice{});
     choice.missing_tokens = demand.prefix.prompt_tokens - candidate.cached_tokens;
+    dispatch.believed_pieces = candidate.cached_tokens / kPieceTokens;
     dispatch.id = policy_.Dispatched(candidate, RequestOf(demand), choice, clock_());
   }
   index_->Expect(backend.backend_id, backend.incarnation, demand.prefix.blocks);
   return dispatch;
 }
 
-void EngineSelector::FirstToken(const EngineDispatch& dispatch) {
+void EngineSelector::FirstToken(const EngineDispatch& dispatch, const EngineDemand& demand) {
   policy_.FirstToken(dispatch.id, clock_());
+  const BackendChoice& backend = dispatch.backend;
+  index_->Computed(backend.backend_id, backend.incarnation, demand.prefix.blocks);
 }
 
 void EngineSelector::Finished(const EngineDispatch& dispatch, const EngineDemand& demand,
@@ -87,7 +107,7 @@
   --running_[dispatch.backend.backend_id];
   policy_.Finished(dispatch.id, clock_());
   index_->Correct(dispatch.backend.backend_id, dispatch.backend.incarnation, demand.prefix.blocks,
-                  cached_tokens / kPieceTokens);
+                  dispatch.believed_pieces, cached_tokens / kPieceTokens);
 }
 
 void EngineSelector::Failed(const EngineDispatch& dispatch, const EngineDemand& demand) {
--- a/src/kumquatrouter/peer_network.h
+++ b/src/kumquatrouter/peer_network.h
@@ -23,6 +23,8 @@
   kCacheEvents,
   kIndexNote,
   kResync,
+  kSentLoads,
+  kSuspectSlot,
   kLookup,
   kLookupAnswer,
 };
--- a/src/kumquatrouter/router.cpp
+++ b/src/kumquatrouter/router.cpp
@@ -10,11 +10,12 @@
 #include "caller_identity.h"
 #include "chat_exchange.h"
 #include "exchange.h"
+#include "protocol/backend_report.h"
+#include "protocol/control_messages.h"
 #include "protocol/json_fields.h"
 #include "router_settings.h"
 #include "service_exchange.h"
 #include "utils/log.h"
-#include "utils/rendezvous.h"
 
 namespace kumquat {
 namespace {
@@ -24,6 +25,8 @@
 // A router that has just started waits for its lease and its picture of the backend servers instead
 // of refusing, for this long and at this interval.
 constexpr Duration kStartupGrace = std::chrono::seconds(3);
+constexpr Duration kSentLoadInterval = std::chrono::milliseconds(100);
+constexpr Duration kReportInterval = std::chrono::seconds(1);
 constexpr Duration kStartupRetry = std::chrono::milliseconds(20);
 constexpr int kStatusOk = 200;
 constexpr int kStatusAccepted = 202;
@@ -79,12 +82,11 @@
           [this](const ModelVersion& model) { return engines_.HasRoom(model); }, clock_),
       retry_budget_({}, random_),
       strikes_(
-          &network_,
-          [this](const std::string& backend_id) {
-            const auto owners = RendezvousTop(backend_id, membership_.live_routers(), 1);
-            return !owners.empty() && owners.front() == settings_.instance;
+          settings.instance, &network_,
+          [this](std::string_view backend_id) {
+            return membership_.FirstKeeperOf(std::string(backend_id));
           },
-          clock_),
+          settings.request_deadline, clock_),
       cache_follower_(std::make_unique<CacheFollower>(&membership_, &index_, client_.get(), clock_,
                                                       settings.cache_poll_interval)) {
   services_ = {&settings_,     client_.get(), &control_, &membership_, &engines_, &index_, &queues_,
@@ -97,6 +99,11 @@
                       [this](const std::string& /*from*/, const QJsonObject& body) {
                         cache_follower_->Resync(body["engine"].toString().toStdString());
                       });
+  network_.SetHandler(PeerMessageType::kSentLoads,
+                      [this](const std::string& from, const QJsonObject& body) {
+                        const auto loads = ParseSentLoads(body);
+                        if (loads) engines_.PeerSent(from, *loads);
+                      });
   membership_.OnBackendDown([this](const std::string& id, std::int64_t incarnation) {
     const auto chats = chats_;
     for (const auto& [key, chat] : chats) chat->OnBackendDown({id, incarnation});
@@ -134,6 +141,8 @@
   auto* context = new QObject;
   StartTimer(context, ControlClient::kTickInterval, [this] { TickOften(); });
   StartTimer(context, MembershipService::kTickInterval, [this] { TickMembership(); });
+  StartTimer(context, kSentLoadInterval, [this] { SendSentLoads(); });
+  StartTimer(context, kReportInterval, [this] { ReportBackends(); });
   LogEvent(LogLevel::kInfo, "router_started",
            {{"listen", settings_.listen.ToString()},
             {"peer_listen", settings_.peer_listen.ToString()},
@@ -170,6 +179,7 @@
   strikes_.Tick();
   const auto routers = membership_.live_routers();
   engines_.SetRouters(routers.size());
+  strikes_.SetRouters(routers);
   if (index_.SetRouters(routers)) cache_follower_->ResyncAll();
   membership_.table().ForEach([this](const Member& member) {
     if (member.record.backend) index_.Observe(member.record.id, member.record.incarnation);
@@ -179,6 +189,30 @@
   SetGauges();
 }
 
+void Router::SendSentLoads() {
+  const QJsonObject body = ToJson(engines_.TakeSentLoads());
+  for (const std::string& peer : network_.connected_peers()) {
+    network_.Send(peer, PeerMessageType::kSentLoads, body);
+  }
+}
+
+void Router::ReportBackends() {
+  BackendReport report;
+  report.router_id = settings_.instance;
+  membership_.table().ForEach([&](const Member& member) {
+    const MemberRecord& record = member.record;
+    const bool is_engine = record.backend && record.backend->kind == BackendKind::kEngine;
+    if (!is_engine || record.down || !membership_.IsFirstKeeperOf(record.id)) return;
+    report.announcements.push_back(*record.backend);
+  });
+  std::map<ModelVersion, std::int64_t> demand;
+  for (const auto& [key, chat] : chats_) ++demand[chat->model()];
+  for (const auto& [model, requests] : demand) report.demand.push_back({model, requests});
+  if (report.announcements.empty() && report.demand.empty()) return;
+  control_.Call(control_method::kReportBackends, ToJson(report), kReportInterval,
+                [](const std::optional<QJsonObject>& /*result*/) {});
+}
+
 void Router::RequestResyncs() {
   for (const std::string& engine : index_.shard().needs_resync()) {
     const std::string keeper = membership_.FirstKeeperOf(engine);
--- a/src/kumquatrouter/router.h
+++ b/src/kumquatrouter/router.h
@@ -62,6 +62,8 @@
   void TickOften();
   void TickMembership();
   void RequestResyncs();
+  void SendSentLoads();
+  void ReportBackends();
   void SetGauges();
   void CheckDrained();
 
--- a/src/libs/coordination/placement/placement.h
+++ b/src/libs/coordination/placement/placement.h
@@ -7,7 +7,9 @@
 #include <memory>
 #include <optional>
 #include <span>
+#include <string>
 #include <string_view>
+#include <vector>
 
 #include "protocol/announcement.h"
 #include "protocol/lists.h"
@@ -53,23 +55,34 @@
   Duration expected_first_token{};
   // Prompt tokens that the engine will have to compute, after the import if there is one.
   std::int64_t missing_tokens = 0;
-  // Leading prompt tokens worth importing from the store of kept cache; 0 for no import.
+  // Leading prompt tokens to import from the store of kept cache, as far as the engine turns out
+  // not to hold them; 0 for no import.
   std::int64_t import_tokens = 0;
 };
 
 struct PlacementOptions {
   // Routers that share the engines, this one included: its own dispatches are a sample of theirs.
   std::int64_t routers = 1;
-  // Weight of a recomputed token's cost to later requests, in units of its own prefill time.
-  double recompute_weight = 1.0;
-  // Share of the engines that drafts keep to while these are not overloaded.
-  double draft_share = 0.34;
-  // Expected time that a draft has to gain before it leaves them.
-  Duration draft_detour = std::chrono::seconds(4);
+  // Weight of a missing token's cost to other requests, in units of its own prefill time: the
+  // prefill delays those that come after, and what it stores evicts what they would have hit.
+  double reply_recompute_weight = 0.7;
+  double draft_recompute_weight = 0.4;
   // Choices within this much of the best one are equal, and are told apart at random.
   Duration tie = std::chrono::milliseconds(2);
 };
 
+// What one router has sent to an engine that waits for its first token. Routers tell each other,
+// since engines' own reports lag.
+struct SentLoad {
+  std::string backend_id;
+  std::int64_t incarnation = 0;
+  // Prompt tokens to compute, of replies and of all classes.
+  std::int64_t reply_tokens = 0;
+  std::int64_t tokens = 0;
+
+  bool operator==(const SentLoad&) const = default;
+};
+
 // One dispatch under way.
 using DispatchId = std::uint64_t;
 
@@ -78,6 +91,7 @@
 class PlacementPolicy {
  public:
   PlacementPolicy(const PlacementOptions& options, Random random);
+  PlacementPolicy(PlacementPolicy&&) noexcept;
   ~PlacementPolicy();
 
   // Returns the engine to use; nothing when no candidate is serving.
@@ -102,6 +116,14 @@
   void Reported(std::string_view backend_id, std::int64_t incarnation, const BackendLoad& load,
                 Instant measured_at);
 
+  // Returns what to tell the other routers now: the engines whose load from this router changed
+  // since the last call, and from time to time those where it waits long. Tell even if it is empty:
+  // a router that is not heard from for 1.5 s is guessed again.
+  std::vector<SentLoad> TakeSentLoads(Instant now);
+
+  // Another router told what it sent.
+  void PeerSent(std::string_view router, std::span<const SentLoad> loads, Instant now);
+
   // The engine is gone for good.
   void Forget(std::string_view backend_id);
 
--- a/src/libs/coordination/placement/placement_tracker.cpp
+++ b/src/libs/coordination/placement/placement_tracker.cpp
@@ -8,11 +8,31 @@
 namespace {
 
 // How fast what other routers' requests made of a report loses its meaning.
-constexpr double kReportHalfLifeUs = 700'000;
+constexpr Duration kReportHalfLife = std::chrono::milliseconds(800);
+
+// How much of what other routers sent is guessed from this router's own dispatches; the rest is
+// guessed from their average.
+constexpr double kLikenessWeight = 0.5;
+
+// A peer that is silent for longer is guessed like one that never told anything.
+constexpr Duration kPeerSilence = std::chrono::milliseconds(1500);
+
+// Peers are told again of an engine when its waiting tokens changed by this much.
+constexpr std::int64_t kToldStepTokens = 1024;
+
+// Reports that are older are not waited for.
+constexpr Duration kOldestReport = std::chrono::seconds(10);
 
 // Weight of the newest value in running averages.
 constexpr double kAverageWeight = 0.05;
 
+// Returns how much a report of this age still says, from 1 down to 0.
+double TrustAt(Duration age) {
+  const auto age_us = static_cast<double>(std::max(age, Duration::zero()).count());
+  const double ratio = age_us / static_cast<double>(kReportHalfLife.count());
+  return std::exp2(-ratio * ratio);
+}
+
 double Average(double mean, double value) { return mean + kAverageWeight * (value - mean); }
 
 }  // namespace
@@ -31,39 +51,110 @@
                                         Instant now) const {
   LoadEstimate load;
   const auto found = engines_.find(backend_id);
-  if (found == engines_.end() || found->second.incarnation != incarnation) return load;
-  const Engine& engine = found->second;
-  const Instant measured_at = engine.measured_at.value_or(now);
-  const double age_us = static_cast<double>(std::max(now - measured_at, Duration::zero()).count());
-  const double trust = std::exp2(-age_us / kReportHalfLifeUs);
+  const bool is_known = found != engines_.end() && found->second.incarnation == incarnation;
+  // Nothing was reported by a new incarnation or sent to it, but peers may have sent something.
+  static const Engine kUnknown;
+  const Engine& engine = is_known ? found->second : kUnknown;
+  // Before the first report nothing is known of what others sent.
+  const Instant measured_at = engine.measured_at.value_or(Instant::min());
+  const double trust = engine.measured_at ? TrustAt(now - measured_at) : 0;
   // Other routers see what this one sees and do as it does: what it sent since the report was true
-  // stands for as much from each of them.
-  const double likeness = 1 + (1 - trust) * static_cast<double>(routers_ - 1);
+  // stands for as much from each of them, and is weighed against their average.
+  const double unheard = UnheardShare(now);
+  const double likeness =
+      1 + unheard * kLikenessWeight * (1 - trust) * static_cast<double>(routers_ - 1);
   for (const Dispatch& dispatch : engine.dispatches) {
     const double weight = dispatch.sent_at > measured_at ? likeness : 1;
     if (dispatch.RunsAt(now)) load.requests += weight;
     if (!dispatch.WaitsAt(now)) continue;
-    load.tokens += weight * dispatch.tokens;
-    if (dispatch.is_reply) load.reply_tokens += weight * dispatch.tokens;
+    const double tokens = weight * dispatch.tokens;
+    load.tokens += tokens;
+    if (dispatch.is_reply) load.reply_tokens += tokens;
   }
-  const auto mix = [&](double last, double mean) { return trust * last + (1 - trust) * mean; };
-  const double others = mix(engine.others_tokens, engine.mean_others_tokens);
+  const double doubt = (1 - trust) * (1 - kLikenessWeight);
+  const double others = trust * engine.others_tokens + unheard * doubt * engine.mean_others_tokens;
   load.tokens += others;
   load.reply_tokens += others * reply_share_;
-  load.requests += mix(engine.others_requests, engine.mean_others_requests);
+  load.requests += trust * engine.others_requests + (1 - trust) * engine.mean_others_requests;
+  // Peers' words are newer than the report, which knows of wrong beliefs: the larger one counts.
+  const LoadEstimate told = ToldByPeers(backend_id, incarnation, now);
+  load.tokens += std::max(0.0, told.tokens - others);
+  load.reply_tokens += std::max(0.0, told.reply_tokens - others * reply_share_);
   return load;
 }
 
+LoadEstimate PlacementTracker::ToldByPeers(std::string_view backend_id, std::int64_t incarnation,
+                                           Instant now) const {
+  LoadEstimate told;
+  for (const auto& [router, peer] : peers_) {
+    if (!peer.IsHeard(now)) continue;
+    const auto found = peer.loads.find(backend_id);
+    if (found == peer.loads.end() || found->second.incarnation != incarnation) continue;
+    told.tokens += static_cast<double>(found->second.tokens);
+    told.reply_tokens += static_cast<double>(found->second.reply_tokens);
+  }
+  return told;
+}
+
+std::vector<SentLoad> PlacementTracker::TakeSentLoads(Instant now) {
+  std::vector<SentLoad> loads;
+  for (auto& [backend_id, engine] : engines_) {
+    SentLoad load{.backend_id = backend_id, .incarnation = engine.incarnation};
+    for (const Dispatch& dispatch : engine.dispatches) {
+      if (!dispatch.WaitsAt(now)) continue;
+      const auto tokens = static_cast<std::int64_t>(dispatch.tokens);
+      load.tokens += tokens;
+      if (dispatch.is_reply) load.reply_tokens += tokens;
+    }
+    const bool is_settled = (load.tokens == 0) == (engine.told_tokens == 0);
+    if (is_settled && std::abs(load.tokens - engine.told_tokens) < kToldStepTokens) continue;
+    engine.told_tokens = load.tokens;
+    loads.push_back(std::move(load));
+  }
+  return loads;
+}
+
+void PlacementTracker::PeerSent(std::string_view router, std::span<const SentLoad> loads,
+                                Instant now) {
+  auto found = peers_.find(router);
+  if (found == peers_.end()) found = peers_.emplace(router, Peer{}).first;
+  Peer& peer = found->second;
+  if (!peer.IsHeard(now)) peer.loads.clear();
+  peer.heard_at = now;
+  for (const SentLoad& load : loads) {
+    const auto told = peer.loads.find(load.backend_id);
+    if (told != peer.loads.end() && told->second.incarnation > load.incarnation) continue;
+    if (load.tokens == 0) {
+      if (told != peer.loads.end()) peer.loads.erase(told);
+    } else {
+      peer.loads.insert_or_assign(load.backend_id, load);
+    }
+  }
+}
+
+bool PlacementTracker::Peer::IsHeard(Instant now) const { return now - heard_at < kPeerSilence; }
+
+// Returns the share of the other routers whose dispatches have to be guessed.
+double PlacementTracker::UnheardShare(Instant now) const {
+  if (routers_ <= 1) return 0;
+  const auto heard = std::count_if(peers_.begin(), peers_.end(),
+                                   [&](const auto& entry) { return entry.second.IsHeard(now); });
+  return std::max(0.0, 1 - static_cast<double>(heard) / static_cast<double>(routers_ - 1));
+}
+
 DispatchId PlacementTracker::Dispatched(const Candidate& candidate, RequestClass request_class,
-                                        std::int64_t missing_tokens, Instant now) {
+                                        const PlacementChoice& choice, Instant now) {
   const DispatchId id = ++last_dispatch_;
   Engine* const engine = EngineOf(candidate.backend_id, candidate.incarnation);
   if (engine == nullptr) return id;
   const bool is_reply = request_class == RequestClass::kReply;
   reply_share_ = Average(reply_share_, is_reply ? 1 : 0);
+  std::erase_if(engine->dispatches, [&](const Dispatch& sent) {
+    return sent.ended_at && now - *sent.ended_at > kOldestReport;
+  });
   Dispatch dispatch;
   dispatch.id = id;
-  dispatch.tokens = static_cast<double>(missing_tokens);
+  dispatch.tokens = static_cast<double>(choice.missing_tokens);
   dispatch.is_reply = is_reply;
   dispatch.sent_at = now;
   engine->dispatches.push_back(dispatch);
