--- a/tests/libs/coordination/limits/shares_test.cpp
+++ b/tests/libs/coordination/limits/shares_test.cpp
@@ -349,4 +349,23 @@
   CHECK_FALSE(holder.Apply(next.sequence, answer, start + milliseconds(3701)));
 }
 
+TEST_CASE("A share that ran out is not confirmed, and its requests are not reported") {
+  ShareHolder holder;
+  const auto renew = [&](Instant sent, Instant answered, std::int64_t term, std::int64_t granted) {
+    const SharesToRenew request = holder.BeginRequest(sent);
+    const Capacity share{granted, 10 * granted, granted};
+    holder.Apply(request.sequence, {term, 3000, 0, 0, {}, {}, {{"clinic", share}}, {}}, answered);
+    return request.shares[0].held.concurrent_requests;
+  };
+  holder.TryAcquire("clinic", 0, seconds(1));
+  CHECK(renew(seconds(1), seconds(1), 1, 5) == 0);
+  for (int i = 1; i <= 5; ++i) holder.TryAcquire("clinic", 0, seconds(1) + milliseconds(300) * i);
+  // A new leader confirms what was held when it was asked, but by its answer the lease has ended.
+  CHECK(renew(milliseconds(3900), milliseconds(4100), 2, 5) == 5);
+  CHECK(holder.Held("clinic", milliseconds(4100)) == Capacity{});
+  // Five requests run, one is granted: the other four are not the leader's to confirm.
+  CHECK(renew(milliseconds(8000), milliseconds(8001), 2, 1) == 0);
+  CHECK(renew(milliseconds(8100), milliseconds(8101), 3, 1) == 1);
+}
+
 }  // namespace kumquat
