Membership: refreshed announcements travel as compact rows

An announcement that changes nothing but the load went to both keepers as a whole record of some 400 bytes; now it is a row of some 40 bytes in the batch that goes out twice a second. Empty messages about sent loads go once a second instead of ten times.

--- a/src/kumquatrouter/control_client.cpp
+++ b/src/kumquatrouter/control_client.cpp
@@ -63,6 +63,12 @@
   if ((runs_out || has_run_out) && now >= next_probe_) ProbeVoters();
 }
 
+std::int64_t ControlClient::bytes_transferred() const {
+  std::int64_t bytes = 0;
+  for (const auto& replica : replicas_) bytes += replica->link().bytes_transferred();
+  return bytes;
+}
+
 void ControlClient::Renew() {
   const Instant now = clock_();
   const SharesToRenew shares = share_holder_.BeginRequest(now);
--- a/src/kumquatrouter/control_client.h
+++ b/src/kumquatrouter/control_client.h
@@ -48,6 +48,9 @@
   // Returns the renewals sent so far.
   std::int64_t renewals_sent() const { return renewals_sent_; }
 
+  // Returns the bytes of the links to the replicas, both ways.
+  std::int64_t bytes_transferred() const;
+
   static constexpr Duration kTickInterval = std::chrono::milliseconds(10);
 
  private:
--- a/src/kumquatrouter/membership_service.cpp
+++ b/src/kumquatrouter/membership_service.cpp
@@ -29,6 +29,17 @@
       .count();
 }
 
+// What others need of an announcement that changed nothing but the load.
+QJsonArray LoadRow(const MemberRecord& record) {
+  const BackendLoad& load = record.backend->load;
+  return {ToQString(record.id),
+          static_cast<qint64>(record.incarnation),
+          static_cast<qint64>(record.sequence),
+          static_cast<qint64>(load.running_requests),
+          static_cast<qint64>(load.queued_requests),
+          static_cast<qint64>(load.queued_tokens)};
+}
+
 MemberRecord SelfRecord(const RouterSettings& settings) {
   MemberRecord self;
   self.id = settings.instance;
@@ -97,8 +108,7 @@
                                       std::pair(known->record.incarnation, known->record.sequence);
   gossip_.Learn(record, clock_());
   if (!is_newer) return;
-  ForwardToKeepers(record);
-  fresh_loads_[record.id] = true;
+  fresh_loads_.insert(record.id);
   if (on_load_) on_load_(announcement, clock_());
 }
 
@@ -163,15 +173,6 @@
   gossip_.Learn(self_, clock_());
 }
 
-void MembershipService::ForwardToKeepers(const MemberRecord& record) {
-  GossipMessage message;
-  message.records = {record};
-  for (const std::string& keeper : KeepersOf(record.id)) {
-    if (keeper == settings_.instance) continue;
-    network_->Send(keeper, PeerMessageType::kGossip, ToJson(message));
-  }
-}
-
 void MembershipService::CheckRouters() {
   std::vector<std::pair<std::string, std::int64_t>> refused;
   table_.ForEach([&](const Member& member) {
@@ -219,37 +220,44 @@
 }
 
 void MembershipService::SendLoads() {
-  QJsonArray loads;
-  for (const auto& [id, fresh] : fresh_loads_) {
+  QJsonArray all_rows;
+  // Rows for keepers that this router has no link to yet.
+  std::map<std::string, QJsonArray> keeper_rows;
+  const auto connected = network_->connected_peers();
+  for (const std::string& id : std::exchange(fresh_loads_, {})) {
     const Member* member = table_.Find(id);
     if (!member || !member->record.backend) continue;
-    const BackendLoad& load = member->record.backend->load;
-    loads.append(QJsonArray{ToQString(id), static_cast<qint64>(member->record.incarnation),
-                            static_cast<qint64>(load.running_requests),
-                            static_cast<qint64>(load.queued_requests),
-                            static_cast<qint64>(load.queued_tokens)});
+    const QJsonArray row = LoadRow(member->record);
+    all_rows.append(row);
+    for (const std::string& keeper : KeepersOf(id)) {
+      if (std::find(connected.begin(), connected.end(), keeper) == connected.end()) {
+        keeper_rows[keeper].append(row);
+      }
+    }
   }
-  fresh_loads_.clear();
-  if (loads.isEmpty()) return;
-  const QJsonObject body{{"loads", loads}};
-  for (const std::string& peer : network_->connected_peers()) {
-    network_->Send(peer, PeerMessageType::kLoads, body);
+  if (all_rows.isEmpty()) return;
+  for (const std::string& peer : connected) {
+    network_->Send(peer, PeerMessageType::kLoads, {{"loads", all_rows}});
+  }
+  for (const auto& [keeper, rows] : keeper_rows) {
+    const Member* router = table_.Find(keeper);
+    if (!router || keeper == settings_.instance) continue;
+    network_->AddPeer({keeper, router->record.endpoint});
+    network_->Send(keeper, PeerMessageType::kLoads, {{"loads", rows}});
   }
 }
 
 void MembershipService::ReceiveLoads(const QJsonObject& body) {
-  constexpr int kFields = 5;
+  constexpr int kFields = 6;
   JsonFields fields(body);
   for (const QJsonValue& item : fields.Array("loads", kMaxLoads)) {
     const QJsonArray values = item.toArray();
     if (values.size() != kFields) continue;
     const std::string id = values[0].toString().toStdString();
     const std::int64_t incarnation = values[1].toInteger();
-    const BackendLoad load{values[2].toInteger(), values[3].toInteger(), values[4].toInteger()};
-    table_.MergeLoad(id, incarnation, load, clock_());
-    const Member* member = table_.Find(id);
-    if (!member || !member->record.backend || member->record.incarnation != incarnation) continue;
-    if (on_load_) on_load_(*member->record.backend, clock_());
+    const BackendLoad load{values[3].toInteger(), values[4].toInteger(), values[5].toInteger()};
+    if (!table_.MergeLoad(id, incarnation, values[2].toInteger(), load, clock_())) continue;
+    if (on_load_) on_load_(*table_.Find(id)->record.backend, clock_());
   }
 }
 
--- a/src/kumquatrouter/membership_service.h
+++ b/src/kumquatrouter/membership_service.h
@@ -1,13 +1,14 @@
 // Keeps this router's picture of routers and backend servers up to date.
 //
-// A backend server announces itself to any router, which passes the announcement on to the backend
-// server's two keepers. Keepers probe a backend server that has gone silent, and tell the others of
-// its load. What lasts (who is there, in which state) is flooded by gossip.
+// A backend server announces itself to any router. What lasts of an announcement (who is there, in
+// which state) is flooded by gossip when it changes; its load and that it was heard of go to the
+// neighbours and to the backend server's two keepers, who probe it when it has gone silent.
 #pragma once
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -72,7 +73,6 @@
  private:
   void AnnounceSelf();
   void ReceiveGossip(const std::string& from, const QJsonObject& body);
-  void ForwardToKeepers(const MemberRecord& record);
   void ProbeSilentBackends();
   void Probe(const MemberRecord& record);
   void SendLoads();
@@ -93,7 +93,7 @@
   // Probes under way, by backend server.
   std::map<std::string, std::unique_ptr<BackendCall>> probes_;
   // Backend servers whose load came in since the last digest was sent.
-  std::map<std::string, bool> fresh_loads_;
+  std::set<std::string> fresh_loads_;
   std::int64_t ticks_ = 0;
 };
 
--- a/src/kumquatrouter/router.cpp
+++ b/src/kumquatrouter/router.cpp
@@ -26,6 +26,7 @@
 // of refusing, for this long and at this interval.
 constexpr Duration kStartupGrace = std::chrono::seconds(3);
 constexpr Duration kSentLoadInterval = std::chrono::milliseconds(100);
+constexpr std::int64_t kTicksBetweenEmptyLoads = 10;
 constexpr Duration kReportInterval = std::chrono::seconds(1);
 constexpr Duration kStartupRetry = std::chrono::milliseconds(20);
 constexpr int kStatusOk = 200;
@@ -190,7 +191,11 @@
 }
 
 void Router::SendSentLoads() {
-  const QJsonObject body = ToJson(engines_.TakeSentLoads());
+  const auto loads = engines_.TakeSentLoads();
+  // An empty message only says that this router is there.
+  const bool is_due = ++sent_load_ticks_ % kTicksBetweenEmptyLoads == 0;
+  if (loads.empty() && !is_due) return;
+  const QJsonObject body = ToJson(loads);
   for (const std::string& peer : network_.connected_peers()) {
     network_.Send(peer, PeerMessageType::kSentLoads, body);
   }
@@ -231,6 +236,7 @@
   metrics_.Set("kumquat_members", "", static_cast<double>(membership_.table().size()));
   metrics_.Set("kumquat_index_entries", "", static_cast<double>(index_.shard().entries()));
   metrics_.Set("kumquat_peer_bytes", "", static_cast<double>(network_.bytes_transferred()));
+  metrics_.Set("kumquat_control_bytes", "", static_cast<double>(control_.bytes_transferred()));
   metrics_.Set("kumquat_lease_renewals", "", static_cast<double>(control_.renewals_sent()));
   metrics_.Set("kumquat_may_serve", "", control_.MayServe() ? 1 : 0);
   metrics_.Set("kumquat_plans_revision", "", static_cast<double>(control_.lists().plans_revision));
--- a/src/kumquatrouter/router.h
+++ b/src/kumquatrouter/router.h
@@ -89,6 +89,7 @@
   std::map<std::uint64_t, std::shared_ptr<ChatExchange>> chats_;
   std::map<std::uint64_t, std::shared_ptr<ServiceExchange>> calls_;
   std::uint64_t last_exchange_ = 0;
+  std::int64_t sent_load_ticks_ = 0;
   std::function<void()> on_drained_;
   std::string last_reason_;
 };
--- a/src/libs/coordination/membership/member_table.cpp
+++ b/src/libs/coordination/membership/member_table.cpp
@@ -60,14 +60,19 @@
   return changed ? MergeOutcome::kChanged : MergeOutcome::kRefreshed;
 }
 
-void MemberTable::MergeLoad(std::string_view id, std::int64_t incarnation, const BackendLoad& load,
-                            Instant now) {
+bool MemberTable::MergeLoad(std::string_view id, std::int64_t incarnation, std::int64_t sequence,
+                            const BackendLoad& load, Instant now) {
   const auto entry = members_.find(id);
-  if (entry == members_.end() || !entry->second.record.backend) return;
+  if (entry == members_.end() || !entry->second.record.backend) return false;
   Member& member = entry->second;
-  if (member.record.incarnation != incarnation) return;
-  member.record.backend->load = load;
+  MemberRecord& record = member.record;
+  if (record.incarnation != incarnation || record.down || sequence <= record.sequence) return false;
+  record.sequence = sequence;
+  record.backend->sequence = sequence;
+  record.backend->load = load;
+  member.heard_at = now;
   member.load_at = now;
+  return true;
 }
 
 std::optional<MemberRecord> MemberTable::ConnectionFailed(std::string_view id,
--- a/src/libs/coordination/membership/member_table.h
+++ b/src/libs/coordination/membership/member_table.h
@@ -41,9 +41,11 @@
  public:
   MergeOutcome Merge(const MemberRecord& record, Instant now);
 
-  // Notes a newer load of the same incarnation, without any other change.
-  void MergeLoad(std::string_view id, std::int64_t incarnation, const BackendLoad& load,
-                 Instant now);
+  // Notes that the backend server was heard of again, without any other change than its load. False
+  // for another incarnation or an older sequence. It brings none back that is down: that takes a
+  // whole record.
+  bool MergeLoad(std::string_view id, std::int64_t incarnation, std::int64_t sequence,
+                 const BackendLoad& load, Instant now);
 
   // Notes that a new connection to the member failed. Returns the record that says so, for the
   // others; nothing when the member's incarnation is another by now.
