--- a/src/fakes/common/announcer.cpp
+++ b/src/fakes/common/announcer.cpp
@@ -33,7 +33,7 @@
 void Announcer::Announce() {
   Announcement announcement;
   announcement.backend_id = settings_.id;
-  announcement.endpoint = settings_.listen;
+  announcement.endpoint = settings_.announced;
   announcement.failure_domain = settings_.failure_domain;
   announcement.incarnation = settings_.incarnation;
   announcement.sequence = ++sequence_;
--- a/src/fakes/common/fake_settings.cpp
+++ b/src/fakes/common/fake_settings.cpp
@@ -9,6 +9,7 @@
 void AddFakeSettings(SettingsReader& reader, FakeSettings* settings) {
   reader.Add("id", &settings->id, "Name of this backend server.").Required();
   reader.Add("listen", &settings->listen, "Address to serve on.").Required();
+  reader.Add("announced", &settings->announced, "Address to announce, if it isn't the same.");
   reader.Add("failure_domain", &settings->failure_domain, "Failure domain.");
   reader.Add("log_level", &settings->log_level, "debug, info, warning or error.");
   reader.Add("routers", &settings->routers, "Routers to announce to, the first that answers.");
@@ -22,6 +23,7 @@
 
 void ApplyFakeSettings(FakeSettings* settings) {
   ConfigureLog(settings->id, LogLevelFromName(settings->log_level));
+  if (settings->announced.port == 0) settings->announced = settings->listen;
   if (settings->incarnation != 0) return;
   const auto now = std::chrono::system_clock::now().time_since_epoch();
   settings->incarnation = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
--- a/src/fakes/common/fake_settings.h
+++ b/src/fakes/common/fake_settings.h
@@ -14,6 +14,8 @@
 struct FakeSettings {
   std::string id;
   Endpoint listen;
+  // Where routers reach this fake; the same as `listen` when the port is 0.
+  Endpoint announced;
   std::string failure_domain = "a";
   std::string log_level = "warning";
   // Where to announce; none for a fake that is only called directly.
--- a/tests/process/control/control_cluster.cpp
+++ b/tests/process/control/control_cluster.cpp
@@ -36,7 +36,7 @@
 }  // namespace
 
 ControlCluster::ControlCluster() : ports_(FreePorts(kReplicas)), processes_(kReplicas) {
-  std::string control;
+  std::string& control = control_list_;
   relays_.resize(kReplicas);
   for (int i = 0; i < kReplicas; ++i) {
     for (const std::uint16_t port : ports_) relays_[i].push_back(std::make_unique<ByteRelay>(port));
--- a/tests/process/control/control_cluster.h
+++ b/tests/process/control/control_cluster.h
@@ -62,6 +62,9 @@
   // Calls the leader, whichever replica that is, until it answers without an error.
   QJsonObject CallLeader(std::string_view method, const QJsonObject& params);
 
+  // Returns the replicas as they stand in a settings file: "c1@ip:port", ...
+  const std::string& control_list() const { return control_list_; }
+
   // Calls this replica; nothing when it doesn't answer in time.
   std::optional<QJsonObject> Call(int replica, std::string_view method, const QJsonObject& params);
 
@@ -69,6 +72,7 @@
   std::string Path(const std::string& name) const;
 
   QTemporaryDir folder_;
+  std::string control_list_;
   std::vector<std::uint16_t> ports_;
   // What each replica (first index) reaches each other one through.
   std::vector<std::vector<std::unique_ptr<ByteRelay>>> relays_;
