--- a/src/kumquatrouter/chat_exchange.h
+++ b/src/kumquatrouter/chat_exchange.h
@@ -35,6 +35,8 @@
   // Begins. `on_done` runs once, after the caller has its whole answer or is gone.
   void Start(std::function<void()> on_done);
 
+  const ModelVersion& model() const { return demand_.model; }
+
   // The backend server is known to have died.
   void OnBackendDown(const BackendChoice& backend);
 
@@ -57,6 +59,7 @@
   BackendCallRequest CallFor(const stream_command::StartAttempt& command) const;
   BackendCallHooks HooksFor(const std::string& attempt_id);
   StreamRequestHooks DecisionHooks();
+  bool MayWaitForPlace();
   bool IsDead(const BackendChoice& backend) const;
   void OnData(const std::string& attempt_id, std::string_view data);
   void OnCallFailed(const std::string& attempt_id, CallFailure failure);
