Suspects are condemned only by a death on a backend server where they ran apart; first retries are free

Cause 1 (poison test, red): bystanders with equal content have one digest; two engines died under them, and they were condemned though none had run apart. Now one of the two strikes must be of a run as a suspect. Ruled out: strikes of other requests (the digests differ). Cause 2 (storm test, red): the retry budget refused to resume accepted streams: 13 and 70 of 300 interrupted.

--- a/src/kumquatrouter/chat_exchange.cpp
+++ b/src/kumquatrouter/chat_exchange.cpp
@@ -4,6 +4,7 @@
 
 #include <QCryptographicHash>
 #include <QTimer>
+#include <algorithm>
 #include <utility>
 
 #include "control_client.h"
@@ -166,6 +167,9 @@
   attempt_->id = command.attempt_id;
   attempt_->backend = command.backend;
   attempt_->dispatch = services_.engines->Dispatched(demand_, command.backend);
+  if (services_.strikes->StandingOf(digest_) == RequestStanding::kSuspect) {
+    isolated_on_.push_back(command.backend);
+  }
   services_.strikes->OnStarted(digest_, command.backend.backend_id);
   services_.metrics->Count("kumquat_attempts_total", MetricLabels());
   attempt_->call = services_.client->Start(CallFor(command), HooksFor(command.attempt_id));
@@ -363,7 +367,10 @@
 }
 
 void ChatExchange::Execute(const stream_command::GiveStrike& command) {
-  services_.strikes->AddStrike(digest_, {command.backend.backend_id, command.backend.incarnation});
+  const BackendChoice& backend = command.backend;
+  const bool is_isolated =
+      std::find(isolated_on_.begin(), isolated_on_.end(), backend) != isolated_on_.end();
+  services_.strikes->AddStrike(digest_, {backend.backend_id, backend.incarnation, is_isolated});
 }
 
 void ChatExchange::Execute(const stream_command::NoteSuccess& /*command*/) {
--- a/src/kumquatrouter/chat_exchange.h
+++ b/src/kumquatrouter/chat_exchange.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "chat_request.h"
 #include "coordination/requests/stream_request.h"
@@ -79,6 +80,8 @@
   ShareTicket ticket_;
   std::optional<StreamRequest> decisions_;
   std::optional<ChatAttempt> attempt_;
+  // Where the request started as a suspect.
+  std::vector<BackendChoice> isolated_on_;
   std::function<void()> on_done_;
   std::uint64_t queue_id_ = 0;
   bool is_answer_started_ = false;
--- a/src/kumquatrouter/engine_selector.cpp
+++ b/src/kumquatrouter/engine_selector.cpp
@@ -92,7 +92,10 @@
     dispatch.believed_pieces = candidate.cached_tokens / kPieceTokens;
     dispatch.id = policy_.Dispatched(candidate, RequestOf(demand), choice, clock_());
   }
-  index_->Expect(backend.backend_id, backend.incarnation, demand.prefix.blocks);
+  // A draft may wait long for its turn, so what it will store is not counted on before that.
+  if (demand.request_class == RequestClass::kReply) {
+    index_->Expect(backend.backend_id, backend.incarnation, demand.prefix.blocks);
+  }
   return dispatch;
 }
 
--- a/src/kumquatrouter/exchange.cpp
+++ b/src/kumquatrouter/exchange.cpp
@@ -40,6 +40,13 @@
     return;
   }
   if (answer.verdict == AdmissionVerdict::kRefused || now >= give_up_at) {
+    const Capacity held = services_.control->share_holder().Held(organisation_, now);
+    LogEvent(LogLevel::kError, "share_refused",
+             {{"organisation", organisation_},
+              {"requests_per_second", held.requests_per_second},
+              {"tokens_per_second", held.tokens_per_second},
+              {"concurrent_requests", held.concurrent_requests},
+              {"waited_ms", (now - *asked_first_).count() / 1000}});
     on_refused(LimitExceeded(answer.after));
     return;
   }
--- a/src/kumquatrouter/strike_exchange.cpp
+++ b/src/kumquatrouter/strike_exchange.cpp
@@ -40,8 +40,8 @@
 QJsonObject ToJson(const StrikeEntry& entry) {
   QJsonArray strikes;
   for (const Strike& strike : entry.strikes) {
-    strikes.append(
-        QJsonArray{ToQString(strike.backend_id), static_cast<qint64>(strike.incarnation)});
+    strikes.append(QJsonArray{ToQString(strike.backend_id), static_cast<qint64>(strike.incarnation),
+                              strike.is_isolated});
   }
   return {{"digest", ToQString(entry.digest)},
           {"strikes", strikes},
@@ -56,7 +56,8 @@
   fields.Read("digest", &entry.digest).Read("cleared", &entry.cleared).Read("age_us", &age);
   for (const QJsonValue& item : fields.Array("strikes", kMaxStrikes)) {
     const QJsonArray values = item.toArray();
-    entry.strikes.push_back({values[0].toString().toStdString(), values[1].toInteger()});
+    entry.strikes.push_back(
+        {values[0].toString().toStdString(), values[1].toInteger(), values[2].toBool()});
   }
   entry.age = Duration(age);
   if (!fields.ok()) return std::nullopt;
--- a/src/libs/coordination/admission/retry_budget.cpp
+++ b/src/libs/coordination/admission/retry_budget.cpp
@@ -13,7 +13,8 @@
 }
 
 std::optional<Duration> RetryBudget::TryRetry(int retries_before, Instant now, Instant deadline) {
-  if (saved_ < 1) return std::nullopt;
+  const bool is_free = retries_before < options_.free_retries;
+  if (!is_free && saved_ < 1) return std::nullopt;
   Duration most = options_.shortest_backoff;
   for (int i = 0; i < retries_before && most < options_.longest_backoff; ++i) most *= 2;
   most = std::min(most, options_.longest_backoff);
@@ -22,7 +23,7 @@
   const auto spread = static_cast<std::uint64_t>((most - half).count()) + 1;
   const Duration backoff = half + Duration(static_cast<Duration::rep>(random_() % spread));
   if (now + backoff >= deadline) return std::nullopt;
-  saved_ -= 1;
+  if (!is_free) saved_ -= 1;
   return backoff;
 }
 
--- a/src/libs/coordination/admission/retry_budget.h
+++ b/src/libs/coordination/admission/retry_budget.h
@@ -8,6 +8,8 @@
 namespace kumquat {
 
 struct RetryBudgetOptions {
+  // First retries of each request that cost nothing: an accepted request is worth its resumption.
+  int free_retries = 2;
   // Retries that each success pays for.
   double retries_per_success = 0.1;
   // Retries that a router may make before its first success, and the most that it may save up.
@@ -24,9 +26,9 @@
 
   void OnSuccess();
 
-  // Takes one retry from the budget and returns the jittered time to wait before it. Nothing when
-  // the budget is used up, or the retry would begin past the deadline. `retries_before` counts
-  // the request's own retries so far.
+  // Takes one retry from the budget, where it isn't free, and returns the jittered time to wait
+  // before it. Nothing when the budget is used up, or the retry would begin past the deadline.
+  // `retries_before` counts the request's own retries so far.
   std::optional<Duration> TryRetry(int retries_before, Instant now, Instant deadline);
 
  private:
--- a/src/libs/coordination/admission/strike_table.cpp
+++ b/src/libs/coordination/admission/strike_table.cpp
@@ -31,8 +31,13 @@
   const Entry* entry = Find(digest, now);
   if (entry == nullptr || entry->strikes.empty()) return RequestStanding::kClean;
   std::set<std::string_view> dead;
-  for (const Strike& strike : entry->strikes) dead.insert(strike.backend_id);
-  return dead.size() < kCondemningDeaths ? RequestStanding::kSuspect : RequestStanding::kCondemned;
+  bool was_isolated = false;
+  for (const Strike& strike : entry->strikes) {
+    dead.insert(strike.backend_id);
+    was_isolated = was_isolated || strike.is_isolated;
+  }
+  const bool is_condemned = dead.size() >= kCondemningDeaths && was_isolated;
+  return is_condemned ? RequestStanding::kCondemned : RequestStanding::kSuspect;
 }
 
 RequestStanding StrikeTable::AddStrike(const std::string& digest, const Strike& strike,
--- a/src/libs/coordination/admission/strike_table.h
+++ b/src/libs/coordination/admission/strike_table.h
@@ -24,10 +24,13 @@
 struct Strike {
   std::string backend_id;
   std::int64_t incarnation = 0;
+  // The request was a suspect when it started there, so no other suspect ran beside it.
+  bool is_isolated = false;
 
   bool operator==(const Strike&) const = default;
   bool operator<(const Strike& other) const {
-    return std::tie(backend_id, incarnation) < std::tie(other.backend_id, other.incarnation);
+    return std::tie(backend_id, incarnation, is_isolated) <
+           std::tie(other.backend_id, other.incarnation, other.is_isolated);
   }
 };
 
@@ -51,7 +54,9 @@
   kClean,
   // It was running when one backend server died: it runs alone among suspects.
   kSuspect,
-  // It was running when two different backend servers died: it is refused for good.
+  // It was running when two different backend servers died, on one of them as a suspect: it is
+  // refused for good. Without the latter, equal requests that ran beside a poison request on two
+  // backend servers would be condemned.
   kCondemned,
 };
 
