--- a/src/libs/coordination/limits/share_holder.cpp
+++ b/src/libs/coordination/limits/share_holder.cpp
@@ -50,6 +50,8 @@
     const Instant first = asked_first.value_or(now);
     // A place that comes free by the rate within the longest wait is worth waiting for.
     if (wait && now + *wait <= first + options_.longest_wait) {
+      // Control gave all that was asked for, so it may give more.
+      if (!AnyPartBelow(share.granted, share.answered_wanted)) hurry_ = true;
       return {AdmissionVerdict::kWait, *wait};
     }
     return FallShort(&share, shortage, first, now);
@@ -96,6 +98,7 @@
       continue;
     }
     share.reported = Believed(share, now);
+    share.asked_in = sequence_;
     result.shares.push_back({it->first, share.reported, share.wanted});
     ++it;
   }
@@ -112,6 +115,8 @@
   for (const ShareGrant& grant : answer.shares) granted[grant.organisation] = grant.granted;
   const Instant lease_end = *sent_at_ + UsableLease(std::chrono::milliseconds(answer.lease_ms));
   for (auto& [organisation, share] : shares_) {
+    // The answer says nothing of a share that came up after the request had gone out.
+    if (share.asked_in != sequence) continue;
     ApplyGrant(&share, granted[organisation], answer.term, lease_end, now);
   }
   return true;
@@ -144,9 +149,11 @@
   const double unmet =
       share.unmet.Rate(memory, now) * std::chrono::duration<double>(memory).count();
   Capacity wanted;
-  wanted.requests_per_second = WithHeadroom(requests) + kLeastRequestsPerSecond;
-  wanted.tokens_per_second = WithHeadroom(share.token_demand.Rate(memory, now)) +
-                             kLeastRequestsPerSecond * share.largest_request;
+  // What waits now should get through within about a second.
+  const std::int64_t burst = kLeastRequestsPerSecond + static_cast<std::int64_t>(std::ceil(unmet));
+  wanted.requests_per_second = WithHeadroom(requests) + burst;
+  wanted.tokens_per_second =
+      WithHeadroom(share.token_demand.Rate(memory, now)) + burst * share.largest_request;
   wanted.concurrent_requests = WithHeadroom(static_cast<double>(share.running) + unmet);
   return wanted;
 }
@@ -169,7 +176,7 @@
   const bool answered = share->answered_from && *share->answered_from >= asked_first;
   const bool told_lately = share->answered_from && IsValid(*share, now) &&
                            now - *share->answered_from < options_.renew_interval &&
-                           AnyPartBelow(share->granted, share->wanted);
+                           AnyPartBelow(share->granted, share->answered_wanted);
   const bool waited = now - asked_first >= options_.longest_wait;
   if (answered || told_lately || waited) return {AdmissionVerdict::kRefused, retry_after};
   hurry_ = true;
@@ -197,6 +204,7 @@
   share->term = term;
   share->lease_end = lease_end;
   share->answered_from = sent_at_;
+  share->answered_wanted = share->wanted;
   const Duration settling_time = options_.renew_interval * kSettlingIntervals;
   if (AnyPartBelow(granted, share->wanted) && now - share->created_at < settling_time) {
     settling_ = true;
--- a/src/libs/coordination/limits/share_holder.h
+++ b/src/libs/coordination/limits/share_holder.h
@@ -102,6 +102,9 @@
     // The term of the leader that granted it, and the end of its lease.
     std::int64_t term = 0;
     Instant lease_end{0};
+    // The newest request that named it, and what the newest answered one wanted.
+    std::int64_t asked_in = 0;
+    Capacity answered_wanted;
     // What the newest request reported.
     Capacity reported;
     Capacity wanted;
--- a/tests/libs/coordination/limits/shares_test.cpp
+++ b/tests/libs/coordination/limits/shares_test.cpp
@@ -328,6 +328,20 @@
   CHECK(holder.TryAcquire("clinic", 10, end, third).verdict == AdmissionVerdict::kRefused);
 }
 
+TEST_CASE("An answer says nothing of a demand that came up after its request went out") {
+  ShareHolder holder;
+  const Instant start = seconds(5);
+  const SharesToRenew before = holder.BeginRequest(start);
+  CHECK(before.shares.empty());
+  CHECK(holder.TryAcquire("clinic", 10, start + milliseconds(1)).verdict ==
+        AdmissionVerdict::kWait);
+  CHECK(holder.Apply(before.sequence, {4, 3000, 0, 0, {}, {}, {}, {}}, start + milliseconds(2)));
+  // The request that names the demand is under way; nobody is refused before its answer.
+  holder.BeginRequest(start + milliseconds(100));
+  CHECK(holder.TryAcquire("clinic", 10, start + milliseconds(101)).verdict ==
+        AdmissionVerdict::kWait);
+}
+
 TEST_CASE("An expired share refuses, and says when to come back") {
   ShareHolder holder;
   const Instant start = seconds(5);
