--- a/src/kumquatrouter/chat_exchange.cpp
+++ b/src/kumquatrouter/chat_exchange.cpp
@@ -118,9 +118,14 @@
 StreamRequestHooks ChatExchange::DecisionHooks() {
   StreamRequestHooks hooks;
   hooks.choose_backend = [this](std::span<const BackendChoice> avoid) {
-    return services_.engines->Choose(demand_, avoid, [this](const std::string& backend_id) {
+    const auto may_use = [this](const std::string& backend_id) {
       return services_.strikes->MayPlace(digest_, backend_id);
-    });
+    };
+    const auto backend = services_.engines->Choose(demand_, avoid, may_use);
+    // Only a choice keeps suspects apart; an attempt on the same backend server again does not.
+    const bool is_suspect = services_.strikes->StandingOf(digest_) == RequestStanding::kSuspect;
+    if (backend && is_suspect) isolated_on_.push_back(*backend);
+    return backend;
   };
   hooks.is_backend_dead = [this](const BackendChoice& backend) { return IsDead(backend); };
   hooks.try_retry = [this](int retries_before, Instant now, Instant deadline) {
@@ -167,9 +172,6 @@
   attempt_->id = command.attempt_id;
   attempt_->backend = command.backend;
   attempt_->dispatch = services_.engines->Dispatched(demand_, command.backend);
-  if (services_.strikes->StandingOf(digest_) == RequestStanding::kSuspect) {
-    isolated_on_.push_back(command.backend);
-  }
   services_.strikes->OnStarted(digest_, command.backend.backend_id);
   services_.metrics->Count("kumquat_attempts_total", MetricLabels());
   attempt_->call = services_.client->Start(CallFor(command), HooksFor(command.attempt_id));
