--- a/tests/libs/coordination/log/replica_test.cpp
+++ b/tests/libs/coordination/log/replica_test.cpp
@@ -37,6 +37,7 @@
   ~LoneReplica() { storage_.Crash(); }
 
   ReplicatedLog& log() { return *log_; }
+  void FailNextSync() { storage_.FailNextSync(true); }
 
   void Wait(Duration time) {
     now_ += time;
@@ -92,6 +93,27 @@
   CHECK(GrantsVote(disk, kC, 6));
 }
 
+TEST_CASE("Nothing goes out before the sync, and nothing after a failed one") {
+  MemoryDisk disk = MemberDisk();
+  LoneReplica replica("b", &disk);
+  const auto any_vote = [](const VoteAnswer&) { return true; };
+  const auto any_append = [](const AppendAnswer&) { return true; };
+  replica.Receive(kA, 5, Append{2, 1, 0, 1, {{5, 3, EntryKind::kCommand, "later"}}});
+  CHECK(replica.CountSent<AppendAnswer>(any_append) == 0);
+  replica.log().Flush();
+  CHECK(replica.CountSent<AppendAnswer>(any_append) == 1);
+
+  replica.FailNextSync();
+  replica.Receive(kA, 5, Append{3, 5, 0, 2, {{5, 4, EntryKind::kCommand, "last"}}});
+  replica.log().Flush();
+  replica.Wait(std::chrono::seconds(1));
+  replica.Receive(kC, 6, Vote{9, 9, false});
+  replica.log().Flush();
+  CHECK(replica.CountSent<AppendAnswer>(any_append) == 1);
+  CHECK(replica.CountSent<VoteAnswer>(any_vote) == 0);
+  CHECK(replica.log().role() == LogRole::kFailed);
+}
+
 TEST_CASE("An older log gets no vote") {
   MemoryDisk disk = MemberDisk();
   LoneReplica replica("b", &disk);
