--- a/src/libs/coordination/placement/placement_tracker.cpp
+++ b/src/libs/coordination/placement/placement_tracker.cpp
@@ -53,8 +53,8 @@
   const auto found = engines_.find(backend_id);
   const bool is_known = found != engines_.end() && found->second.incarnation == incarnation;
   // Nothing was reported by a new incarnation or sent to it, but peers may have sent something.
-  static const Engine kUnknown;
-  const Engine& engine = is_known ? found->second : kUnknown;
+  const Engine unknown;
+  const Engine& engine = is_known ? found->second : unknown;
   // Before the first report nothing is known of what others sent.
   const Instant measured_at = engine.measured_at.value_or(Instant::min());
   const double trust = engine.measured_at ? TrustAt(now - measured_at) : 0;
