A backend server that was dead before an attempt began gets no strike for it

Cause (poison test): after a bystander's success had cleared its digest, the next suspect was sent to an engine known to be dead, as the last resort; its relay took the connection and broke it, and that counted as a death under a run apart, so all equal bystanders were condemned. Ruled out by the new log event request_struck: strikes of other digests; runs without a slot.

--- a/src/kumquatrouter/chat_exchange.cpp
+++ b/src/kumquatrouter/chat_exchange.cpp
@@ -122,9 +122,7 @@
       return services_.strikes->MayPlace(digest_, backend_id);
     };
     const auto backend = services_.engines->Choose(demand_, avoid, may_use);
-    // Only a choice keeps suspects apart; an attempt on the same backend server again does not.
-    const bool is_suspect = services_.strikes->StandingOf(digest_) == RequestStanding::kSuspect;
-    if (backend && is_suspect) isolated_on_.push_back(*backend);
+    is_choice_isolated_ = services_.strikes->StandingOf(digest_) == RequestStanding::kSuspect;
     return backend;
   };
   hooks.is_backend_dead = [this](const BackendChoice& backend) { return IsDead(backend); };
@@ -157,6 +155,7 @@
 void ChatExchange::OnBackendDown(const BackendChoice& backend) {
   if (!decisions_ || is_done_) return;
   const auto self = shared_from_this();
+  if (attempt_ && attempt_->is_open && attempt_->backend == backend) NoteLoss();
   Execute(decisions_->OnBackendDead(backend, services_.clock()));
 }
 
@@ -171,6 +170,8 @@
   attempt_.emplace();
   attempt_->id = command.attempt_id;
   attempt_->backend = command.backend;
+  // An attempt on the same backend server again follows no choice.
+  attempt_->is_isolated = std::exchange(is_choice_isolated_, false);
   attempt_->dispatch = services_.engines->Dispatched(demand_, command.backend);
   services_.strikes->OnStarted(digest_, command.backend.backend_id);
   services_.metrics->Count("kumquat_attempts_total", MetricLabels());
@@ -258,9 +259,15 @@
     const BackendChoice backend = attempt_->backend;
     services_.membership->ConnectionFailed(backend.backend_id, backend.incarnation);
   }
+  if (attempt_ && attempt_->id == attempt_id && failure != CallFailure::kNotSent) NoteLoss();
   if (!is_done_) Execute(decisions_->OnFailure(attempt_id, failure, services_.clock()));
 }
 
+// A strike on this backend server may follow later; whether the lost run was apart counts then.
+void ChatExchange::NoteLoss() {
+  if (attempt_->is_isolated) isolated_losses_.push_back(attempt_->backend);
+}
+
 void ChatExchange::Execute(const stream_command::CancelAttempt& command) {
   if (attempt_ && attempt_->id == command.attempt_id) EndAttempt(false, 0);
 }
@@ -371,7 +378,8 @@
 void ChatExchange::Execute(const stream_command::GiveStrike& command) {
   const BackendChoice& backend = command.backend;
   const bool is_isolated =
-      std::find(isolated_on_.begin(), isolated_on_.end(), backend) != isolated_on_.end();
+      std::find(isolated_losses_.begin(), isolated_losses_.end(), backend) !=
+      isolated_losses_.end();
   services_.strikes->AddStrike(digest_, {backend.backend_id, backend.incarnation, is_isolated});
 }
 
--- a/src/kumquatrouter/chat_exchange.h
+++ b/src/kumquatrouter/chat_exchange.h
@@ -24,6 +24,8 @@
   std::unique_ptr<BackendCall> call;
   SseParser parser;
   bool is_open = true;
+  // The request was a suspect when this was placed, so no other suspect runs beside it.
+  bool is_isolated = false;
 };
 
 // Everything that decides is in StreamRequest; this class carries its commands out.
@@ -64,6 +66,7 @@
   bool IsDead(const BackendChoice& backend) const;
   void OnData(const std::string& attempt_id, std::string_view data);
   void OnCallFailed(const std::string& attempt_id, CallFailure failure);
+  void NoteLoss();
   void OnCallerGone();
   void EndAttempt(bool whole, std::int64_t cached_tokens);
   void StartAnswer();
@@ -80,8 +83,9 @@
   ShareTicket ticket_;
   std::optional<StreamRequest> decisions_;
   std::optional<ChatAttempt> attempt_;
-  // Where the request started as a suspect.
-  std::vector<BackendChoice> isolated_on_;
+  // Whether the last choice kept suspects apart, and where a run after such a choice was lost.
+  bool is_choice_isolated_ = false;
+  std::vector<BackendChoice> isolated_losses_;
   std::function<void()> on_done_;
   std::uint64_t queue_id_ = 0;
   bool is_answer_started_ = false;
--- a/src/kumquatrouter/strike_exchange.cpp
+++ b/src/kumquatrouter/strike_exchange.cpp
@@ -5,6 +5,7 @@
 
 #include "peer_network.h"
 #include "protocol/json_fields.h"
+#include "utils/log.h"
 
 namespace kumquat {
 namespace {
@@ -14,6 +15,8 @@
 // Changes are told again for this long.
 constexpr Duration kToldAgain = std::chrono::seconds(3);
 
+// Digits of a digest that stand in the log.
+constexpr std::size_t kLoggedDigits = 12;
 // A slot is leased for this much longer than a request may run.
 constexpr Duration kLeaseMargin = std::chrono::seconds(30);
 
@@ -118,7 +121,12 @@
 
 void StrikeExchange::AddStrike(const std::string& digest, const Strike& strike) {
   const Instant now = clock_();
-  table_.AddStrike(digest, strike, now);
+  const RequestStanding standing = table_.AddStrike(digest, strike, now);
+  LogEvent(LogLevel::kError, "request_struck",
+           {{"digest", digest.substr(0, kLoggedDigits)},
+            {"backend", strike.backend_id},
+            {"isolated", strike.is_isolated ? "yes" : "no"},
+            {"condemned", standing == RequestStanding::kCondemned ? "yes" : "no"}});
   SendChangedSince(now);
 }
 
--- a/src/libs/coordination/requests/stream_request.cpp
+++ b/src/libs/coordination/requests/stream_request.cpp
@@ -105,7 +105,7 @@
     EndAttempt(AttemptEnd::kNotRun, now, &commands);
     return commands;
   }
-  if (!Contains(lost_on_, attempt_->backend)) lost_on_.push_back(attempt_->backend);
+  NoteLoss();
   if (hooks_.is_backend_dead(attempt_->backend)) StrikeIfLost(attempt_->backend, &commands);
   EndAttempt(AttemptEnd::kConnectionLost, now, &commands);
   return commands;
@@ -115,7 +115,7 @@
   StreamCommands commands;
   if (done_) return commands;
   const bool current = attempt_ && attempt_->backend == backend;
-  if (current && !Contains(lost_on_, backend)) lost_on_.push_back(backend);
+  if (current) NoteLoss();
   StrikeIfLost(backend, &commands);
   if (current) EndAttempt(AttemptEnd::kConnectionLost, now, &commands);
   return commands;
@@ -143,6 +143,12 @@
   return commands;
 }
 
+// A backend server that was dead before the attempt began did not die of it.
+void StreamRequest::NoteLoss() {
+  if (attempt_->was_dead || Contains(lost_on_, attempt_->backend)) return;
+  lost_on_.push_back(attempt_->backend);
+}
+
 // Counts what is not of the current attempt.
 bool StreamRequest::IsCurrent(std::string_view attempt_id) {
   if (done_) {
@@ -247,6 +253,7 @@
   ++attempts_;
   attempt_ = {options_.request_id + "-" + std::to_string(attempts_), *backend, next_offset_,
               same_backend, false};
+  attempt_->was_dead = hooks_.is_backend_dead(*backend);
   commands->push_back(
       stream_command::StartAttempt{attempt_->id, *backend, next_offset_, text_, same_backend});
 }
--- a/src/libs/coordination/requests/stream_request.h
+++ b/src/libs/coordination/requests/stream_request.h
@@ -180,6 +180,8 @@
     // Whether it is on a new connection to the backend server of the attempt before.
     bool same_backend = false;
     bool headers_seen = false;
+    // Whether the backend server was known to be dead when the attempt began.
+    bool was_dead = false;
   };
 
   // What an attempt's end says of its backend server.
@@ -193,6 +195,7 @@
   };
 
   bool IsCurrent(std::string_view attempt_id);
+  void NoteLoss();
   void TakeToken(const EngineEvent& event, Instant now, StreamCommands* commands);
   void TakeEnd(const EngineEvent& event, Instant now, StreamCommands* commands);
   void EndAttempt(AttemptEnd end, Instant now, StreamCommands* commands);
