--- a/src/kumquatrouter/chat_exchange.cpp
+++ b/src/kumquatrouter/chat_exchange.cpp
@@ -121,7 +121,7 @@
     const auto may_use = [this](const std::string& backend_id) {
       return services_.strikes->MayPlace(digest_, backend_id);
     };
-    const auto backend = services_.engines->Choose(demand_, avoid, may_use);
+    auto backend = services_.engines->Choose(demand_, avoid, may_use);
     is_choice_isolated_ = services_.strikes->StandingOf(digest_) == RequestStanding::kSuspect;
     return backend;
   };
@@ -377,9 +377,8 @@
 
 void ChatExchange::Execute(const stream_command::GiveStrike& command) {
   const BackendChoice& backend = command.backend;
-  const bool is_isolated =
-      std::find(isolated_losses_.begin(), isolated_losses_.end(), backend) !=
-      isolated_losses_.end();
+  const bool is_isolated = std::find(isolated_losses_.begin(), isolated_losses_.end(), backend) !=
+                           isolated_losses_.end();
   services_.strikes->AddStrike(digest_, {backend.backend_id, backend.incarnation, is_isolated});
 }
 
--- a/src/kumquatrouter/router.cpp
+++ b/src/kumquatrouter/router.cpp
@@ -374,7 +374,8 @@
 
 void Router::HandleService(const SharedRequest& request, ExchangeStart start,
                            const Caller& caller) {
-  const std::string_view rest = std::string_view(request->path).substr(kServicesPath.size());
+  const std::string_view whole_path = request->path;
+  const std::string_view rest = whole_path.substr(kServicesPath.size());
   const auto slash = rest.find('/');
   const std::string service(rest.substr(0, slash));
   const std::string path{slash == std::string_view::npos ? "/" : rest.substr(slash)};
--- a/tests/libs/coordination/requests/stream_request_test.cpp
+++ b/tests/libs/coordination/requests/stream_request_test.cpp
@@ -371,6 +371,27 @@
   CHECK(harness.ended());
 }
 
+TEST_CASE("A backend server that was dead before the attempt gets no strike, one that dies does") {
+  const BackendChoice backend{"engine-1", 1};
+  const auto strikes = [&](bool was_dead) {
+    bool is_dead = was_dead;
+    StreamRequestHooks hooks;
+    hooks.choose_backend = [&](std::span<const BackendChoice>) { return backend; };
+    hooks.is_backend_dead = [&](const BackendChoice&) { return is_dead; };
+    hooks.try_retry = [](int, Instant, Instant) { return Duration(milliseconds(20)); };
+    hooks.is_condemned = [] { return false; };
+    StreamRequest request({"q", kDeadline, 4, 16}, std::move(hooks));
+    request.Start(seconds(1));
+    is_dead = true;
+    const auto commands = request.OnFailure("q-1", CallFailure::kBroken, seconds(1));
+    return std::count_if(commands.begin(), commands.end(), [](const StreamCommand& command) {
+      return std::holds_alternative<stream_command::GiveStrike>(command);
+    });
+  };
+  CHECK(strikes(true) == 0);
+  CHECK(strikes(false) == 1);
+}
+
 TEST_CASE("At the deadline or without budget the refusal is final and honest") {
   Harness late(5);
   late.Wait(Harness::kDeadline);
