--- a/src/kumquatrouter/chat_exchange.cpp
+++ b/src/kumquatrouter/chat_exchange.cpp
@@ -64,7 +64,7 @@
     return;
   }
   ticket_.Acquire(
-      start_.received + kShareWait, [this] { EnterQueue(); },
+      services_.clock() + kShareWait, [this] { EnterQueue(); },
       [this](const Error& refusal) { Refuse(refusal); });
 }
 
--- a/src/kumquatrouter/service_exchange.cpp
+++ b/src/kumquatrouter/service_exchange.cpp
@@ -69,7 +69,7 @@
     exchange->Execute(exchange->decisions_->OnCallerGone(exchange->services_.clock()));
   });
   ticket_.Acquire(
-      start_.received + kShareWait, [this] { Run(); },
+      services_.clock() + kShareWait, [this] { Run(); },
       [this](const Error& refusal) { Execute(service_command::Refuse{refusal}); });
 }
 
--- a/tests/libs/coordination/requests/stream_request_test.cpp
+++ b/tests/libs/coordination/requests/stream_request_test.cpp
@@ -380,7 +380,7 @@
     hooks.is_backend_dead = [&](const BackendChoice&) { return is_dead; };
     hooks.try_retry = [](int, Instant, Instant) { return Duration(milliseconds(20)); };
     hooks.is_condemned = [] { return false; };
-    StreamRequest request({"q", kDeadline, 4, 16}, std::move(hooks));
+    StreamRequest request({"q", seconds(30), 4, 16}, std::move(hooks));
     request.Start(seconds(1));
     is_dead = true;
     const auto commands = request.OnFailure("q-1", CallFailure::kBroken, seconds(1));
