Silence is no death: strikes need a refused or broken new connection, or a newer incarnation

Cause (storm test, 5 innocent chats condemned): a frozen relay's engine counted as dead after a silent probe, and two of these condemned the chats that had run there.

--- a/src/kumquatrouter/chat_exchange.cpp
+++ b/src/kumquatrouter/chat_exchange.cpp
@@ -257,7 +257,7 @@
                            fmt::format("failure=\"{}\"", CallFailureName(failure)));
   if (attempt_ && attempt_->id == attempt_id && failure == CallFailure::kNotSent) {
     const BackendChoice backend = attempt_->backend;
-    services_.membership->ConnectionFailed(backend.backend_id, backend.incarnation);
+    services_.membership->ConnectionFailed(backend.backend_id, backend.incarnation, false);
   }
   if (attempt_ && attempt_->id == attempt_id && failure != CallFailure::kNotSent) NoteLoss();
   if (!is_done_) Execute(decisions_->OnFailure(attempt_id, failure, services_.clock()));
@@ -377,6 +377,7 @@
 
 void ChatExchange::Execute(const stream_command::GiveStrike& command) {
   const BackendChoice& backend = command.backend;
+  if (!services_.membership->IsProvenDead(backend.backend_id, backend.incarnation)) return;
   const bool is_isolated = std::find(isolated_losses_.begin(), isolated_losses_.end(), backend) !=
                            isolated_losses_.end();
   services_.strikes->AddStrike(digest_, {backend.backend_id, backend.incarnation, is_isolated});
--- a/src/kumquatrouter/membership_service.cpp
+++ b/src/kumquatrouter/membership_service.cpp
@@ -112,10 +112,11 @@
   if (on_load_) on_load_(announcement, clock_());
 }
 
-void MembershipService::ConnectionFailed(const std::string& id, std::int64_t incarnation) {
+void MembershipService::ConnectionFailed(const std::string& id, std::int64_t incarnation,
+                                         bool by_silence) {
   const Member* known = table_.Find(id);
   const bool was_down = known && known->record.down;
-  const auto record = table_.ConnectionFailed(id, incarnation, clock_());
+  const auto record = table_.ConnectionFailed(id, incarnation, by_silence, clock_());
   if (!record || was_down) return;
   LogEvent(LogLevel::kWarning, "member_down", {{"member", id}});
   if (record->backend && on_backend_down_) on_backend_down_(id, incarnation);
@@ -135,6 +136,12 @@
   if (member && !member->record.is_router() && probes_.count(id) == 0) Probe(member->record);
 }
 
+bool MembershipService::IsProvenDead(const std::string& id, std::int64_t incarnation) const {
+  const Member* member = table_.Find(id);
+  if (!member || member->record.incarnation > incarnation) return true;
+  return member->record.down && !member->record.is_silent;
+}
+
 void MembershipService::Leave() {
   self_.leaving = true;
   AnnounceSelf();
@@ -180,7 +187,7 @@
     if (!record.is_router() || record.down || record.id == settings_.instance) return;
     if (network_->was_refused(record.id)) refused.emplace_back(record.id, record.incarnation);
   });
-  for (const auto& [id, incarnation] : refused) ConnectionFailed(id, incarnation);
+  for (const auto& [id, incarnation] : refused) ConnectionFailed(id, incarnation, false);
 }
 
 void MembershipService::ProbeSilentBackends() {
@@ -212,8 +219,8 @@
     if (status == kStatusOk) table_.ConnectionWorked(record.id, record.incarnation);
   };
   hooks.on_end = done;
-  hooks.on_failure = [this, record, done](CallFailure /*failure*/, std::string_view /*reason*/) {
-    ConnectionFailed(record.id, record.incarnation);
+  hooks.on_failure = [this, record, done](CallFailure failure, std::string_view /*reason*/) {
+    ConnectionFailed(record.id, record.incarnation, failure == CallFailure::kSilent);
     done();
   };
   probes_[record.id] = client_->Start(request, std::move(hooks));
--- a/src/kumquatrouter/membership_service.h
+++ b/src/kumquatrouter/membership_service.h
@@ -35,12 +35,16 @@
   void Announce(const Announcement& announcement);
 
   // Notes how a new connection to a backend server went, as seen by a request.
-  void ConnectionFailed(const std::string& id, std::int64_t incarnation);
+  void ConnectionFailed(const std::string& id, std::int64_t incarnation, bool by_silence);
   void ConnectionWorked(const std::string& id, std::int64_t incarnation);
 
   // Opens a new connection to the backend server to find out whether it is there.
   void ProbeBackend(const std::string& id);
 
+  // Whether this incarnation is known to have ended: another one came, or a new connection was
+  // refused or broken. Silence proves nothing.
+  bool IsProvenDead(const std::string& id, std::int64_t incarnation) const;
+
   // Tells the others that this router takes no new work.
   void Leave();
 
--- a/src/kumquatrouter/service_exchange.cpp
+++ b/src/kumquatrouter/service_exchange.cpp
@@ -228,7 +228,7 @@
   if (!attempt) return;
   const BackendChoice& backend = attempt->backend;
   if (failure == CallFailure::kNotSent) {
-    services_.membership->ConnectionFailed(backend.backend_id, backend.incarnation);
+    services_.membership->ConnectionFailed(backend.backend_id, backend.incarnation, false);
   } else {
     services_.membership->ProbeBackend(backend.backend_id);
   }
--- a/src/libs/coordination/membership/member_record.cpp
+++ b/src/libs/coordination/membership/member_record.cpp
@@ -17,7 +17,8 @@
 }
 
 QJsonObject ToJson(const MemberRecord& record) {
-  QJsonObject json{{"down", record.down}, {"leaving", record.leaving}};
+  QJsonObject json{
+      {"down", record.down}, {"leaving", record.leaving}, {"silent", record.is_silent}};
   if (record.backend) {
     json["backend"] = ToJson(*record.backend);
     return json;
@@ -48,7 +49,9 @@
     if (!endpoint) fields.Fail("address", "an IP number with a port is needed.");
     record.endpoint = endpoint.value_or(Endpoint{});
   }
-  fields.Read("down", &record.down).Read("leaving", &record.leaving);
+  fields.Read("down", &record.down)
+      .Read("leaving", &record.leaving)
+      .Read("silent", &record.is_silent);
   *reason = fields.last_reason();
   if (!fields.ok()) return std::nullopt;
   return record;
--- a/src/libs/coordination/membership/member_record.h
+++ b/src/libs/coordination/membership/member_record.h
@@ -23,6 +23,8 @@
   bool leaving = false;
   // A new connection to the member failed after it was last heard of, at `sequence`.
   bool down = false;
+  // That connection was silent; it was neither refused nor broken, so the member may live.
+  bool is_silent = false;
   // What a backend server announced; nothing for a router.
   std::optional<Announcement> backend;
 
--- a/src/libs/coordination/membership/member_table.cpp
+++ b/src/libs/coordination/membership/member_table.cpp
@@ -20,6 +20,7 @@
 // Returns the record without what changes at each announcement.
 MemberRecord LastingPart(MemberRecord record) {
   record.sequence = 0;
+  record.is_silent = record.is_silent && record.down;
   if (record.backend) {
     record.backend->sequence = 0;
     record.backend->load = {};
@@ -76,7 +77,8 @@
 }
 
 std::optional<MemberRecord> MemberTable::ConnectionFailed(std::string_view id,
-                                                          std::int64_t incarnation, Instant now) {
+                                                          std::int64_t incarnation, bool by_silence,
+                                                          Instant now) {
   const auto entry = members_.find(id);
   if (entry == members_.end() || entry->second.record.incarnation != incarnation) {
     return std::nullopt;
@@ -84,6 +86,7 @@
   Member& member = entry->second;
   ++member.failed_connections;
   member.retry_at = now + RetryDelay(member.failed_connections);
+  member.record.is_silent = by_silence && (member.record.is_silent || !member.record.down);
   member.record.down = true;
   return member.record;
 }
--- a/src/libs/coordination/membership/member_table.h
+++ b/src/libs/coordination/membership/member_table.h
@@ -47,10 +47,10 @@
   bool MergeLoad(std::string_view id, std::int64_t incarnation, std::int64_t sequence,
                  const BackendLoad& load, Instant now);
 
-  // Notes that a new connection to the member failed. Returns the record that says so, for the
-  // others; nothing when the member's incarnation is another by now.
+  // Notes that a new connection to the member failed, by silence or not. Returns the record that
+  // says so, for the others; nothing when the member's incarnation is another by now.
   std::optional<MemberRecord> ConnectionFailed(std::string_view id, std::int64_t incarnation,
-                                               Instant now);
+                                               bool by_silence, Instant now);
 
   // Notes that the member answered on a connection.
   void ConnectionWorked(std::string_view id, std::int64_t incarnation);
--- a/tests/kumquatrouter/engine_selector_test.cpp
+++ b/tests/kumquatrouter/engine_selector_test.cpp
@@ -58,7 +58,7 @@
   picture.table.Merge(leaving, picture.now);
   CHECK(picture.Choose()->backend_id == "engine-2");
 
-  picture.table.ConnectionFailed("engine-2", 0, picture.now);
+  picture.table.ConnectionFailed("engine-2", 0, false, picture.now);
   CHECK(!picture.Choose());
   CHECK(!picture.selector.HasRoom(kModel));
   picture.now += std::chrono::seconds(1);
--- a/tests/kumquatrouter/service_directory_test.cpp
+++ b/tests/kumquatrouter/service_directory_test.cpp
@@ -32,7 +32,7 @@
   directory.Started("b1");
   CHECK(directory.Choose(*target, {})->backend_id == "b2");
   CHECK(directory.Choose(*target, std::vector<BackendChoice>{{"b2", 0}})->backend_id == "b1");
-  table.ConnectionFailed("b1", 0, now);
+  table.ConnectionFailed("b1", 0, false, now);
   CHECK(directory.Choose(*target, std::vector<BackendChoice>{{"b2", 0}})->backend_id == "b2");
 }
 
--- a/tests/libs/coordination/membership/member_table_test.cpp
+++ b/tests/libs/coordination/membership/member_table_test.cpp
@@ -88,9 +88,9 @@
   record.id = "router-1";
   record.incarnation = 2;
   table.Merge(record, Instant(0));
-  CHECK(!table.ConnectionFailed("router-1", 1, Instant(0)));
+  CHECK(!table.ConnectionFailed("router-1", 1, false, Instant(0)));
   CHECK(table.LiveRouters() == std::vector<std::string>{"router-1"});
-  CHECK(table.ConnectionFailed("router-1", 2, Instant(0)));
+  CHECK(table.ConnectionFailed("router-1", 2, false, Instant(0)));
   CHECK(table.LiveRouters().empty());
 
   record.sequence = 1;
--- a/tests/process/control/control_cluster.cpp
+++ b/tests/process/control/control_cluster.cpp
@@ -1,6 +1,8 @@
 #include "process/control/control_cluster.h"
 
 #include <doctest/doctest.h>
+#include "process/test_program.h"
+
 #include <fmt/format.h>
 #include <signal.h>
 
@@ -21,13 +23,8 @@
 constexpr std::chrono::seconds kCallTimeout{2};
 
 std::vector<std::uint16_t> FreePorts(int count) {
-  std::vector<std::unique_ptr<QTcpServer>> servers;
   std::vector<std::uint16_t> ports;
-  for (int i = 0; i < count; ++i) {
-    servers.push_back(std::make_unique<QTcpServer>());
-    servers.back()->listen(QHostAddress::LocalHost);
-    ports.push_back(servers.back()->serverPort());
-  }
+  for (int i = 0; i < count; ++i) ports.push_back(FreeEndpoint().port);
   return ports;
 }
 
--- a/tests/process/test_program.h
+++ b/tests/process/test_program.h
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 
+#include <QCoreApplication>
 #include <QProcess>
 #include <QTcpServer>
 #include <QTemporaryDir>
@@ -15,11 +16,18 @@
 
 namespace kumquat {
 
-// Returns a port on loopback that was free a moment ago.
+// Returns an address on loopback that nothing listens on. Its port lies below those that the system
+// gives to outgoing connections, so that none of these takes it before the program starts.
 inline Endpoint FreeEndpoint() {
-  QTcpServer server;
-  REQUIRE(server.listen(QHostAddress::LocalHost));
-  return {"127.0.0.1", server.serverPort()};
+  constexpr int kFirstPort = 10'000;
+  constexpr int kPorts = 20'000;
+  static int offset = static_cast<int>(QCoreApplication::applicationPid() * 97 % kPorts);
+  while (true) {
+    offset = (offset + 1) % kPorts;
+    const auto port = static_cast<quint16>(kFirstPort + offset);
+    QTcpServer server;
+    if (server.listen(QHostAddress::LocalHost, port)) return {"127.0.0.1", port};
+  }
 }
 
 // One program with its settings file. What still runs at the end is killed.
