--- a/src/kumquatcontrol/main.cpp
+++ b/src/kumquatcontrol/main.cpp
@@ -7,6 +7,7 @@
 
 #include "control_node.h"
 #include "state/storage/log_file_storage.h"
+#include "transport/termination_signal.h"
 #include "utils/log.h"
 #include "utils/program.h"
 #include "utils/settings.h"
@@ -83,6 +84,8 @@
   LogEvent(
       LogLevel::kInfo, "control_started",
       {{"listen", settings.node.listen.ToString()}, {"failure_domain", settings.failure_domain}});
+  // All that was acknowledged is synced, so there is nothing to wait for.
+  const TerminationSignal termination([] { QCoreApplication::quit(); });
   return QCoreApplication::exec();
 }
 
--- a/src/kumquatrouter/cache_follower.h
+++ b/src/kumquatrouter/cache_follower.h
@@ -27,7 +27,7 @@
   void Resync(const std::string& backend_id);
   void ResyncAll();
 
-  // Starts the reads that are due; called every few tens of milliseconds.
+  // Starts the reads that are due; called a few times in each poll interval.
   void Tick();
 
  private:
--- a/src/kumquatrouter/router.cpp
+++ b/src/kumquatrouter/router.cpp
@@ -27,6 +27,7 @@
 constexpr Duration kStartupGrace = std::chrono::seconds(3);
 constexpr Duration kSentLoadInterval = std::chrono::milliseconds(100);
 constexpr std::int64_t kTicksBetweenEmptyLoads = 10;
+constexpr Duration kCacheFollowerInterval = std::chrono::milliseconds(50);
 constexpr Duration kReportInterval = std::chrono::seconds(1);
 constexpr Duration kStartupRetry = std::chrono::milliseconds(20);
 constexpr int kStatusOk = 200;
@@ -140,7 +141,8 @@
     return false;
   }
   auto* context = new QObject;
-  StartTimer(context, ControlClient::kTickInterval, [this] { TickOften(); });
+  StartTimer(context, ControlClient::kTickInterval, [this] { control_.Tick(); });
+  StartTimer(context, kCacheFollowerInterval, [this] { cache_follower_->Tick(); });
   StartTimer(context, MembershipService::kTickInterval, [this] { TickMembership(); });
   StartTimer(context, kSentLoadInterval, [this] { SendSentLoads(); });
   StartTimer(context, kReportInterval, [this] { ReportBackends(); });
@@ -170,11 +172,6 @@
   on_drained_();
 }
 
-void Router::TickOften() {
-  control_.Tick();
-  cache_follower_->Tick();
-}
-
 void Router::TickMembership() {
   membership_.Tick();
   strikes_.Tick();
--- a/src/kumquatrouter/router.h
+++ b/src/kumquatrouter/router.h
@@ -59,7 +59,6 @@
   void HandleService(const SharedRequest& request, ExchangeStart start, const Caller& caller);
   void Refuse(const ExchangeStart& start, const Error& error);
   bool IsStarting() const;
-  void TickOften();
   void TickMembership();
   void RequestResyncs();
   void SendSentLoads();
--- a/src/libs/coordination/orders/order_scheduler.cpp
+++ b/src/libs/coordination/orders/order_scheduler.cpp
@@ -26,9 +26,11 @@
 }
 
 void OrderScheduler::Heard(const Announcement& announcement, Instant now) {
-  Engine& engine = engines_[announcement.backend_id];
+  const auto [entry, is_new] = engines_.try_emplace(announcement.backend_id);
+  Engine& engine = entry->second;
   const auto order_of = [](const Announcement& a) { return std::pair(a.incarnation, a.sequence); };
-  if (order_of(announcement) < order_of(engine.announcement)) return;
+  // One that is told again says nothing about what the engine holds now.
+  if (!is_new && order_of(announcement) <= order_of(engine.announcement)) return;
   // A new incarnation has lost what it was ordered to load.
   if (announcement.incarnation != engine.announcement.incarnation) engine.ordered.reset();
   engine.announcement = announcement;
