--- a/tests/process/control/control_cluster.cpp
+++ b/tests/process/control/control_cluster.cpp
@@ -24,6 +24,7 @@
 
 std::vector<std::uint16_t> FreePorts(int count) {
   std::vector<std::uint16_t> ports;
+  ports.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) ports.push_back(FreeEndpoint().port);
   return ports;
 }
