A slow caller's buffers are bounded in the system too; test through a router

Before: the system's send buffer took several megabytes for a caller that reads nothing, so its request went on past limits.max_pending_bytes.

--- a/src/libs/transport/http_server.cpp
+++ b/src/libs/transport/http_server.cpp
@@ -15,6 +15,7 @@
 namespace Internal {
 namespace {
 
+constexpr int kSendBufferBytes = 256 * 1024;
 // Connections the kernel keeps until they are accepted.
 constexpr int kListenBacklog = 1024;
 constexpr std::chrono::milliseconds kSweepInterval{250};
@@ -37,6 +38,8 @@
       delete socket;
       return;
     }
+    // The system's own buffer would grow to several megabytes for a caller that reads slowly.
+    socket->setSocketOption(QAbstractSocket::SendBufferSizeSocketOption, kSendBufferBytes);
     addPendingConnection(socket);
   }
 
--- a/tests/process/router/router_process_test.cpp
+++ b/tests/process/router/router_process_test.cpp
@@ -1,4 +1,6 @@
 // A router's graceful stop and bad input, through real processes.
+#include <QHostAddress>
+#include <QTcpSocket>
 #include <algorithm>
 
 #include "process/router/system_bench.h"
@@ -63,5 +65,25 @@
   bench.WaitUntilServing(0);
 }
 
+TEST_CASE("A caller that reads too slowly is cut, its work is cancelled, and others go on") {
+  SystemBench bench({20'000, 1, "[limits]\nmax_pending_bytes = 16384\n"});
+  const int before = bench.EngineStat("cancelled");
+  const std::string body = R"({"model":"seat-spec","stream":true,"max_tokens":20000,)"
+                           R"("messages":[{"role":"user","content":"slow"}]})";
+  QTcpSocket slow;
+  // Far less than the answer; the socket takes no more once it is full.
+  slow.setReadBufferSize(1024);
+  slow.connectToHost(QHostAddress::LocalHost, bench.router(0).port);
+  REQUIRE(slow.waitForConnected());
+  const std::string header =
+      "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer bench-key\r\n"
+      "Content-Type: application/json\r\nContent-Length: " +
+      std::to_string(body.size()) + "\r\n\r\n";
+  slow.write(QByteArray::fromStdString(header + body));
+  REQUIRE(slow.waitForBytesWritten());
+  CHECK(SpinUntil([&] { return bench.EngineStat("cancelled") == before + 1; }));
+  bench.WaitUntilServing(1);
+}
+
 }  // namespace
 }  // namespace kumquat
--- a/tests/process/router/system_bench.cpp
+++ b/tests/process/router/system_bench.cpp
@@ -41,7 +41,7 @@
   return Refusal{error["kind"].toString().toStdString(), ran};
 }
 
-SystemBench::SystemBench() {
+SystemBench::SystemBench(SystemBenchOptions options) : options_(std::move(options)) {
   StartRouters();
   StartEngines();
   StartServices();
@@ -59,9 +59,9 @@
         fmt::format("instance = \"r{0}\"\nfailure_domain = \"d{0}\"\nlisten = \"{1}\"\n"
                     "peer_listen = \"{2}\"\npeers = [{3}]\ncontrol = [{4}]\nlog_level = \"error\"\n"
                     "[timeouts]\nconnect_ms = 500\nfirst_byte_ms = 2000\n"
-                    "between_bytes_ms = 1000\nservice_ms = 1500\nrequest_ms = 30000\n",
+                    "between_bytes_ms = 1000\nservice_ms = 1500\nrequest_ms = 30000\n{5}",
                     i + 1, routers_[i].ToString(), peers[i].ToString(), RouterList(peers, i),
-                    control_.control_list()));
+                    control_.control_list(), options_.router_tables));
     router_programs_[i]->Start();
   }
 }
@@ -75,10 +75,10 @@
         "fake-engine",
         fmt::format("id = \"e{0}\"\nlisten = \"{1}\"\nannounced = \"{2}\"\n"
                     "failure_domain = \"d{0}\"\nrouters = [{3}]\nmodels = \"seat-spec//v1\"\n"
-                    "answer_tokens = {4}\ntoken_interval_ms = 10\nconcurrent_requests = 32\n"
+                    "answer_tokens = {4}\ntoken_interval_ms = {5}\nconcurrent_requests = 32\n"
                     "prefill_per_1k_tokens_ms = 5\nannounce_interval_ms = 200\n",
                     i + 1, engine.endpoint.ToString(), engine.relay->endpoint().ToString(),
-                    RouterList(routers_, -1), kAnswerTokens));
+                    RouterList(routers_, -1), options_.answer_tokens, options_.token_interval_ms));
     engine.program->Start();
   }
 }
--- a/tests/process/router/system_bench.h
+++ b/tests/process/router/system_bench.h
@@ -30,6 +30,14 @@
 // Returns the refusal that the call ended with; nothing when there is none, or no honest one.
 std::optional<Refusal> RefusalOf(const TestCall& call);
 
+// What a test may change of the system.
+struct SystemBenchOptions {
+  int answer_tokens = 40;
+  int token_interval_ms = 10;
+  // More lines for the routers' settings files, as whole tables.
+  std::string router_tables;
+};
+
 class SystemBench {
  public:
   static constexpr int kRouters = 3;
@@ -38,7 +46,7 @@
   static constexpr int kAnswerTokens = 40;
 
   // Starts everything, and waits until each router serves both kinds of requests.
-  SystemBench();
+  explicit SystemBench(SystemBenchOptions options = {});
 
   // Starts a streamed chat whose answer ChatText() tells.
   std::unique_ptr<TestCall> StartChat(int router, const std::string& text,
@@ -72,6 +80,7 @@
   void StartServices();
   void SetLists();
 
+  SystemBenchOptions options_;
   ControlCluster control_;
   TestCaller caller_;
   std::array<Endpoint, kRouters> routers_;
