--- a/src/kumquatrouter/router.cpp
+++ b/src/kumquatrouter/router.cpp
@@ -140,12 +140,12 @@
     last_reason_ = server_->last_reason();
     return false;
   }
-  auto* context = new QObject;
-  StartTimer(context, ControlClient::kTickInterval, [this] { control_.Tick(); });
-  StartTimer(context, kCacheFollowerInterval, [this] { cache_follower_->Tick(); });
-  StartTimer(context, MembershipService::kTickInterval, [this] { TickMembership(); });
-  StartTimer(context, kSentLoadInterval, [this] { SendSentLoads(); });
-  StartTimer(context, kReportInterval, [this] { ReportBackends(); });
+  timers_ = std::make_unique<QObject>();
+  StartTimer(timers_.get(), ControlClient::kTickInterval, [this] { control_.Tick(); });
+  StartTimer(timers_.get(), kCacheFollowerInterval, [this] { cache_follower_->Tick(); });
+  StartTimer(timers_.get(), MembershipService::kTickInterval, [this] { TickMembership(); });
+  StartTimer(timers_.get(), kSentLoadInterval, [this] { SendSentLoads(); });
+  StartTimer(timers_.get(), kReportInterval, [this] { ReportBackends(); });
   LogEvent(LogLevel::kInfo, "router_started",
            {{"listen", settings_.listen.ToString()},
             {"peer_listen", settings_.peer_listen.ToString()},
--- a/src/kumquatrouter/router.h
+++ b/src/kumquatrouter/router.h
@@ -1,6 +1,7 @@
 // The router process: callers' and backend servers' HTTP in front, everything else behind.
 #pragma once
 
+#include <QObject>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -91,6 +92,8 @@
   std::int64_t sent_load_ticks_ = 0;
   std::function<void()> on_drained_;
   std::string last_reason_;
+  // Parent of the timers; destroyed first, as their hooks use the rest.
+  std::unique_ptr<QObject> timers_;
 };
 
 }  // namespace kumquat
--- a/tests/libs/coordination/requests/stream_request_test.cpp
+++ b/tests/libs/coordination/requests/stream_request_test.cpp
@@ -376,7 +376,7 @@
   const auto strikes = [&](bool was_dead) {
     bool is_dead = was_dead;
     StreamRequestHooks hooks;
-    hooks.choose_backend = [&](std::span<const BackendChoice>) { return backend; };
+    hooks.choose_backend = [&](std::span<const BackendChoice>) { return std::optional(backend); };
     hooks.is_backend_dead = [&](const BackendChoice&) { return is_dead; };
     hooks.try_retry = [](int, Instant, Instant) { return Duration(milliseconds(20)); };
     hooks.is_condemned = [] { return false; };
