Wall clock and the wait for a share stand once

WallClockMillis stood in the router and its membership, the wait for a share in both kinds of exchange.

--- a/src/kumquatrouter/chat_exchange.cpp
+++ b/src/kumquatrouter/chat_exchange.cpp
@@ -22,8 +22,6 @@
 namespace kumquat {
 namespace {
 
-// Longest wait for a share from control.
-constexpr Duration kShareWait = std::chrono::milliseconds(1500);
 // Longest wait for an engine that has the model: one may be loading it, or starting again.
 constexpr Duration kEngineWait = std::chrono::seconds(2);
 // How long a broken stream may take to hand its error event to the caller.
--- a/src/kumquatrouter/exchange.h
+++ b/src/kumquatrouter/exchange.h
@@ -14,6 +14,9 @@
 
 class BackendCall;
 
+// Longest wait of a request for a share from control.
+inline constexpr Duration kShareWait = std::chrono::milliseconds(1500);
+
 // What every exchange starts from.
 struct ExchangeStart {
   std::string request_id;
--- a/src/kumquatrouter/membership_service.cpp
+++ b/src/kumquatrouter/membership_service.cpp
@@ -9,6 +9,7 @@
 #include "router_settings.h"
 #include "utils/log.h"
 #include "utils/rendezvous.h"
+#include "utils/wall_clock.h"
 
 namespace kumquat {
 namespace {
@@ -23,12 +24,6 @@
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(700);
 constexpr int kStatusOk = 200;
 
-std::int64_t WallClockMillis() {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 // What others need of an announcement that changed nothing but the load.
 QJsonArray LoadRow(const MemberRecord& record) {
   const BackendLoad& load = record.backend->load;
--- a/src/kumquatrouter/router.cpp
+++ b/src/kumquatrouter/router.cpp
@@ -16,6 +16,7 @@
 #include "router_settings.h"
 #include "service_exchange.h"
 #include "utils/log.h"
+#include "utils/wall_clock.h"
 
 namespace kumquat {
 namespace {
@@ -34,12 +35,6 @@
 constexpr int kStatusAccepted = 202;
 constexpr int kStatusUnavailable = 503;
 
-std::int64_t WallClockMillis() {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 void SendText(HttpResponder& responder, int status, std::string_view text) {
   responder.Send(status, {{"Content-Type", "text/plain; charset=utf-8"}}, text);
 }
--- a/src/kumquatrouter/service_exchange.cpp
+++ b/src/kumquatrouter/service_exchange.cpp
@@ -19,7 +19,6 @@
 namespace kumquat {
 namespace {
 
-constexpr Duration kShareWait = std::chrono::milliseconds(1500);
 constexpr Duration kClaimPatience = std::chrono::milliseconds(2500);
 constexpr Duration kFinishPatience = std::chrono::seconds(60);
 constexpr Duration kHedgeAfter = std::chrono::seconds(1);
