--- a/src/kumquatrouter/chat_exchange.cpp
+++ b/src/kumquatrouter/chat_exchange.cpp
@@ -240,6 +240,7 @@
     if (is_done_ || !attempt_ || attempt_->id != attempt_id) return;
     if (text == "[DONE]") continue;
     const auto event = ParseEngineEvent(text);
+    if (event) attempt_->made_progress = true;
     const Instant now = services_.clock();
     Execute(event ? decisions_->OnEvent(attempt_id, *event, now)
                   : decisions_->OnBrokenEvent(attempt_id, now));
@@ -261,9 +262,9 @@
   if (!is_done_) Execute(decisions_->OnFailure(attempt_id, failure, services_.clock()));
 }
 
-// A strike on this backend server may follow later; whether the lost run was apart counts then.
+// A strike on this backend server may follow later; how the run was lost counts then.
 void ChatExchange::NoteLoss() {
-  if (attempt_->is_isolated) isolated_losses_.push_back(attempt_->backend);
+  losses_.push_back({attempt_->backend, attempt_->is_isolated, attempt_->made_progress});
 }
 
 void ChatExchange::Execute(const stream_command::CancelAttempt& command) {
@@ -376,9 +377,14 @@
 void ChatExchange::Execute(const stream_command::GiveStrike& command) {
   const BackendChoice& backend = command.backend;
   if (!services_.membership->IsProvenDead(backend.backend_id, backend.incarnation)) return;
-  const bool is_isolated = std::find(isolated_losses_.begin(), isolated_losses_.end(), backend) !=
-                           isolated_losses_.end();
-  services_.strikes->AddStrike(digest_, {backend.backend_id, backend.incarnation, is_isolated});
+  Strike strike{backend.backend_id, backend.incarnation};
+  const auto loss = std::find_if(losses_.begin(), losses_.end(),
+                                 [&](const Loss& lost) { return lost.backend == backend; });
+  if (loss != losses_.end()) {
+    strike.is_isolated = loss->is_isolated;
+    strike.made_progress = loss->made_progress;
+  }
+  services_.strikes->AddStrike(digest_, strike);
 }
 
 void ChatExchange::Execute(const stream_command::NoteSuccess& /*command*/) {
--- a/src/kumquatrouter/chat_exchange.h
+++ b/src/kumquatrouter/chat_exchange.h
@@ -26,6 +26,8 @@
   bool is_open = true;
   // The request was a suspect when this was placed, so no other suspect runs beside it.
   bool is_isolated = false;
+  // It has sent something of the answer.
+  bool made_progress = false;
 };
 
 // Everything that decides is in StreamRequest; this class carries its commands out.
@@ -83,9 +85,15 @@
   ShareTicket ticket_;
   std::optional<StreamRequest> decisions_;
   std::optional<ChatAttempt> attempt_;
-  // Whether the last choice kept suspects apart, and where a run after such a choice was lost.
+  // A run that was lost; a strike for it follows once its backend server is proven dead.
+  struct Loss {
+    BackendChoice backend;
+    bool is_isolated = false;
+    bool made_progress = false;
+  };
+  // Whether the last choice kept suspects apart.
   bool is_choice_isolated_ = false;
-  std::vector<BackendChoice> isolated_losses_;
+  std::vector<Loss> losses_;
   std::function<void()> on_done_;
   std::uint64_t queue_id_ = 0;
   bool is_answer_started_ = false;
--- a/src/kumquatrouter/strike_exchange.cpp
+++ b/src/kumquatrouter/strike_exchange.cpp
@@ -44,7 +44,7 @@
   QJsonArray strikes;
   for (const Strike& strike : entry.strikes) {
     strikes.append(QJsonArray{ToQString(strike.backend_id), static_cast<qint64>(strike.incarnation),
-                              strike.is_isolated});
+                              strike.is_isolated, strike.made_progress});
   }
   return {{"digest", ToQString(entry.digest)},
           {"strikes", strikes},
@@ -59,8 +59,8 @@
   fields.Read("digest", &entry.digest).Read("cleared", &entry.cleared).Read("age_us", &age);
   for (const QJsonValue& item : fields.Array("strikes", kMaxStrikes)) {
     const QJsonArray values = item.toArray();
-    entry.strikes.push_back(
-        {values[0].toString().toStdString(), values[1].toInteger(), values[2].toBool()});
+    entry.strikes.push_back({values[0].toString().toStdString(), values[1].toInteger(),
+                             values[2].toBool(), values[3].toBool()});
   }
   entry.age = Duration(age);
   if (!fields.ok()) return std::nullopt;
@@ -126,6 +126,7 @@
            {{"digest", digest.substr(0, kLoggedDigits)},
             {"backend", strike.backend_id},
             {"isolated", strike.is_isolated ? "yes" : "no"},
+            {"made_progress", strike.made_progress ? "yes" : "no"},
             {"condemned", standing == RequestStanding::kCondemned ? "yes" : "no"}});
   SendChangedSince(now);
 }
--- a/src/libs/coordination/admission/strike_table.cpp
+++ b/src/libs/coordination/admission/strike_table.cpp
@@ -7,8 +7,11 @@
 namespace kumquat {
 namespace {
 
-// Deaths of this many different backend servers condemn a request.
+// Deaths of this many different backend servers condemn a request if one of them was conclusive.
 constexpr std::size_t kCondemningDeaths = 2;
+// The same for a request that breaks backend servers later in its run. An innocent one is seldom
+// hit so often.
+constexpr std::size_t kCondemningLateDeaths = 4;
 
 bool StruckBy(const std::vector<Strike>& strikes, const std::string& backend_id) {
   return std::any_of(strikes.begin(), strikes.end(),
@@ -32,11 +35,14 @@
   if (entry == nullptr || entry->strikes.empty()) return RequestStanding::kClean;
   std::set<std::string_view> dead;
   bool was_isolated = false;
+  bool is_conclusive = false;
   for (const Strike& strike : entry->strikes) {
     dead.insert(strike.backend_id);
     was_isolated = was_isolated || strike.is_isolated;
+    is_conclusive = is_conclusive || strike.is_conclusive();
   }
-  const bool is_condemned = dead.size() >= kCondemningDeaths && was_isolated;
+  const bool is_condemned = (is_conclusive && dead.size() >= kCondemningDeaths) ||
+                            (was_isolated && dead.size() >= kCondemningLateDeaths);
   return is_condemned ? RequestStanding::kCondemned : RequestStanding::kSuspect;
 }
 
--- a/src/libs/coordination/admission/strike_table.h
+++ b/src/libs/coordination/admission/strike_table.h
@@ -1,12 +1,12 @@
 // Requests that were running when a backend server died.
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
 #include <string>
-#include <tuple>
 #include <vector>
 
 #include "utils/hooks.h"
@@ -26,12 +26,13 @@
   std::int64_t incarnation = 0;
   // The request was a suspect when it started there, so no other suspect ran beside it.
   bool is_isolated = false;
+  // The request had got something of its answer there, so beginning to run it was harmless.
+  bool made_progress = false;
 
-  bool operator==(const Strike&) const = default;
-  bool operator<(const Strike& other) const {
-    return std::tie(backend_id, incarnation, is_isolated) <
-           std::tie(other.backend_id, other.incarnation, other.is_isolated);
-  }
+  auto operator<=>(const Strike&) const = default;
+
+  // Whether this death is evidence against this request and no other.
+  bool is_conclusive() const { return is_isolated && !made_progress; }
 };
 
 // What is known of one request, as routers tell each other. Ages travel instead of moments, as
@@ -54,9 +55,9 @@
   kClean,
   // It was running when one backend server died: it runs alone among suspects.
   kSuspect,
-  // It was running when two different backend servers died, on one of them as a suspect: it is
-  // refused for good. Without the latter, equal requests that ran beside a poison request on two
-  // backend servers would be condemned.
+  // It is refused for good: two different backend servers died, one of them conclusively, or
+  // four died, one of them while it was a suspect. Without a conclusive death, requests that ran
+  // beside a poison request, or on engines that something else killed, would be condemned.
   kCondemned,
 };
 
--- a/src/libs/coordination/log/replica_election.cpp
+++ b/src/libs/coordination/log/replica_election.cpp
@@ -81,7 +81,8 @@
 }
 
 void Replica::Handle(const LogMessage& message, const Vote& request) {
-  if (IsQuiet() && !request.bootstrap) return;
+  const bool may_found = request.bootstrap && log_.empty();
+  if (IsQuiet() && !may_found) return;
   const bool refused = request.bootstrap ? !log_.empty() : HeardLeaderLately();
   if (refused) {
     Answer(message, VoteAnswer{false});
--- a/src/libs/coordination/membership/member_record.cpp
+++ b/src/libs/coordination/membership/member_record.cpp
@@ -16,6 +16,11 @@
   return record;
 }
 
+void MemberRecord::MarkLeaving() {
+  leaving = true;
+  if (backend) backend->state = BackendState::kLeaving;
+}
+
 QJsonObject ToJson(const MemberRecord& record) {
   QJsonObject json{
       {"down", record.down}, {"leaving", record.leaving}, {"silent", record.is_silent}};
--- a/src/libs/coordination/membership/member_record.h
+++ b/src/libs/coordination/membership/member_record.h
@@ -12,7 +12,8 @@
 namespace kumquat {
 
 // A member as it travels between routers. Records of a member are ordered by (incarnation,
-// sequence); a record that says `down` goes before one with the same numbers that doesn't.
+// sequence); a record that says `down` goes before one with the same numbers that doesn't, and a
+// proof that it is down before mere silence.
 struct MemberRecord {
   std::string id;
   std::int64_t incarnation = 0;
@@ -31,6 +32,10 @@
   bool operator==(const MemberRecord&) const = default;
 
   bool is_router() const { return !backend.has_value(); }
+
+  // Notes that the member is leaving, in its announcement too, so that records which say the same
+  // are equal whichever way the word came.
+  void MarkLeaving();
 };
 
 // Returns the record that an announcement stands for.
--- a/src/libs/coordination/membership/member_table.cpp
+++ b/src/libs/coordination/membership/member_table.cpp
@@ -14,7 +14,8 @@
 constexpr Duration kLongestRetry = std::chrono::seconds(5);
 
 auto OrderOf(const MemberRecord& record) {
-  return std::tuple(record.incarnation, record.sequence, record.down);
+  const bool is_proven_down = record.down && !record.is_silent;
+  return std::tuple(record.incarnation, record.sequence, record.down, is_proven_down);
 }
 
 // Returns the record without what changes at each announcement.
@@ -38,8 +39,10 @@
 MergeOutcome MemberTable::Merge(const MemberRecord& record, Instant now) {
   const auto [entry, is_new] = members_.try_emplace(record.id);
   Member& member = entry->second;
+  MemberRecord merged = record;
+  if (record.leaving) merged.MarkLeaving();
   if (is_new) {
-    member.record = record;
+    member.record = std::move(merged);
     member.heard_at = now;
     member.load_at = now;
     return MergeOutcome::kChanged;
@@ -48,11 +51,10 @@
   if (OrderOf(record) <= OrderOf(member.record)) {
     // Leaving holds for the incarnation, also when the word comes late.
     if (!same_incarnation || !record.leaving || member.record.leaving) return MergeOutcome::kStale;
-    member.record.leaving = true;
+    member.record.MarkLeaving();
     return MergeOutcome::kChanged;
   }
-  MemberRecord merged = record;
-  if (same_incarnation) merged.leaving = record.leaving || member.record.leaving;
+  if (same_incarnation && member.record.leaving) merged.MarkLeaving();
   const bool changed = LastingPart(merged) != LastingPart(member.record);
   member.record = std::move(merged);
   member.heard_at = now;
