--- a/src/kumquatcontrol/control_node.cpp
+++ b/src/kumquatcontrol/control_node.cpp
@@ -2,6 +2,8 @@
 
 #include <QCborMap>
 #include <QCborValue>
+#include <algorithm>
+#include <set>
 #include <utility>
 
 #include "protocol/engine_messages.h"
@@ -12,63 +14,87 @@
 namespace {
 
 constexpr std::chrono::milliseconds kTickInterval{20};
+constexpr std::chrono::milliseconds kGossipInterval{500};
+// A replica whose disk failed tries it again after this long; until then it neither votes nor
+// acknowledges.
+constexpr std::chrono::milliseconds kDiskRetryInterval{1000};
 // An order that is silent for longer is given up, well within the longest life of a message.
 constexpr Duration kOrderSilence = std::chrono::seconds(2);
+constexpr Duration kLeaderCallTimeout = std::chrono::milliseconds(600);
+// Before the name of a router among the gossip's neighbours; replicas have plain names.
+constexpr std::string_view kRouterPrefix = "router/";
 
 }  // namespace
 
-ControlNode::ControlNode(ControlNodeOptions options, LogStorage* storage, const Random& random,
-                         std::function<void(const std::string& reason)> on_failed)
+ControlNode::ControlNode(ControlNodeOptions options, Hooks hooks)
     : options_(std::move(options)),
+      hooks_(std::move(hooks)),
+      links_(options_.peers, options_.is_open(), hooks_.random),
       service_(options_.service,
-               {SteadyClock(), [this](std::string_view name) { return AddressOf(name); },
+               {SteadyClock(),
+                [this](std::string_view name) {
+                  if (name != options_.log_name()) return links_.AddressOf(name);
+                  return options_.log_name() + "@" + options_.listen.ToString();
+                },
                 [this](std::int64_t revision) { AnnounceRevision(revision); },
                 [this](const Announcement& engine, const EngineOrder& order) {
                   SendOrder(engine, order);
                 }},
                &state_),
+      documents_({SteadyClock(),
+                  [this](std::string_view method, const QJsonObject& params,
+                         DocumentServiceHooks::OnResult on_result) {
+                    CallLeader(method, params, std::move(on_result));
+                  },
+                  [this] { return log_ ? log_->applied_index() : 0; }},
+                 &state_),
+      directory_(
+          {SteadyClock(),
+           hooks_.random,
+           [this](const std::string& to, const GossipMessage& message) { SendGossip(to, message); },
+           {}}),
+      desk_({SteadyClock(), [this] { return CompiledDocuments(); },
+             [this] { return directory_.table().digest(); },
+             [this](const std::string& router) {
+               directory_.Exchange(std::string(kRouterPrefix) + router);
+             },
+             [this] {
+               std::vector<std::string> replicas = OtherReplicas();
+               replicas.push_back(options_.listen.ToString());
+               return replicas;
+             }}),
       rpc_(MakeRpcServer()),
       backend_client_(MakeHttpBackendClient()) {
   service_.AddMethods(rpc_.get());
   server_ =
       MakeFrameServer([this](const std::shared_ptr<FrameConnection>& connection, FrameKind kind,
                              std::string_view payload) { Received(connection, kind, payload); });
-  for (const NamedEndpoint& peer : options_.peers) {
-    // What a peer announces to routers is of no use here.
-    links_[peer.name] = MakeFrameLink(
-        peer.endpoint, [](FrameKind, std::string_view) {}, random);
-  }
-  log_ = MakeLog(storage, random, std::move(on_failed));
-  service_.Attach(log_.get());
   flush_.setSingleShot(true);
-  QObject::connect(&flush_, &QTimer::timeout, &flush_, [this] { log_->Flush(); });
+  restart_.setSingleShot(true);
+  QObject::connect(&flush_, &QTimer::timeout, &flush_, [this] {
+    if (log_) log_->Flush();
+  });
   QObject::connect(&tick_, &QTimer::timeout, &tick_, [this] {
-    log_->Tick();
+    if (log_) log_->Tick();
     service_.Tick();
+    documents_.Tick();
+  });
+  QObject::connect(&gossip_tick_, &QTimer::timeout, &gossip_tick_, [this] {
+    UpdateNeighbours();
+    directory_.Tick();
+  });
+  QObject::connect(&restart_, &QTimer::timeout, &restart_, [this] {
+    if (!StartLog()) RestartLogLater(last_reason_);
   });
 }
 
-std::unique_ptr<ReplicatedLog> ControlNode::MakeLog(
-    LogStorage* storage, const Random& random,
-    std::function<void(const std::string& reason)> on_failed) {
-  std::vector<std::string> members = {options_.instance};
-  for (const NamedEndpoint& peer : options_.peers) members.push_back(peer.name);
-  return ReplicatedLog::Builder()
-      .Name(options_.instance)
-      .MemberNames(std::move(members))
-      .Options(options_.log)
-      .Storage(storage)
-      .Machine(&state_)
-      .Time(SteadyClock())
-      .Randomness(random)
-      .OnSend([this](const LogMessage& message) { Send(message); })
-      .OnApplied([this](const LogPosition& position, std::string_view answer) {
-        service_.OnApplied(position, answer);
-      })
-      .OnChanged([this] { service_.OnChanged(); })
-      .OnFlushWanted([this] { flush_.start(std::chrono::milliseconds(0)); })
-      .OnFailed(std::move(on_failed))
-      .Build();
+std::vector<std::string> ControlNode::MemberNames() const {
+  std::vector<std::string> names;
+  for (const Endpoint& seed : options_.seeds) names.push_back(seed.ToString());
+  if (options_.is_open()) return names;
+  names.push_back(options_.instance);
+  for (const NamedEndpoint& peer : options_.peers) names.push_back(peer.name);
+  return names;
 }
 
 bool ControlNode::Start() {
@@ -78,20 +104,72 @@
     last_reason_ = server_->last_reason();
     return false;
   }
-  if (!log_->Start()) {
-    last_reason_ = log_->last_reason();
-    return false;
+  if (!StartLog()) {
+    if (!options_.is_open()) return false;
+    // A full or broken disk may get better, and this process is of use meanwhile.
+    RestartLogLater(last_reason_);
   }
   tick_.start(kTickInterval);
+  gossip_tick_.start(kGossipInterval);
   return true;
 }
 
-std::string ControlNode::AddressOf(std::string_view name) const {
-  if (name == options_.instance) return options_.instance + "@" + options_.listen.ToString();
-  for (const NamedEndpoint& peer : options_.peers) {
-    if (peer.name == name) return peer.name + "@" + peer.endpoint.ToString();
-  }
-  return std::string(name);
+bool ControlNode::StartLog() {
+  log_.reset();
+  state_ = ControlState();
+  storage_ = hooks_.make_storage();
+  log_ = ReplicatedLog::Builder()
+             .Name(options_.log_name())
+             .MemberNames(MemberNames())
+             .Options(options_.log)
+             .Storage(storage_.get())
+             .Machine(&state_)
+             .Time(SteadyClock())
+             .Randomness(hooks_.random)
+             .OnSend([this](const LogMessage& message) { links_.Send(message); })
+             .OnApplied([this](const LogPosition& position, std::string_view answer) {
+               Applied(position, answer);
+             })
+             .OnChanged([this] { service_.OnChanged(); })
+             .OnFlushWanted([this] { flush_.start(std::chrono::milliseconds(0)); })
+             .OnFailed([this](const std::string& reason) { RestartLogLater(reason); })
+             .Build();
+  service_.Attach(log_.get());
+  if (log_->Start()) return true;
+  last_reason_ = log_->last_reason();
+  return false;
+}
+
+// The process stays up: it still takes heartbeats and passes calls on to the leader.
+void ControlNode::RestartLogLater(const std::string& reason) {
+  LogEvent(LogLevel::kError, "log_storage_failed",
+           {{"reason", reason}, {"retry_ms", kDiskRetryInterval.count()}});
+  restart_.start(kDiskRetryInterval);
+}
+
+void ControlNode::SetSeeds(const std::vector<Endpoint>& seeds) {
+  if (seeds == options_.seeds || seeds.empty()) return;
+  options_.seeds = seeds;
+  if (log_) log_->SetSeeds(MemberNames());
+}
+
+ControlApi ControlNode::api() {
+  ControlApi api;
+  api.announce = [this](const Announcement& announcement, const ControlApi::OnDone& done) {
+    directory_.Learn(RecordOf(announcement));
+    done(log_ && log_->in_contact());
+  };
+  api.leave = [this](const std::string& backend_id, const ControlApi::OnDone& done) {
+    directory_.Leave(backend_id);
+    done(log_ && log_->in_contact());
+  };
+  api.put_document = [this](const Document& document, ControlApi::OnDone done) {
+    documents_.Put(document, std::move(done));
+  };
+  api.read_document = [this](const std::string& name, ControlApi::OnRead done) {
+    documents_.Read(name, std::move(done));
+  };
+  return api;
 }
 
 void ControlNode::Received(const std::shared_ptr<FrameConnection>& connection, FrameKind kind,
@@ -100,17 +178,97 @@
     rpc_->Handle(connection, payload);
     return;
   }
+  if (kind == FrameKind::kNews) {
+    ReceivedNews(connection, payload);
+    return;
+  }
   const auto message = DecodeLogMessage(payload);
   if (!message) {
     LogEvent(LogLevel::kWarning, "log_message_malformed", {{"bytes", payload.size()}});
     return;
   }
-  log_->Receive(*message);
+  if (log_) log_->Receive(*message);
 }
 
-void ControlNode::Send(const LogMessage& message) {
-  const auto link = links_.find(message.to.name);
-  if (link != links_.end()) link->second->Send(FrameKind::kCbor, Encode(message));
+void ControlNode::ReceivedNews(const std::shared_ptr<FrameConnection>& connection,
+                               std::string_view payload) {
+  const auto news = DecodeControlNews(payload);
+  if (!news) {
+    LogEvent(LogLevel::kWarning, "news_malformed", {{"bytes", payload.size()}});
+    return;
+  }
+  if (const auto* hello = std::get_if<RouterHello>(&*news)) {
+    desk_.Receive(connection, *hello);
+  } else if (const auto* members = std::get_if<MemberNews>(&*news)) {
+    std::string reason = "It is not JSON.";
+    const auto json = ParseJsonObject(members->json);
+    const auto message = json ? ParseGossipMessage(*json, &reason) : std::nullopt;
+    if (message) {
+      directory_.Receive(members->from, *message);
+    } else {
+      LogEvent(LogLevel::kWarning, "gossip_dropped", {{"from", members->from}, {"reason", reason}});
+    }
+  }
+}
+
+void ControlNode::CallLeader(std::string_view method, const QJsonObject& params,
+                             DocumentServiceHooks::OnResult on_result) {
+  const auto leader = log_ ? log_->leader() : std::nullopt;
+  if (!leader) return on_result(std::nullopt);
+  if (leader->name == options_.log_name()) {
+    service_.Call(method, params, [on_result](const QJsonObject& result) { on_result(result); });
+    return;
+  }
+  links_.Call(leader->name, method, params, kLeaderCallTimeout, std::move(on_result));
+}
+
+void ControlNode::Applied(const LogPosition& position, std::string_view answer) {
+  service_.OnApplied(position, answer);
+  documents_.Tick();
+  desk_.PushDocuments();
+}
+
+std::vector<Document> ControlNode::CompiledDocuments() {
+  std::vector<Document> documents;
+  for (const auto& [name, document] : state_.documents().documents()) {
+    auto known = compiled_.find(name);
+    if (known == compiled_.end() || known->second.version != document.version) {
+      auto made =
+          hooks_.compile_document ? hooks_.compile_document(document) : std::optional(document);
+      if (!made) continue;
+      known = compiled_.insert_or_assign(name, std::move(*made)).first;
+    }
+    documents.push_back(known->second);
+  }
+  return documents;
+}
+
+std::vector<std::string> ControlNode::OtherReplicas() const {
+  std::set<std::string> names;
+  for (const std::string& name : MemberNames()) names.insert(name);
+  if (log_) {
+    for (const ReplicaId& voter : log_->voters()) names.insert(voter.name);
+    for (const ReplicaId& learner : log_->learners()) names.insert(learner.name);
+  }
+  names.erase(options_.log_name());
+  return {names.begin(), names.end()};
+}
+
+void ControlNode::UpdateNeighbours() {
+  std::vector<std::string> neighbours = OtherReplicas();
+  for (const std::string& router : desk_.LiveRouters()) {
+    neighbours.push_back(std::string(kRouterPrefix) + router);
+  }
+  directory_.SetNeighbours(std::move(neighbours));
+}
+
+void ControlNode::SendGossip(const std::string& to, const GossipMessage& message) {
+  const MemberNews news{options_.log_name(), ToJsonText(ToJson(message))};
+  if (to.starts_with(kRouterPrefix)) {
+    desk_.Send(to.substr(kRouterPrefix.size()), news);
+  } else {
+    links_.Send(to, FrameKind::kNews, Encode(news));
+  }
 }
 
 void ControlNode::AnnounceRevision(std::int64_t revision) {
@@ -130,8 +288,6 @@
   request.timeouts.first_byte = kOrderSilence;
   request.new_connection = true;
   BackendCallHooks hooks;
-  hooks.on_headers = [](int, const HttpHeaders&) {};
-  hooks.on_data = [](std::string_view) {};
   hooks.on_end = [this, number] { OrderEnded(number, "answered"); };
   hooks.on_failure = [this, number](CallFailure failure, std::string_view) {
     OrderEnded(number, CallFailureName(failure));
--- a/src/kumquatcontrol/control_node.h
+++ b/src/kumquatcontrol/control_node.h
@@ -5,12 +5,20 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
+#include "control_api.h"
 #include "coordination/log/replicated_log.h"
+#include "coordination/membership/backend_directory.h"
+#include "protocol/control_news.h"
+#include "replica_links.h"
+#include "router_desk.h"
 #include "state/control/control_state.h"
 #include "state/control_service/control_service.h"
+#include "state/control_service/document_service.h"
 #include "transport/backend_client.h"
 #include "transport/frame_link.h"
 #include "transport/rpc.h"
@@ -20,51 +28,88 @@
 namespace kumquat {
 
 struct ControlNodeOptions {
+  // Unique among the replicas. Where membership is open, the listening address is the name instead.
   std::string instance;
   Endpoint listen;
-  // The other replicas.
+  // The other replicas, where they are named.
   std::vector<NamedEndpoint> peers;
+  // The replicas that found the log and through which others are found. Membership is open where
+  // there are any.
+  std::vector<Endpoint> seeds;
   LogOptions log;
   ControlServiceOptions service;
+
+  bool is_open() const { return !seeds.empty(); }
+  std::string log_name() const { return is_open() ? listen.ToString() : instance; }
 };
 
 // Replicas talk over links of their own, one each way: JSON-RPC frames carry calls, CBOR frames
-// carry the log's messages to a replica and announcements of new revisions from it.
+// carry the log's messages to a replica and announcements of new revisions from it, and news frames
+// the gossip about backend servers. Routers get their news on the connections that they make.
 class ControlNode {
  public:
-  // The storage outlives the node. `on_failed` tells that the log has stopped for good.
-  ControlNode(ControlNodeOptions options, LogStorage* storage, const Random& random,
-              std::function<void(const std::string& reason)> on_failed);
+  struct Hooks {
+    Random random;
+    // Makes the storage of the log; called again after the storage has failed.
+    std::function<std::unique_ptr<LogStorage>()> make_storage;
+    // Turns a document into the form that routers use; nothing when routers have no use for it.
+    std::function<std::optional<Document>(const Document& document)> compile_document;
+  };
+
+  ControlNode(ControlNodeOptions options, Hooks hooks);
 
-  // Listens, then starts the log; false when either fails, with last_reason().
+  // Listens, then starts the log; false when the address can't be had or the storage is damaged,
+  // with last_reason().
   bool Start();
 
+  // Returns what the edges to backend servers and operators call.
+  ControlApi api();
+
+  // Replaces the seeds.
+  void SetSeeds(const std::vector<Endpoint>& seeds);
+
   const std::string& last_reason() const { return last_reason_; }
 
  private:
-  std::unique_ptr<ReplicatedLog> MakeLog(LogStorage* storage, const Random& random,
-                                         std::function<void(const std::string& reason)> on_failed);
-  std::string AddressOf(std::string_view name) const;
+  bool StartLog();
+  void RestartLogLater(const std::string& reason);
+  std::vector<std::string> MemberNames() const;
   void Received(const std::shared_ptr<FrameConnection>& connection, FrameKind kind,
                 std::string_view payload);
-  void Send(const LogMessage& message);
+  void ReceivedNews(const std::shared_ptr<FrameConnection>& connection, std::string_view payload);
+  void CallLeader(std::string_view method, const QJsonObject& params,
+                  DocumentServiceHooks::OnResult on_result);
+  void Applied(const LogPosition& position, std::string_view answer);
+  std::vector<Document> CompiledDocuments();
+  std::vector<std::string> OtherReplicas() const;
+  void UpdateNeighbours();
+  void SendGossip(const std::string& to, const GossipMessage& message);
   void AnnounceRevision(std::int64_t revision);
   void SendOrder(const Announcement& engine, const EngineOrder& order);
   void OrderEnded(std::int64_t fencing_number, std::string_view outcome);
 
   ControlNodeOptions options_;
+  Hooks hooks_;
   std::string last_reason_;
   ControlState state_;
+  ReplicaLinks links_;
   ControlService service_;
+  DocumentService documents_;
+  BackendDirectory directory_;
+  RouterDesk desk_;
   std::unique_ptr<RpcServer> rpc_;
   std::unique_ptr<FrameServer> server_;
-  std::map<std::string, std::unique_ptr<FrameLink>, std::less<>> links_;
+  std::unique_ptr<LogStorage> storage_;
   std::unique_ptr<ReplicatedLog> log_;
   std::unique_ptr<BackendClient> backend_client_;
+  // What compile_document made of the committed documents, by name.
+  std::map<std::string, Document> compiled_;
   // Orders under way, by fencing number.
   std::map<std::int64_t, std::unique_ptr<BackendCall>> orders_;
   QTimer tick_;
   QTimer flush_;
+  QTimer gossip_tick_;
+  QTimer restart_;
 };
 
 }  // namespace kumquat
--- a/src/kumquatcontrol/main.cpp
+++ b/src/kumquatcontrol/main.cpp
@@ -3,9 +3,14 @@
 
 #include <QCoreApplication>
 #include <QRandomGenerator>
+#include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "control_node.h"
+#include "platform/configuration.h"
+#include "platform/control_edge.h"
 #include "state/storage/log_file_storage.h"
 #include "transport/termination_signal.h"
 #include "utils/log.h"
@@ -24,21 +29,32 @@
 struct Settings {
   ControlNodeOptions node;
   std::string failure_domain;
+  std::vector<Endpoint> seeds;
+  Endpoint http_listen;
   std::string data_dir;
   std::string log_level = "info";
   std::int64_t snapshot_entries = 10'000;
   std::int64_t loads_at_once = 2;
+  std::int64_t voters = 5;
 };
 
 void Declare(Settings* settings, SettingsReader* reader) {
   ControlNodeOptions& node = settings->node;
   reader->Add("instance", &node.instance, "This replica's name, unique among the replicas.")
       .Required();
+  reader->Add("seeds", &settings->seeds,
+              "Replicas through which others are found, instead of peers; the port of listen is "
+              "that of every replica.");
+  reader->Add("found", &node.log.may_found,
+              "Whether this replica may take part in the founding of an empty cluster.");
+  reader->Add("voters", &settings->voters, {1, 7}, "Voters of a cluster that is made by seeds.");
+  reader->Add("http_listen", &settings->http_listen,
+              "Where backend servers and operators of the users' platform reach this replica.");
   reader->Add("failure_domain", &settings->failure_domain, "The failure domain of this instance.")
       .Required();
   reader->Add("listen", &node.listen, "The address that routers and other replicas connect to.")
       .Required();
-  reader->Add("peers", &node.peers, "The other replicas.").Required();
+  reader->Add("peers", &node.peers, "The other replicas, where there are no seeds.");
   reader->Add("data_dir", &settings->data_dir, "The folder of the durable state.").Required();
   reader->Add("log_level", &settings->log_level, "debug, info, warning or error.");
   reader->Add("lease_ms", &node.service.lease, {500, 5000},
@@ -61,6 +77,22 @@
   return [] { return QRandomGenerator::system()->generate64(); };
 }
 
+// Returns where the replicas of these addresses talk to each other: at the same port everywhere.
+std::vector<Endpoint> ReplicasAt(std::vector<Endpoint> addresses, std::uint16_t port) {
+  for (Endpoint& address : addresses) address.port = port;
+  return addresses;
+}
+
+ControlNode::Hooks NodeHooks(const std::string& data_dir) {
+  ControlNode::Hooks hooks;
+  hooks.random = SystemRandom();
+  hooks.make_storage = [data_dir] {
+    return std::make_unique<LogFileStorage>(data_dir, SystemRandom());
+  };
+  hooks.compile_document = platform::CompileDocument;
+  return hooks;
+}
+
 int Main(int argc, char** argv) {
   Settings settings;
   SettingsReader reader;
@@ -71,16 +103,24 @@
   settings.node.log.snapshot_after_entries = static_cast<std::uint64_t>(settings.snapshot_entries);
   settings.node.service.orders.loads_at_once = static_cast<std::size_t>(settings.loads_at_once);
   ConfigureLog(settings.node.instance, LogLevelFromName(settings.log_level));
+  settings.node.seeds = ReplicasAt(settings.seeds, settings.node.listen.port);
+  if (settings.node.is_open()) {
+    settings.node.log.open_voters = static_cast<std::size_t>(settings.voters);
+  }
   const QCoreApplication application(argc, argv);
-  LogFileStorage storage(settings.data_dir, SystemRandom());
-  ControlNode node(settings.node, &storage, SystemRandom(), [](const std::string& reason) {
-    LogEvent(LogLevel::kError, "control_failed", {{"reason", reason}});
-    QCoreApplication::exit(kExitFailed);
-  });
+  ControlNode node(settings.node, NodeHooks(settings.data_dir));
   if (!node.Start()) {
     fmt::print(stderr, "{}: {}\n", kName, node.last_reason());
     return kExitFailed;
   }
+  std::unique_ptr<platform::ControlEdge> edge;
+  if (settings.http_listen.port != 0) {
+    edge = std::make_unique<platform::ControlEdge>(node.api());
+    if (!edge->Listen(settings.http_listen)) {
+      fmt::print(stderr, "{}: {}\n", kName, edge->last_reason());
+      return kExitFailed;
+    }
+  }
   LogEvent(
       LogLevel::kInfo, "control_started",
       {{"listen", settings.node.listen.ToString()}, {"failure_domain", settings.failure_domain}});
--- /dev/null
+++ b/src/kumquatcontrol/router_desk.cpp
@@ -0,0 +1,72 @@
+#include "router_desk.h"
+
+#include <utility>
+
+#include "utils/log.h"
+
+namespace kumquat {
+namespace {
+
+// Routers greet every second.
+constexpr Duration kSilenceLimit = std::chrono::milliseconds(3500);
+
+void SendTo(FrameConnection& connection, const ControlNews& news) {
+  connection.Send(FrameKind::kNews, Encode(news));
+}
+
+}  // namespace
+
+void RouterDesk::Receive(const std::shared_ptr<FrameConnection>& connection,
+                         const RouterHello& hello) {
+  const auto [entry, is_new] = routers_.try_emplace(hello.router);
+  Router& router = entry->second;
+  if (!is_new && hello.incarnation < router.hello.incarnation) return;
+  if (is_new || hello.incarnation > router.hello.incarnation) {
+    LogEvent(LogLevel::kInfo, "router_linked",
+             {{"router", hello.router}, {"incarnation", hello.incarnation}});
+  }
+  router.connection = connection;
+  router.hello = hello;
+  router.heard_at = hooks_.clock();
+  SendMissingDocuments(&router);
+  if (hello.members_digest != hooks_.members_digest()) hooks_.exchange_members(hello.router);
+  const auto routers = static_cast<std::int64_t>(LiveRouters().size());
+  Send(hello.router, FleetNews{hooks_.replicas(), routers});
+}
+
+void RouterDesk::SendMissingDocuments(Router* router) {
+  DocumentNews news;
+  for (Document& document : hooks_.documents()) {
+    std::int64_t& known = router->hello.versions[document.name];
+    if (document.version <= known) continue;
+    known = document.version;
+    news.documents.push_back(std::move(document));
+  }
+  if (!news.documents.empty()) SendTo(*router->connection, news);
+}
+
+void RouterDesk::PushDocuments() {
+  for (auto& [name, router] : routers_) SendMissingDocuments(&router);
+}
+
+void RouterDesk::Send(const std::string& router, const ControlNews& news) {
+  const auto found = routers_.find(router);
+  if (found != routers_.end()) SendTo(*found->second.connection, news);
+}
+
+std::vector<std::string> RouterDesk::LiveRouters() {
+  const Instant now = hooks_.clock();
+  std::vector<std::string> names;
+  for (auto router = routers_.begin(); router != routers_.end();) {
+    if (now - router->second.heard_at > kSilenceLimit) {
+      LogEvent(LogLevel::kInfo, "router_lost", {{"router", router->first}});
+      router = routers_.erase(router);
+      continue;
+    }
+    names.push_back(router->first);
+    ++router;
+  }
+  return names;
+}
+
+}  // namespace kumquat
--- /dev/null
+++ b/src/kumquatcontrol/router_desk.h
@@ -0,0 +1,59 @@
+// The routers that are linked to this control replica, and the news that they get.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "protocol/control_news.h"
+#include "transport/frame_link.h"
+#include "utils/hooks.h"
+
+namespace kumquat {
+
+struct RouterDeskHooks {
+  Clock clock;
+  // Returns the committed documents in the form that routers use.
+  std::function<std::vector<Document>()> documents;
+  // Returns the digest of this replica's table of backend servers.
+  std::function<std::uint64_t()> members_digest;
+  // Tells a router all that is known of backend servers, and asks for what it knows.
+  std::function<void(const std::string& router)> exchange_members;
+  // Returns the addresses of the control replicas.
+  std::function<std::vector<std::string>()> replicas;
+};
+
+class RouterDesk {
+ public:
+  explicit RouterDesk(RouterDeskHooks hooks) : hooks_(std::move(hooks)) {}
+
+  // A router greeted; it gets what it lacks.
+  void Receive(const std::shared_ptr<FrameConnection>& connection, const RouterHello& hello);
+
+  // Sends documents to all routers that lack them.
+  void PushDocuments();
+
+  // Sends to one router; nothing happens when it isn't linked.
+  void Send(const std::string& router, const ControlNews& news);
+
+  // Returns the names of the routers that greeted lately, after dropping the others.
+  std::vector<std::string> LiveRouters();
+
+ private:
+  struct Router {
+    std::shared_ptr<FrameConnection> connection;
+    RouterHello hello;
+    Instant heard_at{0};
+  };
+
+  void SendMissingDocuments(Router* router);
+
+  RouterDeskHooks hooks_;
+  std::map<std::string, Router> routers_;
+};
+
+}  // namespace kumquat
--- a/src/kumquatctl/main.cpp
+++ b/src/kumquatctl/main.cpp
@@ -2,7 +2,6 @@
 #include <fmt/format.h>
 
 #include <QCoreApplication>
-#include <QCryptographicHash>
 #include <QJsonArray>
 #include <iostream>
 #include <random>
@@ -13,6 +12,7 @@
 #include "list_file.h"
 #include "protocol/control_messages.h"
 #include "protocol/json_fields.h"
+#include "protocol/key_digest.h"
 #include "utils/log.h"
 #include "utils/program.h"
 
@@ -57,9 +57,7 @@
     fmt::print(stderr, "Standard input holds no key.\n");
     return kExitInvalid;
   }
-  const QByteArray digest =
-      QCryptographicHash::hash(QByteArray::fromStdString(key), QCryptographicHash::Sha256);
-  fmt::print("{}\n", digest.toHex().toStdString());
+  fmt::print("{}\n", KeyDigest(key));
   return kExitOk;
 }
 
--- a/src/kumquatrouter/caller_identity.cpp
+++ b/src/kumquatrouter/caller_identity.cpp
@@ -1,8 +1,9 @@
 #include "caller_identity.h"
 
-#include <QCryptographicHash>
 #include <algorithm>
 
+#include "protocol/key_digest.h"
+
 namespace kumquat {
 namespace {
 
@@ -17,11 +18,6 @@
 
 }  // namespace
 
-std::string KeyDigest(std::string_view key) {
-  const QByteArray bytes(key.data(), static_cast<qsizetype>(key.size()));
-  return QCryptographicHash::hash(bytes, QCryptographicHash::Sha256).toHex().toStdString();
-}
-
 std::optional<Caller> IdentifyCaller(std::string_view authorization_field, const Lists& lists) {
   if (authorization_field.substr(0, kBearer.size()) != kBearer) return std::nullopt;
   const std::string digest = KeyDigest(authorization_field.substr(kBearer.size()));
--- a/src/kumquatrouter/caller_identity.h
+++ b/src/kumquatrouter/caller_identity.h
@@ -11,9 +11,6 @@
 
 namespace kumquat {
 
-// Returns the SHA-256 digest of a bearer key, in lower hexadecimal digits.
-std::string KeyDigest(std::string_view key);
-
 // The organisation that a caller acts for, within the lists of one revision.
 struct Caller {
   const Organisation* organisation = nullptr;
--- a/src/libs/coordination/log/log_messages.cpp
+++ b/src/libs/coordination/log/log_messages.cpp
@@ -47,7 +47,9 @@
 
 QCborValue BodyToCbor(const Join& body) { return QCborArray{body.empty}; }
 
-QCborValue BodyToCbor(const JoinAnswer& body) { return QCborArray{body.empty}; }
+QCborValue BodyToCbor(const JoinAnswer& body) {
+  return QCborArray{body.empty, ListToCbor(body.voters)};
+}
 
 bool BodyFromCbor(const QCborValue& value, PreVote* body) {
   return FieldsFromCbor(value, &body->last_index, &body->last_term);
@@ -89,7 +91,7 @@
 }
 
 bool BodyFromCbor(const QCborValue& value, JoinAnswer* body) {
-  return FieldsFromCbor(value, &body->empty);
+  return FieldsFromCbor(value, &body->empty) && ListFromCbor(value.toArray().at(1), &body->voters);
 }
 
 // Reads the alternative with this number, which is its place in the variant.
--- a/src/libs/coordination/log/log_messages.h
+++ b/src/libs/coordination/log/log_messages.h
@@ -86,6 +86,9 @@
 struct JoinAnswer {
   // True when the answering replica holds no entry either.
   bool empty = true;
+
+  // The names of the voters that it knows, one of which may lead.
+  std::vector<std::string> voters;
 };
 
 struct LogMessage {
--- a/src/libs/coordination/log/replica.cpp
+++ b/src/libs/coordination/log/replica.cpp
@@ -37,6 +37,8 @@
     AnnounceIfDue();
   } else if (!IsQuiet() && Now() >= election_deadline_) {
     StartPreVote();
+    // It may have been replaced while it was away, and then nobody answers its campaign.
+    if (IsOpen()) AnnounceIfDue();
   }
   Flush();
 }
@@ -63,6 +65,12 @@
   std::visit([&](const auto& body) { Handle(message, body); }, message.body);
 }
 
+bool Replica::InContact() const {
+  if (role_ == LogRole::kLeader) return HasQuorumContact(membership());
+  if (!last_leader_contact_ || !leader_) return false;
+  return Now() - *last_leader_contact_ < parts_.options.election_timeout_max;
+}
+
 void Replica::Queue(const ReplicaId& to, std::uint64_t message_term, LogMessage::Body body) {
   outbox_.push_back({self_, to, message_term, std::move(body)});
   WantFlush();
--- a/src/libs/coordination/log/replica.h
+++ b/src/libs/coordination/log/replica.h
@@ -39,7 +39,9 @@
 
   bool Start();
   void Tick();
+  void SetSeeds(std::vector<std::string> names) { parts_.member_names = std::move(names); }
   void Receive(const LogMessage& message);
+  bool InContact() const;
   std::optional<LogPosition> Propose(std::string_view command);
   std::optional<LogPosition> ProposeMembership(const Membership& membership);
   void ConfirmLeadership(std::function<void(bool confirmed)> callback);
@@ -133,7 +135,12 @@
   void AdmitLearners();
   bool AdmitLearner(const ReplicaId& id, const PeerProgress& peer);
   void ForgetSilentLearners();
+  bool IsOpen() const { return parts_.options.open_voters > 0; }
   bool IsMemberName(std::string_view name) const;
+  bool MayJoin(std::string_view name) const { return IsOpen() || IsMemberName(name); }
+  std::set<std::string> KnownNames() const;
+  const ReplicaId* LongestSilentVoter() const;
+  bool IsLongSilent(const ReplicaId& voter) const;
   void Handle(const LogMessage& message, const Join& request);
   void Handle(const LogMessage& message, const JoinAnswer& answer);
 
@@ -166,6 +173,8 @@
   ReadQueue reads_;
 
   Instant next_announcement_{0};
+  // Names of replicas that others told of.
+  std::set<std::string> heard_of_;
   std::map<std::string, Discovery> discoveries_;
 };
 
--- a/src/libs/coordination/log/replica_admission.cpp
+++ b/src/libs/coordination/log/replica_admission.cpp
@@ -8,6 +8,10 @@
 // then removes the lost identity, and a second one adds the new identity. Between any two
 // neighbouring memberships one voter differs, so their majorities overlap, and no membership holds
 // both identities of a name.
+//
+// Where membership is open, a newcomer of a new name becomes one more voter until there are enough,
+// and after that takes the place of the voter that has been silent longest. A replica that was
+// replaced while it was away keeps its identity and joins again like a newcomer.
 #include <algorithm>
 #include <utility>
 
@@ -20,6 +24,8 @@
 // How many of the longest election timeouts a voter must be silent before a newcomer of its name
 // may take its place, and a learner before it is forgotten.
 constexpr int kSilentTimeouts = 2;
+// Voters and learners that a leader keeps track of at once.
+constexpr std::size_t kMaxPeers = 16;
 
 }  // namespace
 
@@ -28,13 +34,20 @@
          parts_.member_names.end();
 }
 
+// Returns the replicas that a newcomer announces itself to.
+std::set<std::string> Replica::KnownNames() const {
+  std::set<std::string> names(parts_.member_names.begin(), parts_.member_names.end());
+  for (const ReplicaId& voter : membership().voters) names.insert(voter.name);
+  if (IsOpen()) names.insert(heard_of_.begin(), heard_of_.end());
+  names.erase(self_.name);
+  return names;
+}
+
 void Replica::AnnounceIfDue() {
   if (Now() < next_announcement_) return;
   next_announcement_ = Now() + parts_.options.heartbeat_interval;
-  for (const std::string& name : parts_.member_names) {
-    if (name != self_.name) Queue({name, 0}, term(), Join{log_.empty()});
-  }
-  StartBootstrapIfPossible();
+  for (const std::string& name : KnownNames()) Queue({name, 0}, term(), Join{log_.empty()});
+  if (!IsVoter()) StartBootstrapIfPossible();
 }
 
 void Replica::StartBootstrapIfPossible() {
@@ -62,7 +75,7 @@
 // lately answered that it is empty.
 std::optional<Membership> Replica::FoundingMembers() const {
   const auto& names = parts_.member_names;
-  if (!log_.empty() || !IsMemberName(self_.name)) return std::nullopt;
+  if (!log_.empty() || !parts_.options.may_found || !IsMemberName(self_.name)) return std::nullopt;
   if (*std::min_element(names.begin(), names.end()) != self_.name) return std::nullopt;
   Membership founders;
   for (const std::string& name : names) {
@@ -80,8 +93,10 @@
 }
 
 void Replica::Handle(const LogMessage& message, const Join&) {
-  Answer(message, JoinAnswer{log_.empty()});
-  if (role_ != LogRole::kLeader || !IsMemberName(message.from.name)) return;
+  JoinAnswer answer{log_.empty(), {}};
+  for (const ReplicaId& voter : membership().voters) answer.voters.push_back(voter.name);
+  Answer(message, std::move(answer));
+  if (role_ != LogRole::kLeader || !MayJoin(message.from.name)) return;
   if (membership().Contains(message.from)) return;
   const auto same_name = std::find_if(peers_.begin(), peers_.end(), [&](const auto& item) {
     return item.first.name == message.from.name && !membership().Contains(item.first);
@@ -93,6 +108,10 @@
   const auto [entry, added] = peers_.try_emplace(message.from);
   entry->second.last_contact = Now();
   if (!added) return;
+  if (peers_.size() > kMaxPeers) {
+    peers_.erase(entry);
+    return;
+  }
   entry->second.next_index = log_.last_index() + 1;
   round_wanted_ = true;
   LogEvent(LogLevel::kInfo, "log_learner",
@@ -100,7 +119,8 @@
 }
 
 void Replica::Handle(const LogMessage& message, const JoinAnswer& answer) {
-  if (!IsMemberName(message.from.name)) return;
+  if (!MayJoin(message.from.name)) return;
+  heard_of_.insert(answer.voters.begin(), answer.voters.end());
   discoveries_[message.from.name] = {message.from, answer.empty, message.term, Now()};
 }
 
@@ -124,21 +144,44 @@
 // Takes the next step towards making the learner a voter; false when none can be taken now.
 bool Replica::AdmitLearner(const ReplicaId& id, const PeerProgress& peer) {
   Membership wanted = membership();
-  const std::optional<ReplicaId> predecessor = wanted.VoterNamed(id.name);
+  std::optional<ReplicaId> predecessor = wanted.VoterNamed(id.name);
+  const bool is_full = IsOpen() && wanted.voters.size() >= parts_.options.open_voters;
+  if (!predecessor && is_full) {
+    const ReplicaId* silent = LongestSilentVoter();
+    if (!silent) return false;
+    predecessor = *silent;
+  }
   if (!predecessor) {
     wanted.voters.push_back(id);
   } else {
-    if (*predecessor == self_) return false;
-    const Duration silent_for = Now() - peers_.at(*predecessor).last_contact;
-    if (silent_for <= kSilentTimeouts * parts_.options.election_timeout_max) return false;
+    if (*predecessor == self_ || !IsLongSilent(*predecessor)) return false;
     std::erase(wanted.voters, *predecessor);
-    if (!HasQuorumContact(wanted)) return false;
   }
+  if (!HasQuorumContact(wanted)) return false;
   LogEvent(LogLevel::kInfo, predecessor ? "log_voter_removed" : "log_voter_added",
            {{"name", id.name}, {"acknowledged_index", peer.match_index}});
   return ProposeMembership(wanted).has_value();
 }
 
+bool Replica::IsLongSilent(const ReplicaId& voter) const {
+  const auto peer = peers_.find(voter);
+  if (peer == peers_.end()) return false;
+  const Duration silent_for = Now() - peer->second.last_contact;
+  return silent_for > kSilentTimeouts * parts_.options.election_timeout_max;
+}
+
+// Returns null when every voter was heard lately.
+const ReplicaId* Replica::LongestSilentVoter() const {
+  const ReplicaId* longest = nullptr;
+  for (const ReplicaId& voter : membership().voters) {
+    if (voter == self_ || !IsLongSilent(voter)) continue;
+    const bool is_longer =
+        !longest || peers_.at(voter).last_contact < peers_.at(*longest).last_contact;
+    if (is_longer) longest = &voter;
+  }
+  return longest;
+}
+
 std::vector<ReplicaId> Replica::learners() const {
   std::vector<ReplicaId> learners;
   for (const auto& [id, peer] : peers_) {
--- a/src/libs/coordination/log/replicated_log.cpp
+++ b/src/libs/coordination/log/replicated_log.cpp
@@ -31,6 +31,12 @@
 
 void ReplicatedLog::Tick() { replica_->Tick(); }
 
+void ReplicatedLog::SetSeeds(std::vector<std::string> names) {
+  replica_->SetSeeds(std::move(names));
+}
+
+bool ReplicatedLog::in_contact() const { return replica_->InContact(); }
+
 void ReplicatedLog::Receive(const LogMessage& message) { replica_->Receive(message); }
 
 std::optional<LogPosition> ReplicatedLog::Propose(std::string_view command) {
--- a/src/libs/coordination/log/replicated_log.h
+++ b/src/libs/coordination/log/replicated_log.h
@@ -46,6 +46,15 @@
   // nothing was committed in the meantime. The founding of an empty cluster doesn't wait.
   Duration startup_quiet = std::chrono::seconds(1);
 
+  // Voters up to which replicas of any name are taken in; 0 where only the names that the replica
+  // was given may ever vote. Names are addresses then, and the given ones are the seeds: they found
+  // the log, and tell others who is in it. Once there are this many voters, a replica that has
+  // caught up takes the place of the one that has been silent longest.
+  std::size_t open_voters = 0;
+
+  // Whether an empty replica may take part in the founding of a cluster.
+  bool may_found = true;
+
   // How long ConfirmLeadership() waits for a majority.
   Duration confirm_timeout = std::chrono::seconds(2);
 
@@ -109,6 +118,9 @@
   // Does what is due by the clock, then flushes. To be called every 10 to 20 ms.
   void Tick();
 
+  // Replaces the names of the seeds, where membership is open.
+  void SetSeeds(std::vector<std::string> names);
+
   // Takes a message from another replica in; answers go out with the next flush.
   void Receive(const LogMessage& message);
 
@@ -142,6 +154,9 @@
   // Replicas that the leader brings up to date without counting them; empty on others.
   std::vector<ReplicaId> learners() const;
 
+  // Returns whether this replica leads and hears a majority, or has heard its leader lately.
+  bool in_contact() const;
+
   LogStatus status() const;
   const std::string& last_reason() const;
 
--- a/src/libs/coordination/membership/gossip.cpp
+++ b/src/libs/coordination/membership/gossip.cpp
@@ -66,6 +66,7 @@
   if (table_->Merge(record, now) != MergeOutcome::kChanged) return false;
   const std::vector<MemberRecord> records = {table_->Find(record.id)->record};
   Flood(records, "");
+  if (on_changed_) on_changed_(records.front());
   return true;
 }
 
@@ -78,6 +79,8 @@
   if (!changed.empty()) Flood(changed, from);
   if (message.wants_all) SendAll(from);
   if (message.digest != 0 && message.digest != table_->digest()) Greet(from);
+  if (!on_changed_) return;
+  for (const MemberRecord& record : changed) on_changed_(record);
 }
 
 void Gossip::Tick() {
--- a/src/libs/coordination/membership/gossip.h
+++ b/src/libs/coordination/membership/gossip.h
@@ -41,6 +41,12 @@
 
   Gossip(MemberTable* table, Send send, Random random);
 
+  // Sets a hook that is run for each member about which something changed that others need to know,
+  // after it was passed on.
+  void OnChanged(std::function<void(const MemberRecord& record)> hook) {
+    on_changed_ = std::move(hook);
+  }
+
   // Sets the routers that there are links to.
   void SetNeighbours(std::vector<std::string> neighbours) { neighbours_ = std::move(neighbours); }
 
@@ -68,6 +74,7 @@
   MemberTable* table_;
   Send send_;
   Random random_;
+  std::function<void(const MemberRecord& record)> on_changed_;
   std::vector<std::string> neighbours_;
   std::int64_t records_sent_ = 0;
 };
--- a/src/libs/coordination/membership/member_table.cpp
+++ b/src/libs/coordination/membership/member_table.cpp
@@ -42,6 +42,7 @@
   MemberRecord merged = record;
   if (record.leaving) merged.MarkLeaving();
   if (is_new) {
+    digest_.reset();
     member.record = std::move(merged);
     member.heard_at = now;
     member.load_at = now;
@@ -52,10 +53,12 @@
     // Leaving holds for the incarnation, also when the word comes late.
     if (!same_incarnation || !record.leaving || member.record.leaving) return MergeOutcome::kStale;
     member.record.MarkLeaving();
+    digest_.reset();
     return MergeOutcome::kChanged;
   }
   if (same_incarnation && member.record.leaving) merged.MarkLeaving();
   const bool changed = LastingPart(merged) != LastingPart(member.record);
+  if (changed) digest_.reset();
   member.record = std::move(merged);
   member.heard_at = now;
   if (!record.down) member.load_at = now;
@@ -90,6 +93,7 @@
   member.retry_at = now + RetryDelay(member.failed_connections);
   member.record.is_silent = by_silence && (member.record.is_silent || !member.record.down);
   member.record.down = true;
+  digest_.reset();
   return member.record;
 }
 
@@ -100,11 +104,12 @@
 }
 
 void MemberTable::Forget(Duration age, Instant now) {
-  std::erase_if(members_, [&](const auto& entry) {
+  const std::size_t erased = std::erase_if(members_, [&](const auto& entry) {
     const Member& member = entry.second;
     const bool gone = member.record.down || member.record.leaving;
     return gone && now - member.heard_at > age;
   });
+  if (erased > 0) digest_.reset();
 }
 
 const Member* MemberTable::Find(std::string_view id) const {
@@ -126,11 +131,13 @@
 }
 
 std::uint64_t MemberTable::digest() const {
+  if (digest_) return *digest_;
   std::uint64_t digest = 0;
   for (const auto& [id, member] : members_) {
     const std::string text = id + ToJsonText(ToJson(LastingPart(member.record)));
     digest ^= XXH3_64bits(text.data(), text.size());
   }
+  digest_ = digest;
   return digest;
 }
 
--- a/src/libs/coordination/membership/member_table.h
+++ b/src/libs/coordination/membership/member_table.h
@@ -74,6 +74,8 @@
 
  private:
   std::map<std::string, Member, std::less<>> members_;
+  // Nothing after a change that it covers.
+  mutable std::optional<std::uint64_t> digest_;
 };
 
 }  // namespace kumquat
--- a/src/libs/protocol/control_messages.h
+++ b/src/libs/protocol/control_messages.h
@@ -24,6 +24,9 @@
 inline constexpr std::string_view kSetList = "list.set";
 inline constexpr std::string_view kStatus = "status";
 inline constexpr std::string_view kReportBackends = "backends.report";
+inline constexpr std::string_view kPutDocument = "document.put";
+// Answers with the index in the log that a replica has to have applied before it reads.
+inline constexpr std::string_view kConfirm = "log.confirm";
 }  // namespace control_method
 
 // What a router holds and wants of one organisation's capacity.
--- /dev/null
+++ b/src/libs/protocol/control_news.cpp
@@ -0,0 +1,107 @@
+#include "protocol/control_news.h"
+
+#include <QCborArray>
+#include <QCborMap>
+#include <QCborValue>
+#include <utility>
+
+namespace kumquat {
+namespace {
+
+QCborValue Bytes(const std::string& text) { return QByteArray::fromStdString(text); }
+std::string ToText(const QCborValue& value) { return value.toByteArray().toStdString(); }
+
+QCborValue ToCbor(const RouterHello& hello) {
+  QCborArray versions;
+  for (const auto& [name, version] : hello.versions) {
+    versions.append(QCborArray{Bytes(name), static_cast<qint64>(version)});
+  }
+  return QCborArray{Bytes(hello.router), Bytes(hello.failure_domain),
+                    static_cast<qint64>(hello.incarnation), versions,
+                    static_cast<qint64>(hello.members_digest)};
+}
+
+QCborValue ToCbor(const DocumentNews& news) {
+  QCborArray documents;
+  for (const Document& document : news.documents) {
+    documents.append(QCborArray{Bytes(document.name), static_cast<qint64>(document.version),
+                                Bytes(document.content)});
+  }
+  return QCborArray{documents};
+}
+
+QCborValue ToCbor(const MemberNews& news) { return QCborArray{Bytes(news.from), Bytes(news.json)}; }
+
+QCborValue ToCbor(const FleetNews& news) {
+  QCborArray replicas;
+  for (const std::string& replica : news.replicas) replicas.append(Bytes(replica));
+  return QCborArray{replicas, static_cast<qint64>(news.routers)};
+}
+
+bool FromCbor(const QCborArray& items, RouterHello* hello) {
+  hello->router = ToText(items.at(0));
+  hello->failure_domain = ToText(items.at(1));
+  hello->incarnation = items.at(2).toInteger();
+  for (const QCborValue item : items.at(3).toArray()) {
+    const QCborArray pair = item.toArray();
+    hello->versions[ToText(pair.at(0))] = pair.at(1).toInteger();
+  }
+  hello->members_digest = static_cast<std::uint64_t>(items.at(4).toInteger());
+  return items.size() == 5 && !hello->router.empty();
+}
+
+bool FromCbor(const QCborArray& items, DocumentNews* news) {
+  for (const QCborValue item : items.at(0).toArray()) {
+    const QCborArray fields = item.toArray();
+    news->documents.push_back(
+        {ToText(fields.at(0)), fields.at(1).toInteger(), ToText(fields.at(2))});
+  }
+  return items.size() == 1;
+}
+
+bool FromCbor(const QCborArray& items, MemberNews* news) {
+  news->from = ToText(items.at(0));
+  news->json = ToText(items.at(1));
+  return items.size() == 2;
+}
+
+bool FromCbor(const QCborArray& items, FleetNews* news) {
+  for (const QCborValue item : items.at(0).toArray()) news->replicas.push_back(ToText(item));
+  news->routers = items.at(1).toInteger();
+  return items.size() == 2;
+}
+
+// Reads the alternative with this number, which is its place in the variant.
+template <std::size_t Index = 0>
+bool AlternativeFromCbor(qint64 number, const QCborArray& items, ControlNews* news) {
+  if constexpr (Index < std::variant_size_v<ControlNews>) {
+    if (number != static_cast<qint64>(Index)) {
+      return AlternativeFromCbor<Index + 1>(number, items, news);
+    }
+    return FromCbor(items, &news->emplace<Index>());
+  } else {
+    return false;
+  }
+}
+
+}  // namespace
+
+std::string Encode(const ControlNews& news) {
+  const QCborValue body = std::visit([](const auto& one) { return ToCbor(one); }, news);
+  const QCborArray items{static_cast<qint64>(news.index()), body};
+  return items.toCborValue().toCbor().toStdString();
+}
+
+std::optional<ControlNews> DecodeControlNews(std::string_view bytes) {
+  const QCborArray items =
+      QCborValue::fromCbor(QByteArray(bytes.data(), static_cast<qsizetype>(bytes.size())))
+          .toArray();
+  if (items.size() != 2 || !items.at(0).isInteger() || !items.at(1).isArray()) return std::nullopt;
+  ControlNews news;
+  if (!AlternativeFromCbor(items.at(0).toInteger(), items.at(1).toArray(), &news)) {
+    return std::nullopt;
+  }
+  return news;
+}
+
+}  // namespace kumquat
--- /dev/null
+++ b/src/libs/protocol/control_news.h
@@ -0,0 +1,63 @@
+// What control replicas and routers tell each other unasked.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "protocol/document.h"
+
+namespace kumquat {
+
+// A router's greeting, sent to every replica when a link comes up and every second after that. The
+// replica answers with what the router lacks.
+struct RouterHello {
+  std::string router;
+  std::string failure_domain;
+  // Grows with each start of the router.
+  std::int64_t incarnation = 0;
+  // The versions of the documents that it holds, by name.
+  std::map<std::string, std::int64_t> versions;
+  // Digest of its table of backend servers.
+  std::uint64_t members_digest = 0;
+
+  bool operator==(const RouterHello&) const = default;
+};
+
+// Committed documents in the form that routers use.
+struct DocumentNews {
+  std::vector<Document> documents;
+
+  bool operator==(const DocumentNews&) const = default;
+};
+
+// A message of the gossip about backend servers, in its JSON form.
+struct MemberNews {
+  std::string from;
+  std::string json;
+
+  bool operator==(const MemberNews&) const = default;
+};
+
+// Which processes there are, as far as the replica knows.
+struct FleetNews {
+  // Addresses of control replicas.
+  std::vector<std::string> replicas;
+  // Routers that greeted it lately.
+  std::int64_t routers = 0;
+
+  bool operator==(const FleetNews&) const = default;
+};
+
+using ControlNews = std::variant<RouterHello, DocumentNews, MemberNews, FleetNews>;
+
+std::string Encode(const ControlNews& news);
+
+// Returns nothing when the bytes aren't news.
+std::optional<ControlNews> DecodeControlNews(std::string_view bytes);
+
+}  // namespace kumquat
--- a/src/libs/state/control/control_command.cpp
+++ b/src/libs/state/control/control_command.cpp
@@ -14,7 +14,8 @@
   kClaimRequest,
   kClaimFinish,
   kClaimRelease,
-  kClockMark
+  kClockMark,
+  kDocument
 };
 
 constexpr qsizetype kItems = 3;
@@ -28,6 +29,7 @@
     QJsonObject operator()(const ClaimFinish& finish) const { return ToJson(finish); }
     QJsonObject operator()(const ClaimRelease& release) const { return ToJson(release.id); }
     QJsonObject operator()(const ClockMark&) const { return {}; }
+    QJsonObject operator()(const Document& document) const { return ToJson(document); }
   };
   return std::visit(Visitor{}, body);
 }
@@ -57,6 +59,8 @@
       return ToBody(ParseClaimRelease(json, reason));
     case Kind::kClockMark:
       return ClockMark{};
+    case Kind::kDocument:
+      return ToBody(ParseDocument(json, reason));
   }
   *reason = "The kind of the command is not known.";
   return std::nullopt;
--- a/src/libs/state/control/control_command.h
+++ b/src/libs/state/control/control_command.h
@@ -8,6 +8,7 @@
 #include <variant>
 
 #include "protocol/control_messages.h"
+#include "protocol/document.h"
 
 namespace kumquat {
 
@@ -29,7 +30,7 @@
 };
 
 struct ControlCommand {
-  using Body = std::variant<ListEdit, ClaimRequest, ClaimFinish, ClaimRelease, ClockMark>;
+  using Body = std::variant<ListEdit, ClaimRequest, ClaimFinish, ClaimRelease, ClockMark, Document>;
 
   LogicalTime time{0};
   Body body;
--- a/src/libs/state/control/control_state.cpp
+++ b/src/libs/state/control/control_state.cpp
@@ -33,6 +33,9 @@
       return Done(state->claims_.Release(release.id, state->time_));
     }
     QJsonObject operator()(const ClockMark&) const { return Done(true); }
+    QJsonObject operator()(const Document& document) const {
+      return {{"version", static_cast<qint64>(state->documents_.Put(document))}};
+    }
 
     ControlState* state;
   };
@@ -40,19 +43,23 @@
 }
 
 std::string ControlState::Snapshot() const {
-  const QCborArray items{static_cast<qint64>(time_.count()), lists_.Snapshot(), claims_.Snapshot()};
+  const QCborArray items{static_cast<qint64>(time_.count()), lists_.Snapshot(), claims_.Snapshot(),
+                         documents_.Snapshot()};
   return items.toCborValue().toCbor().toStdString();
 }
 
 bool ControlState::Restore(std::string_view snapshot) {
-  constexpr qsizetype kItems = 3;
+  // Snapshots from before there were documents have no fourth item.
+  constexpr qsizetype kItemsWithoutDocuments = 3;
+  constexpr qsizetype kItems = 4;
   const QCborArray items =
       QCborValue::fromCbor(QByteArray(snapshot.data(), static_cast<qsizetype>(snapshot.size())))
           .toArray();
-  if (items.size() != kItems) return false;
+  if (items.size() != kItems && items.size() != kItemsWithoutDocuments) return false;
   ControlState restored(*this);
   restored.time_ = LogicalTime(items.at(0).toInteger());
   if (!restored.lists_.Restore(items.at(1)) || !restored.claims_.Restore(items.at(2))) return false;
+  if (items.size() == kItems && !restored.documents_.Restore(items.at(3))) return false;
   *this = std::move(restored);
   return true;
 }
--- a/src/libs/state/control/control_state.h
+++ b/src/libs/state/control/control_state.h
@@ -1,4 +1,5 @@
-// The state that the control replicas keep by their log: the two lists and the claims.
+// The state that the control replicas keep by their log: the two lists, the claims and the
+// documents.
 #pragma once
 
 #include <cstdint>
@@ -8,12 +9,13 @@
 #include "coordination/state_machine.h"
 #include "state/control/claim_table.h"
 #include "state/control/control_command.h"
+#include "state/control/document_store.h"
 #include "state/control/versioned_lists.h"
 
 namespace kumquat {
 
 // Applies ControlCommands. The answer to each is the JSON text of its method's result: ListAnswer,
-// ClaimAnswer, or {"done": bool} for the end of a claim.
+// ClaimAnswer, {"done": bool} for the end of a claim, or {"version": number} for a document.
 class ControlState : public StateMachine {
  public:
   explicit ControlState(const ClaimLimits& limits = {}) : claims_(limits) {}
@@ -24,6 +26,7 @@
 
   const VersionedLists& lists() const { return lists_; }
   const ClaimTable& claims() const { return claims_; }
+  const DocumentStore& documents() const { return documents_; }
 
   // Returns the highest time that a command has carried.
   LogicalTime time() const { return time_; }
@@ -32,6 +35,7 @@
   LogicalTime time_{0};
   VersionedLists lists_;
   ClaimTable claims_;
+  DocumentStore documents_;
 };
 
 }  // namespace kumquat
--- a/src/libs/state/control_service/control_service.cpp
+++ b/src/libs/state/control_service/control_service.cpp
@@ -7,6 +7,7 @@
 #include "state/control_service/engine_orders.h"
 #include "state/control_service/leader_term.h"
 #include "utils/log.h"
+#include "utils/soft_assert.h"
 
 namespace kumquat {
 namespace {
@@ -48,25 +49,36 @@
 
 ControlService::ControlService(ControlServiceOptions options, ControlServiceHooks hooks,
                                const ControlState* state)
-    : options_(options), hooks_(std::move(hooks)), state_(state) {}
+    : options_(options),
+      hooks_(std::move(hooks)),
+      state_(state),
+      methods_({{std::string(control_method::kRenewLease), &ControlService::RenewLease},
+                {std::string(control_method::kBeginClaim), &ControlService::BeginClaim},
+                {std::string(control_method::kFinishClaim), &ControlService::FinishClaim},
+                {std::string(control_method::kReleaseClaim), &ControlService::ReleaseClaim},
+                {std::string(control_method::kGetList), &ControlService::GetList},
+                {std::string(control_method::kSetList), &ControlService::SetList},
+                {std::string(control_method::kStatus), &ControlService::Status},
+                {std::string(control_method::kReportBackends), &ControlService::ReportBackends},
+                {std::string(control_method::kPutDocument), &ControlService::PutDocument},
+                {std::string(control_method::kConfirm), &ControlService::Confirm}}) {}
 
 ControlService::~ControlService() = default;
 
 void ControlService::AddMethods(RpcServer* server) {
-  using Handler = void (ControlService::*)(const QJsonObject&, const RpcReply&);
-  const auto add = [&](std::string_view name, Handler handler) {
-    server->AddMethod(name, [this, handler](const QJsonObject& params, const RpcReply& reply) {
-      (this->*handler)(params, reply);
-    });
-  };
-  add(control_method::kRenewLease, &ControlService::RenewLease);
-  add(control_method::kBeginClaim, &ControlService::BeginClaim);
-  add(control_method::kFinishClaim, &ControlService::FinishClaim);
-  add(control_method::kReleaseClaim, &ControlService::ReleaseClaim);
-  add(control_method::kGetList, &ControlService::GetList);
-  add(control_method::kSetList, &ControlService::SetList);
-  add(control_method::kStatus, &ControlService::Status);
-  add(control_method::kReportBackends, &ControlService::ReportBackends);
+  for (const auto& [name, handler] : methods_) {
+    server->AddMethod(name,
+                      [this, handler = handler](const QJsonObject& params, const RpcReply& reply) {
+                        (this->*handler)(params, reply);
+                      });
+  }
+}
+
+void ControlService::Call(std::string_view method, const QJsonObject& params,
+                          const RpcReply& reply) {
+  const auto found = methods_.find(method);
+  KUMQUAT_ASSERT(found != methods_.end(), return reply({}));
+  (this->*found->second)(params, reply);
 }
 
 void ControlService::OnChanged() {
@@ -263,6 +275,19 @@
   reply({});
 }
 
+void ControlService::PutDocument(const QJsonObject& params, const RpcReply& reply) {
+  std::string reason;
+  auto document = ParseDocument(params, &reason);
+  if (!document) return Refuse(reply, BadRequest(reason));
+  Propose(std::move(*document), reply, reply);
+}
+
+void ControlService::Confirm(const QJsonObject& /*params*/, const RpcReply& reply) {
+  WhenConfirmed(reply, [this, reply] {
+    reply({{"index", static_cast<qint64>(log_->applied_index())}});
+  });
+}
+
 void ControlService::Status(const QJsonObject& /*params*/, const RpcReply& reply) {
   QJsonObject status = StatusJson(log_->status());
   const Lists& lists = state_->lists().lists();
--- a/src/libs/state/control_service/control_service.h
+++ b/src/libs/state/control_service/control_service.h
@@ -83,6 +83,11 @@
   void SetList(const QJsonObject& params, const RpcReply& reply);
   void Status(const QJsonObject& params, const RpcReply& reply);
   void ReportBackends(const QJsonObject& params, const RpcReply& reply);
+  void PutDocument(const QJsonObject& params, const RpcReply& reply);
+  void Confirm(const QJsonObject& params, const RpcReply& reply);
+
+  // Answers one call of a method by its name, as if it had come from another process.
+  void Call(std::string_view method, const QJsonObject& params, const RpcReply& reply);
 
  private:
   // A command that was proposed in the present term and is not applied yet.
@@ -99,6 +104,8 @@
     RpcReply reply;
   };
 
+  using Handler = void (ControlService::*)(const QJsonObject&, const RpcReply&);
+
   Error NotLeader() const;
   void Refuse(const RpcReply& reply, const Error& error) const;
   // Proposes a command; `on_applied` gets its answer, `reply` the refusal.
@@ -125,6 +132,7 @@
   // By index in the log.
   std::map<std::uint64_t, Pending> pending_;
   std::vector<WaitingEdit> waiting_edits_;
+  std::map<std::string, Handler, std::less<>> methods_;
   Instant next_clock_mark_{0};
   Instant next_orders_{0};
 };
--- a/src/libs/transport/frame_link.h
+++ b/src/libs/transport/frame_link.h
@@ -22,6 +22,8 @@
   kJsonRpc = 1,
   // A message in CBOR.
   kCbor = 2,
+  // What a control replica and a router tell each other unasked, in CBOR.
+  kNews = 3,
 };
 
 struct FrameLimits {
--- a/src/libs/transport/frame_socket.cpp
+++ b/src/libs/transport/frame_socket.cpp
@@ -97,7 +97,7 @@
   if (buffer_.size() < kHeaderBytes) return false;
   const auto size = static_cast<std::int64_t>(qFromBigEndian<quint32>(buffer_.constData()));
   const auto kind = static_cast<FrameKind>(buffer_.at(kHeaderBytes - 1));
-  if (size > limits_.max_frame_bytes || kind > FrameKind::kCbor) {
+  if (size > limits_.max_frame_bytes || kind > FrameKind::kNews) {
     LogEvent(LogLevel::kWarning, "frame_malformed", {{"bytes", size}});
     Fail(QAbstractSocket::UnknownSocketError);
     return false;
--- a/src/libs/transport/rpc.h
+++ b/src/libs/transport/rpc.h
@@ -58,6 +58,9 @@
   virtual void Call(std::string_view method, const QJsonObject& params, Duration timeout,
                     OnResult on_result) = 0;
 
+  // Sends a frame of another kind on the same connection; false as FrameLink::Send().
+  virtual bool Send(FrameKind kind, std::string_view payload) = 0;
+
   // Returns the link below, for its state.
   virtual const FrameLink& link() const = 0;
 };
--- a/src/libs/transport/rpc_client.cpp
+++ b/src/libs/transport/rpc_client.cpp
@@ -38,6 +38,10 @@
     timer.start(std::chrono::ceil<std::chrono::milliseconds>(wait));
   }
 
+  bool Send(FrameKind kind, std::string_view payload) override {
+    return link_->Send(kind, payload);
+  }
+
   const FrameLink& link() const override { return *link_; }
 
  private:
--- a/src/libs/transport/tcp_stream.cpp
+++ b/src/libs/transport/tcp_stream.cpp
@@ -82,9 +82,7 @@
 }
 
 TcpStream::TcpStream(int descriptor, State state, const TcpOptions& options, Hooks hooks)
-    : descriptor_(descriptor),
-      state_(state),
-      hooks_(std::make_shared<Hooks>(std::move(hooks))) {
+    : descriptor_(descriptor), state_(state), hooks_(std::make_shared<Hooks>(std::move(hooks))) {
   if (descriptor >= 0) SetOptions(descriptor, options);
 }
 
@@ -193,9 +191,7 @@
   if (state_ == State::kOpen && pending_bytes() == 0) shutdown(descriptor_, SHUT_WR);
 }
 
-void TcpStream::LimitSendBuffer(int bytes) {
-  SetOption(descriptor_, SOL_SOCKET, SO_SNDBUF, bytes);
-}
+void TcpStream::LimitSendBuffer(int bytes) { SetOption(descriptor_, SOL_SOCKET, SO_SNDBUF, bytes); }
 
 void TcpStream::Release() {
   state_ = State::kEnded;
--- a/src/libs/utils/hooks.h
+++ b/src/libs/utils/hooks.h
@@ -1,6 +1,8 @@
 // The hooks through which decision code sees the outside world: time and randomness.
 #pragma once
 
+#include <ctime>
+
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -10,7 +12,9 @@
 // A length of time, in microseconds.
 using Duration = std::chrono::microseconds;
 
-// A moment on this process's monotonic clock, in microseconds since an arbitrary start.
+// A moment on this process's monotonic clock, in microseconds since an arbitrary start. The clock
+// counts the time for which the machine was suspended, so that a lease that ended meanwhile is seen
+// to have ended.
 using Instant = std::chrono::microseconds;
 
 // Tells the current moment. Tests pass a virtual clock.
@@ -22,7 +26,10 @@
 // Returns the clock of the machine, which never goes back.
 inline Clock SteadyClock() {
   return [] {
-    return std::chrono::duration_cast<Instant>(std::chrono::steady_clock::now().time_since_epoch());
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return std::chrono::duration_cast<Instant>(std::chrono::seconds(now.tv_sec) +
+                                               std::chrono::nanoseconds(now.tv_nsec));
   };
 }
 
--- a/src/libs/utils/settings.cpp
+++ b/src/libs/utils/settings.cpp
@@ -22,6 +22,7 @@
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(*value).count());
   }
   std::string operator()(const Endpoint* value) const { return '"' + value->ToString() + '"'; }
+  std::string operator()(const std::vector<Endpoint>*) const { return "[]"; }
   std::string operator()(const std::vector<NamedEndpoint>*) const { return "[]"; }
 };
 
@@ -36,16 +37,18 @@
   return std::nullopt;
 }
 
-Problem ReadEndpoints(const toml::value& value, std::vector<NamedEndpoint>* out) {
-  if (!value.is_array()) return "a list of \"name@ip:port\" is needed";
-  std::vector<NamedEndpoint> endpoints;
+// Reads a list of texts, each by `parse`, whose form `form` tells.
+template <typename Item>
+Problem ReadList(const toml::value& value, std::string_view form,
+                 std::optional<Item> (*parse)(std::string_view), std::vector<Item>* out) {
+  if (!value.is_array()) return fmt::format("a list of {} is needed", form);
+  std::vector<Item> items;
   for (const toml::value& item : value.as_array()) {
-    const auto endpoint =
-        item.is_string() ? ParseNamedEndpoint(std::string(item.as_string().str)) : std::nullopt;
-    if (!endpoint) return "each entry must be \"name@ip:port\" with an IP number";
-    endpoints.push_back(*endpoint);
+    const auto parsed = item.is_string() ? parse(std::string(item.as_string().str)) : std::nullopt;
+    if (!parsed) return fmt::format("each entry must be {} with an IP number", form);
+    items.push_back(*parsed);
   }
-  *out = endpoints;
+  *out = std::move(items);
   return std::nullopt;
 }
 
@@ -77,7 +80,12 @@
     *out = *endpoint;
     return std::nullopt;
   }
-  Problem operator()(std::vector<NamedEndpoint>* out) const { return ReadEndpoints(value, out); }
+  Problem operator()(std::vector<Endpoint>* out) const {
+    return ReadList(value, "\"ip:port\"", ParseEndpoint, out);
+  }
+  Problem operator()(std::vector<NamedEndpoint>* out) const {
+    return ReadList(value, "\"name@ip:port\"", ParseNamedEndpoint, out);
+  }
 };
 
 // Flattens tables into keys with dots.
@@ -125,6 +133,11 @@
   return AddField(key, value, kNoRange, help);
 }
 
+SettingsReader& SettingsReader::Add(std::string_view key, std::vector<Endpoint>* value,
+                                    std::string_view help) {
+  return AddField(key, value, kNoRange, help);
+}
+
 SettingsReader& SettingsReader::Add(std::string_view key, std::vector<NamedEndpoint>* value,
                                     std::string_view help) {
   return AddField(key, value, kNoRange, help);
--- a/src/libs/utils/settings.h
+++ b/src/libs/utils/settings.h
@@ -37,6 +37,9 @@
   // An IP number with a port.
   SettingsReader& Add(std::string_view key, Endpoint* value, std::string_view help);
 
+  // A list of IP numbers with ports.
+  SettingsReader& Add(std::string_view key, std::vector<Endpoint>* value, std::string_view help);
+
   // A list of "name@ip:port".
   SettingsReader& Add(std::string_view key, std::vector<NamedEndpoint>* value,
                       std::string_view help);
@@ -55,7 +58,7 @@
 
  private:
   using Target = std::variant<std::string*, std::int64_t*, bool*, Duration*, Endpoint*,
-                              std::vector<NamedEndpoint>*>;
+                              std::vector<Endpoint>*, std::vector<NamedEndpoint>*>;
   struct Field {
     std::string key;
     Target target;
--- a/tests/kumquatrouter/caller_identity_test.cpp
+++ b/tests/kumquatrouter/caller_identity_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include "protocol/key_digest.h"
+
 namespace kumquat {
 namespace {
 
--- a/tests/libs/coordination/log/replica_test.cpp
+++ b/tests/libs/coordination/log/replica_test.cpp
@@ -214,11 +214,11 @@
   MemoryDisk disk;
   LoneReplica replica("a", &disk);
   replica.Wait(std::chrono::milliseconds(10));
-  replica.Receive(kB, 0, JoinAnswer{true});
-  replica.Receive(kC, 0, JoinAnswer{false});
+  replica.Receive(kB, 0, JoinAnswer{true, {}});
+  replica.Receive(kC, 0, JoinAnswer{false, {}});
   replica.Wait(std::chrono::milliseconds(200));
   CHECK(replica.log().role() == LogRole::kLearner);
-  replica.Receive(kC, 0, JoinAnswer{true});
+  replica.Receive(kC, 0, JoinAnswer{true, {}});
   replica.Wait(std::chrono::milliseconds(200));
   replica.Receive(kB, 1, VoteAnswer{true});
   CHECK(replica.log().role() == LogRole::kCandidate);
