--- /dev/null
+++ b/src/kumquatrouter/forwarding/control_feed.cpp
@@ -0,0 +1,132 @@
+#include "forwarding/control_feed.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "protocol/json_fields.h"
+#include "utils/log.h"
+
+namespace kumquat {
+namespace {
+
+constexpr std::chrono::milliseconds kGreetInterval{1000};
+// A replica that nobody has named for so long is given up.
+constexpr Duration kForgetReplicaAfter = std::chrono::seconds(30);
+
+}  // namespace
+
+ControlFeed::ControlFeed(ControlFeedOptions options, ControlFeedHooks hooks)
+    : options_(std::move(options)),
+      hooks_(std::move(hooks)),
+      directory_({hooks_.clock, hooks_.random,
+                  [this](const std::string& to, const GossipMessage& message) {
+                    const auto endpoint = ParseEndpoint(to);
+                    const auto replica = endpoint ? replicas_.find(*endpoint) : replicas_.end();
+                    if (replica == replicas_.end()) return;
+                    const MemberNews news{options_.router, ToJsonText(ToJson(message))};
+                    replica->second.link->Send(FrameKind::kNews, Encode(news));
+                  },
+                  [this](const MemberRecord& record) { hooks_.on_member(record); }}) {
+  QObject::connect(&greet_timer_, &QTimer::timeout, &greet_timer_, [this] {
+    for (const auto& [endpoint, replica] : replicas_) Greet(*replica.link);
+    DropUnknownReplicas();
+    directory_.Tick();
+  });
+}
+
+void ControlFeed::Start() {
+  for (const Endpoint& seed : options_.seeds) LinkTo(seed);
+  greet_timer_.start(kGreetInterval);
+}
+
+void ControlFeed::SetSeeds(const std::vector<Endpoint>& seeds) {
+  options_.seeds = seeds;
+  for (const Endpoint& seed : options_.seeds) LinkTo(seed);
+}
+
+std::int64_t ControlFeed::VersionOf(const std::string& document) const {
+  const auto found = versions_.find(document);
+  return found != versions_.end() ? found->second : 0;
+}
+
+std::int64_t ControlFeed::connected_replicas() const {
+  return std::count_if(replicas_.begin(), replicas_.end(),
+                       [](const auto& entry) { return entry.second.link->connected(); });
+}
+
+void ControlFeed::LinkTo(const Endpoint& endpoint) {
+  const auto [entry, is_new] = replicas_.try_emplace(endpoint);
+  Replica& replica = entry->second;
+  replica.known_at = hooks_.clock();
+  if (!is_new) return;
+  replica.link = MakeFrameLink(
+      endpoint,
+      [this, endpoint](FrameKind kind, std::string_view payload) {
+        Received(endpoint, kind, payload);
+      },
+      hooks_.random);
+  replica.link->OnConnectedChanged([this, endpoint](bool connected) {
+    LogEvent(LogLevel::kInfo, connected ? "control_connected" : "control_lost",
+             {{"replica", endpoint.ToString()}});
+    const auto found = replicas_.find(endpoint);
+    if (connected && found != replicas_.end()) Greet(*found->second.link);
+  });
+}
+
+void ControlFeed::Greet(FrameLink& link) const {
+  const RouterHello hello{options_.router, options_.failure_domain, options_.incarnation, versions_,
+                          directory_.table().digest()};
+  link.Send(FrameKind::kNews, Encode(hello));
+}
+
+void ControlFeed::Received(const Endpoint& replica, FrameKind kind, std::string_view payload) {
+  if (kind != FrameKind::kNews) return;
+  const auto news = DecodeControlNews(payload);
+  if (!news) {
+    LogEvent(LogLevel::kWarning, "news_malformed", {{"replica", replica.ToString()}});
+    return;
+  }
+  replicas_[replica].known_at = hooks_.clock();
+  std::visit([&](const auto& one) { Receive(replica, one); }, *news);
+}
+
+void ControlFeed::Receive(const Endpoint& /*replica*/, const RouterHello& /*news*/) {}
+
+void ControlFeed::Receive(const Endpoint& /*replica*/, const DocumentNews& news) {
+  for (const Document& document : news.documents) {
+    std::int64_t& version = versions_[document.name];
+    if (document.version <= version) continue;
+    version = document.version;
+    hooks_.on_document(document);
+  }
+}
+
+void ControlFeed::Receive(const Endpoint& replica, const MemberNews& news) {
+  std::string reason = "It is not JSON.";
+  const auto json = ParseJsonObject(news.json);
+  const auto message = json ? ParseGossipMessage(*json, &reason) : std::nullopt;
+  if (!message) {
+    LogEvent(LogLevel::kWarning, "gossip_dropped",
+             {{"from", replica.ToString()}, {"reason", reason}});
+    return;
+  }
+  directory_.Receive(replica.ToString(), *message);
+}
+
+void ControlFeed::Receive(const Endpoint& /*replica*/, const FleetNews& news) {
+  for (const std::string& address : news.replicas) {
+    if (const auto endpoint = ParseEndpoint(address)) LinkTo(*endpoint);
+  }
+  hooks_.on_routers(news.routers);
+}
+
+void ControlFeed::DropUnknownReplicas() {
+  const Instant now = hooks_.clock();
+  std::erase_if(replicas_, [&](const auto& entry) {
+    const auto& seeds = options_.seeds;
+    const bool is_seed = std::find(seeds.begin(), seeds.end(), entry.first) != seeds.end();
+    return !is_seed && now - entry.second.known_at > kForgetReplicaAfter;
+  });
+}
+
+}  // namespace kumquat
--- /dev/null
+++ b/src/kumquatrouter/forwarding/forward_exchange.cpp
@@ -0,0 +1,359 @@
+#include "forwarding/forward_exchange.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "exchange.h"
+#include "utils/log.h"
+
+namespace kumquat {
+namespace {
+
+// A connection within one region comes about within milliseconds; a server that is slower is busy
+// beyond what can wait, or gone.
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(250);
+// An answer that is longer is passed on as it comes, and can't be repeated from then on.
+constexpr std::size_t kMaxHeldAnswer = 256 * 1024;
+// Bytes kept for a caller that reads slowly; past them its request is cancelled.
+constexpr std::int64_t kMaxPendingBytes = 1024 * 1024;
+// How long a request may wait for a backend server, as a part of its objective.
+constexpr int kQueuePartOfObjective = 2;
+// When callers that are refused for want of a backend server should come back.
+constexpr Duration kRetryAfter = std::chrono::milliseconds(300);
+constexpr int kFirstServerError = 500;
+constexpr int kFirstSuccess = 200;
+constexpr int kFirstRedirect = 300;
+
+double Seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+std::string_view PathOf(const HttpRequest& request) {
+  return std::string_view(request.target).substr(0, request.target.find('?'));
+}
+
+bool IsSuccess(int status) { return status >= kFirstSuccess && status < kFirstRedirect; }
+
+}  // namespace
+
+ForwardExchange::ForwardExchange(ForwardServices& services, CallerRequest request,
+                                 std::shared_ptr<HttpResponder> responder)
+    : services_(services),
+      request_(std::move(request)),
+      responder_(std::move(responder)),
+      routes_(services.routes),
+      received_(services.clock()) {
+  deadline_timer_.setSingleShot(true);
+}
+
+ForwardExchange::~ForwardExchange() = default;
+
+void ForwardExchange::Start(std::function<void()> on_done) {
+  on_done_ = std::move(on_done);
+  const auto self = shared_from_this();
+  responder_->OnClosed([weak = weak_from_this()] {
+    if (const auto exchange = weak.lock()) exchange->OnCallerGone();
+  });
+  if (!Identify()) return;
+  deadline_ = received_ + std::min(route_->timeout, request_.time_left.value_or(route_->timeout));
+  QObject::connect(&deadline_timer_, &QTimer::timeout, &deadline_timer_,
+                   [weak = weak_from_this()] {
+                     const auto exchange = weak.lock();
+                     if (exchange) exchange->decisions_->OnDeadline(exchange->Now());
+                   });
+  deadline_timer_.start(std::chrono::ceil<std::chrono::milliseconds>(deadline_ - received_));
+  services_.budget->OnRequest(service_->name);
+  decisions_.emplace(Policy(), Hooks());
+  decisions_->Start(received_);
+}
+
+bool ForwardExchange::Identify() {
+  if (!routes_) {
+    Refuse({ErrorKind::kConfigurationUnconfirmed, kRetryAfter});
+    return false;
+  }
+  route_ = routes_->FindRoute(request_.host, PathOf(request_.http));
+  if (!route_) {
+    Refuse({ErrorKind::kRouteUnknown, std::nullopt});
+    return false;
+  }
+  organisation_ = routes_->FindOrganisation(request_.key);
+  const bool needs_key = !route_->is_public && !routes_->table().organisations.empty();
+  if (needs_key && !organisation_) {
+    Refuse({ErrorKind::kNotAuthenticated, std::nullopt});
+    return false;
+  }
+  service_ = routes_->FindService(RouteIndex::PickService(*route_, services_.random));
+  return true;
+}
+
+ForwardPolicy ForwardExchange::Policy() const {
+  ForwardPolicy policy;
+  policy.may_repeat = route_->repeat_rule == RepeatRule::kRepeatable;
+  policy.is_stream = route_->is_stream;
+  policy.is_resumable = route_->is_resumable;
+  policy.attempts = route_->attempts;
+  policy.deadline = deadline_;
+  policy.queue_until = received_ + route_->objective / kQueuePartOfObjective;
+  return policy;
+}
+
+ForwardHooks ForwardExchange::Hooks() {
+  ForwardHooks hooks;
+  hooks.choose = [this](std::span<const BackendChoice> avoid) { return Choose(avoid); };
+  hooks.try_repeat = [this] { return services_.budget->TryRepeat(service_->name); };
+  hooks.send = [this](std::int64_t number, const BackendChoice& backend,
+                      std::optional<std::int64_t> resume_after) {
+    Send(number, backend, resume_after);
+  };
+  hooks.cancel = [this](std::int64_t /*number*/) { EndAttempt(); };
+  hooks.relay_head = [this](std::int64_t /*number*/) { RelayHead(); };
+  hooks.relay_event = [this](std::string_view event) { responder_->Write(event); };
+  hooks.relay_end = [this] {
+    responder_->End();
+    Finish("complete");
+  };
+  hooks.relay_whole = [this](std::int64_t /*number*/) { RelayWhole(); };
+  hooks.refuse = [this](const Refusal& refusal) { Refuse(refusal); };
+  hooks.cut = [this] {
+    responder_->Abort();
+    Finish("cut");
+  };
+  hooks.retry_after = [this] { return RetryAfter(); };
+  return hooks;
+}
+
+std::optional<BackendChoice> ForwardExchange::Choose(std::span<const BackendChoice> avoid) {
+  const std::vector<PooledBackend*> candidates =
+      EnginesFor(services_.pool.Candidates(service_->name, avoid, Now()));
+  if (candidates.empty()) return std::nullopt;
+  placed_.reset();
+  if (!request_.prompt) {
+    return ChooseLeastBusy(candidates, services_.failure_domain, services_.random)->choice();
+  }
+  const bool is_isolated = organisation_ && organisation_->is_isolated;
+  const std::string salt = is_isolated ? organisation_->name : std::string();
+  placed_ = services_.placement->Choose(*request_.prompt, salt, candidates, Now());
+  return placed_->backend->choice();
+}
+
+// Prefers engines that have the newest weights of the request's model among these.
+std::vector<PooledBackend*> ForwardExchange::EnginesFor(
+    std::vector<PooledBackend*> candidates) const {
+  if (!request_.prompt) return candidates;
+  std::int64_t newest = 0;
+  const auto version_of = [&](const PooledBackend* backend) {
+    const auto found = backend->weights.find(request_.prompt->model);
+    return found != backend->weights.end() ? found->second : 0;
+  };
+  for (const PooledBackend* backend : candidates) newest = std::max(newest, version_of(backend));
+  std::erase_if(candidates,
+                [&](const PooledBackend* backend) { return version_of(backend) < newest; });
+  return candidates;
+}
+
+std::string ForwardExchange::CacheSalt(const PooledBackend& backend) const {
+  const auto version = backend.weights.find(request_.prompt->model);
+  const bool is_isolated = organisation_ && organisation_->is_isolated;
+  return fmt::format("{}.{}", version != backend.weights.end() ? version->second : 0,
+                     is_isolated ? organisation_->name : "");
+}
+
+std::int64_t ForwardExchange::Rank() const {
+  return organisation_ && organisation_->rank ? *organisation_->rank : route_->rank;
+}
+
+ForwardCall ForwardExchange::CallTo(const PooledBackend& backend,
+                                    std::optional<std::int64_t> resume_after) const {
+  ForwardCall call;
+  call.backend = backend.choice();
+  call.endpoint = backend.endpoint;
+  if (organisation_) call.organisation = organisation_->name;
+  // The route's timeout is this router's own; the backend server gets what the caller waits for.
+  call.time_left = received_ + request_.time_left.value_or(route_->timeout) - Now();
+  call.resume_after = resume_after;
+  call.rank = Rank();
+  if (!request_.prompt) return call;
+  call.cache_salt = CacheSalt(backend);
+  const auto version = backend.weights.find(request_.prompt->model);
+  if (version != backend.weights.end()) call.expected_weights = version->second;
+  if (placed_) call.fetch_from = placed_->fetch_from;
+  return call;
+}
+
+CallTimeouts ForwardExchange::Timeouts() const {
+  CallTimeouts timeouts;
+  timeouts.connect = kConnectTimeout;
+  const Duration whole = deadline_ - Now() + std::chrono::seconds(1);
+  timeouts.first_byte = whole;
+  timeouts.between_bytes = whole;
+  return timeouts;
+}
+
+void ForwardExchange::Send(std::int64_t number, const BackendChoice& choice,
+                           std::optional<std::int64_t> resume_after) {
+  PooledBackend* backend = services_.pool.Find(choice);
+  attempt_.emplace();
+  attempt_->number = number;
+  attempt_->backend = choice;
+  attempt_->placed = std::exchange(placed_, std::nullopt);
+  attempt_->sent_at = Now();
+  services_.pool.OnSent(*backend);
+  BackendCallRequest call = services_.codec.encode_call(request_, CallTo(*backend, resume_after));
+  call.timeouts = Timeouts();
+  call.takes_unframed_answer = true;
+  // A request that may not be repeated is lost when its server closes the kept connection that
+  // moment; on a new one it is known whether it was sent.
+  call.new_connection = !route_->may_repeat();
+  LogEvent(LogLevel::kDebug, "request_sent",
+           {{"request", request_.id}, {"attempt", number}, {"backend", choice.backend_id}});
+  attempt_->call = services_.client->Start(std::move(call), CallHooks(number));
+}
+
+BackendCallHooks ForwardExchange::CallHooks(std::int64_t number) {
+  const auto weak = weak_from_this();
+  BackendCallHooks hooks;
+  hooks.on_headers = [weak, number](int status, const HttpHeaders& headers) {
+    if (const auto exchange = weak.lock()) exchange->OnHeaders(number, status, headers);
+  };
+  hooks.on_data = [weak, number](std::string_view data) {
+    if (const auto exchange = weak.lock()) exchange->OnData(number, data);
+  };
+  hooks.on_end = [weak, number] {
+    if (const auto exchange = weak.lock()) exchange->OnAnswerEnd(number);
+  };
+  hooks.on_failure = [weak, number](CallFailure failure, std::string_view reason) {
+    if (const auto exchange = weak.lock()) exchange->OnCallFailed(number, failure, reason);
+  };
+  return hooks;
+}
+
+void ForwardExchange::OnHeaders(std::int64_t number, int status, const HttpHeaders& headers) {
+  if (is_done_ || !attempt_ || attempt_->number != number) return;
+  attempt_->status = status;
+  attempt_->headers = headers;
+  attempt_->is_event_stream = route_->is_stream && IsSuccess(status);
+  const AnswerHead head = services_.codec.decode_head(request_, status, headers);
+  if (PooledBackend* backend = services_.pool.Find(attempt_->backend)) {
+    BackendPool::OnAnswer(*backend, status >= kFirstServerError && !head.promises_not_run);
+    const auto version = services_.codec.weights_of(headers);
+    if (version && request_.prompt) backend->weights[request_.prompt->model] = *version;
+  }
+  decisions_->OnHead(number, head, Now());
+}
+
+void ForwardExchange::OnData(std::int64_t number, std::string_view data) {
+  if (is_done_ || !attempt_ || attempt_->number != number) return;
+  if (!attempt_->is_event_stream) {
+    attempt_->body += data;
+    if (attempt_->body.size() <= kMaxHeldAnswer && !is_head_relayed_) return;
+    const std::string held = std::exchange(attempt_->body, {});
+    decisions_->OnEvent(number, std::nullopt, held, Now());
+    return;
+  }
+  const bool is_first = !is_head_relayed_;
+  attempt_->events.Feed(data, [&](const RawEvent& event) {
+    decisions_->OnEvent(number, event.id, event.bytes, Now());
+    return !is_done_ && attempt_ && attempt_->number == number;
+  });
+  if (is_done_ || !attempt_ || attempt_->number != number) return;
+  if (attempt_->events.overflowed()) {
+    OnCallFailed(number, CallFailure::kBroken, "An event is too long.");
+    return;
+  }
+  if (is_first && is_head_relayed_ && attempt_->placed) {
+    services_.placement->FirstEvent(attempt_->placed->dispatch, Now());
+  }
+  if (responder_->pending_bytes() <= kMaxPendingBytes) return;
+  LogEvent(LogLevel::kWarning, "slow_caller_cut", {{"request", request_.id}});
+  responder_->Abort();
+  OnCallerGone();
+}
+
+void ForwardExchange::OnAnswerEnd(std::int64_t number) {
+  if (is_done_ || !attempt_ || attempt_->number != number) return;
+  if (attempt_->is_event_stream && attempt_->events.mid_event()) {
+    OnCallFailed(number, CallFailure::kBroken, "The answer ends within an event.");
+    return;
+  }
+  decisions_->OnEnd(number, Now());
+}
+
+void ForwardExchange::OnCallFailed(std::int64_t number, CallFailure failure,
+                                   std::string_view reason) {
+  if (is_done_ || !attempt_ || attempt_->number != number) return;
+  LogEvent(LogLevel::kInfo, "attempt_failed",
+           {{"request", request_.id},
+            {"backend", attempt_->backend.backend_id},
+            {"failure", CallFailureName(failure)},
+            {"reason", reason},
+            {"ms", std::chrono::duration_cast<std::chrono::milliseconds>(Now() - attempt_->sent_at)
+                       .count()}});
+  if (PooledBackend* backend = services_.pool.Find(attempt_->backend)) {
+    BackendPool::OnFailure(*backend, failure, Now());
+  }
+  EndAttempt();
+  decisions_->OnFailure(number, failure, Now());
+}
+
+void ForwardExchange::EndAttempt() {
+  if (!attempt_) return;
+  Attempt ended = std::move(*attempt_);
+  attempt_.reset();
+  if (PooledBackend* backend = services_.pool.Find(ended.backend)) {
+    services_.pool.OnEnded(*backend);
+  }
+  if (ended.placed) services_.placement->Ended(ended.placed->dispatch, Now());
+  if (ended.call) DestroyLater(std::move(ended.call));
+}
+
+void ForwardExchange::RelayHead() {
+  if (is_head_relayed_) return;
+  is_head_relayed_ = true;
+  responder_->StartStream(attempt_->status,
+                          services_.codec.headers_for_caller(attempt_->headers));
+}
+
+void ForwardExchange::RelayWhole() {
+  responder_->Send(attempt_->status, services_.codec.headers_for_caller(attempt_->headers),
+                   attempt_->body);
+  Finish("complete");
+}
+
+std::optional<Duration> ForwardExchange::RetryAfter() const { return kRetryAfter; }
+
+void ForwardExchange::Refuse(const Refusal& refusal) {
+  if (is_done_) return;
+  services_.codec.send_refusal(*responder_, request_, refusal);
+  Finish(AnswerFor(refusal.kind).name);
+}
+
+void ForwardExchange::OnPlaceFree() {
+  const auto self = shared_from_this();
+  if (decisions_ && !is_done_) decisions_->OnPlaceFree(Now());
+}
+
+void ForwardExchange::OnCallerGone() {
+  if (is_done_) return;
+  const auto self = shared_from_this();
+  if (decisions_) decisions_->OnCallerGone();
+  Finish(AnswerFor(ErrorKind::kCallerGone).name);
+}
+
+void ForwardExchange::Finish(std::string_view outcome) {
+  if (is_done_) return;
+  is_done_ = true;
+  EndAttempt();
+  deadline_timer_.stop();
+  services_.metrics->Count("kumquat_forwarded_total", fmt::format("outcome=\"{}\"", outcome));
+  LogEvent(LogLevel::kInfo, "request_done",
+           {{"request", request_.id},
+            {"route", route_ ? std::string_view(route_->name) : std::string_view("-")},
+            {"outcome", outcome},
+            {"runs", decisions_ ? decisions_->runs() : 0},
+            {"seconds", Seconds(Now() - received_)}});
+  if (on_done_) on_done_();
+}
+
+}  // namespace kumquat
--- /dev/null
+++ b/src/kumquatrouter/forwarding/forward_server.cpp
@@ -0,0 +1,213 @@
+#include "forwarding/forward_server.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "utils/log.h"
+#include "utils/wall_clock.h"
+
+namespace kumquat {
+namespace {
+
+// Requests that wait for a backend server look again this often.
+constexpr std::chrono::milliseconds kWakeInterval{15};
+constexpr std::chrono::milliseconds kHousekeepingInterval{1000};
+constexpr std::chrono::milliseconds kDrainPollInterval{20};
+// The balancer asks every second and needs two misses before it sends nothing more; requests still
+// come until then, and are taken.
+constexpr Duration kBalancerNotices = std::chrono::milliseconds(2300);
+// What is left of the grace period for the end of the process itself.
+constexpr Duration kExitMargin = std::chrono::milliseconds(400);
+// The part of the memory that bodies of requests may take.
+constexpr std::int64_t kBodyPartOfMemory = 6;
+constexpr std::int64_t kMegabyte = 1024 * 1024;
+// Until a routing table is known.
+constexpr std::int64_t kDefaultMaxBodyBytes = 4 * kMegabyte;
+constexpr std::int64_t kMaxConnections = 3000;
+
+PromptPlacementOptions PlacementOptionsOf(const ForwardSettings& settings) {
+  PromptPlacementOptions options;
+  options.failure_domain = settings.failure_domain;
+  return options;
+}
+
+}  // namespace
+
+ForwardServer::ForwardServer(ForwardSettings settings, ForwardCodec codec, Clock clock,
+                             Random random)
+    : settings_(std::move(settings)),
+      budget_(settings_.repeats),
+      placement_(PlacementOptionsOf(settings_), random),
+      client_(MakeHttpBackendClient()),
+      feed_({settings_.instance, settings_.failure_domain, WallClockMillis(),
+             settings_.control_seeds},
+            {clock, random, [this](const Document& document) { OnDocument(document); },
+             [this](const MemberRecord& record) { OnMember(record); },
+             [this](std::int64_t routers) {
+               budget_.SetRouters(routers);
+               placement_.SetRouters(routers);
+             }}) {
+  services_.failure_domain = settings_.failure_domain;
+  services_.clock = clock;
+  services_.random = random;
+  services_.codec = std::move(codec);
+  services_.budget = &budget_;
+  services_.placement = &placement_;
+  services_.client = client_.get();
+  services_.metrics = &metrics_;
+  started_at_ = clock();
+  const auto handler = [](auto handle) {
+    return [handle](HttpRequest request, const Responder& responder) {
+      handle(std::move(request), responder);
+    };
+  };
+  server_ = HttpServer::Builder()
+                .WithLimits(OwnLimits())
+                .WithHandler(handler([this](HttpRequest request, const Responder& responder) {
+                  Handle(std::move(request), responder);
+                }))
+                .Build();
+  ready_server_ = HttpServer::Builder()
+                      .WithHandler([this](const HttpRequest& request, const Responder& responder) {
+                        HandleReady(request, responder);
+                      })
+                      .Build();
+  metrics_server_ =
+      HttpServer::Builder()
+          .WithHandler([this](const HttpRequest& request, const Responder& responder) {
+            HandleMetrics(request, responder);
+          })
+          .Build();
+  QObject::connect(&wake_timer_, &QTimer::timeout, &wake_timer_, [this] { WakeWaiting(); });
+  QObject::connect(&housekeeping_, &QTimer::timeout, &housekeeping_, [this] { Housekeep(); });
+  QObject::connect(&drain_timer_, &QTimer::timeout, &drain_timer_, [this] { CheckDrained(); });
+}
+
+ForwardServer::~ForwardServer() = default;
+
+HttpServerLimits ForwardServer::OwnLimits() const {
+  HttpServerLimits limits;
+  limits.max_body_bytes = kDefaultMaxBodyBytes;
+  limits.max_buffered_bytes =
+      std::max(kMegabyte, settings_.memory_mb * kMegabyte / kBodyPartOfMemory);
+  limits.max_connections = kMaxConnections;
+  return limits;
+}
+
+bool ForwardServer::Start() {
+  struct Listener {
+    HttpServer& server;
+    const Endpoint& endpoint;
+  };
+  for (const auto& [server, endpoint] : {Listener{*server_, settings_.listen},
+                                         Listener{*ready_server_, settings_.ready_listen},
+                                         Listener{*metrics_server_, settings_.metrics_listen}}) {
+    if (endpoint.port == 0 || server.Listen(endpoint)) continue;
+    last_reason_ = server.last_reason();
+    return false;
+  }
+  feed_.Start();
+  housekeeping_.start(kHousekeepingInterval);
+  LogEvent(LogLevel::kInfo, "router_started", {{"listen", settings_.listen.ToString()}});
+  return true;
+}
+
+void ForwardServer::Handle(HttpRequest request, const Responder& responder) {
+  const auto exchange = std::make_shared<ForwardExchange>(
+      services_, services_.codec.decode_request(std::move(request)), responder);
+  exchanges_.insert(exchange);
+  exchange->Start([this, raw = std::weak_ptr(exchange)] { exchanges_.erase(raw.lock()); });
+  if (exchange->waits() && !wake_timer_.isActive()) wake_timer_.start(kWakeInterval);
+}
+
+void ForwardServer::WakeWaiting() {
+  bool anyone_waits = false;
+  const auto exchanges = exchanges_;
+  for (const auto& exchange : exchanges) {
+    if (!exchange->waits()) continue;
+    exchange->OnPlaceFree();
+    anyone_waits = anyone_waits || exchange->waits();
+  }
+  if (!anyone_waits) wake_timer_.stop();
+}
+
+void ForwardServer::HandleReady(const HttpRequest& /*request*/, const Responder& responder) const {
+  const bool is_ready = services_.routes && !is_draining_;
+  responder->Send(is_ready ? 200 : 503, {}, is_ready ? "ready\n" : "not ready\n");
+}
+
+void ForwardServer::HandleMetrics(const HttpRequest& /*request*/, const Responder& responder) {
+  metrics_.Set("kumquat_requests_in_progress", {}, static_cast<double>(exchanges_.size()));
+  metrics_.Set("kumquat_control_replicas_connected", {},
+               static_cast<double>(feed_.connected_replicas()));
+  metrics_.Set("kumquat_routing_version", {},
+               static_cast<double>(feed_.VersionOf(std::string(kRoutingDocument))));
+  responder->Send(200, {{"Content-Type", "text/plain; version=0.0.4"}},
+                  metrics_.ToPrometheusText());
+}
+
+void ForwardServer::OnDocument(const Document& document) {
+  if (document.name.starts_with(kWeightsDocumentPrefix)) {
+    services_.weights[document.name.substr(kWeightsDocumentPrefix.size())] = document.version;
+    LogEvent(LogLevel::kInfo, "weights_named",
+             {{"weights", document.name}, {"version", document.version}});
+    return;
+  }
+  if (document.name != kRoutingDocument) return;
+  auto table = DecodeRoutingTable(document.content);
+  if (!table) {
+    LogEvent(LogLevel::kError, "routing_table_malformed", {{"version", document.version}});
+    return;
+  }
+  LogEvent(LogLevel::kInfo, "routing_in_force",
+           {{"version", document.version}, {"routes", table->routes.size()}});
+  ApplyLimits(table->limits);
+  services_.routes = std::make_shared<const RouteIndex>(std::move(*table));
+}
+
+void ForwardServer::ApplyLimits(const CallerLimits& limits) {
+  HttpServerLimits own = OwnLimits();
+  own.max_header_bytes = limits.max_header_bytes.value_or(own.max_header_bytes);
+  own.max_body_bytes = limits.max_body_bytes.value_or(own.max_body_bytes);
+  own.header_timeout = limits.header_timeout.value_or(own.header_timeout);
+  own.idle_timeout = limits.idle_timeout.value_or(own.idle_timeout);
+  own.request_timeout = limits.idle_timeout.value_or(own.request_timeout);
+  server_->SetLimits(own);
+}
+
+void ForwardServer::OnMember(const MemberRecord& record) {
+  LogEvent(LogLevel::kInfo, "backend_changed",
+           {{"backend", record.id},
+            {"incarnation", record.incarnation},
+            {"sequence", record.sequence},
+            {"address", record.endpoint.ToString()},
+            {"leaving", record.leaving ? "yes" : "no"}});
+  services_.pool.Update(record);
+}
+
+void ForwardServer::Housekeep() {
+  services_.pool.Retain(
+      [this](std::string_view id) { return feed_.members().Find(id) != nullptr; });
+}
+
+void ForwardServer::Drain(std::function<void()> on_drained) {
+  if (is_draining_) return;
+  LogEvent(LogLevel::kInfo, "router_draining", {{"requests", exchanges_.size()}});
+  is_draining_ = true;
+  drain_began_ = services_.clock();
+  on_drained_ = std::move(on_drained);
+  drain_timer_.start(kDrainPollInterval);
+}
+
+void ForwardServer::CheckDrained() {
+  const Duration passed = services_.clock() - drain_began_;
+  if (passed < std::min(kBalancerNotices, settings_.grace / 2)) return;
+  if (server_->port() != 0) server_->StopListening();
+  const bool is_over = passed > settings_.grace - kExitMargin;
+  if (server_->open_requests() > 0 && !is_over) return;
+  drain_timer_.stop();
+  LogEvent(LogLevel::kInfo, "router_stopped", {{"requests_cut", server_->open_requests()}});
+  if (on_drained_) std::exchange(on_drained_, nullptr)();
+}
+
+}  // namespace kumquat
--- /dev/null
+++ b/src/kumquatrouter/forwarding/forward_server.h
@@ -0,0 +1,71 @@
+// A router that forwards requests by the routing table.
+#pragma once
+
+#include <QTimer>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "forwarding/control_feed.h"
+#include "forwarding/forward_exchange.h"
+#include "forwarding/forward_services.h"
+#include "forwarding/forward_settings.h"
+#include "transport/http_server.h"
+#include "utils/endpoint.h"
+
+namespace kumquat {
+
+class ForwardServer {
+ public:
+  ForwardServer(ForwardSettings settings, ForwardCodec codec, Clock clock, Random random);
+  ~ForwardServer();
+
+  // False when an address can't be had, with last_reason().
+  bool Start();
+
+  // Stops: no longer ready, then takes no new connections, lets every request come to its end, and
+  // calls the hook.
+  void Drain(std::function<void()> on_drained);
+
+  void SetControlSeeds(const std::vector<Endpoint>& seeds) { feed_.SetSeeds(seeds); }
+
+  const std::string& last_reason() const { return last_reason_; }
+
+ private:
+  using Responder = std::shared_ptr<HttpResponder>;
+
+  void Handle(HttpRequest request, const Responder& responder);
+  void HandleReady(const HttpRequest& request, const Responder& responder) const;
+  void HandleMetrics(const HttpRequest& request, const Responder& responder);
+  void OnDocument(const Document& document);
+  void OnMember(const MemberRecord& record);
+  void ApplyLimits(const CallerLimits& limits);
+  void WakeWaiting();
+  void Housekeep();
+  void CheckDrained();
+  HttpServerLimits OwnLimits() const;
+
+  ForwardSettings settings_;
+  std::string last_reason_;
+  Metrics metrics_;
+  RepeatBudget budget_;
+  PromptPlacement placement_;
+  std::unique_ptr<BackendClient> client_;
+  ForwardServices services_;
+  ControlFeed feed_;
+  std::unique_ptr<HttpServer> server_;
+  std::unique_ptr<HttpServer> ready_server_;
+  std::unique_ptr<HttpServer> metrics_server_;
+  std::set<std::shared_ptr<ForwardExchange>> exchanges_;
+  Instant started_at_{0};
+  Instant drain_began_{0};
+  std::function<void()> on_drained_;
+  bool is_draining_ = false;
+  QTimer wake_timer_;
+  QTimer housekeeping_;
+  QTimer drain_timer_;
+};
+
+}  // namespace kumquat
--- /dev/null
+++ b/src/kumquatrouter/forwarding/forward_services.h
@@ -0,0 +1,35 @@
+// What the exchanges of one router share.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "coordination/forwarding/backend_pool.h"
+#include "coordination/forwarding/prompt_placement.h"
+#include "coordination/forwarding/repeat_budget.h"
+#include "coordination/forwarding/route_index.h"
+#include "forwarding/forward_codec.h"
+#include "transport/backend_client.h"
+#include "utils/histogram.h"
+#include "utils/hooks.h"
+
+namespace kumquat {
+
+struct ForwardServices {
+  std::string failure_domain;
+  Clock clock;
+  Random random;
+  ForwardCodec codec;
+  // Null until a routing table is known.
+  std::shared_ptr<const RouteIndex> routes;
+  // The named versions of weights, by model.
+  std::map<std::string, std::int64_t> weights;
+  BackendPool pool;
+  RepeatBudget* budget = nullptr;
+  PromptPlacement* placement = nullptr;
+  BackendClient* client = nullptr;
+  Metrics* metrics = nullptr;
+};
+
+}  // namespace kumquat
--- /dev/null
+++ b/src/kumquatrouter/forwarding/forward_settings.h
@@ -0,0 +1,30 @@
+// The settings of a router that forwards requests by the routing table.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "coordination/forwarding/repeat_budget.h"
+#include "utils/endpoint.h"
+#include "utils/hooks.h"
+
+namespace kumquat {
+
+struct ForwardSettings {
+  std::string instance;
+  std::string failure_domain;
+  Endpoint listen;
+  // Where the balancer asks whether this router takes requests.
+  Endpoint ready_listen;
+  Endpoint metrics_listen;
+  // Control replicas through which the others are found.
+  std::vector<Endpoint> control_seeds;
+  RepeatAllowance repeats;
+  // Memory that the process may use, in megabytes; bodies in progress get a part of it.
+  std::int64_t memory_mb = 256;
+  // How long a graceful stop may take.
+  Duration grace = std::chrono::seconds(8);
+};
+
+}  // namespace kumquat
--- a/src/kumquatrouter/router_settings.cpp
+++ b/src/kumquatrouter/router_settings.cpp
@@ -18,7 +18,26 @@
   reader.Add("listen", &s->listen, "Where callers and backend servers reach this router.");
   reader.Add("peer_listen", &s->peer_listen, "Where the other routers reach this router.");
   reader.Add("peers", &s->peers, "The other routers, each as \"name@ip:port\" of its peer_listen.");
-  reader.Add("control", &s->control, "The control replicas, each as \"name@ip:port\".").Required();
+  reader.Add("control", &s->control,
+             "The control replicas, each as \"name@ip:port\", where the chat interface is served.");
+  ForwardSettings& f = s->forward;
+  reader.Add(
+      "forward.control_seeds", &f.control_seeds,
+      "Control replicas through which the others are found. Where there are any, this router "
+      "forwards requests by the routing table instead of serving the chat interface.");
+  reader.Add("forward.control_port", &s->control_port, {0, 65535},
+             "The port at which control replicas talk to routers, instead of that of the seeds.");
+  reader.Add("forward.ready_listen", &f.ready_listen,
+             "Where the balancer asks whether this router takes requests.");
+  reader.Add("forward.metrics_listen", &f.metrics_listen, "Where the metrics are served.");
+  reader.Add("forward.repeat_ratio", &f.repeats.ratio,
+             "Arrivals beyond the first of each request that a service allows, for each request.");
+  reader.Add("forward.repeat_slack", &f.repeats.slack,
+             "The same beside that, in ten seconds, over all routers.");
+  reader.Add("forward.memory_mb", &f.memory_mb, {16, 1'000'000},
+             "Memory that this process may use, in megabytes.");
+  reader.Add("forward.grace_ms", &f.grace, kMillis,
+             "Longest time for a graceful stop, in milliseconds.");
   reader.Add("limits.max_header_bytes", &s->max_header_bytes, {1024, 1024 * 1024},
              "Longest header of a request, in bytes.");
   reader.Add("limits.max_body_bytes", &s->max_body_bytes, kPositive,
@@ -50,4 +69,16 @@
   return reader;
 }
 
+ForwardSettings RouterSettings::ForForwarding() const {
+  ForwardSettings settings = forward;
+  settings.instance = instance;
+  settings.failure_domain = failure_domain;
+  settings.listen = listen;
+  if (control_port == 0) return settings;
+  for (Endpoint& seed : settings.control_seeds) {
+    seed.port = static_cast<std::uint16_t>(control_port);
+  }
+  return settings;
+}
+
 }  // namespace kumquat
--- a/src/kumquatrouter/router_settings.h
+++ b/src/kumquatrouter/router_settings.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "forwarding/forward_settings.h"
 #include "utils/endpoint.h"
 #include "utils/hooks.h"
 #include "utils/settings.h"
@@ -35,6 +36,15 @@
   Duration keeper_silence = std::chrono::milliseconds(1500);
   Duration cache_poll_interval = std::chrono::milliseconds(200);
   Duration lease_interval = std::chrono::seconds(1);
+
+  // Used instead of most of the above where it names control seeds.
+  ForwardSettings forward;
+  std::int64_t control_port = 0;
+
+  bool forwards() const { return !forward.control_seeds.empty(); }
+
+  // Returns the settings for forwarding, completed by those that both interfaces share.
+  ForwardSettings ForForwarding() const;
 };
 
 // Declares every key; the reader writes into `settings`.
--- /dev/null
+++ b/src/libs/coordination/forwarding/backend_pool.cpp
@@ -0,0 +1,113 @@
+#include "coordination/forwarding/backend_pool.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <span>
+#include <utility>
+
+namespace kumquat {
+namespace {
+
+// How long a backend server is left alone after a failed connection; doubled by each further one.
+constexpr Duration kShortestShun = std::chrono::milliseconds(150);
+constexpr Duration kLongestShun = std::chrono::seconds(2);
+// Weight of the newest answer in the share of failures.
+constexpr double kFailingWeight = 0.15;
+// A busy place more, of all places, counts as much as this share of failures.
+constexpr double kFailingCost = 4;
+// The same for another failure domain: a millisecond or so each way.
+constexpr double kOtherDomainCost = 0.3;
+
+void Fill(const MemberRecord& record, PooledBackend* backend) {
+  const Announcement& said = *record.backend;
+  backend->endpoint = record.endpoint;
+  backend->failure_domain = record.failure_domain;
+  backend->service = said.service;
+  backend->slots = std::max<std::int64_t>(1, said.concurrent_requests);
+  backend->is_leaving = record.leaving;
+  for (const ModelVersion& model : said.models) {
+    std::int64_t& known = backend->weights[model.model];
+    known = std::max<std::int64_t>(known, std::strtoll(model.version.c_str(), nullptr, 10));
+  }
+}
+
+}  // namespace
+
+void BackendPool::Update(const MemberRecord& record) {
+  if (!record.backend) return;
+  auto& backend = backends_[record.id];
+  if (!backend || record.incarnation > backend->incarnation) {
+    backend = std::make_unique<PooledBackend>();
+    backend->id = record.id;
+    backend->incarnation = record.incarnation;
+  }
+  if (record.incarnation == backend->incarnation) Fill(record, backend.get());
+}
+
+void BackendPool::Retain(const std::function<bool(std::string_view id)>& is_known) {
+  std::erase_if(backends_, [&](const auto& entry) {
+    return entry.second->in_flight == 0 && !is_known(entry.first);
+  });
+}
+
+PooledBackend* BackendPool::Find(const BackendChoice& choice) {
+  const auto found = backends_.find(choice.backend_id);
+  if (found == backends_.end() || found->second->incarnation != choice.incarnation) return nullptr;
+  return found->second.get();
+}
+
+std::vector<PooledBackend*> BackendPool::Candidates(std::string_view service,
+                                                    std::span<const BackendChoice> avoid,
+                                                    Instant now) {
+  std::vector<PooledBackend*> usable;
+  std::vector<PooledBackend*> shunned;
+  for (const auto& [id, backend] : backends_) {
+    if (backend->service != service || backend->is_leaving) continue;
+    if (std::find(avoid.begin(), avoid.end(), backend->choice()) != avoid.end()) continue;
+    (now < backend->shunned_until ? shunned : usable).push_back(backend.get());
+  }
+  return usable.empty() ? shunned : usable;
+}
+
+bool BackendPool::HasAny(std::string_view service) const {
+  return std::any_of(backends_.begin(), backends_.end(), [service](const auto& entry) {
+    return entry.second->service == service && !entry.second->is_leaving;
+  });
+}
+
+void BackendPool::OnAnswer(PooledBackend& backend, bool is_failure) {
+  backend.failures = 0;
+  backend.shunned_until = Instant(0);
+  backend.failing += kFailingWeight * ((is_failure ? 1.0 : 0.0) - backend.failing);
+}
+
+void BackendPool::OnFailure(PooledBackend& backend, CallFailure failure, Instant now) {
+  backend.failing += kFailingWeight * (1.0 - backend.failing);
+  // An answer that broke off says less than a connection that did not come about.
+  if (failure == CallFailure::kBroken) return;
+  ++backend.failures;
+  const int doublings = std::min(backend.failures - 1, 10);
+  backend.shunned_until = now + std::min(kLongestShun, kShortestShun * (1 << doublings));
+}
+
+PooledBackend* ChooseLeastBusy(std::span<PooledBackend* const> candidates,
+                               std::string_view failure_domain, const Random& random) {
+  PooledBackend* best = nullptr;
+  double best_cost = 0;
+  std::uint64_t ties = 0;
+  for (PooledBackend* candidate : candidates) {
+    double cost = static_cast<double>(candidate->in_flight + 1) /
+                  static_cast<double>(candidate->slots);
+    cost += kFailingCost * candidate->failing;
+    if (candidate->failure_domain != failure_domain) cost += kOtherDomainCost;
+    const bool is_tie = best && cost == best_cost;
+    ties = is_tie ? ties + 1 : 1;
+    const bool is_better = !best || cost < best_cost || (is_tie && random() % ties == 0);
+    if (!is_better) continue;
+    best = candidate;
+    best_cost = cost;
+  }
+  return best;
+}
+
+}  // namespace kumquat
--- /dev/null
+++ b/src/libs/coordination/forwarding/forward_request.cpp
@@ -0,0 +1,181 @@
+#include "coordination/forwarding/forward_request.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace kumquat {
+namespace {
+
+constexpr int kFirstServerError = 500;
+constexpr int kFirstSuccess = 200;
+constexpr int kFirstRedirect = 300;
+
+bool IsSuccess(int status) { return status >= kFirstSuccess && status < kFirstRedirect; }
+
+// Callers take these for a promise that the request has not run.
+bool LooksLikePromise(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+}  // namespace
+
+ForwardRequest::ForwardRequest(const ForwardPolicy& policy, ForwardHooks hooks)
+    : policy_(policy), hooks_(std::move(hooks)) {}
+
+bool ForwardRequest::IsCurrent(std::int64_t attempt) const {
+  return attempt != 0 && attempt == attempt_ && state_ != State::kDone;
+}
+
+void ForwardRequest::Start(Instant now) {
+  state_ = State::kWaiting;
+  TrySend(now);
+}
+
+void ForwardRequest::OnPlaceFree(Instant now) {
+  if (state_ == State::kWaiting) TrySend(now);
+}
+
+void ForwardRequest::TrySend(Instant now) {
+  std::optional<BackendChoice> backend = hooks_.choose(avoid_);
+  // One that failed before is better than none, unless it failed to run the request at all.
+  if (!backend && runs_ > 0 && !avoid_.empty()) backend = hooks_.choose({});
+  if (!backend) {
+    state_ = State::kWaiting;
+    const bool may_wait = now < std::min(policy_.queue_until, policy_.deadline);
+    if (!may_wait) GiveUp(ErrorKind::kBackendServerFailed);
+    return;
+  }
+  if (arrivals_ > 0 && !hooks_.try_repeat()) {
+    GiveUp(ErrorKind::kBackendServerFailed);
+    return;
+  }
+  state_ = State::kSent;
+  backend_ = *backend;
+  attempt_ = ++last_attempt_;
+  has_head_ = false;
+  ++arrivals_;
+  hooks_.send(attempt_, backend_, last_event_);
+}
+
+void ForwardRequest::OnHead(std::int64_t attempt, const AnswerHead& head, Instant now) {
+  if (!IsCurrent(attempt)) return;
+  if (head.promises_not_run) {
+    hooks_.cancel(attempt_);
+    EndAttempt(Outcome::kNotRun, now);
+    return;
+  }
+  // An answer that goes on with another one keeps the head of the first.
+  const bool is_failure = head.status >= kFirstServerError || LooksLikePromise(head.status);
+  const bool breaks_stream = is_relaying_ && !IsSuccess(head.status);
+  const bool can_repeat = MayGoOn() && runs_ + 1 < policy_.attempts;
+  const bool is_false_promise = LooksLikePromise(head.status) && !policy_.may_repeat;
+  if (!head.is_genuine || breaks_stream || (is_failure && can_repeat) || is_false_promise) {
+    hooks_.cancel(attempt_);
+    EndAttempt(Outcome::kMayHaveRun, now);
+    return;
+  }
+  has_head_ = true;
+  state_ = State::kAnswering;
+}
+
+void ForwardRequest::OnEvent(std::int64_t attempt, std::optional<std::int64_t> id,
+                             std::string_view event, Instant now) {
+  if (!IsCurrent(attempt) || !has_head_) return;
+  // What the caller has already is sent again where a run begins earlier than it was asked to.
+  if (id && last_event_ && *id <= *last_event_) return;
+  const bool skips = id && last_event_ && *id != *last_event_ + 1;
+  if (skips) {
+    hooks_.cancel(attempt_);
+    EndAttempt(Outcome::kMayHaveRun, now);
+    return;
+  }
+  if (!is_relaying_) {
+    is_relaying_ = true;
+    hooks_.relay_head(attempt_);
+  }
+  if (id) last_event_ = id;
+  hooks_.relay_event(event);
+}
+
+void ForwardRequest::OnEnd(std::int64_t attempt, Instant /*now*/) {
+  if (!IsCurrent(attempt) || !has_head_) return;
+  state_ = State::kDone;
+  attempt_ = 0;
+  ++runs_;
+  if (is_relaying_) {
+    hooks_.relay_end();
+  } else {
+    hooks_.relay_whole(attempt);
+  }
+}
+
+void ForwardRequest::OnFailure(std::int64_t attempt, CallFailure failure, Instant now) {
+  if (!IsCurrent(attempt)) return;
+  if (failure == CallFailure::kNotSent) {
+    // It never arrived, so another send is no repeat.
+    --arrivals_;
+    EndAttempt(Outcome::kNotRun, now);
+    return;
+  }
+  if (failure == CallFailure::kSilent) hooks_.cancel(attempt_);
+  EndAttempt(Outcome::kMayHaveRun, now);
+}
+
+// Returns whether the request may be sent once more after it may have run.
+bool ForwardRequest::MayGoOn() const {
+  if (policy_.is_stream) return policy_.is_resumable || (policy_.may_repeat && !is_relaying_);
+  return policy_.may_repeat;
+}
+
+void ForwardRequest::EndAttempt(Outcome outcome, Instant now) {
+  attempt_ = 0;
+  avoid_.push_back(backend_);
+  if (outcome == Outcome::kMayHaveRun) {
+    ++runs_;
+    if (!MayGoOn() || runs_ >= policy_.attempts) {
+      GiveUp(ErrorKind::kOutcomeUnknown);
+      return;
+    }
+  }
+  if (now >= policy_.deadline) {
+    OnDeadline(now);
+    return;
+  }
+  TrySend(now);
+}
+
+void ForwardRequest::OnDeadline(Instant /*now*/) {
+  if (state_ == State::kDone) return;
+  const bool is_sent = attempt_ != 0;
+  if (is_sent) {
+    ++runs_;
+    hooks_.cancel(attempt_);
+  }
+  GiveUp(ErrorKind::kTimedOut);
+}
+
+void ForwardRequest::OnCallerGone() {
+  if (state_ == State::kDone) return;
+  if (attempt_ != 0) hooks_.cancel(attempt_);
+  state_ = State::kDone;
+  attempt_ = 0;
+}
+
+void ForwardRequest::GiveUp(ErrorKind when_run) {
+  if (is_relaying_) {
+    state_ = State::kDone;
+    attempt_ = 0;
+    hooks_.cut();
+    return;
+  }
+  Refuse(runs_ > 0 ? when_run : ErrorKind::kNoBackendServer);
+}
+
+void ForwardRequest::Refuse(ErrorKind kind) {
+  state_ = State::kDone;
+  attempt_ = 0;
+  const bool has_not_run = AnswerFor(kind).ran == Ran::kNo;
+  hooks_.refuse({kind, has_not_run ? hooks_.retry_after() : std::nullopt});
+}
+
+}  // namespace kumquat
--- /dev/null
+++ b/src/libs/coordination/forwarding/repeat_budget.cpp
@@ -0,0 +1,40 @@
+#include "coordination/forwarding/repeat_budget.h"
+
+#include <algorithm>
+
+namespace kumquat {
+namespace {
+
+// The part of the slack that is divided. The rest covers routers that don't know yet that there is
+// one more of them.
+constexpr double kDividedSlack = 0.8;
+
+}  // namespace
+
+void RepeatBudget::SetRouters(std::int64_t routers) {
+  routers_ = std::max<std::int64_t>(1, routers);
+}
+
+double RepeatBudget::MostSaved() const {
+  return std::max(1.0, allowance_.slack * kDividedSlack / static_cast<double>(routers_));
+}
+
+void RepeatBudget::OnRequest(const std::string& service) {
+  double& saved = saved_[service];
+  saved = std::min(saved + allowance_.ratio, MostSaved());
+}
+
+bool RepeatBudget::TryRepeat(const std::string& service) {
+  double& saved = saved_[service];
+  saved = std::min(saved, MostSaved());
+  if (saved < 1) return false;
+  saved -= 1;
+  return true;
+}
+
+double RepeatBudget::saved(const std::string& service) const {
+  const auto found = saved_.find(service);
+  return found != saved_.end() ? found->second : 0;
+}
+
+}  // namespace kumquat
--- /dev/null
+++ b/src/libs/coordination/forwarding/route_index.cpp
@@ -0,0 +1,68 @@
+#include "coordination/forwarding/route_index.h"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+#include "protocol/key_digest.h"
+
+namespace kumquat {
+namespace {
+
+// Returns the host in lower case, without its port.
+std::string PlainHost(std::string_view host) {
+  std::string plain(host.substr(0, host.rfind(':')));
+  std::transform(plain.begin(), plain.end(), plain.begin(),
+                 [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+  return plain;
+}
+
+}  // namespace
+
+RouteIndex::RouteIndex(RoutingTable table) : table_(std::move(table)) {
+  for (const Route& route : table_.routes) {
+    const std::string_view prefix = route.path_prefix;
+    routes_[route.host + std::string(prefix.substr(0, prefix.size() - 1))] = &route;
+  }
+  for (const RoutedOrganisation& organisation : table_.organisations) {
+    for (const std::string& digest : organisation.key_digests) {
+      organisations_[digest] = &organisation;
+    }
+  }
+  for (const Service& service : table_.services) services_[service.name] = &service;
+}
+
+const Route* RouteIndex::FindRoute(std::string_view host, std::string_view path) const {
+  const std::string plain = PlainHost(host);
+  // A prefix ends with a slash, so it can only end where the path has one.
+  for (std::size_t slash = path.rfind('/'); slash != std::string_view::npos;
+       slash = slash == 0 ? std::string_view::npos : path.rfind('/', slash - 1)) {
+    const auto found = routes_.find(plain + std::string(path.substr(0, slash)));
+    if (found != routes_.end()) return found->second;
+  }
+  return nullptr;
+}
+
+const RoutedOrganisation* RouteIndex::FindOrganisation(std::string_view key) const {
+  if (key.empty()) return nullptr;
+  const auto found = organisations_.find(KeyDigest(key));
+  return found != organisations_.end() ? found->second : nullptr;
+}
+
+const Service* RouteIndex::FindService(std::string_view name) const {
+  const auto found = services_.find(name);
+  return found != services_.end() ? found->second : nullptr;
+}
+
+const std::string& RouteIndex::PickService(const Route& route, const Random& random) {
+  std::int64_t sum = 0;
+  for (const ServiceShare& share : route.services) sum += share.weight;
+  auto drawn = static_cast<std::int64_t>(random() % static_cast<std::uint64_t>(sum));
+  for (const ServiceShare& share : route.services) {
+    drawn -= share.weight;
+    if (drawn < 0) return share.service;
+  }
+  return route.services.back().service;
+}
+
+}  // namespace kumquat
--- a/src/libs/protocol/error_kind.cpp
+++ b/src/libs/protocol/error_kind.cpp
@@ -55,6 +55,8 @@
                 "The backend servers failed to answer.", seconds(2)},
     ErrorAnswer{ErrorKind::kStreamInterrupted, "stream_interrupted", 502, Ran::kUnknown,
                 "The answer broke off and could not be completed.", seconds(2)},
+    ErrorAnswer{ErrorKind::kTimedOut, "timed_out", 504, Ran::kUnknown,
+                "The answer did not come in time.", std::nullopt},
     ErrorAnswer{ErrorKind::kPoisonRequest, "poison_request", 422, Ran::kUnknown,
                 "The request crashed the backend servers that ran it and will not be run again.",
                 std::nullopt},
--- a/src/libs/protocol/error_kind.h
+++ b/src/libs/protocol/error_kind.h
@@ -33,6 +33,7 @@
   kOutcomeUnknown,
   kBackendServerFailed,
   kStreamInterrupted,
+  kTimedOut,
   kPoisonRequest,
   kCallerGone,
   kAnnouncementInvalid,
--- a/src/libs/protocol/routing_table.cpp
+++ b/src/libs/protocol/routing_table.cpp
@@ -269,9 +269,7 @@
 std::string Encode(const RoutingTable& table) {
   const CallerLimits& limits = table.limits;
   const QCborArray items{
-      Number(table.version),
-      ListToCbor(table.routes),
-      ListToCbor(table.services),
+      Number(table.version), ListToCbor(table.routes), ListToCbor(table.services),
       ListToCbor(table.organisations),
       QCborArray{OptionalNumber(limits.max_header_bytes), OptionalNumber(limits.max_body_bytes),
                  OptionalMicros(limits.header_timeout), OptionalMicros(limits.idle_timeout)}};
--- a/src/libs/state/control_service/document_service.cpp
+++ b/src/libs/state/control_service/document_service.cpp
@@ -57,10 +57,9 @@
                                  [number](const Call& one) { return one.number == number; });
   if (call == calls_.end()) return;
   call->retry_at.reset();
-  hooks_.call_leader(call->method, call->params,
-                     [this, number](const std::optional<QJsonObject>& result) {
-                       HandleResult(number, result);
-                     });
+  hooks_.call_leader(
+      call->method, call->params,
+      [this, number](const std::optional<QJsonObject>& result) { HandleResult(number, result); });
 }
 
 void DocumentService::HandleResult(std::int64_t number, const std::optional<QJsonObject>& result) {
--- a/src/libs/state/control_service/document_service.h
+++ b/src/libs/state/control_service/document_service.h
@@ -27,8 +27,8 @@
   std::function<std::uint64_t()> applied_index;
 };
 
-// Passes what operators ask of this replica on to the leader, and asks again for a while where there
-// is none, as elections are short.
+// Passes what operators ask of this replica on to the leader, and asks again for a while where
+// there is none, as elections are short.
 class DocumentService {
  public:
   // A document that is read; nothing where none of the name was ever set.
--- a/src/libs/utils/settings.cpp
+++ b/src/libs/utils/settings.cpp
@@ -18,6 +18,7 @@
   std::string operator()(const std::string* value) const { return '"' + *value + '"'; }
   std::string operator()(const std::int64_t* value) const { return std::to_string(*value); }
   std::string operator()(const bool* value) const { return *value ? "true" : "false"; }
+  std::string operator()(const double* value) const { return fmt::format("{}", *value); }
   std::string operator()(const Duration* value) const {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(*value).count());
   }
@@ -67,6 +68,14 @@
     *out = value.as_boolean();
     return std::nullopt;
   }
+  Problem operator()(double* out) const {
+    if (!value.is_floating() && !value.is_integer()) return "a number is needed";
+    const double number =
+        value.is_floating() ? value.as_floating() : static_cast<double>(value.as_integer());
+    if (!(number >= 0)) return "the number may not be negative";
+    *out = number;
+    return std::nullopt;
+  }
   Problem operator()(Duration* out) const {
     std::int64_t millis = 0;
     Problem problem = ReadInteger(value, range, &millis);
@@ -124,6 +133,10 @@
   return AddField(key, value, kNoRange, help);
 }
 
+SettingsReader& SettingsReader::Add(std::string_view key, double* value, std::string_view help) {
+  return AddField(key, value, kNoRange, help);
+}
+
 SettingsReader& SettingsReader::Add(std::string_view key, Duration* value, SettingRange range_ms,
                                     std::string_view help) {
   return AddField(key, value, range_ms, help);
--- a/src/libs/utils/settings.h
+++ b/src/libs/utils/settings.h
@@ -30,6 +30,9 @@
                       std::string_view help);
   SettingsReader& Add(std::string_view key, bool* value, std::string_view help);
 
+  // A number that need not be whole, from 0 on.
+  SettingsReader& Add(std::string_view key, double* value, std::string_view help);
+
   // A length of time that stands in the file as whole milliseconds; the key ends in "_ms".
   SettingsReader& Add(std::string_view key, Duration* value, SettingRange range_ms,
                       std::string_view help);
@@ -57,7 +60,7 @@
   std::string Help() const;
 
  private:
-  using Target = std::variant<std::string*, std::int64_t*, bool*, Duration*, Endpoint*,
+  using Target = std::variant<std::string*, std::int64_t*, bool*, double*, Duration*, Endpoint*,
                               std::vector<Endpoint>*, std::vector<NamedEndpoint>*>;
   struct Field {
     std::string key;
--- a/src/platform/heartbeat.cpp
+++ b/src/platform/heartbeat.cpp
@@ -62,8 +62,7 @@
   ReadAddress(fields, &announcement.endpoint);
   ReadState(fields, &announcement.state);
   ReadModels(fields, &announcement.models);
-  announcement.kind =
-      announcement.models.empty() ? BackendKind::kService : BackendKind::kEngine;
+  announcement.kind = announcement.models.empty() ? BackendKind::kService : BackendKind::kEngine;
   if (fields.ok() && announcement.service.empty()) fields.Fail("service", "a name is needed.");
   *reason = fields.last_reason();
   if (!fields.ok()) return std::nullopt;
