--- a/src/kumquatcontrol/control_node.cpp
+++ b/src/kumquatcontrol/control_node.cpp
@@ -3,11 +3,13 @@
 #include <QCborMap>
 #include <QCborValue>
 #include <algorithm>
+#include <cstdlib>
 #include <set>
 #include <utility>
 
 #include "protocol/engine_messages.h"
 #include "protocol/json_fields.h"
+#include "protocol/routing_table.h"
 #include "utils/log.h"
 
 namespace kumquat {
@@ -23,6 +25,7 @@
 constexpr Duration kLeaderCallTimeout = std::chrono::milliseconds(600);
 // Before the name of a router among the gossip's neighbours; replicas have plain names.
 constexpr std::string_view kRouterPrefix = "router/";
+constexpr int kDecimal = 10;
 
 }  // namespace
 
@@ -62,6 +65,14 @@
                std::vector<std::string> replicas = OtherReplicas();
                replicas.push_back(options_.listen.ToString());
                return replicas;
+             },
+             [this] {
+               std::map<std::string, bool> stores;
+               if (!stores_) return stores;
+               for (const auto& [store, is_alive] : stores_->alive()) {
+                 stores[store.ToString()] = is_alive;
+               }
+               return stores;
              }}),
       rpc_(MakeRpcServer()),
       backend_client_(MakeHttpBackendClient()) {
@@ -69,6 +80,17 @@
   server_ =
       MakeFrameServer([this](const std::shared_ptr<FrameConnection>& connection, FrameKind kind,
                              std::string_view payload) { Received(connection, kind, payload); });
+  if (hooks_.engine_codec) {
+    EngineOperatorOptions operator_options;
+    operator_options.holder = options_.log_name();
+    operator_options.lease = options_.order_lease;
+    operator_ = std::make_unique<EngineOperator>(operator_options, OperatorHooks(),
+                                                 *hooks_.engine_codec, backend_client_.get());
+  }
+  if (hooks_.store_codec) {
+    stores_ = std::make_unique<StoreWatch>(*hooks_.store_codec, backend_client_.get(),
+                                           [this] { desk_.PushFleet(); });
+  }
   flush_.setSingleShot(true);
   restart_.setSingleShot(true);
   QObject::connect(&flush_, &QTimer::timeout, &flush_, [this] {
@@ -78,6 +100,7 @@
     if (log_) log_->Tick();
     service_.Tick();
     documents_.Tick();
+    if (operator_) operator_->Tick();
   });
   QObject::connect(&gossip_tick_, &QTimer::timeout, &gossip_tick_, [this] {
     UpdateNeighbours();
@@ -88,6 +111,43 @@
   });
 }
 
+EngineOperatorHooks ControlNode::OperatorHooks() {
+  EngineOperatorHooks hooks;
+  hooks.clock = SteadyClock();
+  hooks.term = [this]() -> std::optional<std::int64_t> {
+    if (!log_ || log_->role() != LogRole::kLeader) return std::nullopt;
+    return static_cast<std::int64_t>(log_->term());
+  };
+  hooks.confirm = [this](std::function<void(bool confirmed)> done) {
+    log_->ConfirmLeadership(std::move(done));
+  };
+  hooks.engines = [this] {
+    std::vector<RolloutEngine> engines;
+    directory_.table().ForEach([&](const Member& member) {
+      const MemberRecord& record = member.record;
+      if (!record.backend || record.leaving || record.backend->models.empty()) return;
+      RolloutEngine engine{record.id, record.incarnation, record.endpoint, {}};
+      for (const ModelVersion& model : record.backend->models) {
+        engine.weights[model.model] = std::strtoll(model.version.c_str(), nullptr, kDecimal);
+      }
+      engines.push_back(std::move(engine));
+    });
+    return engines;
+  };
+  hooks.named = [this] {
+    std::map<std::string, std::int64_t> named;
+    for (const auto& [name, document] : state_.documents().documents()) {
+      if (!name.starts_with(kWeightsDocumentPrefix)) continue;
+      named[name.substr(kWeightsDocumentPrefix.size())] = document.version;
+    }
+    return named;
+  };
+  hooks.publish = [this](const EngineNews& news) {
+    for (const std::string& router : desk_.LiveRouters()) desk_.Send(router, news);
+  };
+  return hooks;
+}
+
 std::vector<std::string> ControlNode::MemberNames() const {
   std::vector<std::string> names;
   for (const Endpoint& seed : options_.seeds) names.push_back(seed.ToString());
@@ -237,12 +297,23 @@
           hooks_.compile_document ? hooks_.compile_document(document) : std::optional(document);
       if (!made) continue;
       known = compiled_.insert_or_assign(name, std::move(*made)).first;
+      if (name == kRoutingDocument) WatchStores(known->second);
     }
     documents.push_back(known->second);
   }
   return documents;
 }
 
+void ControlNode::WatchStores(const Document& routing) {
+  const auto table = DecodeRoutingTable(routing.content);
+  if (!table || !stores_) return;
+  std::vector<Endpoint> stores;
+  for (const Service& service : table->services) {
+    if (service.store) stores.push_back(service.store->endpoint);
+  }
+  stores_->SetStores(stores);
+}
+
 std::vector<std::string> ControlNode::OtherReplicas() const {
   std::set<std::string> names;
   for (const std::string& name : MemberNames()) names.insert(name);
--- a/src/kumquatcontrol/control_node.h
+++ b/src/kumquatcontrol/control_node.h
@@ -13,12 +13,15 @@
 #include "control_api.h"
 #include "coordination/log/replicated_log.h"
 #include "coordination/membership/backend_directory.h"
+#include "engine_codec.h"
+#include "engine_operator.h"
 #include "protocol/control_news.h"
 #include "replica_links.h"
 #include "router_desk.h"
 #include "state/control/control_state.h"
 #include "state/control_service/control_service.h"
 #include "state/control_service/document_service.h"
+#include "store_watch.h"
 #include "transport/backend_client.h"
 #include "transport/frame_link.h"
 #include "transport/rpc.h"
@@ -38,6 +41,8 @@
   std::vector<Endpoint> seeds;
   LogOptions log;
   ControlServiceOptions service;
+  // No two replicas may order an engine within this time of each other.
+  Duration order_lease = std::chrono::seconds(3);
 
   bool is_open() const { return !seeds.empty(); }
   std::string log_name() const { return is_open() ? listen.ToString() : instance; }
@@ -54,6 +59,10 @@
     std::function<std::unique_ptr<LogStorage>()> make_storage;
     // Turns a document into the form that routers use; nothing when routers have no use for it.
     std::function<std::optional<Document>(const Document& document)> compile_document;
+    // Given where engines are to be ordered to load the weights that documents name.
+    std::optional<EngineCodec> engine_codec;
+    // Given where stores of kept cache are to be watched.
+    std::optional<StoreCodec> store_codec;
   };
 
   ControlNode(ControlNodeOptions options, Hooks hooks);
@@ -87,6 +96,8 @@
   void AnnounceRevision(std::int64_t revision);
   void SendOrder(const Announcement& engine, const EngineOrder& order);
   void OrderEnded(std::int64_t fencing_number, std::string_view outcome);
+  EngineOperatorHooks OperatorHooks();
+  void WatchStores(const Document& routing);
 
   ControlNodeOptions options_;
   Hooks hooks_;
@@ -102,6 +113,8 @@
   std::unique_ptr<LogStorage> storage_;
   std::unique_ptr<ReplicatedLog> log_;
   std::unique_ptr<BackendClient> backend_client_;
+  std::unique_ptr<EngineOperator> operator_;
+  std::unique_ptr<StoreWatch> stores_;
   // What compile_document made of the committed documents, by name.
   std::map<std::string, Document> compiled_;
   // Orders under way, by fencing number.
--- /dev/null
+++ b/src/kumquatcontrol/engine_operator.cpp
@@ -0,0 +1,146 @@
+#include "engine_operator.h"
+
+#include <QTimer>
+#include <algorithm>
+#include <utility>
+
+#include "utils/log.h"
+
+namespace kumquat {
+namespace {
+
+// For so long after a confirming round began this replica orders without another one. A new leader
+// waits for this and a whole lease.
+constexpr Duration kConfirmedFor = std::chrono::milliseconds(500);
+constexpr Duration kConfirmInterval = std::chrono::milliseconds(200);
+constexpr Duration kCallTimeout = std::chrono::milliseconds(1000);
+// News are repeated, as a router's link may just have been down.
+constexpr Duration kPublishInterval = std::chrono::milliseconds(500);
+
+}  // namespace
+
+EngineOperator::EngineOperator(EngineOperatorOptions options, EngineOperatorHooks hooks,
+                               EngineCodec codec, BackendClient* client)
+    : options_(std::move(options)),
+      hooks_(std::move(hooks)),
+      codec_(std::move(codec)),
+      client_(client) {}
+
+void EngineOperator::Tick() {
+  const auto term = hooks_.term();
+  if (term != term_) {
+    EndTerm();
+    if (term) BeginTerm(*term);
+  }
+  if (!rollout_) return;
+  const Instant now = hooks_.clock();
+  if (now < may_order_from_) return;
+  ConfirmWhenDue(now);
+  if (!MayOrder(now)) return;
+  for (const RolloutAction& action : rollout_->Advance(hooks_.engines(), hooks_.named(), now)) {
+    std::visit([this](const auto& one) { Perform(one); }, action);
+  }
+  Publish(now);
+}
+
+void EngineOperator::BeginTerm(std::int64_t term) {
+  term_ = term;
+  rollout_.emplace(options_.rollout);
+  may_order_from_ = hooks_.clock() + options_.lease + kConfirmedFor;
+  confirmed_at_ = Instant(0);
+  is_confirming_ = false;
+  published_ = {};
+}
+
+void EngineOperator::EndTerm() {
+  term_.reset();
+  rollout_.reset();
+  calls_.clear();
+}
+
+bool EngineOperator::MayOrder(Instant now) const {
+  return confirmed_at_ != Instant(0) && now < confirmed_at_ + kConfirmedFor;
+}
+
+void EngineOperator::ConfirmWhenDue(Instant now) {
+  if (is_confirming_ || now < confirmed_at_ + kConfirmInterval) return;
+  is_confirming_ = true;
+  hooks_.confirm([this, now, term = term_](bool confirmed) {
+    if (term != term_) return;
+    is_confirming_ = false;
+    if (confirmed) confirmed_at_ = now;
+  });
+}
+
+void EngineOperator::Perform(const LookAtEngine& look) {
+  Call(codec_.encode_look(look), [this, look](int status, std::string_view body) {
+    if (rollout_) {
+      rollout_->OnLook(look.id, look.incarnation, codec_.decode_look(status, body),
+                       hooks_.clock());
+    }
+  });
+}
+
+void EngineOperator::Perform(const OrderWeights& order) {
+  LogEvent(LogLevel::kInfo, "order_sent",
+           {{"engine", order.id},
+            {"model", order.model},
+            {"version", order.version},
+            {"expected_orders", order.expected_orders},
+            {"fencing_number", *term_}});
+  Call(codec_.encode_order(order, {options_.holder, *term_}),
+       [this, order](int status, std::string_view /*body*/) {
+         LogEvent(LogLevel::kInfo, "order_answered",
+                  {{"engine", order.id}, {"version", order.version}, {"status", status}});
+         const OrderOutcome outcome =
+             status == 0 ? OrderOutcome::kUnknown : codec_.decode_order(status);
+         if (rollout_) rollout_->OnOrder(order.id, order.incarnation, outcome, hooks_.clock());
+       });
+}
+
+void EngineOperator::Call(BackendCallRequest request,
+                          std::function<void(int status, std::string_view body)> done) {
+  const std::int64_t number = ++last_call_;
+  request.timeouts = {kCallTimeout, kCallTimeout, kCallTimeout};
+  struct Answer {
+    int status = 0;
+    std::string body;
+  };
+  const auto answer = std::make_shared<Answer>();
+  const auto end = [this, number, answer, done = std::move(done)](bool whole) {
+    // The call can't be destroyed within its own hook.
+    const auto call = calls_.find(number);
+    if (call == calls_.end()) return;
+    const std::shared_ptr<BackendCall> ended = std::move(call->second);
+    calls_.erase(call);
+    QTimer::singleShot(0, [ended] {});
+    done(whole ? answer->status : 0, answer->body);
+  };
+  BackendCallHooks hooks;
+  hooks.on_headers = [answer](int status, const HttpHeaders&) { answer->status = status; };
+  hooks.on_data = [answer](std::string_view data) { answer->body += data; };
+  hooks.on_end = [end] { end(true); };
+  hooks.on_failure = [end](CallFailure, std::string_view) { end(false); };
+  calls_[number] = client_->Start(std::move(request), std::move(hooks));
+}
+
+void EngineOperator::Publish(Instant now) {
+  EngineNews news;
+  const auto loading = rollout_->loading();
+  for (const RolloutEngine& engine : hooks_.engines()) {
+    EngineNews::Engine entry{engine.id, engine.incarnation, false, {}};
+    entry.is_loading = std::find(loading.begin(), loading.end(), engine.id) != loading.end();
+    for (const auto& [model, announced] : engine.weights) {
+      const auto known = rollout_->KnownVersion(engine.id, engine.incarnation, model);
+      if (known && *known > announced) entry.weights[model] = *known;
+    }
+    if (entry.is_loading || !entry.weights.empty()) news.engines.push_back(std::move(entry));
+  }
+  const bool is_due = !news.engines.empty() && now >= published_at_ + kPublishInterval;
+  if (news == published_ && !is_due) return;
+  published_ = news;
+  published_at_ = now;
+  hooks_.publish(news);
+}
+
+}  // namespace kumquat
--- a/src/kumquatcontrol/main.cpp
+++ b/src/kumquatcontrol/main.cpp
@@ -11,6 +11,7 @@
 #include "control_node.h"
 #include "platform/configuration.h"
 #include "platform/control_edge.h"
+#include "platform/engine_edge.h"
 #include "state/storage/log_file_storage.h"
 #include "transport/termination_signal.h"
 #include "utils/log.h"
@@ -67,6 +68,8 @@
               "Longest silence of the leader before an election.");
   reader->Add("loads_at_once", &settings->loads_at_once, {1, 1000},
               "Engines that may load weights at the same time.");
+  reader->Add("order_lease_ms", &node.order_lease, {100, 60'000},
+              "No two replicas order an engine of the users' platform within this time.");
   reader->Add("order_message_life_ms", &node.service.orders.message_life, {500, 60'000},
               "Longest time from sending an order to its last possible effect.");
   reader->Add("snapshot_entries", &settings->snapshot_entries, {10, 1'000'000},
@@ -90,6 +93,8 @@
     return std::make_unique<LogFileStorage>(data_dir, SystemRandom());
   };
   hooks.compile_document = platform::CompileDocument;
+  hooks.engine_codec = platform::MakeEngineCodec();
+  hooks.store_codec = platform::MakeStoreCodec();
   return hooks;
 }
 
--- a/src/kumquatcontrol/router_desk.cpp
+++ b/src/kumquatcontrol/router_desk.cpp
@@ -30,8 +30,16 @@
   router.heard_at = hooks_.clock();
   SendMissingDocuments(&router);
   if (hello.members_digest != hooks_.members_digest()) hooks_.exchange_members(hello.router);
-  const auto routers = static_cast<std::int64_t>(LiveRouters().size());
-  Send(hello.router, FleetNews{hooks_.replicas(), routers});
+  Send(hello.router, Fleet());
+}
+
+FleetNews RouterDesk::Fleet() {
+  return {hooks_.replicas(), static_cast<std::int64_t>(LiveRouters().size()), hooks_.stores()};
+}
+
+void RouterDesk::PushFleet() {
+  const FleetNews news = Fleet();
+  for (auto& [name, router] : routers_) SendTo(*router.connection, news);
 }
 
 void RouterDesk::SendMissingDocuments(Router* router) {
--- a/src/kumquatcontrol/router_desk.h
+++ b/src/kumquatcontrol/router_desk.h
@@ -25,6 +25,8 @@
   std::function<void(const std::string& router)> exchange_members;
   // Returns the addresses of the control replicas.
   std::function<std::vector<std::string>()> replicas;
+  // Returns which stores are alive, by address.
+  std::function<std::map<std::string, bool>()> stores;
 };
 
 class RouterDesk {
@@ -37,6 +39,9 @@
   // Sends documents to all routers that lack them.
   void PushDocuments();
 
+  // Tells all routers which processes there are.
+  void PushFleet();
+
   // Sends to one router; nothing happens when it isn't linked.
   void Send(const std::string& router, const ControlNews& news);
 
@@ -51,6 +56,7 @@
   };
 
   void SendMissingDocuments(Router* router);
+  FleetNews Fleet();
 
   RouterDeskHooks hooks_;
   std::map<std::string, Router> routers_;
--- a/src/kumquatrouter/forwarding/control_feed.cpp
+++ b/src/kumquatrouter/forwarding/control_feed.cpp
@@ -118,6 +118,11 @@
     if (const auto endpoint = ParseEndpoint(address)) LinkTo(*endpoint);
   }
   hooks_.on_routers(news.routers);
+  hooks_.on_stores(news.stores);
+}
+
+void ControlFeed::Receive(const Endpoint& /*replica*/, const EngineNews& news) {
+  hooks_.on_engines(news);
 }
 
 void ControlFeed::DropUnknownReplicas() {
--- a/src/kumquatrouter/forwarding/control_feed.h
+++ b/src/kumquatrouter/forwarding/control_feed.h
@@ -34,6 +34,9 @@
   std::function<void(const MemberRecord& record)> on_member;
   // The number of routers, as control sees it.
   std::function<void(std::int64_t routers)> on_routers;
+  // What a replica says of stores of kept cache.
+  std::function<void(const std::map<std::string, bool>& alive)> on_stores;
+  std::function<void(const EngineNews& news)> on_engines;
 };
 
 // Keeps a link to each control replica and merges what they tell: a replica that knows less than
@@ -63,6 +66,7 @@
   void Receive(const Endpoint& replica, const DocumentNews& news);
   void Receive(const Endpoint& replica, const MemberNews& news);
   void Receive(const Endpoint& replica, const FleetNews& news);
+  void Receive(const Endpoint& replica, const EngineNews& news);
   void DropUnknownReplicas();
 
   ControlFeedOptions options_;
--- a/src/kumquatrouter/forwarding/forward_codec.h
+++ b/src/kumquatrouter/forwarding/forward_codec.h
@@ -1,4 +1,5 @@
-// How callers and backend servers of forwarded requests speak, as hooks for an interface to fill in.
+// How callers and backend servers of forwarded requests speak, as hooks for an interface to fill
+// in.
 #pragma once
 
 #include <cstdint>
--- a/src/kumquatrouter/forwarding/forward_exchange.cpp
+++ b/src/kumquatrouter/forwarding/forward_exchange.cpp
@@ -23,6 +23,8 @@
 constexpr int kQueuePartOfObjective = 2;
 // When callers that are refused for want of a backend server should come back.
 constexpr Duration kRetryAfter = std::chrono::milliseconds(300);
+// A request that is sent may wait in the engine's queue before it begins.
+constexpr Duration kBeginMargin = std::chrono::milliseconds(1500);
 constexpr int kFirstServerError = 500;
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
@@ -57,11 +59,10 @@
   });
   if (!Identify()) return;
   deadline_ = received_ + std::min(route_->timeout, request_.time_left.value_or(route_->timeout));
-  QObject::connect(&deadline_timer_, &QTimer::timeout, &deadline_timer_,
-                   [weak = weak_from_this()] {
-                     const auto exchange = weak.lock();
-                     if (exchange) exchange->decisions_->OnDeadline(exchange->Now());
-                   });
+  QObject::connect(&deadline_timer_, &QTimer::timeout, &deadline_timer_, [weak = weak_from_this()] {
+    const auto exchange = weak.lock();
+    if (exchange) exchange->decisions_->OnDeadline(exchange->Now());
+  });
   deadline_timer_.start(std::chrono::ceil<std::chrono::milliseconds>(deadline_ - received_));
   services_.budget->OnRequest(service_->name);
   decisions_.emplace(Policy(), Hooks());
@@ -132,32 +133,39 @@
   if (!request_.prompt) {
     return ChooseLeastBusy(candidates, services_.failure_domain, services_.random)->choice();
   }
-  const bool is_isolated = organisation_ && organisation_->is_isolated;
-  const std::string salt = is_isolated ? organisation_->name : std::string();
-  placed_ = services_.placement->Choose(*request_.prompt, salt, candidates, Now());
+  placed_ = services_.placement->Choose(*request_.prompt, {Wall(), LiveStore()}, candidates, Now());
   return placed_->backend->choice();
 }
 
-// Prefers engines that have the newest weights of the request's model among these.
+// Returns those that have the request's model, with weights that were not replaced too long ago.
 std::vector<PooledBackend*> ForwardExchange::EnginesFor(
     std::vector<PooledBackend*> candidates) const {
   if (!request_.prompt) return candidates;
-  std::int64_t newest = 0;
-  const auto version_of = [&](const PooledBackend* backend) {
-    const auto found = backend->weights.find(request_.prompt->model);
-    return found != backend->weights.end() ? found->second : 0;
-  };
-  for (const PooledBackend* backend : candidates) newest = std::max(newest, version_of(backend));
-  std::erase_if(candidates,
-                [&](const PooledBackend* backend) { return version_of(backend) < newest; });
+  const std::string& model = request_.prompt->model;
+  std::erase_if(candidates, [&](const PooledBackend* backend) {
+    if (!backend->weights.contains(model)) return true;
+    const auto lag = services_.weights.ReplacedFor(model, backend->VersionOf(model), Now());
+    return lag && *lag > services_.weights_longest_lag - kBeginMargin;
+  });
   return candidates;
 }
 
+// Returns the store of kept cache that is alive, if the table names one.
+std::optional<Endpoint> ForwardExchange::LiveStore() const {
+  for (const Service& service : routes_->table().services) {
+    if (service.store && services_.stores.IsAlive(service.store->endpoint, Now())) {
+      return service.store->endpoint;
+    }
+  }
+  return std::nullopt;
+}
+
 std::string ForwardExchange::CacheSalt(const PooledBackend& backend) const {
-  const auto version = backend.weights.find(request_.prompt->model);
-  const bool is_isolated = organisation_ && organisation_->is_isolated;
-  return fmt::format("{}.{}", version != backend.weights.end() ? version->second : 0,
-                     is_isolated ? organisation_->name : "");
+  return fmt::format("{}.{}", backend.VersionOf(request_.prompt->model), Wall());
+}
+
+std::string ForwardExchange::Wall() const {
+  return organisation_ && organisation_->is_isolated ? organisation_->name : std::string();
 }
 
 std::int64_t ForwardExchange::Rank() const {
@@ -176,9 +184,11 @@
   call.rank = Rank();
   if (!request_.prompt) return call;
   call.cache_salt = CacheSalt(backend);
-  const auto version = backend.weights.find(request_.prompt->model);
-  if (version != backend.weights.end()) call.expected_weights = version->second;
-  if (placed_) call.fetch_from = placed_->fetch_from;
+  call.expected_weights = backend.VersionOf(request_.prompt->model);
+  if (attempt_->placed) {
+    call.fetch_from = attempt_->placed->fetch_from;
+    call.save_to = attempt_->placed->save_to;
+  }
   return call;
 }
 
@@ -283,13 +293,14 @@
 void ForwardExchange::OnCallFailed(std::int64_t number, CallFailure failure,
                                    std::string_view reason) {
   if (is_done_ || !attempt_ || attempt_->number != number) return;
-  LogEvent(LogLevel::kInfo, "attempt_failed",
-           {{"request", request_.id},
-            {"backend", attempt_->backend.backend_id},
-            {"failure", CallFailureName(failure)},
-            {"reason", reason},
-            {"ms", std::chrono::duration_cast<std::chrono::milliseconds>(Now() - attempt_->sent_at)
-                       .count()}});
+  LogEvent(
+      LogLevel::kInfo, "attempt_failed",
+      {{"request", request_.id},
+       {"backend", attempt_->backend.backend_id},
+       {"failure", CallFailureName(failure)},
+       {"reason", reason},
+       {"ms",
+        std::chrono::duration_cast<std::chrono::milliseconds>(Now() - attempt_->sent_at).count()}});
   if (PooledBackend* backend = services_.pool.Find(attempt_->backend)) {
     BackendPool::OnFailure(*backend, failure, Now());
   }
@@ -311,8 +322,7 @@
 void ForwardExchange::RelayHead() {
   if (is_head_relayed_) return;
   is_head_relayed_ = true;
-  responder_->StartStream(attempt_->status,
-                          services_.codec.headers_for_caller(attempt_->headers));
+  responder_->StartStream(attempt_->status, services_.codec.headers_for_caller(attempt_->headers));
 }
 
 void ForwardExchange::RelayWhole() {
--- a/src/kumquatrouter/forwarding/forward_exchange.h
+++ b/src/kumquatrouter/forwarding/forward_exchange.h
@@ -1,5 +1,5 @@
-// Carries out one forwarded request: what ForwardRequest decides, between its caller and the backend
-// servers.
+// Carries out one forwarded request: what ForwardRequest decides, between its caller and the
+// backend servers.
 #pragma once
 
 #include <QTimer>
@@ -68,6 +68,8 @@
   void Finish(std::string_view outcome);
   std::optional<Duration> RetryAfter() const;
   std::string CacheSalt(const PooledBackend& backend) const;
+  std::string Wall() const;
+  std::optional<Endpoint> LiveStore() const;
   std::int64_t Rank() const;
   Instant Now() const { return services_.clock(); }
 
--- a/src/kumquatrouter/forwarding/forward_server.cpp
+++ b/src/kumquatrouter/forwarding/forward_server.cpp
@@ -24,6 +24,8 @@
 // Until a routing table is known.
 constexpr std::int64_t kDefaultMaxBodyBytes = 4 * kMegabyte;
 constexpr std::int64_t kMaxConnections = 3000;
+// News that an engine loads are repeated every half second while it does.
+constexpr Duration kLoadingNewsLast = std::chrono::milliseconds(1800);
 
 PromptPlacementOptions PlacementOptionsOf(const ForwardSettings& settings) {
   PromptPlacementOptions options;
@@ -37,7 +39,7 @@
                              Random random)
     : settings_(std::move(settings)),
       budget_(settings_.repeats),
-      placement_(PlacementOptionsOf(settings_), random),
+      placement_(PlacementOptionsOf(settings_), &services_.weights, random),
       client_(MakeHttpBackendClient()),
       feed_({settings_.instance, settings_.failure_domain, WallClockMillis(),
              settings_.control_seeds},
@@ -46,7 +48,11 @@
              [this](std::int64_t routers) {
                budget_.SetRouters(routers);
                placement_.SetRouters(routers);
-             }}) {
+             },
+             [this](const std::map<std::string, bool>& alive) {
+               services_.stores.Update(alive, services_.clock());
+             },
+             [this](const EngineNews& news) { OnEngines(news); }}) {
   services_.failure_domain = settings_.failure_domain;
   services_.clock = clock;
   services_.random = random;
@@ -55,6 +61,7 @@
   services_.placement = &placement_;
   services_.client = client_.get();
   services_.metrics = &metrics_;
+  services_.weights_longest_lag = settings_.weights_longest_lag;
   started_at_ = clock();
   const auto handler = [](auto handle) {
     return [handle](HttpRequest request, const Responder& responder) {
@@ -99,9 +106,9 @@
     HttpServer& server;
     const Endpoint& endpoint;
   };
-  for (const auto& [server, endpoint] : {Listener{*server_, settings_.listen},
-                                         Listener{*ready_server_, settings_.ready_listen},
-                                         Listener{*metrics_server_, settings_.metrics_listen}}) {
+  for (const auto& [server, endpoint] :
+       {Listener{*server_, settings_.listen}, Listener{*ready_server_, settings_.ready_listen},
+        Listener{*metrics_server_, settings_.metrics_listen}}) {
     if (endpoint.port == 0 || server.Listen(endpoint)) continue;
     last_reason_ = server.last_reason();
     return false;
@@ -148,7 +155,8 @@
 
 void ForwardServer::OnDocument(const Document& document) {
   if (document.name.starts_with(kWeightsDocumentPrefix)) {
-    services_.weights[document.name.substr(kWeightsDocumentPrefix.size())] = document.version;
+    services_.weights.Learn(document.name.substr(kWeightsDocumentPrefix.size()), document.version,
+                            services_.clock());
     LogEvent(LogLevel::kInfo, "weights_named",
              {{"weights", document.name}, {"version", document.version}});
     return;
@@ -185,6 +193,18 @@
   services_.pool.Update(record);
 }
 
+void ForwardServer::OnEngines(const EngineNews& news) {
+  for (const EngineNews::Engine& engine : news.engines) {
+    PooledBackend* backend = services_.pool.Find({engine.id, engine.incarnation});
+    if (!backend) continue;
+    backend->loading_until = engine.is_loading ? services_.clock() + kLoadingNewsLast : Instant(0);
+    for (const auto& [model, version] : engine.weights) {
+      std::int64_t& known = backend->weights[model];
+      known = std::max(known, version);
+    }
+  }
+}
+
 void ForwardServer::Housekeep() {
   services_.pool.Retain(
       [this](std::string_view id) { return feed_.members().Find(id) != nullptr; });
--- a/src/kumquatrouter/forwarding/forward_server.h
+++ b/src/kumquatrouter/forwarding/forward_server.h
@@ -41,6 +41,7 @@
   void HandleMetrics(const HttpRequest& request, const Responder& responder);
   void OnDocument(const Document& document);
   void OnMember(const MemberRecord& record);
+  void OnEngines(const EngineNews& news);
   void ApplyLimits(const CallerLimits& limits);
   void WakeWaiting();
   void Housekeep();
@@ -51,9 +52,9 @@
   std::string last_reason_;
   Metrics metrics_;
   RepeatBudget budget_;
+  ForwardServices services_;
   PromptPlacement placement_;
   std::unique_ptr<BackendClient> client_;
-  ForwardServices services_;
   ControlFeed feed_;
   std::unique_ptr<HttpServer> server_;
   std::unique_ptr<HttpServer> ready_server_;
--- a/src/kumquatrouter/forwarding/forward_services.h
+++ b/src/kumquatrouter/forwarding/forward_services.h
@@ -1,11 +1,12 @@
 // What the exchanges of one router share.
 #pragma once
 
-#include <map>
 #include <memory>
 #include <string>
 
 #include "coordination/forwarding/backend_pool.h"
+#include "coordination/forwarding/live_stores.h"
+#include "coordination/forwarding/named_weights.h"
 #include "coordination/forwarding/prompt_placement.h"
 #include "coordination/forwarding/repeat_budget.h"
 #include "coordination/forwarding/route_index.h"
@@ -23,9 +24,11 @@
   ForwardCodec codec;
   // Null until a routing table is known.
   std::shared_ptr<const RouteIndex> routes;
-  // The named versions of weights, by model.
-  std::map<std::string, std::int64_t> weights;
+  NamedWeights weights;
+  // An engine whose weights have been replaced for longer gets no requests.
+  Duration weights_longest_lag = std::chrono::seconds(8);
   BackendPool pool;
+  LiveStores stores;
   RepeatBudget* budget = nullptr;
   PromptPlacement* placement = nullptr;
   BackendClient* client = nullptr;
--- a/src/kumquatrouter/forwarding/forward_settings.h
+++ b/src/kumquatrouter/forwarding/forward_settings.h
@@ -23,6 +23,8 @@
   RepeatAllowance repeats;
   // Memory that the process may use, in megabytes; bodies in progress get a part of it.
   std::int64_t memory_mb = 256;
+  // An engine whose weights have been replaced for longer gets no requests.
+  Duration weights_longest_lag = std::chrono::seconds(10);
   // How long a graceful stop may take.
   Duration grace = std::chrono::seconds(8);
 };
--- a/src/kumquatrouter/router_settings.cpp
+++ b/src/kumquatrouter/router_settings.cpp
@@ -36,6 +36,8 @@
              "The same beside that, in ten seconds, over all routers.");
   reader.Add("forward.memory_mb", &f.memory_mb, {16, 1'000'000},
              "Memory that this process may use, in megabytes.");
+  reader.Add("forward.weights_longest_lag_ms", &f.weights_longest_lag, kMillis,
+             "An engine whose weights have been replaced for longer gets no requests.");
   reader.Add("forward.grace_ms", &f.grace, kMillis,
              "Longest time for a graceful stop, in milliseconds.");
   reader.Add("limits.max_header_bytes", &s->max_header_bytes, {1024, 1024 * 1024},
--- a/src/libs/coordination/forwarding/backend_pool.cpp
+++ b/src/libs/coordination/forwarding/backend_pool.cpp
@@ -33,6 +33,11 @@
 
 }  // namespace
 
+std::int64_t PooledBackend::VersionOf(std::string_view model) const {
+  const auto found = weights.find(model);
+  return found != weights.end() ? found->second : 0;
+}
+
 void BackendPool::Update(const MemberRecord& record) {
   if (!record.backend) return;
   auto& backend = backends_[record.id];
@@ -64,7 +69,8 @@
   for (const auto& [id, backend] : backends_) {
     if (backend->service != service || backend->is_leaving) continue;
     if (std::find(avoid.begin(), avoid.end(), backend->choice()) != avoid.end()) continue;
-    (now < backend->shunned_until ? shunned : usable).push_back(backend.get());
+    const bool is_usable = now >= backend->shunned_until && now >= backend->loading_until;
+    (is_usable ? usable : shunned).push_back(backend.get());
   }
   return usable.empty() ? shunned : usable;
 }
@@ -96,8 +102,8 @@
   double best_cost = 0;
   std::uint64_t ties = 0;
   for (PooledBackend* candidate : candidates) {
-    double cost = static_cast<double>(candidate->in_flight + 1) /
-                  static_cast<double>(candidate->slots);
+    double cost =
+        static_cast<double>(candidate->in_flight + 1) / static_cast<double>(candidate->slots);
     cost += kFailingCost * candidate->failing;
     if (candidate->failure_domain != failure_domain) cost += kOtherDomainCost;
     const bool is_tie = best && cost == best_cost;
--- a/src/libs/coordination/forwarding/backend_pool.h
+++ b/src/libs/coordination/forwarding/backend_pool.h
@@ -28,7 +28,10 @@
   std::int64_t slots = 1;
   bool is_leaving = false;
   // Version of the weights by model, as last heard.
-  std::map<std::string, std::int64_t> weights;
+  std::map<std::string, std::int64_t, std::less<>> weights;
+
+  // Until when control says that it takes no new requests, as it loads weights.
+  Instant loading_until{0};
 
   // Requests of this router that it has now.
   std::int64_t in_flight = 0;
@@ -39,6 +42,9 @@
   double failing = 0;
 
   BackendChoice choice() const { return {id, incarnation}; }
+
+  // Returns the version of this model's weights; 0 when it isn't known.
+  std::int64_t VersionOf(std::string_view model) const;
 };
 
 class BackendPool {
@@ -53,8 +59,8 @@
   PooledBackend* Find(const BackendChoice& choice);
 
   // Returns those of the service that may be sent new requests: neither leaving nor in the list to
-  // avoid, and not shunned at the moment. Where all others are shunned, those come too: a wrong
-  // finding must not take the whole service out.
+  // avoid, and neither loading nor shunned at the moment. Where all others are, those come too: a
+  // wrong finding must not take the whole service out.
   std::vector<PooledBackend*> Candidates(std::string_view service,
                                          std::span<const BackendChoice> avoid, Instant now);
 
--- /dev/null
+++ b/src/libs/coordination/forwarding/named_weights.cpp
@@ -0,0 +1,26 @@
+#include "coordination/forwarding/named_weights.h"
+
+namespace kumquat {
+namespace {
+
+// Only the first version above an engine's counts, and no engine lags by so many.
+constexpr std::size_t kMostVersions = 64;
+
+}  // namespace
+
+void NamedWeights::Learn(const std::string& model, std::int64_t version, Instant now) {
+  auto& versions = named_[model];
+  versions.try_emplace(version, now);
+  if (versions.size() > kMostVersions) versions.erase(versions.begin());
+}
+
+std::optional<Duration> NamedWeights::ReplacedFor(std::string_view model, std::int64_t version,
+                                                  Instant now) const {
+  const auto versions = named_.find(model);
+  if (versions == named_.end()) return std::nullopt;
+  const auto next = versions->second.upper_bound(version);
+  if (next == versions->second.end()) return std::nullopt;
+  return now - next->second;
+}
+
+}  // namespace kumquat
--- a/src/libs/coordination/forwarding/repeat_budget.h
+++ b/src/libs/coordination/forwarding/repeat_budget.h
@@ -1,5 +1,5 @@
-// Bounds what one router sends beyond the first arrival of each request, so that all routers together
-// stay within what a service allows.
+// Bounds what one router sends beyond the first arrival of each request, so that all routers
+// together stay within what a service allows.
 #pragma once
 
 #include <cstdint>
--- /dev/null
+++ b/src/libs/coordination/orders/weights_rollout.cpp
@@ -0,0 +1,168 @@
+#include "coordination/orders/weights_rollout.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace kumquat {
+namespace {
+
+std::int64_t VersionIn(const std::map<std::string, std::int64_t>& weights,
+                       const std::string& model) {
+  const auto found = weights.find(model);
+  return found != weights.end() ? found->second : 0;
+}
+
+}  // namespace
+
+WeightsRollout::Progress* WeightsRollout::Find(const std::string& id, std::int64_t incarnation) {
+  const auto found = progress_.find(id);
+  const bool is_same = found != progress_.end() && found->second.incarnation == incarnation;
+  return is_same ? &found->second : nullptr;
+}
+
+// What the engine answered last is newer than what it announced, while it is the same incarnation.
+std::optional<WeightsRollout::Need> WeightsRollout::NeedOf(
+    const RolloutEngine& engine, const Progress& progress,
+    const std::map<std::string, std::int64_t>& named) {
+  for (const auto& [model, announced] : engine.weights) {
+    const auto wanted = named.find(model);
+    if (wanted == named.end()) continue;
+    const std::int64_t seen = progress.state ? VersionIn(progress.state->weights, model) : 0;
+    if (std::max(announced, seen) < wanted->second) return Need{model, wanted->second};
+  }
+  return std::nullopt;
+}
+
+std::vector<RolloutAction> WeightsRollout::Advance(
+    std::span<const RolloutEngine> engines, const std::map<std::string, std::int64_t>& named,
+    Instant now) {
+  for (const RolloutEngine& engine : engines) {
+    Progress& progress = progress_[engine.id];
+    if (progress.incarnation == engine.incarnation) continue;
+    progress = {};
+    progress.incarnation = engine.incarnation;
+  }
+  std::erase_if(progress_, [&](const auto& entry) {
+    return std::none_of(engines.begin(), engines.end(), [&](const RolloutEngine& engine) {
+      return engine.id == entry.first;
+    });
+  });
+  Begin(engines, named, now);
+  std::vector<RolloutAction> actions;
+  for (const RolloutEngine& engine : engines) {
+    Progress& progress = progress_.at(engine.id);
+    if (progress.awaits_answer || now < progress.next_at) continue;
+    if (auto action = Step(engine, &progress, named, now)) actions.push_back(std::move(*action));
+  }
+  return actions;
+}
+
+// Takes up engines with the oldest weights first.
+void WeightsRollout::Begin(std::span<const RolloutEngine> engines,
+                           const std::map<std::string, std::int64_t>& named, Instant now) {
+  const auto most = std::max<std::int64_t>(
+      1, std::llround(std::ceil(options_.at_once * static_cast<double>(engines.size()))));
+  auto busy = std::count_if(progress_.begin(), progress_.end(), [](const auto& entry) {
+    return entry.second.phase != Phase::kIdle;
+  });
+  std::vector<std::pair<std::int64_t, Progress*>> waiting;
+  for (const RolloutEngine& engine : engines) {
+    Progress& progress = progress_.at(engine.id);
+    if (progress.phase != Phase::kIdle || now < progress.next_at) continue;
+    const auto need = NeedOf(engine, progress, named);
+    if (!need) continue;
+    const std::int64_t seen = progress.state ? VersionIn(progress.state->weights, need->model) : 0;
+    waiting.emplace_back(std::max(seen, VersionIn(engine.weights, need->model)), &progress);
+  }
+  std::stable_sort(waiting.begin(), waiting.end(),
+                   [](const auto& left, const auto& right) { return left.first < right.first; });
+  for (const auto& [version, progress] : waiting) {
+    if (busy++ >= most) return;
+    progress->phase = Phase::kLooking;
+  }
+}
+
+std::optional<RolloutAction> WeightsRollout::Step(
+    const RolloutEngine& engine, Progress* progress,
+    const std::map<std::string, std::int64_t>& named, Instant now) {
+  if (progress->phase == Phase::kIdle) return std::nullopt;
+  const auto need = NeedOf(engine, *progress, named);
+  if (!need) {
+    progress->phase = Phase::kIdle;
+    return std::nullopt;
+  }
+  const bool is_free = progress->state && !progress->state->is_busy;
+  if (progress->phase == Phase::kOrdering && is_free) {
+    progress->awaits_answer = true;
+    progress->ordered_at = now;
+    progress->ordered = *need;
+    return OrderWeights{engine.id,   engine.incarnation, engine.endpoint,
+                        need->model, need->version,      progress->state->orders};
+  }
+  progress->awaits_answer = true;
+  return LookAtEngine{engine.id, engine.incarnation, engine.endpoint};
+}
+
+void WeightsRollout::OnLook(const std::string& id, std::int64_t incarnation,
+                            const std::optional<EngineState>& state, Instant now) {
+  Progress* progress = Find(id, incarnation);
+  if (!progress) return;
+  progress->awaits_answer = false;
+  if (!state) {
+    progress->phase = Phase::kIdle;
+    progress->next_at = now + options_.retry_interval;
+    return;
+  }
+  progress->state = state;
+  const bool is_loading = progress->phase == Phase::kLoading;
+  const bool has_loaded =
+      VersionIn(state->weights, progress->ordered.model) >= progress->ordered.version;
+  if (is_loading && has_loaded) {
+    // Its next version waits until all others have this one, or what is newer by then.
+    progress->phase = Phase::kIdle;
+    return;
+  }
+  const bool is_overdue = now > progress->ordered_at + options_.longest_load;
+  const bool may_order = !state->is_busy && (!is_loading || is_overdue);
+  // A busy engine carries out an order, of this leader or of one before.
+  progress->phase = may_order ? Phase::kOrdering : Phase::kLoading;
+  progress->next_at = may_order ? now : now + options_.look_interval;
+}
+
+void WeightsRollout::OnOrder(const std::string& id, std::int64_t incarnation, OrderOutcome outcome,
+                             Instant now) {
+  Progress* progress = Find(id, incarnation);
+  if (!progress) return;
+  progress->awaits_answer = false;
+  if (outcome == OrderOutcome::kAccepted) {
+    progress->phase = Phase::kLoading;
+    progress->next_at = now + options_.first_look;
+    if (progress->state) ++progress->state->orders;
+    return;
+  }
+  const bool is_settled = outcome == OrderOutcome::kFenced || outcome == OrderOutcome::kRefused;
+  progress->phase = is_settled ? Phase::kIdle : Phase::kLooking;
+  progress->next_at = now + (is_settled ? options_.retry_interval : options_.look_interval);
+}
+
+std::vector<std::string> WeightsRollout::loading() const {
+  std::vector<std::string> ids;
+  for (const auto& [id, progress] : progress_) {
+    const bool is_ordered = progress.phase == Phase::kLoading || progress.phase == Phase::kOrdering;
+    if (is_ordered) ids.push_back(id);
+  }
+  return ids;
+}
+
+std::optional<std::int64_t> WeightsRollout::KnownVersion(const std::string& id,
+                                                         std::int64_t incarnation,
+                                                         const std::string& model) const {
+  const auto found = progress_.find(id);
+  const bool is_known = found != progress_.end() &&
+                        found->second.incarnation == incarnation && found->second.state;
+  if (!is_known) return std::nullopt;
+  return VersionIn(found->second.state->weights, model);
+}
+
+}  // namespace kumquat
--- /dev/null
+++ b/src/libs/coordination/orders/weights_rollout.h
@@ -0,0 +1,151 @@
+// Decides which engines load new weights when, after operators named a newer version.
+//
+// Requests on replaced weights lose worth within seconds, so engines load as soon as they can. Only a
+// part of them loads at a time: the others carry the load meanwhile, and loads slow each other down.
+// Engines finish what they run first, so that no stream mixes two versions.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "utils/endpoint.h"
+#include "utils/hooks.h"
+
+namespace kumquat {
+
+// An engine as control knows it from what it announced.
+struct RolloutEngine {
+  std::string id;
+  std::int64_t incarnation = 0;
+  Endpoint endpoint;
+  // Version of the weights by model.
+  std::map<std::string, std::int64_t> weights;
+};
+
+// What an engine reports when it is asked.
+struct EngineState {
+  std::map<std::string, std::int64_t> weights;
+  // An order is being carried out.
+  bool is_busy = false;
+  // Orders that it has accepted since its start.
+  std::int64_t orders = 0;
+};
+
+// What an engine answers to an order.
+enum class OrderOutcome {
+  // It is being carried out.
+  kAccepted,
+  // The engine is as ordered already.
+  kHolds,
+  // Another order is in progress, or was accepted since the state that this one expects.
+  kConflict,
+  // A holder with a higher fencing number has ordered.
+  kFenced,
+  kRefused,
+  // No answer; it may be carried out, also much later.
+  kUnknown,
+};
+
+struct WeightsRolloutOptions {
+  // The part of the engines that waits for its runs to end or loads at a time. Three of eighteen
+  // load at full speed together; as many again may wait for their runs meanwhile.
+  double at_once = 1.0 / 3;
+  // A load takes some 0.8 s, so that nothing is to be seen before.
+  Duration first_look = std::chrono::milliseconds(850);
+  Duration look_interval = std::chrono::milliseconds(200);
+  // Before an engine that can't be reached or refuses is tried again.
+  Duration retry_interval = std::chrono::milliseconds(700);
+  // An order that was accepted and shows no effect after this is given again.
+  Duration longest_load = std::chrono::seconds(15);
+};
+
+// Asks an engine for its state.
+struct LookAtEngine {
+  std::string id;
+  std::int64_t incarnation = 0;
+  Endpoint endpoint;
+};
+
+// Orders an engine to load weights, if it has accepted just so many orders by then.
+struct OrderWeights {
+  std::string id;
+  std::int64_t incarnation = 0;
+  Endpoint endpoint;
+  std::string model;
+  std::int64_t version = 0;
+  std::int64_t expected_orders = 0;
+};
+
+using RolloutAction = std::variant<LookAtEngine, OrderWeights>;
+
+// Lives as long as one leader's term.
+class WeightsRollout {
+ public:
+  explicit WeightsRollout(const WeightsRolloutOptions& options) : options_(options) {}
+
+  // Takes the engines that may be ordered, and the named version of each model. Returns what to do
+  // now; each look and order has to be followed by its outcome.
+  std::vector<RolloutAction> Advance(std::span<const RolloutEngine> engines,
+                                     const std::map<std::string, std::int64_t>& named,
+                                     Instant now);
+
+  // The engine answered a look, or didn't.
+  void OnLook(const std::string& id, std::int64_t incarnation,
+              const std::optional<EngineState>& state, Instant now);
+
+  void OnOrder(const std::string& id, std::int64_t incarnation, OrderOutcome outcome, Instant now);
+
+  // Returns the engines that take no new requests, as they were ordered to load.
+  std::vector<std::string> loading() const;
+
+  // Returns the newest known version of the model on the engine; nothing when it is not known better
+  // than from its announcements.
+  std::optional<std::int64_t> KnownVersion(const std::string& id, std::int64_t incarnation,
+                                           const std::string& model) const;
+
+ private:
+  enum class Phase {
+    kIdle,
+    // Its state is asked for before the order.
+    kLooking,
+    // The order is out.
+    kOrdering,
+    // The order was accepted; its effect is awaited.
+    kLoading,
+  };
+
+  // A model that the engine should load.
+  struct Need {
+    std::string model;
+    std::int64_t version = 0;
+  };
+
+  struct Progress {
+    std::int64_t incarnation = 0;
+    Phase phase = Phase::kIdle;
+    bool awaits_answer = false;
+    Instant next_at{0};
+    Instant ordered_at{0};
+    // What the last order was for.
+    Need ordered;
+    std::optional<EngineState> state;
+  };
+
+  static std::optional<Need> NeedOf(const RolloutEngine& engine, const Progress& progress,
+                                    const std::map<std::string, std::int64_t>& named);
+  void Begin(std::span<const RolloutEngine> engines,
+             const std::map<std::string, std::int64_t>& named, Instant now);
+  std::optional<RolloutAction> Step(const RolloutEngine& engine, Progress* progress,
+                                    const std::map<std::string, std::int64_t>& named, Instant now);
+  Progress* Find(const std::string& id, std::int64_t incarnation);
+
+  WeightsRolloutOptions options_;
+  std::map<std::string, Progress> progress_;
+};
+
+}  // namespace kumquat
--- a/src/libs/coordination/placement/placement.cpp
+++ b/src/libs/coordination/placement/placement.cpp
@@ -107,7 +107,8 @@
   const double weight = request.request_class == RequestClass::kReply
                             ? options_.reply_recompute_weight
                             : options_.draft_recompute_weight;
-  scored.score_us = queue_us + prefill_us * (1 + weight);
+  scored.score_us =
+      queue_us + prefill_us * (1 + weight) + static_cast<double>(candidate.penalty.count());
 }
 
 // Where nobody holds anything of the prompt, routers that decide at the same moment should agree,
--- a/src/libs/coordination/placement/placement.h
+++ b/src/libs/coordination/placement/placement.h
@@ -37,6 +37,8 @@
   // Leading prompt tokens that the engine could import from the store of kept cache.
   std::int64_t importable_tokens = 0;
   double import_ms_per_1k_tokens = 0;
+  // What the choice costs besides its time to first token.
+  Duration penalty{0};
 };
 
 // What placement needs to know of a request.
--- a/src/libs/protocol/control_news.cpp
+++ b/src/libs/protocol/control_news.cpp
@@ -11,13 +11,28 @@
 QCborValue Bytes(const std::string& text) { return QByteArray::fromStdString(text); }
 std::string ToText(const QCborValue& value) { return value.toByteArray().toStdString(); }
 
-QCborValue ToCbor(const RouterHello& hello) {
-  QCborArray versions;
-  for (const auto& [name, version] : hello.versions) {
-    versions.append(QCborArray{Bytes(name), static_cast<qint64>(version)});
+using Versions = std::map<std::string, std::int64_t>;
+
+QCborValue ToCbor(const Versions& versions) {
+  QCborArray items;
+  for (const auto& [name, version] : versions) {
+    items.append(QCborArray{Bytes(name), static_cast<qint64>(version)});
+  }
+  return items;
+}
+
+Versions VersionsFrom(const QCborValue& value) {
+  Versions versions;
+  for (const QCborValue item : value.toArray()) {
+    const QCborArray pair = item.toArray();
+    versions[ToText(pair.at(0))] = pair.at(1).toInteger();
   }
+  return versions;
+}
+
+QCborValue ToCbor(const RouterHello& hello) {
   return QCborArray{Bytes(hello.router), Bytes(hello.failure_domain),
-                    static_cast<qint64>(hello.incarnation), versions,
+                    static_cast<qint64>(hello.incarnation), ToCbor(hello.versions),
                     static_cast<qint64>(hello.members_digest)};
 }
 
@@ -35,17 +50,18 @@
 QCborValue ToCbor(const FleetNews& news) {
   QCborArray replicas;
   for (const std::string& replica : news.replicas) replicas.append(Bytes(replica));
-  return QCborArray{replicas, static_cast<qint64>(news.routers)};
+  QCborArray stores;
+  for (const auto& [address, is_alive] : news.stores) {
+    stores.append(QCborArray{Bytes(address), is_alive});
+  }
+  return QCborArray{replicas, static_cast<qint64>(news.routers), stores};
 }
 
 bool FromCbor(const QCborArray& items, RouterHello* hello) {
   hello->router = ToText(items.at(0));
   hello->failure_domain = ToText(items.at(1));
   hello->incarnation = items.at(2).toInteger();
-  for (const QCborValue item : items.at(3).toArray()) {
-    const QCborArray pair = item.toArray();
-    hello->versions[ToText(pair.at(0))] = pair.at(1).toInteger();
-  }
+  hello->versions = VersionsFrom(items.at(3));
   hello->members_digest = static_cast<std::uint64_t>(items.at(4).toInteger());
   return items.size() == 5 && !hello->router.empty();
 }
@@ -68,7 +84,29 @@
 bool FromCbor(const QCborArray& items, FleetNews* news) {
   for (const QCborValue item : items.at(0).toArray()) news->replicas.push_back(ToText(item));
   news->routers = items.at(1).toInteger();
-  return items.size() == 2;
+  for (const QCborValue item : items.at(2).toArray()) {
+    const QCborArray pair = item.toArray();
+    news->stores[ToText(pair.at(0))] = pair.at(1).toBool();
+  }
+  return items.size() == 3;
+}
+
+QCborValue ToCbor(const EngineNews& news) {
+  QCborArray engines;
+  for (const EngineNews::Engine& engine : news.engines) {
+    engines.append(QCborArray{Bytes(engine.id), static_cast<qint64>(engine.incarnation),
+                              engine.is_loading, ToCbor(engine.weights)});
+  }
+  return QCborArray{engines};
+}
+
+bool FromCbor(const QCborArray& items, EngineNews* news) {
+  for (const QCborValue item : items.at(0).toArray()) {
+    const QCborArray fields = item.toArray();
+    news->engines.push_back({ToText(fields.at(0)), fields.at(1).toInteger(), fields.at(2).toBool(),
+                             VersionsFrom(fields.at(3))});
+  }
+  return items.size() == 1;
 }
 
 // Reads the alternative with this number, which is its place in the variant.
--- a/src/libs/protocol/control_news.h
+++ b/src/libs/protocol/control_news.h
@@ -49,11 +49,31 @@
   std::vector<std::string> replicas;
   // Routers that greeted it lately.
   std::int64_t routers = 0;
+  // Whether each store of kept cache that it watches is alive, by address.
+  std::map<std::string, bool> stores;
 
   bool operator==(const FleetNews&) const = default;
 };
 
-using ControlNews = std::variant<RouterHello, DocumentNews, MemberNews, FleetNews>;
+// What the leader knows of engines that load weights, or did so lately; newer than what the engines
+// announced.
+struct EngineNews {
+  struct Engine {
+    std::string id;
+    std::int64_t incarnation = 0;
+    // It takes no new requests until it has loaded.
+    bool is_loading = false;
+    // Version of the weights by model.
+    std::map<std::string, std::int64_t> weights;
+
+    bool operator==(const Engine&) const = default;
+  };
+  std::vector<Engine> engines;
+
+  bool operator==(const EngineNews&) const = default;
+};
+
+using ControlNews = std::variant<RouterHello, DocumentNews, MemberNews, FleetNews, EngineNews>;
 
 std::string Encode(const ControlNews& news);
 
--- a/src/platform/front_edge.cpp
+++ b/src/platform/front_edge.cpp
@@ -36,16 +36,25 @@
 constexpr std::string_view kConnection = "Connection";
 
 // What only the system may say to a backend server; a caller's own is dropped.
-constexpr std::array kSystemFields = {
-    kKey,      kTenant,   kExpectInstance,        kExpectVersion,         kCacheSalt,
-    kKvFetch,  kKvSave,   kPriority,              kDeadline,              std::string_view("Kv-From"),
-    std::string_view("Kumquatcross-Kv-From"),   std::string_view("Kumquatcross-Kv-Hold"),
-    std::string_view("Kumquatcross-Kv-Backup"), std::string_view("Kumquatcross-Pin-Ms")};
+constexpr std::array kSystemFields = {kKey,
+                                      kTenant,
+                                      kExpectInstance,
+                                      kExpectVersion,
+                                      kCacheSalt,
+                                      kKvFetch,
+                                      kKvSave,
+                                      kPriority,
+                                      kDeadline,
+                                      std::string_view("Kv-From"),
+                                      std::string_view("Kumquatcross-Kv-From"),
+                                      std::string_view("Kumquatcross-Kv-Hold"),
+                                      std::string_view("Kumquatcross-Kv-Backup"),
+                                      std::string_view("Kumquatcross-Pin-Ms")};
 
 // What concerns one connection only.
 constexpr std::array<std::string_view, 9> kConnectionFields = {
-    "Connection", "Keep-Alive",          "Proxy-Connection", "TE",     "Trailer",
-    "Upgrade",    "Transfer-Encoding",   "Content-Length",   "Expect"};
+    "Connection", "Keep-Alive",        "Proxy-Connection", "TE",    "Trailer",
+    "Upgrade",    "Transfer-Encoding", "Content-Length",   "Expect"};
 
 constexpr int kMisdirected = 421;
 constexpr int kFirstError = 300;
