--- a/src/kumquatrouter/forwarding/forward_server.cpp
+++ b/src/kumquatrouter/forwarding/forward_server.cpp
@@ -216,6 +216,7 @@
   is_draining_ = true;
   drain_began_ = services_.clock();
   on_drained_ = std::move(on_drained);
+  server_->CloseAfterAnswers();
   drain_timer_.start(kDrainPollInterval);
 }
 
--- a/src/libs/transport/http_connection.cpp
+++ b/src/libs/transport/http_connection.cpp
@@ -351,7 +351,8 @@
   --shared_->open_requests;
   handed_bytes_ = 0;
   phase_since_ = shared_->clock();
-  if (!keep_alive_) {
+  // A stream's head may have gone out before the server began to stop.
+  if (!keep_alive_ || shared_->stopping) {
     Linger();
     return;
   }
--- a/tests/libs/transport/http_server_test.cpp
+++ b/tests/libs/transport/http_server_test.cpp
@@ -382,6 +382,22 @@
   }));
 }
 
+// Kept from a router that was stopped in the bench: streams that had begun left their connections
+// open, and callers sent the next request on them until the process ended.
+TEST_CASE("A stream that began before the server stops is the last of its connection") {
+  Fixture fixture;
+  const auto socket = fixture.Connect();
+  socket->write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  REQUIRE(SpinUntil([&] { return fixture.taken.size() == 1; }));
+  HttpResponder& responder = *fixture.taken[0].responder;
+  responder.StartStream(200, {});
+  responder.Write("data: 1\n\n");
+  fixture.server->CloseAfterAnswers();
+  responder.End();
+  CHECK(SpinUntil([&] { return socket->state() == QTcpSocket::UnconnectedState; }));
+  CHECK(socket->readAll().endsWith("\r\n0\r\n\r\n"));
+}
+
 TEST_CASE("A server that stops listening finishes what runs") {
   Fixture fixture;
   const auto socket = fixture.Connect();
