--- /dev/null
+++ b/src/kumquatcontrol/cache_keeper.h
@@ -0,0 +1,74 @@
+// Reads the cache events of engines and stores, and tells routers what each holds. Each source has
+// one keeper among the control replicas, as every reader costs the source.
+#pragma once
+
+#include <QTimer>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "protocol/part_events.h"
+#include "protocol/control_news.h"
+#include "transport/backend_client.h"
+#include "utils/endpoint.h"
+
+namespace kumquat {
+
+// How a source is asked for its events, as hooks for an interface to fill in.
+struct PartEventCodec {
+  // Asks for events from this number on; the source holds the call for a while where there are none.
+  std::function<BackendCallRequest(const Endpoint& source, std::int64_t since)> encode_read;
+  // Returns nothing for an answer that tells none.
+  std::function<std::optional<PartEvents>(int status, std::string_view body)> decode_read;
+};
+
+// A source of events; engines go by their id and stores by their address.
+struct CacheSource {
+  std::string name;
+  Endpoint endpoint;
+};
+
+class CacheKeeper {
+ public:
+  using Publish = std::function<void(const CacheNews& news)>;
+
+  CacheKeeper(PartEventCodec codec, BackendClient* client, Publish publish);
+  ~CacheKeeper();
+
+  // Sets the sources that this replica keeps.
+  void SetSources(const std::vector<CacheSource>& sources);
+
+  // Returns all that is known of the source; nothing when this replica doesn't keep it.
+  std::optional<CacheNews> Snapshot(const std::string& source) const;
+
+ private:
+  struct Kept {
+    Endpoint endpoint;
+    std::int64_t epoch = 0;
+    std::int64_t next = 0;
+    std::unordered_map<std::uint64_t, std::int64_t> held;
+    std::unique_ptr<BackendCall> call;
+    // Answers to a call that was given up are ignored.
+    std::int64_t number = 0;
+    std::unique_ptr<QTimer> timer;
+  };
+
+  void Read(const std::string& source);
+  void Answered(const std::string& source, std::int64_t number,
+                const std::optional<PartEvents>& events);
+  void Take(const std::string& source, Kept* kept, const PartEvents& events);
+
+  PartEventCodec codec_;
+  BackendClient* client_;
+  Publish publish_;
+  std::map<std::string, Kept> kept_;
+  std::int64_t last_number_ = 0;
+};
+
+}  // namespace kumquat
--- a/src/kumquatcontrol/control_node.cpp
+++ b/src/kumquatcontrol/control_node.cpp
@@ -11,12 +11,16 @@
 #include "protocol/json_fields.h"
 #include "protocol/routing_table.h"
 #include "utils/log.h"
+#include "utils/rendezvous.h"
 
 namespace kumquat {
 namespace {
 
 constexpr std::chrono::milliseconds kTickInterval{20};
 constexpr std::chrono::milliseconds kGossipInterval{500};
+// What routers tell of their load is passed on this often: sooner than a prompt of usual size is
+// read, so that two routers seldom choose the same engine unawares.
+constexpr std::chrono::milliseconds kLoadInterval{40};
 // A replica whose disk failed tries it again after this long; until then it neither votes nor
 // acknowledges.
 constexpr std::chrono::milliseconds kDiskRetryInterval{1000};
@@ -87,9 +91,12 @@
     operator_ = std::make_unique<EngineOperator>(operator_options, OperatorHooks(),
                                                  *hooks_.engine_codec, backend_client_.get());
   }
-  if (hooks_.store_codec) {
-    stores_ = std::make_unique<StoreWatch>(*hooks_.store_codec, backend_client_.get(),
+  if (hooks_.cache_codec) {
+    stores_ = std::make_unique<StoreWatch>(*hooks_.cache_codec, backend_client_.get(),
                                            [this] { desk_.PushFleet(); });
+    cache_keeper_ =
+        std::make_unique<CacheKeeper>(*hooks_.cache_codec, backend_client_.get(),
+                                      [this](const CacheNews& news) { Broadcast(news); });
   }
   flush_.setSingleShot(true);
   restart_.setSingleShot(true);
@@ -105,7 +112,9 @@
   QObject::connect(&gossip_tick_, &QTimer::timeout, &gossip_tick_, [this] {
     UpdateNeighbours();
     directory_.Tick();
+    ShareCacheSources();
   });
+  QObject::connect(&load_tick_, &QTimer::timeout, &load_tick_, [this] { TellLoads(); });
   QObject::connect(&restart_, &QTimer::timeout, &restart_, [this] {
     if (!StartLog()) RestartLogLater(last_reason_);
   });
@@ -142,9 +151,7 @@
     }
     return named;
   };
-  hooks.publish = [this](const EngineNews& news) {
-    for (const std::string& router : desk_.LiveRouters()) desk_.Send(router, news);
-  };
+  hooks.publish = [this](const EngineNews& news) { Broadcast(news); };
   return hooks;
 }
 
@@ -171,6 +178,7 @@
   }
   tick_.start(kTickInterval);
   gossip_tick_.start(kGossipInterval);
+  load_tick_.start(kLoadInterval);
   return true;
 }
 
@@ -268,6 +276,11 @@
     } else {
       LogEvent(LogLevel::kWarning, "gossip_dropped", {{"from", members->from}, {"reason", reason}});
     }
+  } else if (const auto* load = std::get_if<LoadNews>(&*news)) {
+    ReceivedLoad(*load);
+  } else if (const auto* wanted = std::get_if<CacheWanted>(&*news)) {
+    const auto snapshot = cache_keeper_ ? cache_keeper_->Snapshot(wanted->source) : std::nullopt;
+    if (snapshot) desk_.Send(wanted->router, *snapshot);
   }
 }
 
@@ -307,11 +320,52 @@
 void ControlNode::WatchStores(const Document& routing) {
   const auto table = DecodeRoutingTable(routing.content);
   if (!table || !stores_) return;
-  std::vector<Endpoint> stores;
+  store_endpoints_.clear();
   for (const Service& service : table->services) {
-    if (service.store) stores.push_back(service.store->endpoint);
+    if (service.store) store_endpoints_.push_back(service.store->endpoint);
   }
-  stores_->SetStores(stores);
+  stores_->SetStores(store_endpoints_);
+}
+
+// Each source goes to one of the replicas that can reach each other, by rendezvous hashing. Two may
+// keep one source while they disagree; routers tell by the numbers what they know already.
+void ControlNode::ShareCacheSources() {
+  if (!cache_keeper_) return;
+  std::vector<std::string> replicas = links_.Connected();
+  replicas.push_back(options_.log_name());
+  std::vector<CacheSource> kept;
+  const auto keep_if_mine = [&](const CacheSource& source) {
+    const auto keeper = RendezvousTop(source.name, replicas, 1);
+    if (keeper.front() == options_.log_name()) kept.push_back(source);
+  };
+  directory_.table().ForEach([&](const Member& member) {
+    const MemberRecord& record = member.record;
+    if (!record.backend || record.leaving || record.backend->models.empty()) return;
+    keep_if_mine({record.id, record.endpoint});
+  });
+  for (const Endpoint& store : store_endpoints_) keep_if_mine({store.ToString(), store});
+  cache_keeper_->SetSources(kept);
+}
+
+void ControlNode::ReceivedLoad(const LoadNews& news) {
+  for (const RouterLoad& load : news.routers) {
+    auto& untold = untold_loads_[load.router];
+    untold.router = load.router;
+    untold.engines.insert(untold.engines.end(), load.engines.begin(), load.engines.end());
+  }
+}
+
+void ControlNode::TellLoads() {
+  if (untold_loads_.empty()) return;
+  LoadNews news;
+  for (auto& [router, load] : std::exchange(untold_loads_, {})) {
+    news.routers.push_back(std::move(load));
+  }
+  Broadcast(news);
+}
+
+void ControlNode::Broadcast(const ControlNews& news) {
+  for (const std::string& router : desk_.LiveRouters()) desk_.Send(router, news);
 }
 
 std::vector<std::string> ControlNode::OtherReplicas() const {
--- a/src/kumquatcontrol/control_node.h
+++ b/src/kumquatcontrol/control_node.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "cache_keeper.h"
 #include "control_api.h"
 #include "coordination/log/replicated_log.h"
 #include "coordination/membership/backend_directory.h"
@@ -61,8 +62,8 @@
     std::function<std::optional<Document>(const Document& document)> compile_document;
     // Given where engines are to be ordered to load the weights that documents name.
     std::optional<EngineCodec> engine_codec;
-    // Given where stores of kept cache are to be watched.
-    std::optional<StoreCodec> store_codec;
+    // Given where the cache events of engines and stores are to be read.
+    std::optional<PartEventCodec> cache_codec;
   };
 
   ControlNode(ControlNodeOptions options, Hooks hooks);
@@ -98,6 +99,10 @@
   void OrderEnded(std::int64_t fencing_number, std::string_view outcome);
   EngineOperatorHooks OperatorHooks();
   void WatchStores(const Document& routing);
+  void ShareCacheSources();
+  void ReceivedLoad(const LoadNews& news);
+  void TellLoads();
+  void Broadcast(const ControlNews& news);
 
   ControlNodeOptions options_;
   Hooks hooks_;
@@ -115,6 +120,10 @@
   std::unique_ptr<BackendClient> backend_client_;
   std::unique_ptr<EngineOperator> operator_;
   std::unique_ptr<StoreWatch> stores_;
+  std::unique_ptr<CacheKeeper> cache_keeper_;
+  std::vector<Endpoint> store_endpoints_;
+  // What routers told of their load since it was last passed on, by router.
+  std::map<std::string, RouterLoad> untold_loads_;
   // What compile_document made of the committed documents, by name.
   std::map<std::string, Document> compiled_;
   // Orders under way, by fencing number.
@@ -122,6 +131,7 @@
   QTimer tick_;
   QTimer flush_;
   QTimer gossip_tick_;
+  QTimer load_tick_;
   QTimer restart_;
 };
 
--- a/src/kumquatcontrol/engine_operator.cpp
+++ b/src/kumquatcontrol/engine_operator.cpp
@@ -75,8 +75,7 @@
 void EngineOperator::Perform(const LookAtEngine& look) {
   Call(codec_.encode_look(look), [this, look](int status, std::string_view body) {
     if (rollout_) {
-      rollout_->OnLook(look.id, look.incarnation, codec_.decode_look(status, body),
-                       hooks_.clock());
+      rollout_->OnLook(look.id, look.incarnation, codec_.decode_look(status, body), hooks_.clock());
     }
   });
 }
--- a/src/kumquatcontrol/main.cpp
+++ b/src/kumquatcontrol/main.cpp
@@ -94,7 +94,7 @@
   };
   hooks.compile_document = platform::CompileDocument;
   hooks.engine_codec = platform::MakeEngineCodec();
-  hooks.store_codec = platform::MakeStoreCodec();
+  hooks.cache_codec = platform::MakePartEventCodec();
   return hooks;
 }
 
--- a/src/kumquatcontrol/replica_links.cpp
+++ b/src/kumquatcontrol/replica_links.cpp
@@ -49,6 +49,14 @@
                                       RpcFailure /*failure*/) { done(result); });
 }
 
+std::vector<std::string> ReplicaLinks::Connected() const {
+  std::vector<std::string> names;
+  for (const auto& [name, link] : links_) {
+    if (link->link().connected()) names.push_back(name);
+  }
+  return names;
+}
+
 std::string ReplicaLinks::AddressOf(std::string_view name) const {
   const auto endpoint = EndpointOf(name);
   return endpoint ? std::string(name) + "@" + endpoint->ToString() : std::string(name);
--- a/src/kumquatcontrol/replica_links.h
+++ b/src/kumquatcontrol/replica_links.h
@@ -30,6 +30,9 @@
   void Call(std::string_view name, std::string_view method, const QJsonObject& params,
             Duration timeout, std::function<void(const std::optional<QJsonObject>& result)> done);
 
+  // Returns the names of the replicas that this one is linked to now.
+  std::vector<std::string> Connected() const;
+
   // Returns the replica's address as "name@ip:port"; its name alone when it isn't known.
   std::string AddressOf(std::string_view name) const;
 
--- a/src/kumquatcontrol/store_watch.cpp
+++ b/src/kumquatcontrol/store_watch.cpp
@@ -17,7 +17,8 @@
 
 }  // namespace
 
-StoreWatch::StoreWatch(StoreCodec codec, BackendClient* client, std::function<void()> on_changed)
+StoreWatch::StoreWatch(PartEventCodec codec, BackendClient* client,
+                       std::function<void()> on_changed)
     : codec_(std::move(codec)), client_(client), on_changed_(std::move(on_changed)) {}
 
 StoreWatch::~StoreWatch() = default;
@@ -43,7 +44,7 @@
   Watched& watched = watched_.at(store);
   const std::int64_t number = ++last_number_;
   watched.number = number;
-  BackendCallRequest request = codec_.encode_poll(store, watched.since);
+  BackendCallRequest request = codec_.encode_read(store, watched.since);
   request.timeouts = {kConnectTimeout, kPollTimeout, kPollTimeout};
   struct Answer {
     int status = 0;
@@ -54,7 +55,8 @@
   hooks.on_headers = [answer](int status, const HttpHeaders&) { answer->status = status; };
   hooks.on_data = [answer](std::string_view data) { answer->body += data; };
   hooks.on_end = [this, store, number, answer] {
-    Answered(store, number, codec_.decode_poll(answer->status, answer->body));
+    const auto events = codec_.decode_read(answer->status, answer->body);
+    Answered(store, number, events ? std::optional(events->next) : std::nullopt);
   };
   hooks.on_failure = [this, store, number](CallFailure, std::string_view) {
     Answered(store, number, std::nullopt);
@@ -75,8 +77,7 @@
   const auto [entry, is_new] = alive_.try_emplace(store, is_alive);
   if (!is_new && entry->second == is_alive) return;
   entry->second = is_alive;
-  LogEvent(LogLevel::kInfo, is_alive ? "store_alive" : "store_dead",
-           {{"store", store.ToString()}});
+  LogEvent(LogLevel::kInfo, is_alive ? "store_alive" : "store_dead", {{"store", store.ToString()}});
   on_changed_();
 }
 
--- a/src/kumquatcontrol/store_watch.h
+++ b/src/kumquatcontrol/store_watch.h
@@ -13,24 +13,17 @@
 #include <string_view>
 #include <vector>
 
+#include "cache_keeper.h"
 #include "transport/backend_client.h"
 #include "utils/endpoint.h"
 #include "utils/hooks.h"
 
 namespace kumquat {
 
-// How a store is asked for its events, as hooks for an interface to fill in.
-struct StoreCodec {
-  // Asks for events from this number on; the store holds the call for a while where there are none.
-  std::function<BackendCallRequest(const Endpoint& store, std::int64_t since)> encode_poll;
-  // Returns the number to ask from next; nothing for an answer that tells none.
-  std::function<std::optional<std::int64_t>(int status, std::string_view body)> decode_poll;
-};
-
 class StoreWatch {
  public:
   // `on_changed` runs when a store came to life or died.
-  StoreWatch(StoreCodec codec, BackendClient* client, std::function<void()> on_changed);
+  StoreWatch(PartEventCodec codec, BackendClient* client, std::function<void()> on_changed);
   ~StoreWatch();
 
   void SetStores(const std::vector<Endpoint>& stores);
@@ -51,7 +44,7 @@
   void Answered(const Endpoint& store, std::int64_t number, std::optional<std::int64_t> next);
   void SetAlive(const Endpoint& store, bool is_alive);
 
-  StoreCodec codec_;
+  PartEventCodec codec_;
   BackendClient* client_;
   std::function<void()> on_changed_;
   std::map<Endpoint, Watched> watched_;
--- a/src/kumquatrouter/forwarding/control_feed.cpp
+++ b/src/kumquatrouter/forwarding/control_feed.cpp
@@ -5,6 +5,7 @@
 
 #include "protocol/json_fields.h"
 #include "utils/log.h"
+#include "utils/rendezvous.h"
 
 namespace kumquat {
 namespace {
@@ -125,6 +126,37 @@
   hooks_.on_engines(news);
 }
 
+void ControlFeed::Receive(const Endpoint& replica, const CacheNews& news) {
+  if (hooks_.on_cache(news)) return;
+  const CacheWanted wanted{options_.router, news.source};
+  replicas_[replica].link->Send(FrameKind::kNews, Encode(wanted));
+}
+
+void ControlFeed::Receive(const Endpoint& /*replica*/, const CacheWanted& /*news*/) {}
+
+void ControlFeed::Receive(const Endpoint& /*replica*/, const LoadNews& news) {
+  for (const RouterLoad& load : news.routers) {
+    if (load.router != options_.router) hooks_.on_load(load);
+  }
+}
+
+// Returns the link to the replica that passes this router's load on; null when there is none. The
+// routers spread over the replicas.
+FrameLink* ControlFeed::HubLink() {
+  std::vector<std::string> connected;
+  for (const auto& [endpoint, replica] : replicas_) {
+    if (replica.link->connected()) connected.push_back(endpoint.ToString());
+  }
+  if (connected.empty()) return nullptr;
+  const auto hub = ParseEndpoint(RendezvousTop(options_.router, connected, 1).front());
+  return replicas_.at(*hub).link.get();
+}
+
+void ControlFeed::TellLoad(const std::vector<EngineLoad>& engines) {
+  FrameLink* hub = HubLink();
+  if (hub) hub->Send(FrameKind::kNews, Encode(LoadNews{{{options_.router, engines}}}));
+}
+
 void ControlFeed::DropUnknownReplicas() {
   const Instant now = hooks_.clock();
   std::erase_if(replicas_, [&](const auto& entry) {
--- a/src/kumquatrouter/forwarding/control_feed.h
+++ b/src/kumquatrouter/forwarding/control_feed.h
@@ -37,6 +37,9 @@
   // What a replica says of stores of kept cache.
   std::function<void(const std::map<std::string, bool>& alive)> on_stores;
   std::function<void(const EngineNews& news)> on_engines;
+  // Returns false when all that the source holds is to be asked for.
+  std::function<bool(const CacheNews& news)> on_cache;
+  std::function<void(const RouterLoad& load)> on_load;
 };
 
 // Keeps a link to each control replica and merges what they tell: a replica that knows less than
@@ -55,6 +58,9 @@
   // Returns the version held of a document; 0 when there is none.
   std::int64_t VersionOf(const std::string& document) const;
 
+  // Tells the other routers, through one replica, what this one has sent to engines.
+  void TellLoad(const std::vector<EngineLoad>& engines);
+
   // Returns the number of replicas that this router is linked to now.
   std::int64_t connected_replicas() const;
 
@@ -67,6 +73,10 @@
   void Receive(const Endpoint& replica, const MemberNews& news);
   void Receive(const Endpoint& replica, const FleetNews& news);
   void Receive(const Endpoint& replica, const EngineNews& news);
+  void Receive(const Endpoint& replica, const CacheNews& news);
+  void Receive(const Endpoint& replica, const CacheWanted& news);
+  void Receive(const Endpoint& replica, const LoadNews& news);
+  FrameLink* HubLink();
   void DropUnknownReplicas();
 
   ControlFeedOptions options_;
--- a/src/kumquatrouter/forwarding/forward_exchange.cpp
+++ b/src/kumquatrouter/forwarding/forward_exchange.cpp
@@ -161,7 +161,7 @@
 }
 
 std::string ForwardExchange::CacheSalt(const PooledBackend& backend) const {
-  return fmt::format("{}.{}", backend.VersionOf(request_.prompt->model), Wall());
+  return CacheSaltOf(backend.VersionOf(request_.prompt->model), Wall());
 }
 
 std::string ForwardExchange::Wall() const {
--- a/src/kumquatrouter/forwarding/forward_server.cpp
+++ b/src/kumquatrouter/forwarding/forward_server.cpp
@@ -12,6 +12,8 @@
 // Requests that wait for a backend server look again this often.
 constexpr std::chrono::milliseconds kWakeInterval{15};
 constexpr std::chrono::milliseconds kHousekeepingInterval{1000};
+constexpr std::chrono::milliseconds kLoadInterval{20};
+constexpr Duration kLongestLoadSilence = std::chrono::milliseconds(700);
 constexpr std::chrono::milliseconds kDrainPollInterval{20};
 // The balancer asks every second and needs two misses before it sends nothing more; requests still
 // come until then, and are taken.
@@ -27,19 +29,13 @@
 // News that an engine loads are repeated every half second while it does.
 constexpr Duration kLoadingNewsLast = std::chrono::milliseconds(1800);
 
-PromptPlacementOptions PlacementOptionsOf(const ForwardSettings& settings) {
-  PromptPlacementOptions options;
-  options.failure_domain = settings.failure_domain;
-  return options;
-}
-
 }  // namespace
 
 ForwardServer::ForwardServer(ForwardSettings settings, ForwardCodec codec, Clock clock,
                              Random random)
     : settings_(std::move(settings)),
       budget_(settings_.repeats),
-      placement_(PlacementOptionsOf(settings_), &services_.weights, random),
+      placement_(PromptPlacementOptions(), &services_.weights, &parts_, random),
       client_(MakeHttpBackendClient()),
       feed_({settings_.instance, settings_.failure_domain, WallClockMillis(),
              settings_.control_seeds},
@@ -52,7 +48,9 @@
              [this](const std::map<std::string, bool>& alive) {
                services_.stores.Update(alive, services_.clock());
              },
-             [this](const EngineNews& news) { OnEngines(news); }}) {
+             [this](const EngineNews& news) { OnEngines(news); },
+             [this](const CacheNews& news) { return parts_.Apply(news); },
+             [this](const RouterLoad& load) { OnPeerLoad(load); }}) {
   services_.failure_domain = settings_.failure_domain;
   services_.clock = clock;
   services_.random = random;
@@ -85,6 +83,7 @@
             HandleMetrics(request, responder);
           })
           .Build();
+  QObject::connect(&load_timer_, &QTimer::timeout, &load_timer_, [this] { TellLoad(); });
   QObject::connect(&wake_timer_, &QTimer::timeout, &wake_timer_, [this] { WakeWaiting(); });
   QObject::connect(&housekeeping_, &QTimer::timeout, &housekeeping_, [this] { Housekeep(); });
   QObject::connect(&drain_timer_, &QTimer::timeout, &drain_timer_, [this] { CheckDrained(); });
@@ -115,6 +114,7 @@
   }
   feed_.Start();
   housekeeping_.start(kHousekeepingInterval);
+  load_timer_.start(kLoadInterval);
   LogEvent(LogLevel::kInfo, "router_started", {{"listen", settings_.listen.ToString()}});
   return true;
 }
@@ -205,6 +205,27 @@
   }
 }
 
+void ForwardServer::OnPeerLoad(const RouterLoad& load) {
+  std::vector<SentLoad> loads;
+  loads.reserve(load.engines.size());
+  for (const EngineLoad& engine : load.engines) {
+    loads.push_back({engine.engine, engine.incarnation, engine.tokens, engine.tokens});
+  }
+  placement_.PeerSent(load.router, loads, services_.clock());
+}
+
+void ForwardServer::TellLoad() {
+  const Instant now = services_.clock();
+  std::vector<EngineLoad> engines;
+  for (const SentLoad& load : placement_.TakeSentLoads(now)) {
+    engines.push_back({load.backend_id, load.incarnation, load.tokens});
+  }
+  // An empty word says that this router is still there.
+  if (engines.empty() && now - load_told_at_ < kLongestLoadSilence) return;
+  load_told_at_ = now;
+  feed_.TellLoad(engines);
+}
+
 void ForwardServer::Housekeep() {
   services_.pool.Retain(
       [this](std::string_view id) { return feed_.members().Find(id) != nullptr; });
--- a/src/kumquatrouter/forwarding/forward_server.h
+++ b/src/kumquatrouter/forwarding/forward_server.h
@@ -42,6 +42,8 @@
   void OnDocument(const Document& document);
   void OnMember(const MemberRecord& record);
   void OnEngines(const EngineNews& news);
+  void OnPeerLoad(const RouterLoad& load);
+  void TellLoad();
   void ApplyLimits(const CallerLimits& limits);
   void WakeWaiting();
   void Housekeep();
@@ -53,6 +55,7 @@
   Metrics metrics_;
   RepeatBudget budget_;
   ForwardServices services_;
+  PartIndex parts_;
   PromptPlacement placement_;
   std::unique_ptr<BackendClient> client_;
   ControlFeed feed_;
@@ -64,6 +67,8 @@
   Instant drain_began_{0};
   std::function<void()> on_drained_;
   bool is_draining_ = false;
+  Instant load_told_at_{0};
+  QTimer load_timer_;
   QTimer wake_timer_;
   QTimer housekeeping_;
   QTimer drain_timer_;
--- /dev/null
+++ b/src/libs/coordination/forwarding/part_index.cpp
@@ -0,0 +1,85 @@
+#include "coordination/forwarding/part_index.h"
+
+namespace kumquat {
+namespace {
+
+// An expectation that no event confirms within this time was wrong. Events come about 0.1 s late,
+// after a prefill that may wait in a queue.
+constexpr Duration kExpectedFor = std::chrono::milliseconds(1500);
+constexpr std::size_t kMostExpected = 4096;
+
+}  // namespace
+
+bool PartIndex::Apply(const CacheNews& news) {
+  Source& source = sources_[news.source];
+  const bool is_new_epoch = news.epoch != source.epoch;
+  const bool is_whole = news.is_snapshot || news.from == 0;
+  if (!is_new_epoch && news.next <= source.next && !news.is_snapshot) return true;
+  const bool continues = !is_new_epoch && news.from <= source.next;
+  if (!is_whole && !continues) return false;
+  if (is_whole && !continues) {
+    source = {};
+    source.epoch = news.epoch;
+  }
+  source.next = news.next;
+  for (const PartChange& change : news.changes) {
+    source.expected.erase(change.key);
+    if (change.tokens > 0) {
+      source.held[change.key] = change.tokens;
+    } else {
+      source.held.erase(change.key);
+    }
+  }
+  return true;
+}
+
+void PartIndex::Expect(const std::string& source, std::span<const KeyedPart> parts, Instant now) {
+  auto& expected = sources_[source].expected;
+  if (expected.size() > kMostExpected) {
+    std::erase_if(expected, [now](const auto& entry) { return entry.second <= now; });
+  }
+  for (const KeyedPart& part : parts) expected[part.key] = now + kExpectedFor;
+}
+
+bool PartIndex::IsKnown(std::string_view source) const {
+  const auto found = sources_.find(source);
+  return found != sources_.end() && found->second.epoch != 0;
+}
+
+std::int64_t PartIndex::LeadingTokens(std::string_view name, std::span<const KeyedPart> parts,
+                                      Instant now) const {
+  const auto found = sources_.find(name);
+  if (found == sources_.end()) return 0;
+  const Source& source = found->second;
+  std::int64_t tokens = 0;
+  for (const KeyedPart& part : parts) {
+    const auto held = source.held.find(part.key);
+    if (held != source.held.end() && held->second >= part.tokens) {
+      tokens += part.tokens;
+      continue;
+    }
+    const auto expected = source.expected.find(part.key);
+    const bool is_expected = expected != source.expected.end() && now < expected->second;
+    if (is_expected) {
+      tokens += part.tokens;
+      continue;
+    }
+    // A part that is held in part counts as far as it goes, and nothing behind it.
+    if (held != source.held.end()) tokens += held->second;
+    break;
+  }
+  return tokens;
+}
+
+void PartIndex::Forget(std::string_view source) {
+  const auto found = sources_.find(source);
+  if (found != sources_.end()) sources_.erase(found);
+}
+
+std::size_t PartIndex::size() const {
+  std::size_t parts = 0;
+  for (const auto& [name, source] : sources_) parts += source.held.size();
+  return parts;
+}
+
+}  // namespace kumquat
--- a/src/libs/coordination/forwarding/prompt_placement.cpp
+++ b/src/libs/coordination/forwarding/prompt_placement.cpp
@@ -8,15 +8,18 @@
 namespace kumquat {
 namespace {
 
+// Times of saving are all dropped once there are more than this.
+constexpr std::size_t kMostSaved = 20'000;
+
 // Returns the shared parts: all but the request's own.
 std::span<const PromptPart> SharedParts(const Prompt& prompt) {
   const std::span<const PromptPart> parts = prompt.parts;
   return parts.empty() ? parts : parts.first(parts.size() - 1);
 }
 
-std::int64_t SharedTokens(const Prompt& prompt) {
+std::int64_t TokensOf(std::span<const KeyedPart> parts) {
   std::int64_t tokens = 0;
-  for (const PromptPart& part : SharedParts(prompt)) tokens += part.tokens;
+  for (const KeyedPart& part : parts) tokens += part.tokens;
   return tokens;
 }
 
@@ -24,72 +27,82 @@
 // roll-out.
 std::uint64_t RootOf(const Prompt& prompt, std::string_view wall) {
   const std::span<const PromptPart> shared = SharedParts(prompt);
-  const std::string& key = shared.empty() ? prompt.model : shared.back().id;
-  const std::uint64_t seed = XXH3_64bits(wall.data(), wall.size());
-  return XXH3_64bits_withSeed(key.data(), key.size(), seed);
+  return PartKey(wall, shared.empty() ? prompt.model : shared.back().id);
 }
 
-// Keys of saved parts are dropped, oldest versions and all, once there are more than this.
-constexpr std::size_t kMostSaved = 20'000;
-
 }  // namespace
 
-PooledBackend* HomeOf(const Prompt& prompt, std::string_view wall,
-                      std::span<PooledBackend* const> candidates) {
-  const std::uint64_t root = RootOf(prompt, wall);
-  PooledBackend* home = nullptr;
-  std::uint64_t highest = 0;
-  for (PooledBackend* candidate : candidates) {
-    const std::string place = candidate->endpoint.ToString();
-    const std::uint64_t weight = XXH3_64bits_withSeed(place.data(), place.size(), root);
-    if (home && weight <= highest) continue;
-    home = candidate;
-    highest = weight;
-  }
-  return home;
+std::string CacheSaltOf(std::int64_t version, std::string_view wall) {
+  return std::to_string(version) + "." + std::string(wall);
 }
 
 PromptPlacement::PromptPlacement(PromptPlacementOptions options, const NamedWeights* named,
-                                 Random random)
-    : options_(std::move(options)), named_(named), policy_(PlacementOptions{}, std::move(random)) {}
+                                 PartIndex* index, Random random)
+    : options_(options),
+      named_(named),
+      index_(index),
+      policy_(PlacementOptions{}, std::move(random)) {}
 
-std::vector<Candidate> PromptPlacement::CandidatesFor(const Prompt& prompt,
-                                                      const PooledBackend* home,
-                                                      std::span<PooledBackend* const> backends,
-                                                      Instant now) const {
-  const std::int64_t shared = SharedTokens(prompt);
-  const double away_ms = std::chrono::duration<double, std::milli>(options_.away_cost).count();
-  const double away_ms_per_1k =
-      away_ms * 1000 / static_cast<double>(std::max<std::int64_t>(1, shared));
-  std::vector<Candidate> candidates;
-  candidates.reserve(backends.size());
+PromptPlacement::HoldingsByVersion PromptPlacement::FindHoldings(
+    const Prompt& prompt, const PromptSetting& setting, std::span<PooledBackend* const> backends,
+    Instant now) const {
+  HoldingsByVersion by_version;
   for (const PooledBackend* backend : backends) {
-    Candidate candidate;
-    candidate.backend_id = backend->id;
-    candidate.incarnation = backend->incarnation;
-    candidate.failure_domain = backend->failure_domain;
-    candidate.concurrent_requests = backend->slots;
-    candidate.prefill_ms_per_1k_tokens = options_.prefill_ms_per_1k_tokens;
-    if (backend == home) {
-      candidate.cached_tokens = shared;
-    } else {
-      candidate.importable_tokens = shared;
-      candidate.import_ms_per_1k_tokens = options_.fetch_ms_per_1k_tokens + away_ms_per_1k;
+    const std::int64_t version = backend->VersionOf(prompt.model);
+    const auto [entry, is_new] = by_version.try_emplace(version);
+    Holdings& holdings = entry->second;
+    if (is_new) {
+      const std::string salt = CacheSaltOf(version, setting.wall);
+      for (const PromptPart& part : SharedParts(prompt)) {
+        holdings.parts.push_back({PartKey(salt, part.id), part.tokens});
+      }
+      if (setting.store) {
+        holdings.store_tokens =
+            index_->LeadingTokens(setting.store->ToString(), holdings.parts, now);
+      }
     }
-    const auto replaced = named_->ReplacedFor(prompt.model, backend->VersionOf(prompt.model), now);
-    if (replaced && *replaced > options_.old_weights_grace) {
-      candidate.penalty = options_.old_weights_cost;
-    }
-    candidates.push_back(candidate);
+    const std::int64_t tokens = index_->LeadingTokens(backend->id, holdings.parts, now);
+    if (tokens <= holdings.best_tokens) continue;
+    holdings.best = backend;
+    holdings.best_tokens = tokens;
   }
-  return candidates;
+  return by_version;
+}
+
+Candidate PromptPlacement::CandidateFor(const Prompt& prompt, const PooledBackend& backend,
+                                        const Holdings& holdings, Instant now) const {
+  Candidate candidate;
+  candidate.backend_id = backend.id;
+  candidate.incarnation = backend.incarnation;
+  candidate.failure_domain = backend.failure_domain;
+  candidate.concurrent_requests = backend.slots;
+  candidate.prefill_ms_per_1k_tokens = options_.prefill_ms_per_1k_tokens;
+  candidate.cached_tokens = index_->LeadingTokens(backend.id, holdings.parts, now);
+  const std::int64_t most = std::max(holdings.best_tokens, holdings.store_tokens);
+  if (most > candidate.cached_tokens) {
+    const bool from_engine = holdings.best_tokens >= holdings.store_tokens;
+    const double fixed_ms = std::chrono::duration<double, std::milli>(options_.fetch_cost).count();
+    candidate.importable_tokens = most;
+    candidate.import_ms_per_1k_tokens =
+        (from_engine ? options_.fetch_ms_per_1k_tokens : options_.store_fetch_ms_per_1k_tokens) +
+        fixed_ms * 1000 / static_cast<double>(most - candidate.cached_tokens);
+  }
+  const auto replaced = named_->ReplacedFor(prompt.model, backend.VersionOf(prompt.model), now);
+  if (replaced && *replaced > options_.old_weights_grace) {
+    candidate.penalty = options_.old_weights_cost;
+  }
+  return candidate;
 }
 
 PromptChoice PromptPlacement::Choose(const Prompt& prompt, const PromptSetting& setting,
                                      std::span<PooledBackend* const> backends, Instant now) {
-  const bool has_shared = SharedTokens(prompt) > 0;
-  const PooledBackend* home = has_shared ? HomeOf(prompt, setting.wall, backends) : nullptr;
-  const std::vector<Candidate> candidates = CandidatesFor(prompt, home, backends, now);
+  const HoldingsByVersion by_version = FindHoldings(prompt, setting, backends, now);
+  std::vector<Candidate> candidates;
+  candidates.reserve(backends.size());
+  for (const PooledBackend* backend : backends) {
+    const Holdings& holdings = by_version.at(backend->VersionOf(prompt.model));
+    candidates.push_back(CandidateFor(prompt, *backend, holdings, now));
+  }
   PlacementRequest request;
   request.prompt_tokens = prompt.tokens;
   request.prefix_root = RootOf(prompt, setting.wall);
@@ -97,18 +110,22 @@
   if (!choice) return {};
   PromptChoice result;
   result.backend = backends[choice->index];
-  result.dispatch = policy_.Dispatched(candidates[choice->index], request, *choice, now);
-  if (!has_shared) return result;
+  const Candidate& chosen = candidates[choice->index];
+  result.dispatch = policy_.Dispatched(chosen, request, *choice, now);
   const std::int64_t version = result.backend->VersionOf(prompt.model);
-  const bool home_helps = result.backend != home && home->VersionOf(prompt.model) == version;
-  result.fetch_from = home_helps ? home->endpoint : setting.store;
-  if (setting.store && SaveIsDue(prompt, setting, version, now)) result.save_to = setting.store;
+  const Holdings& holdings = by_version.at(version);
+  if (holdings.parts.empty()) return result;
+  if (chosen.importable_tokens > 0) {
+    const bool from_engine = holdings.best_tokens >= holdings.store_tokens;
+    result.fetch_from = from_engine ? holdings.best->endpoint : setting.store;
+  }
+  const bool store_lacks = setting.store && holdings.store_tokens < TokensOf(holdings.parts);
+  if (store_lacks && SaveIsDue(request.prefix_root, version, now)) result.save_to = setting.store;
+  index_->Expect(result.backend->id, holdings.parts, now);
   return result;
 }
 
-bool PromptPlacement::SaveIsDue(const Prompt& prompt, const PromptSetting& setting,
-                                std::int64_t version, Instant now) {
-  const std::uint64_t root = RootOf(prompt, setting.wall);
+bool PromptPlacement::SaveIsDue(std::uint64_t root, std::int64_t version, Instant now) {
   const std::uint64_t key = XXH3_64bits_withSeed(&version, sizeof(version), root);
   if (saved_at_.size() > kMostSaved) saved_at_.clear();
   const auto [entry, is_new] = saved_at_.try_emplace(key, now);
--- a/src/libs/coordination/forwarding/prompt_placement.h
+++ b/src/libs/coordination/forwarding/prompt_placement.h
@@ -1,13 +1,14 @@
 // Chooses the engine for a request whose prompt comes in named parts.
 //
-// Routers agree without talk on where the shared parts of a prompt live: at the engine that
-// rendezvous hashing gives for the last shared part. A request goes there unless it would wait
-// longer than elsewhere, and then its engine fetches the parts from there instead of reading them.
-// Where there is a store of kept cache, parts that may be new to it are saved there, so that
-// engines that start or load get them without reading.
+// The index tells which engine and store holds which parts. An engine that lacks parts fetches them
+// from whoever holds most of them, which costs it a few milliseconds where reading them would cost
+// a hundred and more. Parts that the store of kept cache lacks are saved there, so that engines
+// that start or load get them without reading. Where nobody holds anything, routers agree on an
+// engine by rendezvous hashing of the last shared part.
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <span>
 #include <string>
@@ -17,6 +18,7 @@
 
 #include "coordination/forwarding/backend_pool.h"
 #include "coordination/forwarding/named_weights.h"
+#include "coordination/forwarding/part_index.h"
 #include "coordination/placement/placement.h"
 #include "utils/hooks.h"
 
@@ -41,20 +43,21 @@
 };
 
 struct PromptPlacementOptions {
-  // This router's failure domain.
-  std::string failure_domain;
-  // What an engine reads, until it is measured; the users' sheets say 56.6 tokens a millisecond.
+  // What an engine reads; the users' sheets say 56.6 tokens a millisecond.
   double prefill_ms_per_1k_tokens = 17.7;
   // Fetching from another engine: 18 KB a token over 370 Gbit/s, twice that between domains.
   double fetch_ms_per_1k_tokens = 0.8;
-  // What a choice of another engine than the home costs besides: the fetch itself, and its price.
-  Duration away_cost = std::chrono::milliseconds(12);
+  // Fetching from a store, whose link all engines share: some 50 Gbit/s, twice that between
+  // domains.
+  double store_fetch_ms_per_1k_tokens = 4.0;
+  // What any fetch costs besides.
+  Duration fetch_cost = std::chrono::milliseconds(6);
   // What an answer on replaced weights costs: a fifth of its worth, once they have been replaced
   // for this long.
   Duration old_weights_cost = std::chrono::milliseconds(60);
   Duration old_weights_grace = std::chrono::milliseconds(1200);
-  // Parts are saved again after this, as the store may have dropped them.
-  Duration save_interval = std::chrono::seconds(8);
+  // Parts that the store lacks are saved again after this: its events come late.
+  Duration save_interval = std::chrono::seconds(2);
 };
 
 // What matters about a request beside its prompt.
@@ -78,8 +81,9 @@
 
 class PromptPlacement {
  public:
-  // The names of weights outlive the placement.
-  PromptPlacement(PromptPlacementOptions options, const NamedWeights* named, Random random);
+  // The names of weights and the index outlive the placement.
+  PromptPlacement(PromptPlacementOptions options, const NamedWeights* named, PartIndex* index,
+                  Random random);
 
   // Chooses among the candidates, and notes the request as sent. Nothing when there is no
   // candidate.
@@ -96,20 +100,33 @@
   void SetRouters(std::int64_t routers) { policy_.SetRouters(routers); }
 
  private:
-  std::vector<Candidate> CandidatesFor(const Prompt& prompt, const PooledBackend* home,
-                                       std::span<PooledBackend* const> backends, Instant now) const;
-  bool SaveIsDue(const Prompt& prompt, const PromptSetting& setting, std::int64_t version,
-                 Instant now);
+  // What is known of the shared parts under one version of the weights.
+  struct Holdings {
+    std::vector<KeyedPart> parts;
+    std::int64_t store_tokens = 0;
+    // The engine that holds most of them, and how much.
+    const PooledBackend* best = nullptr;
+    std::int64_t best_tokens = 0;
+  };
+
+  using HoldingsByVersion = std::map<std::int64_t, Holdings>;
+
+  HoldingsByVersion FindHoldings(const Prompt& prompt, const PromptSetting& setting,
+                                 std::span<PooledBackend* const> backends, Instant now) const;
+  Candidate CandidateFor(const Prompt& prompt, const PooledBackend& backend,
+                         const Holdings& holdings, Instant now) const;
+  bool SaveIsDue(std::uint64_t root, std::int64_t version, Instant now);
 
   PromptPlacementOptions options_;
   const NamedWeights* named_;
+  PartIndex* index_;
   PlacementPolicy policy_;
   // When the parts up to the last shared one were last saved, by their key.
   std::unordered_map<std::uint64_t, Instant> saved_at_;
 };
 
-// Returns the engine that holds the prompt's shared parts by agreement; null without candidates.
-PooledBackend* HomeOf(const Prompt& prompt, std::string_view wall,
-                      std::span<PooledBackend* const> candidates);
+// Returns the salt under which engines cache parts: by the version of the weights, and behind a
+// wall by the organisation.
+std::string CacheSaltOf(std::int64_t version, std::string_view wall);
 
 }  // namespace kumquat
--- a/src/libs/coordination/orders/weights_rollout.cpp
+++ b/src/libs/coordination/orders/weights_rollout.cpp
@@ -34,9 +34,9 @@
   return std::nullopt;
 }
 
-std::vector<RolloutAction> WeightsRollout::Advance(
-    std::span<const RolloutEngine> engines, const std::map<std::string, std::int64_t>& named,
-    Instant now) {
+std::vector<RolloutAction> WeightsRollout::Advance(std::span<const RolloutEngine> engines,
+                                                   const std::map<std::string, std::int64_t>& named,
+                                                   Instant now) {
   for (const RolloutEngine& engine : engines) {
     Progress& progress = progress_[engine.id];
     if (progress.incarnation == engine.incarnation) continue;
@@ -44,9 +44,8 @@
     progress.incarnation = engine.incarnation;
   }
   std::erase_if(progress_, [&](const auto& entry) {
-    return std::none_of(engines.begin(), engines.end(), [&](const RolloutEngine& engine) {
-      return engine.id == entry.first;
-    });
+    return std::none_of(engines.begin(), engines.end(),
+                        [&](const RolloutEngine& engine) { return engine.id == entry.first; });
   });
   Begin(engines, named, now);
   std::vector<RolloutAction> actions;
@@ -63,9 +62,8 @@
                            const std::map<std::string, std::int64_t>& named, Instant now) {
   const auto most = std::max<std::int64_t>(
       1, std::llround(std::ceil(options_.at_once * static_cast<double>(engines.size()))));
-  auto busy = std::count_if(progress_.begin(), progress_.end(), [](const auto& entry) {
-    return entry.second.phase != Phase::kIdle;
-  });
+  auto busy = std::count_if(progress_.begin(), progress_.end(),
+                            [](const auto& entry) { return entry.second.phase != Phase::kIdle; });
   std::vector<std::pair<std::int64_t, Progress*>> waiting;
   for (const RolloutEngine& engine : engines) {
     Progress& progress = progress_.at(engine.id);
@@ -83,9 +81,9 @@
   }
 }
 
-std::optional<RolloutAction> WeightsRollout::Step(
-    const RolloutEngine& engine, Progress* progress,
-    const std::map<std::string, std::int64_t>& named, Instant now) {
+std::optional<RolloutAction> WeightsRollout::Step(const RolloutEngine& engine, Progress* progress,
+                                                  const std::map<std::string, std::int64_t>& named,
+                                                  Instant now) {
   if (progress->phase == Phase::kIdle) return std::nullopt;
   const auto need = NeedOf(engine, *progress, named);
   if (!need) {
@@ -159,8 +157,8 @@
                                                          std::int64_t incarnation,
                                                          const std::string& model) const {
   const auto found = progress_.find(id);
-  const bool is_known = found != progress_.end() &&
-                        found->second.incarnation == incarnation && found->second.state;
+  const bool is_known =
+      found != progress_.end() && found->second.incarnation == incarnation && found->second.state;
   if (!is_known) return std::nullopt;
   return VersionIn(found->second.state->weights, model);
 }
--- a/src/libs/coordination/orders/weights_rollout.h
+++ b/src/libs/coordination/orders/weights_rollout.h
@@ -1,8 +1,8 @@
 // Decides which engines load new weights when, after operators named a newer version.
 //
-// Requests on replaced weights lose worth within seconds, so engines load as soon as they can. Only a
-// part of them loads at a time: the others carry the load meanwhile, and loads slow each other down.
-// Engines finish what they run first, so that no stream mixes two versions.
+// Requests on replaced weights lose worth within seconds, so engines load as soon as they can. Only
+// a part of them loads at a time: the others carry the load meanwhile, and loads slow each other
+// down. Engines finish what they run first, so that no stream mixes two versions.
 #pragma once
 
 #include <cstdint>
@@ -91,8 +91,7 @@
   // Takes the engines that may be ordered, and the named version of each model. Returns what to do
   // now; each look and order has to be followed by its outcome.
   std::vector<RolloutAction> Advance(std::span<const RolloutEngine> engines,
-                                     const std::map<std::string, std::int64_t>& named,
-                                     Instant now);
+                                     const std::map<std::string, std::int64_t>& named, Instant now);
 
   // The engine answered a look, or didn't.
   void OnLook(const std::string& id, std::int64_t incarnation,
@@ -103,8 +102,8 @@
   // Returns the engines that take no new requests, as they were ordered to load.
   std::vector<std::string> loading() const;
 
-  // Returns the newest known version of the model on the engine; nothing when it is not known better
-  // than from its announcements.
+  // Returns the newest known version of the model on the engine; nothing when it is not known
+  // better than from its announcements.
   std::optional<std::int64_t> KnownVersion(const std::string& id, std::int64_t incarnation,
                                            const std::string& model) const;
 
--- a/src/libs/protocol/control_news.cpp
+++ b/src/libs/protocol/control_news.cpp
@@ -3,6 +3,7 @@
 #include <QCborArray>
 #include <QCborMap>
 #include <QCborValue>
+#include <QtEndian>
 #include <utility>
 
 namespace kumquat {
@@ -109,6 +110,85 @@
   return items.size() == 1;
 }
 
+// Keys and tokens stand in one byte string: 8 and 4 bytes each, the lowest first.
+constexpr qsizetype kChangeBytes = 12;
+
+QByteArray ChangesToBytes(const std::vector<PartChange>& changes) {
+  QByteArray bytes(static_cast<qsizetype>(changes.size()) * kChangeBytes, Qt::Uninitialized);
+  char* out = bytes.data();
+  for (const PartChange& change : changes) {
+    qToLittleEndian(static_cast<quint64>(change.key), out);
+    qToLittleEndian(static_cast<quint32>(change.tokens), out + sizeof(quint64));
+    out += kChangeBytes;
+  }
+  return bytes;
+}
+
+bool ChangesFromBytes(const QByteArray& bytes, std::vector<PartChange>* changes) {
+  if (bytes.size() % kChangeBytes != 0) return false;
+  for (qsizetype at = 0; at < bytes.size(); at += kChangeBytes) {
+    const char* in = bytes.constData() + at;
+    changes->push_back(
+        {qFromLittleEndian<quint64>(in), qFromLittleEndian<quint32>(in + sizeof(quint64))});
+  }
+  return true;
+}
+
+QCborValue ToCbor(const CacheNews& news) {
+  return QCborArray{Bytes(news.source),
+                    static_cast<qint64>(news.epoch),
+                    static_cast<qint64>(news.from),
+                    static_cast<qint64>(news.next),
+                    news.is_snapshot,
+                    ChangesToBytes(news.changes)};
+}
+
+bool FromCbor(const QCborArray& items, CacheNews* news) {
+  news->source = ToText(items.at(0));
+  news->epoch = items.at(1).toInteger();
+  news->from = items.at(2).toInteger();
+  news->next = items.at(3).toInteger();
+  news->is_snapshot = items.at(4).toBool();
+  return items.size() == 6 && ChangesFromBytes(items.at(5).toByteArray(), &news->changes);
+}
+
+QCborValue ToCbor(const CacheWanted& wanted) {
+  return QCborArray{Bytes(wanted.router), Bytes(wanted.source)};
+}
+
+bool FromCbor(const QCborArray& items, CacheWanted* wanted) {
+  wanted->router = ToText(items.at(0));
+  wanted->source = ToText(items.at(1));
+  return items.size() == 2;
+}
+
+QCborValue ToCbor(const LoadNews& news) {
+  QCborArray routers;
+  for (const RouterLoad& router : news.routers) {
+    QCborArray engines;
+    for (const EngineLoad& load : router.engines) {
+      engines.append(QCborArray{Bytes(load.engine), static_cast<qint64>(load.incarnation),
+                                static_cast<qint64>(load.tokens)});
+    }
+    routers.append(QCborArray{Bytes(router.router), engines});
+  }
+  return QCborArray{routers};
+}
+
+bool FromCbor(const QCborArray& items, LoadNews* news) {
+  for (const QCborValue item : items.at(0).toArray()) {
+    const QCborArray fields = item.toArray();
+    RouterLoad& router = news->routers.emplace_back();
+    router.router = ToText(fields.at(0));
+    for (const QCborValue load_item : fields.at(1).toArray()) {
+      const QCborArray load = load_item.toArray();
+      router.engines.push_back(
+          {ToText(load.at(0)), load.at(1).toInteger(), load.at(2).toInteger()});
+    }
+  }
+  return items.size() == 1;
+}
+
 // Reads the alternative with this number, which is its place in the variant.
 template <std::size_t Index = 0>
 bool AlternativeFromCbor(qint64 number, const QCborArray& items, ControlNews* news) {
--- a/src/libs/protocol/control_news.h
+++ b/src/libs/protocol/control_news.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "protocol/document.h"
+#include "protocol/part_events.h"
 
 namespace kumquat {
 
@@ -55,6 +56,15 @@
   bool operator==(const FleetNews&) const = default;
 };
 
+// What one router has sent to an engine that waits for its first token.
+struct EngineLoad {
+  std::string engine;
+  std::int64_t incarnation = 0;
+  std::int64_t tokens = 0;
+
+  bool operator==(const EngineLoad&) const = default;
+};
+
 // What the leader knows of engines that load weights, or did so lately; newer than what the engines
 // announced.
 struct EngineNews {
@@ -73,7 +83,47 @@
   bool operator==(const EngineNews&) const = default;
 };
 
-using ControlNews = std::variant<RouterHello, DocumentNews, MemberNews, FleetNews, EngineNews>;
+// What a replica read of the parts that an engine or a store holds.
+struct CacheNews {
+  std::string source;
+  // Another one after each start of the source.
+  std::int64_t epoch = 0;
+  // The numbers of the source's events that this covers: up to, but without, `next`. From 0 on
+  // where what was known before doesn't count any more.
+  std::int64_t from = 0;
+  std::int64_t next = 0;
+  // All that is held, instead of changes.
+  bool is_snapshot = false;
+  std::vector<PartChange> changes;
+
+  bool operator==(const CacheNews&) const = default;
+};
+
+// A router asks the replica that told it of a source for all that the source holds.
+struct CacheWanted {
+  std::string router;
+  std::string source;
+
+  bool operator==(const CacheWanted&) const = default;
+};
+
+// What one router has sent to engines that wait for a first token.
+struct RouterLoad {
+  std::string router;
+  std::vector<EngineLoad> engines;
+
+  bool operator==(const RouterLoad&) const = default;
+};
+
+// A router tells one replica its own load, and each replica tells all routers what it was told.
+struct LoadNews {
+  std::vector<RouterLoad> routers;
+
+  bool operator==(const LoadNews&) const = default;
+};
+
+using ControlNews = std::variant<RouterHello, DocumentNews, MemberNews, FleetNews, EngineNews,
+                                 CacheNews, CacheWanted, LoadNews>;
 
 std::string Encode(const ControlNews& news);
 
--- a/src/platform/engine_edge.cpp
+++ b/src/platform/engine_edge.cpp
@@ -75,36 +75,50 @@
   }
 }
 
-// A call that waits 200 ms or more is free.
-constexpr const char* kStoreWaitMs = "800";
+// A read that may wait 200 ms or more is free.
+constexpr const char* kWaitMs = "800";
+constexpr std::size_t kMaxEvents = 100'000;
+constexpr int kTooMany = 429;
 
-BackendCallRequest EncodeStorePoll(const Endpoint& store, std::int64_t since) {
+BackendCallRequest EncodeRead(const Endpoint& source, std::int64_t since) {
   BackendCallRequest request;
-  request.endpoint = store;
+  request.endpoint = source;
   request.method = "GET";
   request.target = "/kv-events?since=" + std::to_string(since);
-  request.headers = {{"Wait-Ms", kStoreWaitMs}};
+  request.headers = {{"Wait-Ms", kWaitMs}};
   return request;
 }
 
-// A store that holds as many calls as it may is alive too.
-std::optional<std::int64_t> DecodeStorePoll(int status, std::string_view body) {
-  constexpr int kTooMany = 429;
-  if (status == kTooMany) return 0;
+// An event is [number, "+" or "-", salt, part, tokens held now, model].
+std::optional<PartEvent> DecodeEvent(const QJsonValue& value) {
+  const QJsonArray items = value.toArray();
+  constexpr qsizetype kItems = 6;
+  if (items.size() < kItems || !items.at(4).isDouble()) return std::nullopt;
+  return PartEvent{items.at(2).toString().toStdString(), items.at(3).toString().toStdString(),
+                   items.at(4).toInteger()};
+}
+
+// A source that holds as many reads as it may is alive too, and tells nothing.
+std::optional<PartEvents> DecodeRead(int status, std::string_view body) {
+  if (status == kTooMany) return PartEvents{};
   const auto json = ParseJsonObject(body);
-  std::int64_t next = 0;
+  PartEvents events;
   JsonFields fields(json.value_or(QJsonObject()));
-  fields.Read("next", &next);
-  if (status != kOk || !fields.ok()) return std::nullopt;
-  return next;
+  fields.Read("bootEpoch", &events.epoch).Read("next", &events.next).Read("lost", &events.has_gap);
+  if (status != kOk) return std::nullopt;
+  for (const QJsonValue& item : fields.Array("events", kMaxEvents)) {
+    auto event = DecodeEvent(item);
+    if (!event) return std::nullopt;
+    events.events.push_back(std::move(*event));
+  }
+  if (!fields.ok()) return std::nullopt;
+  return events;
 }
 
 }  // namespace
 
-StoreCodec MakeStoreCodec() { return {EncodeStorePoll, DecodeStorePoll}; }
+PartEventCodec MakePartEventCodec() { return {EncodeRead, DecodeRead}; }
 
-EngineCodec MakeEngineCodec() {
-  return {EncodeLook, DecodeLook, EncodeOrder, DecodeOrder};
-}
+EngineCodec MakeEngineCodec() { return {EncodeLook, DecodeLook, EncodeOrder, DecodeOrder}; }
 
 }  // namespace kumquat::platform
