--- a/src/libs/coordination/forwarding/forward_request.cpp
+++ b/src/libs/coordination/forwarding/forward_request.cpp
@@ -45,7 +45,7 @@
     if (!may_wait) GiveUp(ErrorKind::kBackendServerFailed);
     return;
   }
-  if (arrivals_ > 0 && !hooks_.try_repeat()) {
+  if (arrivals_ > 0 && !std::exchange(repeat_is_paid_, false) && !hooks_.try_repeat()) {
     GiveUp(ErrorKind::kBackendServerFailed);
     return;
   }
@@ -67,9 +67,12 @@
   // An answer that goes on with another one keeps the head of the first.
   const bool is_failure = head.status >= kFirstServerError || LooksLikePromise(head.status);
   const bool breaks_stream = is_relaying_ && !IsSuccess(head.status);
-  const bool can_repeat = MayGoOn() && runs_ + 1 < policy_.attempts;
   const bool is_false_promise = LooksLikePromise(head.status) && !policy_.may_repeat;
-  if (!head.is_genuine || breaks_stream || (is_failure && can_repeat) || is_false_promise) {
+  // A failure that the backend server answered is passed on unless another run is sure to follow.
+  const bool repeats = is_failure && !is_relaying_ && MayGoOn() &&
+                       runs_ + 1 < policy_.attempts && hooks_.try_repeat();
+  repeat_is_paid_ = repeats;
+  if (!head.is_genuine || breaks_stream || repeats || is_false_promise) {
     hooks_.cancel(attempt_);
     EndAttempt(Outcome::kMayHaveRun, now);
     return;
--- a/src/libs/coordination/forwarding/forward_request.h
+++ b/src/libs/coordination/forwarding/forward_request.h
@@ -127,6 +127,8 @@
   // How often the request has reached a backend server, and how often it may have run there.
   std::int64_t arrivals_ = 0;
   std::int64_t runs_ = 0;
+  // The next send was taken from the budget already.
+  bool repeat_is_paid_ = false;
   bool has_head_ = false;
   bool is_relaying_ = false;
   std::optional<std::int64_t> last_event_;
