--- a/src/fakes/engine/main.cpp
+++ b/src/fakes/engine/main.cpp
@@ -4,7 +4,7 @@
 #include <QCoreApplication>
 
 #include "engine/engine_server.h"
-#include "transport/termination_signal.h"
+#include "transport/process_signals.h"
 #include "utils/program.h"
 
 namespace {
@@ -47,6 +47,6 @@
     fmt::print(stderr, "{}\n", server.last_reason());
     return 1;
   }
-  const kumquat::TerminationSignal termination([&server] { server.Leave(); });
+  const kumquat::ProcessSignals signals([&server] { server.Leave(); }, [] {});
   return QCoreApplication::exec();
 }
--- a/src/fakes/weight_store/main.cpp
+++ b/src/fakes/weight_store/main.cpp
@@ -6,7 +6,7 @@
 
 #include "common/fake_settings.h"
 #include "transport/http_server.h"
-#include "transport/termination_signal.h"
+#include "transport/process_signals.h"
 #include "utils/program.h"
 
 namespace kumquat {
@@ -64,7 +64,7 @@
     fmt::print(stderr, "{}\n", server->last_reason());
     return 1;
   }
-  const TerminationSignal termination([] { QCoreApplication::quit(); });
+  const ProcessSignals signals([] { QCoreApplication::quit(); }, [] {});
   return QCoreApplication::exec();
 }
 
--- a/src/kumquatcontrol/cache_keeper.h
+++ b/src/kumquatcontrol/cache_keeper.h
@@ -13,8 +13,8 @@
 #include <unordered_map>
 #include <vector>
 
-#include "protocol/part_events.h"
 #include "protocol/control_news.h"
+#include "protocol/part_events.h"
 #include "transport/backend_client.h"
 #include "utils/endpoint.h"
 
@@ -22,7 +22,8 @@
 
 // How a source is asked for its events, as hooks for an interface to fill in.
 struct PartEventCodec {
-  // Asks for events from this number on; the source holds the call for a while where there are none.
+  // Asks for events from this number on; the source holds the call for a while where there are
+  // none.
   std::function<BackendCallRequest(const Endpoint& source, std::int64_t since)> encode_read;
   // Returns nothing for an answer that tells none.
   std::function<std::optional<PartEvents>(int status, std::string_view body)> decode_read;
--- a/src/kumquatcontrol/main.cpp
+++ b/src/kumquatcontrol/main.cpp
@@ -13,10 +13,11 @@
 #include "platform/control_edge.h"
 #include "platform/engine_edge.h"
 #include "state/storage/log_file_storage.h"
-#include "transport/termination_signal.h"
+#include "transport/process_signals.h"
 #include "utils/log.h"
 #include "utils/program.h"
 #include "utils/settings.h"
+#include "utils/settings_watch.h"
 
 namespace kumquat {
 namespace {
@@ -98,6 +99,19 @@
   return hooks;
 }
 
+// Of all settings only the seeds may change while the replica runs.
+void ReloadSeeds(ControlNode& node) {
+  Settings settings;
+  SettingsReader reader;
+  Declare(&settings, &reader);
+  if (!reader.ReadFile(SettingsPath())) {
+    LogEvent(LogLevel::kError, "settings_refused", {{"reason", reader.last_reason()}});
+    return;
+  }
+  LogEvent(LogLevel::kInfo, "settings_reloaded", {{"seeds", settings.seeds.size()}});
+  node.SetSeeds(ReplicasAt(settings.seeds, settings.node.listen.port));
+}
+
 int Main(int argc, char** argv) {
   Settings settings;
   SettingsReader reader;
@@ -114,6 +128,10 @@
   }
   const QCoreApplication application(argc, argv);
   ControlNode node(settings.node, NodeHooks(settings.data_dir));
+  SettingsWatch watch(SettingsPath(), [&node] { ReloadSeeds(node); });
+  // Before the log is read, which may take long. All that was acknowledged is synced, so there is
+  // nothing to wait for at the end.
+  const ProcessSignals signals([] { QCoreApplication::quit(); }, [&watch] { watch.Check(); });
   if (!node.Start()) {
     fmt::print(stderr, "{}: {}\n", kName, node.last_reason());
     return kExitFailed;
@@ -129,8 +147,6 @@
   LogEvent(
       LogLevel::kInfo, "control_started",
       {{"listen", settings.node.listen.ToString()}, {"failure_domain", settings.failure_domain}});
-  // All that was acknowledged is synced, so there is nothing to wait for.
-  const TerminationSignal termination([] { QCoreApplication::quit(); });
   return QCoreApplication::exec();
 }
 
--- a/src/kumquatrouter/forwarding/forward_codec.h
+++ b/src/kumquatrouter/forwarding/forward_codec.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "coordination/forwarding/forward_request.h"
 #include "coordination/forwarding/prompt_placement.h"
@@ -47,6 +48,26 @@
   // Where the engine fetches parts from that it lacks, and where it saves what it read.
   std::optional<Endpoint> fetch_from;
   std::optional<Endpoint> save_to;
+  // The run goes on from this copy.
+  std::optional<RunCopy> copy;
+  // The engine that is to keep a copy of the run while it runs.
+  std::optional<Endpoint> back_up_to;
+};
+
+// A run that is to be stopped and gone on with at another engine.
+struct RunMove {
+  BackendChoice from;
+  Endpoint from_endpoint;
+  Endpoint to;
+  std::string request_id;
+};
+
+// What came of a move.
+struct MoveAnswer {
+  // Under this name the run goes on; empty where there is no such run any more.
+  std::string handle;
+  // The copy arrived at the other engine; else the run can go on where it was only.
+  bool has_arrived = false;
 };
 
 struct ForwardCodec {
@@ -55,6 +76,8 @@
       encode_call;
   std::function<AnswerHead(const CallerRequest& request, int status, const HttpHeaders& headers)>
       decode_head;
+  std::function<BackendCallRequest(const RunMove& move)> encode_move;
+  std::function<MoveAnswer(int status, std::string_view body)> decode_move;
   // Returns the version of the weights that the answer names.
   std::function<std::optional<std::int64_t>(const HttpHeaders& headers)> weights_of;
   // Returns the header fields that are passed on to the caller.
--- a/src/kumquatrouter/forwarding/forward_exchange.cpp
+++ b/src/kumquatrouter/forwarding/forward_exchange.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <utility>
 #include <vector>
 
@@ -15,6 +16,8 @@
 // A connection within one region comes about within milliseconds; a server that is slower is busy
 // beyond what can wait, or gone.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(250);
+// Runs are moved within milliseconds.
+constexpr Duration kMoveTimeout = std::chrono::milliseconds(1000);
 // An answer that is longer is passed on as it comes, and can't be repeated from then on.
 constexpr std::size_t kMaxHeldAnswer = 256 * 1024;
 // Bytes kept for a caller that reads slowly; past them its request is cancelled.
@@ -32,7 +35,7 @@
 double Seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
 std::string_view PathOf(const HttpRequest& request) {
-  return std::string_view(request.target).substr(0, request.target.find('?'));
+  return std::string_view{request.target}.substr(0, request.target.find('?'));
 }
 
 bool IsSuccess(int status) { return status >= kFirstSuccess && status < kFirstRedirect; }
@@ -96,6 +99,7 @@
   policy.is_resumable = route_->is_resumable;
   policy.attempts = route_->attempts;
   policy.deadline = deadline_;
+  policy.caller_has_event = request_.last_event.value_or(0);
   policy.queue_until = received_ + route_->objective / kQueuePartOfObjective;
   return policy;
 }
@@ -104,10 +108,8 @@
   ForwardHooks hooks;
   hooks.choose = [this](std::span<const BackendChoice> avoid) { return Choose(avoid); };
   hooks.try_repeat = [this] { return services_.budget->TryRepeat(service_->name); };
-  hooks.send = [this](std::int64_t number, const BackendChoice& backend,
-                      std::optional<std::int64_t> resume_after) {
-    Send(number, backend, resume_after);
-  };
+  hooks.send = [this](const SendCommand& command) { Send(command); };
+  hooks.find_copy = [this] { return FindCopy(); };
   hooks.cancel = [this](std::int64_t /*number*/) { EndAttempt(); };
   hooks.relay_head = [this](std::int64_t /*number*/) { RelayHead(); };
   hooks.relay_event = [this](std::string_view event) { responder_->Write(event); };
@@ -160,10 +162,6 @@
   return std::nullopt;
 }
 
-std::string ForwardExchange::CacheSalt(const PooledBackend& backend) const {
-  return CacheSaltOf(backend.VersionOf(request_.prompt->model), Wall());
-}
-
 std::string ForwardExchange::Wall() const {
   return organisation_ && organisation_->is_isolated ? organisation_->name : std::string();
 }
@@ -172,19 +170,43 @@
   return organisation_ && organisation_->rank ? *organisation_->rank : route_->rank;
 }
 
+// Returns another engine with the same weights that could go on with the run.
+PooledBackend* ForwardExchange::ChooseCompanion(const PooledBackend& backend) {
+  const std::array<BackendChoice, 1> avoid = {backend.choice()};
+  std::vector<PooledBackend*> others = services_.pool.Candidates(service_->name, avoid, Now());
+  const std::string& model = request_.prompt->model;
+  std::erase_if(others, [&](const PooledBackend* other) {
+    const bool is_usable = Now() >= other->shunned_until && Now() >= other->loading_until;
+    return !is_usable || other->VersionOf(model) != backend.VersionOf(model);
+  });
+  return ChooseLeastBusy(others, services_.failure_domain, services_.random);
+}
+
+// The engine that kept a copy may have gone or loaded other weights since; then it refuses.
+std::optional<RunCopy> ForwardExchange::FindCopy() {
+  if (!last_backup_) return std::nullopt;
+  const PooledBackend* backend = services_.pool.Find(*last_backup_);
+  last_backup_.reset();
+  const bool fits =
+      backend && !backend->is_leaving && backend->VersionOf(request_.prompt->model) == run_weights_;
+  if (!fits) return std::nullopt;
+  return RunCopy{backend->choice(), backend->endpoint, request_.id};
+}
+
 ForwardCall ForwardExchange::CallTo(const PooledBackend& backend,
-                                    std::optional<std::int64_t> resume_after) const {
+                                    const SendCommand& command) const {
   ForwardCall call;
   call.backend = backend.choice();
   call.endpoint = backend.endpoint;
   if (organisation_) call.organisation = organisation_->name;
   // The route's timeout is this router's own; the backend server gets what the caller waits for.
   call.time_left = received_ + request_.time_left.value_or(route_->timeout) - Now();
-  call.resume_after = resume_after;
+  call.resume_after = command.resume_after;
+  call.copy = command.copy;
   call.rank = Rank();
   if (!request_.prompt) return call;
-  call.cache_salt = CacheSalt(backend);
-  call.expected_weights = backend.VersionOf(request_.prompt->model);
+  call.cache_salt = CacheSaltOf(run_weights_, Wall());
+  call.expected_weights = run_weights_;
   if (attempt_->placed) {
     call.fetch_from = attempt_->placed->fetch_from;
     call.save_to = attempt_->placed->save_to;
@@ -201,23 +223,36 @@
   return timeouts;
 }
 
-void ForwardExchange::Send(std::int64_t number, const BackendChoice& choice,
-                           std::optional<std::int64_t> resume_after) {
-  PooledBackend* backend = services_.pool.Find(choice);
-  attempt_.emplace();
+void ForwardExchange::Send(const SendCommand& command) {
+  const std::int64_t number = command.attempt;
+  PooledBackend* backend = services_.pool.Find(command.backend);
+  attempt_ = std::make_unique<Attempt>();
   attempt_->number = number;
-  attempt_->backend = choice;
+  attempt_->backend = command.backend;
   attempt_->placed = std::exchange(placed_, std::nullopt);
   attempt_->sent_at = Now();
+  attempt_->heard_at = attempt_->sent_at;
   services_.pool.OnSent(*backend);
-  BackendCallRequest call = services_.codec.encode_call(request_, CallTo(*backend, resume_after));
+  if (request_.prompt && !command.copy) run_weights_ = backend->VersionOf(request_.prompt->model);
+  ForwardCall forward = CallTo(*backend, command);
+  // A stream that can't begin again is worth a copy, which costs far less than the stream.
+  const bool needs_backup = route_->is_stream && !route_->is_resumable && request_.prompt &&
+                            service_->engine && service_->engine->backs_up_runs;
+  if (PooledBackend* companion = needs_backup ? ChooseCompanion(*backend) : nullptr) {
+    attempt_->backup = companion->choice();
+    forward.back_up_to = companion->endpoint;
+  }
+  BackendCallRequest call = services_.codec.encode_call(request_, forward);
   call.timeouts = Timeouts();
   call.takes_unframed_answer = true;
   // A request that may not be repeated is lost when its server closes the kept connection that
   // moment; on a new one it is known whether it was sent.
   call.new_connection = !route_->may_repeat();
   LogEvent(LogLevel::kDebug, "request_sent",
-           {{"request", request_.id}, {"attempt", number}, {"backend", choice.backend_id}});
+           {{"request", request_.id},
+            {"attempt", number},
+            {"backend", command.backend.backend_id},
+            {"from_copy", command.copy ? "yes" : "no"}});
   attempt_->call = services_.client->Start(std::move(call), CallHooks(number));
 }
 
@@ -241,6 +276,7 @@
 
 void ForwardExchange::OnHeaders(std::int64_t number, int status, const HttpHeaders& headers) {
   if (is_done_ || !attempt_ || attempt_->number != number) return;
+  attempt_->heard_at = Now();
   attempt_->status = status;
   attempt_->headers = headers;
   attempt_->is_event_stream = route_->is_stream && IsSuccess(status);
@@ -255,6 +291,7 @@
 
 void ForwardExchange::OnData(std::int64_t number, std::string_view data) {
   if (is_done_ || !attempt_ || attempt_->number != number) return;
+  attempt_->heard_at = Now();
   if (!attempt_->is_event_stream) {
     attempt_->body += data;
     if (attempt_->body.size() <= kMaxHeldAnswer && !is_head_relayed_) return;
@@ -293,6 +330,11 @@
 void ForwardExchange::OnCallFailed(std::int64_t number, CallFailure failure,
                                    std::string_view reason) {
   if (is_done_ || !attempt_ || attempt_->number != number) return;
+  if (attempt_->move) {
+    // The engine closes the stream when it stops the run; the answer to the move says more.
+    attempt_->failed_in_move = failure;
+    return;
+  }
   LogEvent(
       LogLevel::kInfo, "attempt_failed",
       {{"request", request_.id},
@@ -312,6 +354,8 @@
   if (!attempt_) return;
   Attempt ended = std::move(*attempt_);
   attempt_.reset();
+  last_backup_ = ended.backup;
+  if (ended.move) DestroyLater(std::move(ended.move));
   if (PooledBackend* backend = services_.pool.Find(ended.backend)) {
     services_.pool.OnEnded(*backend);
   }
@@ -319,6 +363,71 @@
   if (ended.call) DestroyLater(std::move(ended.call));
 }
 
+void ForwardExchange::MoveAwayFrom(const BackendChoice& backend) {
+  if (is_done_ || !attempt_ || attempt_->backend != backend || attempt_->move) return;
+  const bool can_move = service_->engine && service_->engine->moves_runs && request_.prompt &&
+                        decisions_->is_relaying();
+  PooledBackend* from = services_.pool.Find(backend);
+  PooledBackend* to = can_move && from ? ChooseCompanion(*from) : nullptr;
+  if (!to) return;
+  const std::int64_t number = attempt_->number;
+  attempt_->move_to = to->choice();
+  BackendCallRequest call =
+      services_.codec.encode_move({backend, from->endpoint, to->endpoint, request_.id});
+  call.timeouts = {kConnectTimeout, kMoveTimeout, kMoveTimeout};
+  struct Answer {
+    int status = 0;
+    std::string body;
+  };
+  const auto answer = std::make_shared<Answer>();
+  const auto weak = weak_from_this();
+  BackendCallHooks hooks;
+  hooks.on_headers = [answer](int status, const HttpHeaders&) { answer->status = status; };
+  hooks.on_data = [answer](std::string_view data) { answer->body += data; };
+  hooks.on_end = [weak, number, answer] {
+    const auto exchange = weak.lock();
+    if (!exchange) return;
+    exchange->OnMoveAnswered(number,
+                             exchange->services_.codec.decode_move(answer->status, answer->body));
+  };
+  hooks.on_failure = [weak, number](CallFailure, std::string_view) {
+    if (const auto exchange = weak.lock()) exchange->OnMoveAnswered(number, {});
+  };
+  attempt_->move = services_.client->Start(std::move(call), std::move(hooks));
+}
+
+void ForwardExchange::OnMoveAnswered(std::int64_t number, const MoveAnswer& answer) {
+  if (is_done_ || !attempt_ || attempt_->number != number) return;
+  DestroyLater(std::move(attempt_->move));
+  const auto failure = attempt_->failed_in_move;
+  const PooledBackend* from = services_.pool.Find(attempt_->backend);
+  const PooledBackend* to = services_.pool.Find(attempt_->move_to);
+  const PooledBackend* goes_on = answer.has_arrived ? to : from;
+  LogEvent(LogLevel::kInfo, "run_moved",
+           {{"request", request_.id},
+            {"from", attempt_->backend.backend_id},
+            {"to", attempt_->move_to.backend_id},
+            {"handle", answer.handle},
+            {"arrived", answer.has_arrived ? "yes" : "no"}});
+  if (!answer.handle.empty() && from && goes_on) {
+    decisions_->OnMoved(number, {goes_on->choice(), from->endpoint, answer.handle}, Now());
+  } else if (failure) {
+    OnCallFailed(number, *failure, "The run ended while it was being moved.");
+  }
+}
+
+std::optional<BackendChoice> ForwardExchange::SilentBackend(Duration silence) const {
+  const bool is_silent =
+      !is_done_ && attempt_ && route_->is_stream && Now() - attempt_->heard_at > silence;
+  return is_silent ? std::optional(attempt_->backend) : std::nullopt;
+}
+
+void ForwardExchange::OnBackendDead(const BackendChoice& backend, Duration silence) {
+  if (SilentBackend(silence) != backend || attempt_->move) return;
+  const bool can_go_on = route_->may_repeat() || attempt_->backup;
+  if (can_go_on) OnCallFailed(attempt_->number, CallFailure::kSilent, "The server is gone.");
+}
+
 void ForwardExchange::RelayHead() {
   if (is_head_relayed_) return;
   is_head_relayed_ = true;
@@ -359,7 +468,7 @@
   services_.metrics->Count("kumquat_forwarded_total", fmt::format("outcome=\"{}\"", outcome));
   LogEvent(LogLevel::kInfo, "request_done",
            {{"request", request_.id},
-            {"route", route_ ? std::string_view(route_->name) : std::string_view("-")},
+            {"route", route_ ? std::string_view{route_->name} : std::string_view{"-"}},
             {"outcome", outcome},
             {"runs", decisions_ ? decisions_->runs() : 0},
             {"seconds", Seconds(Now() - received_)}});
--- a/src/kumquatrouter/forwarding/forward_exchange.h
+++ b/src/kumquatrouter/forwarding/forward_exchange.h
@@ -30,6 +30,17 @@
 
   bool waits() const { return decisions_ && decisions_->waits(); }
 
+  // Moves the stream away from this engine, which is about to load weights or to leave.
+  void MoveAwayFrom(const BackendChoice& backend);
+
+  // Returns the engine that has been silent for this long in the middle of the answer; nothing when
+  // there is none.
+  std::optional<BackendChoice> SilentBackend(Duration silence) const;
+
+  // A new connection to this backend server failed; an attempt that waits for it in vain is given
+  // up where the request can go on elsewhere.
+  void OnBackendDead(const BackendChoice& backend, Duration silence);
+
  private:
   // The attempt in progress.
   struct Attempt {
@@ -43,6 +54,14 @@
     std::string body;
     bool is_event_stream = false;
     Instant sent_at{0};
+    Instant heard_at{0};
+    // The engine that keeps a copy of the run.
+    std::optional<BackendChoice> backup;
+    // The run is being moved.
+    std::unique_ptr<BackendCall> move;
+    BackendChoice move_to;
+    // What became of the attempt while it was being moved.
+    std::optional<CallFailure> failed_in_move;
   };
 
   // Finds route, organisation and service; refuses and returns false where one is missing.
@@ -51,9 +70,11 @@
   ForwardHooks Hooks();
   std::optional<BackendChoice> Choose(std::span<const BackendChoice> avoid);
   std::vector<PooledBackend*> EnginesFor(std::vector<PooledBackend*> candidates) const;
-  void Send(std::int64_t number, const BackendChoice& backend,
-            std::optional<std::int64_t> resume_after);
-  ForwardCall CallTo(const PooledBackend& backend, std::optional<std::int64_t> resume_after) const;
+  void Send(const SendCommand& command);
+  ForwardCall CallTo(const PooledBackend& backend, const SendCommand& command) const;
+  std::optional<RunCopy> FindCopy();
+  PooledBackend* ChooseCompanion(const PooledBackend& backend);
+  void OnMoveAnswered(std::int64_t number, const MoveAnswer& answer);
   CallTimeouts Timeouts() const;
   BackendCallHooks CallHooks(std::int64_t number);
   void OnHeaders(std::int64_t number, int status, const HttpHeaders& headers);
@@ -67,7 +88,6 @@
   void OnCallerGone();
   void Finish(std::string_view outcome);
   std::optional<Duration> RetryAfter() const;
-  std::string CacheSalt(const PooledBackend& backend) const;
   std::string Wall() const;
   std::optional<Endpoint> LiveStore() const;
   std::int64_t Rank() const;
@@ -84,8 +104,12 @@
   Instant received_{0};
   Instant deadline_{0};
   std::optional<ForwardRequest> decisions_;
-  std::optional<Attempt> attempt_;
+  std::unique_ptr<Attempt> attempt_;
   std::optional<PromptChoice> placed_;
+  // The weights that the last run began on; a copy of it goes on with no others.
+  std::int64_t run_weights_ = 0;
+  // The engine that kept a copy of the attempt that ended last.
+  std::optional<BackendChoice> last_backup_;
   QTimer deadline_timer_;
   bool is_head_relayed_ = false;
   bool is_done_ = false;
--- a/src/kumquatrouter/forwarding/forward_server.cpp
+++ b/src/kumquatrouter/forwarding/forward_server.cpp
@@ -13,6 +13,13 @@
 constexpr std::chrono::milliseconds kWakeInterval{15};
 constexpr std::chrono::milliseconds kHousekeepingInterval{1000};
 constexpr std::chrono::milliseconds kLoadInterval{20};
+// A stream that pauses for longer has its engine looked at: events come every few 10 ms, and
+// callers of the sheets take pauses of 400 ms.
+constexpr Duration kSilence = std::chrono::milliseconds(200);
+constexpr std::chrono::milliseconds kSilenceCheckInterval{50};
+// A connection within one region comes about within milliseconds.
+constexpr Duration kProbeTimeout = std::chrono::milliseconds(120);
+constexpr std::chrono::milliseconds kProbePause{300};
 constexpr Duration kLongestLoadSilence = std::chrono::milliseconds(700);
 constexpr std::chrono::milliseconds kDrainPollInterval{20};
 // The balancer asks every second and needs two misses before it sends nothing more; requests still
@@ -31,8 +38,8 @@
 
 }  // namespace
 
-ForwardServer::ForwardServer(ForwardSettings settings, ForwardCodec codec, Clock clock,
-                             Random random)
+ForwardServer::ForwardServer(ForwardSettings settings, ForwardCodec codec, const Clock& clock,
+                             const Random& random)
     : settings_(std::move(settings)),
       budget_(settings_.repeats),
       placement_(PromptPlacementOptions(), &services_.weights, &parts_, random),
@@ -84,6 +91,7 @@
           })
           .Build();
   QObject::connect(&load_timer_, &QTimer::timeout, &load_timer_, [this] { TellLoad(); });
+  QObject::connect(&silence_timer_, &QTimer::timeout, &silence_timer_, [this] { WatchSilence(); });
   QObject::connect(&wake_timer_, &QTimer::timeout, &wake_timer_, [this] { WakeWaiting(); });
   QObject::connect(&housekeeping_, &QTimer::timeout, &housekeeping_, [this] { Housekeep(); });
   QObject::connect(&drain_timer_, &QTimer::timeout, &drain_timer_, [this] { CheckDrained(); });
@@ -115,6 +123,7 @@
   feed_.Start();
   housekeeping_.start(kHousekeepingInterval);
   load_timer_.start(kLoadInterval);
+  silence_timer_.start(kSilenceCheckInterval);
   LogEvent(LogLevel::kInfo, "router_started", {{"listen", settings_.listen.ToString()}});
   return true;
 }
@@ -194,15 +203,50 @@
 }
 
 void ForwardServer::OnEngines(const EngineNews& news) {
+  std::vector<BackendChoice> evacuated;
   for (const EngineNews::Engine& engine : news.engines) {
     PooledBackend* backend = services_.pool.Find({engine.id, engine.incarnation});
     if (!backend) continue;
+    const bool was_loading = services_.clock() < backend->loading_until;
     backend->loading_until = engine.is_loading ? services_.clock() + kLoadingNewsLast : Instant(0);
+    if (engine.is_loading && !was_loading) evacuated.push_back(backend->choice());
     for (const auto& [model, version] : engine.weights) {
       std::int64_t& known = backend->weights[model];
       known = std::max(known, version);
     }
   }
+  // Only now that all are known that can't take anyone in.
+  for (const BackendChoice& backend : evacuated) MoveAwayFrom(backend);
+}
+
+void ForwardServer::MoveAwayFrom(const BackendChoice& backend) {
+  const auto exchanges = exchanges_;
+  for (const auto& exchange : exchanges) exchange->MoveAwayFrom(backend);
+}
+
+// An open connection that fell silent proves nothing; a new one that doesn't come about does.
+void ForwardServer::WatchSilence() {
+  std::set<std::string> silent;
+  for (const auto& exchange : exchanges_) {
+    const auto backend = exchange->SilentBackend(kSilence);
+    if (backend && silent.insert(backend->backend_id).second) Probe(*backend);
+  }
+}
+
+void ForwardServer::Probe(const BackendChoice& backend) {
+  const PooledBackend* pooled = services_.pool.Find(backend);
+  if (!pooled || probes_.contains(backend.backend_id)) return;
+  probes_[backend.backend_id] = StartConnectProbe(
+      pooled->endpoint, kProbeTimeout, [this, backend](ConnectProbeResult result) {
+        QTimer::singleShot(kProbePause, &silence_timer_,
+                           [this, id = backend.backend_id] { probes_.erase(id); });
+        if (result == ConnectProbeResult::kConnected) return;
+        LogEvent(LogLevel::kWarning, "backend_unreachable", {{"backend", backend.backend_id}});
+        PooledBackend* dead = services_.pool.Find(backend);
+        if (dead) BackendPool::OnFailure(*dead, CallFailure::kNotSent, services_.clock());
+        const auto exchanges = exchanges_;
+        for (const auto& exchange : exchanges) exchange->OnBackendDead(backend, kSilence);
+      });
 }
 
 void ForwardServer::OnPeerLoad(const RouterLoad& load) {
--- a/src/kumquatrouter/forwarding/forward_server.h
+++ b/src/kumquatrouter/forwarding/forward_server.h
@@ -3,6 +3,7 @@
 
 #include <QTimer>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -12,6 +13,7 @@
 #include "forwarding/forward_exchange.h"
 #include "forwarding/forward_services.h"
 #include "forwarding/forward_settings.h"
+#include "transport/connect_probe.h"
 #include "transport/http_server.h"
 #include "utils/endpoint.h"
 
@@ -19,7 +21,8 @@
 
 class ForwardServer {
  public:
-  ForwardServer(ForwardSettings settings, ForwardCodec codec, Clock clock, Random random);
+  ForwardServer(ForwardSettings settings, ForwardCodec codec, const Clock& clock,
+                const Random& random);
   ~ForwardServer();
 
   // False when an address can't be had, with last_reason().
@@ -44,6 +47,9 @@
   void OnEngines(const EngineNews& news);
   void OnPeerLoad(const RouterLoad& load);
   void TellLoad();
+  void MoveAwayFrom(const BackendChoice& backend);
+  void WatchSilence();
+  void Probe(const BackendChoice& backend);
   void ApplyLimits(const CallerLimits& limits);
   void WakeWaiting();
   void Housekeep();
@@ -69,6 +75,9 @@
   bool is_draining_ = false;
   Instant load_told_at_{0};
   QTimer load_timer_;
+  QTimer silence_timer_;
+  // New connections to backend servers that went silent, by their id.
+  std::map<std::string, std::unique_ptr<ConnectProbe>> probes_;
   QTimer wake_timer_;
   QTimer housekeeping_;
   QTimer drain_timer_;
--- a/src/kumquatrouter/main.cpp
+++ b/src/kumquatrouter/main.cpp
@@ -6,9 +6,10 @@
 #include "platform/front_edge.h"
 #include "router.h"
 #include "router_settings.h"
-#include "transport/termination_signal.h"
+#include "transport/process_signals.h"
 #include "utils/log.h"
 #include "utils/program.h"
+#include "utils/settings_watch.h"
 
 namespace kumquat {
 namespace {
@@ -16,17 +17,32 @@
 constexpr char kPurpose[] = "Routes callers' requests to backend servers.";
 constexpr int kExitNoAddress = 1;
 
-// Starts the server, and drains it when the process is asked to end.
+// Starts the server, drains it when the process is asked to end, and tells it of changed settings.
 template <typename Server>
-int Run(Server& server) {
+int Run(Server& server, std::function<void()> reload) {
+  SettingsWatch settings(SettingsPath(), std::move(reload));
+  const ProcessSignals signals([&] { server.Drain([] { QCoreApplication::quit(); }); },
+                               [&] { settings.Check(); });
   if (!server.Start()) {
     LogEvent(LogLevel::kError, "start_failed", {{"reason", server.last_reason()}});
     return kExitNoAddress;
   }
-  const TerminationSignal termination([&] { server.Drain([] { QCoreApplication::quit(); }); });
   return QCoreApplication::exec();
 }
 
+// Of all settings only the control seeds may change while the router runs.
+void ReloadSeeds(ForwardServer& server) {
+  RouterSettings settings;
+  SettingsReader reader = DeclareRouterSettings(&settings);
+  if (!reader.ReadFile(SettingsPath())) {
+    LogEvent(LogLevel::kError, "settings_refused", {{"reason", reader.last_reason()}});
+    return;
+  }
+  const auto seeds = settings.ForForwarding().control_seeds;
+  LogEvent(LogLevel::kInfo, "settings_reloaded", {{"control_seeds", seeds.size()}});
+  server.SetControlSeeds(seeds);
+}
+
 int Main(int argc, char** argv) {
   RouterSettings settings;
   SettingsReader reader = DeclareRouterSettings(&settings);
@@ -41,7 +57,7 @@
   if (settings.forwards()) {
     ForwardServer server(settings.ForForwarding(), platform::MakeForwardCodec(), SteadyClock(),
                          random);
-    return Run(server);
+    return Run(server, [&server] { ReloadSeeds(server); });
   }
   if (settings.control.empty()) {
     LogEvent(LogLevel::kError, "start_failed",
@@ -49,7 +65,7 @@
     return kExitUsage;
   }
   Router router(settings, SteadyClock(), random);
-  return Run(router);
+  return Run(router, [] { LogEvent(LogLevel::kInfo, "settings_need_restart"); });
 }
 
 }  // namespace
--- a/src/libs/coordination/forwarding/forward_request.cpp
+++ b/src/libs/coordination/forwarding/forward_request.cpp
@@ -20,7 +20,7 @@
 }  // namespace
 
 ForwardRequest::ForwardRequest(const ForwardPolicy& policy, ForwardHooks hooks)
-    : policy_(policy), hooks_(std::move(hooks)) {}
+    : policy_(policy), hooks_(std::move(hooks)), last_event_(policy.caller_has_event) {}
 
 bool ForwardRequest::IsCurrent(std::int64_t attempt) const {
   return attempt != 0 && attempt == attempt_ && state_ != State::kDone;
@@ -49,12 +49,26 @@
     GiveUp(ErrorKind::kBackendServerFailed);
     return;
   }
+  Send(*backend, std::nullopt);
+}
+
+void ForwardRequest::Send(const BackendChoice& backend, const std::optional<RunCopy>& copy) {
   state_ = State::kSent;
-  backend_ = *backend;
+  backend_ = backend;
   attempt_ = ++last_attempt_;
   has_head_ = false;
+  is_same_run_ = copy.has_value();
   ++arrivals_;
-  hooks_.send(attempt_, backend_, last_event_);
+  const auto resume_after = is_relaying_ ? std::optional(last_event_) : std::nullopt;
+  hooks_.send({attempt_, backend_, resume_after, copy});
+}
+
+void ForwardRequest::OnMoved(std::int64_t attempt, const RunCopy& copy, Instant /*now*/) {
+  if (!IsCurrent(attempt)) return;
+  hooks_.cancel(attempt_);
+  // Whatever comes of the copy, this run has been.
+  if (!is_same_run_) ++runs_;
+  Send(copy.backend, copy);
 }
 
 void ForwardRequest::OnHead(std::int64_t attempt, const AnswerHead& head, Instant now) {
@@ -69,8 +83,8 @@
   const bool breaks_stream = is_relaying_ && !IsSuccess(head.status);
   const bool is_false_promise = LooksLikePromise(head.status) && !policy_.may_repeat;
   // A failure that the backend server answered is passed on unless another run is sure to follow.
-  const bool repeats = is_failure && !is_relaying_ && MayGoOn() &&
-                       runs_ + 1 < policy_.attempts && hooks_.try_repeat();
+  const bool repeats = is_failure && !is_relaying_ && MayGoOn() && runs_ + 1 < policy_.attempts &&
+                       hooks_.try_repeat();
   repeat_is_paid_ = repeats;
   if (!head.is_genuine || breaks_stream || repeats || is_false_promise) {
     hooks_.cancel(attempt_);
@@ -85,8 +99,8 @@
                              std::string_view event, Instant now) {
   if (!IsCurrent(attempt) || !has_head_) return;
   // What the caller has already is sent again where a run begins earlier than it was asked to.
-  if (id && last_event_ && *id <= *last_event_) return;
-  const bool skips = id && last_event_ && *id != *last_event_ + 1;
+  if (id && *id <= last_event_) return;
+  const bool skips = id && *id != last_event_ + 1;
   if (skips) {
     hooks_.cancel(attempt_);
     EndAttempt(Outcome::kMayHaveRun, now);
@@ -96,7 +110,7 @@
     is_relaying_ = true;
     hooks_.relay_head(attempt_);
   }
-  if (id) last_event_ = id;
+  if (id) last_event_ = *id;
   hooks_.relay_event(event);
 }
 
@@ -124,6 +138,11 @@
   EndAttempt(Outcome::kMayHaveRun, now);
 }
 
+// Returns whether the request may be sent from its beginning.
+bool ForwardRequest::MayRunAgain() const {
+  return runs_ == 0 || (MayGoOn() && runs_ < policy_.attempts);
+}
+
 // Returns whether the request may be sent once more after it may have run.
 bool ForwardRequest::MayGoOn() const {
   if (policy_.is_stream) return policy_.is_resumable || (policy_.may_repeat && !is_relaying_);
@@ -133,25 +152,29 @@
 void ForwardRequest::EndAttempt(Outcome outcome, Instant now) {
   attempt_ = 0;
   avoid_.push_back(backend_);
+  const bool has_time = now < policy_.deadline;
   if (outcome == Outcome::kMayHaveRun) {
-    ++runs_;
-    if (!MayGoOn() || runs_ >= policy_.attempts) {
-      GiveUp(ErrorKind::kOutcomeUnknown);
+    if (!is_same_run_) ++runs_;
+    const auto copy = has_time && policy_.is_stream ? hooks_.find_copy() : std::nullopt;
+    if (copy) {
+      Send(copy->backend, copy);
       return;
     }
   }
-  if (now >= policy_.deadline) {
+  if (!has_time) {
     OnDeadline(now);
-    return;
+  } else if (MayRunAgain()) {
+    TrySend(now);
+  } else {
+    GiveUp(ErrorKind::kOutcomeUnknown);
   }
-  TrySend(now);
 }
 
 void ForwardRequest::OnDeadline(Instant /*now*/) {
   if (state_ == State::kDone) return;
   const bool is_sent = attempt_ != 0;
   if (is_sent) {
-    ++runs_;
+    if (!is_same_run_) ++runs_;
     hooks_.cancel(attempt_);
   }
   GiveUp(ErrorKind::kTimedOut);
--- a/src/libs/coordination/forwarding/forward_request.h
+++ b/src/libs/coordination/forwarding/forward_request.h
@@ -12,6 +12,7 @@
 #include "coordination/requests/backend_choice.h"
 #include "protocol/error_kind.h"
 #include "transport/backend_client.h"
+#include "utils/endpoint.h"
 #include "utils/hooks.h"
 
 namespace kumquat {
@@ -29,6 +30,8 @@
   Instant deadline{0};
   // How long it may wait for a backend server that can take it.
   Instant queue_until{0};
+  // The last event that the caller has of the stream; events are numbered from 1 on without gaps.
+  std::int64_t caller_has_event = 0;
 };
 
 // What the head of an answer says.
@@ -47,16 +50,34 @@
   std::optional<Duration> retry_after;
 };
 
+// A copy of the memory of a run, from which the run can go on.
+struct RunCopy {
+  // The engine that goes on with it.
+  BackendChoice backend;
+  // Where the copy is to be asked for, and under what name.
+  Endpoint holder;
+  std::string handle;
+};
+
+// One sending of the request.
+struct SendCommand {
+  std::int64_t attempt = 0;
+  BackendChoice backend;
+  // A stream that is gone on with begins after this event.
+  std::optional<std::int64_t> resume_after;
+  // The run goes on from this copy instead of beginning again.
+  std::optional<RunCopy> copy;
+};
+
 // What carries the decisions out. None of them may call back into the request before it returns.
 struct ForwardHooks {
   // Chooses a backend server other than those to avoid; nothing when none can take the request now.
   std::function<std::optional<BackendChoice>(std::span<const BackendChoice> avoid)> choose;
   // Takes one repeat from the budget; false when there is none.
   std::function<bool()> try_repeat;
-  // Sends the request; a stream that is gone on with begins after this event.
-  std::function<void(std::int64_t attempt, const BackendChoice& backend,
-                     std::optional<std::int64_t> resume_after)>
-      send;
+  std::function<void(const SendCommand& command)> send;
+  // Returns a copy of the run that has just broken off, kept by another engine while it ran.
+  std::function<std::optional<RunCopy>()> find_copy;
   // Closes the connection of the attempt.
   std::function<void(std::int64_t attempt)> cancel;
   // Passes on the answer of this attempt: its head, one event, its end.
@@ -93,6 +114,9 @@
 
   void OnFailure(std::int64_t attempt, CallFailure failure, Instant now);
 
+  // The run was stopped and its memory moved: it goes on there, as the same run.
+  void OnMoved(std::int64_t attempt, const RunCopy& copy, Instant now);
+
   // The time is over, by the caller's deadline or the route's timeout.
   void OnDeadline(Instant now);
 
@@ -104,7 +128,9 @@
   bool done() const { return state_ == State::kDone; }
   // Returns how often it may have run.
   std::int64_t runs() const { return runs_; }
-  std::optional<std::int64_t> last_event() const { return last_event_; }
+  // Returns the last event that was passed on, or that the caller had before.
+  std::int64_t last_event() const { return last_event_; }
+  bool is_relaying() const { return is_relaying_; }
 
  private:
   enum class State { kNew, kWaiting, kSent, kAnswering, kDone };
@@ -114,6 +140,8 @@
   void TrySend(Instant now);
   void EndAttempt(Outcome outcome, Instant now);
   bool MayGoOn() const;
+  bool MayRunAgain() const;
+  void Send(const BackendChoice& backend, const std::optional<RunCopy>& copy);
   void GiveUp(ErrorKind when_run);
   void Refuse(ErrorKind kind);
 
@@ -129,9 +157,11 @@
   std::int64_t runs_ = 0;
   // The next send was taken from the budget already.
   bool repeat_is_paid_ = false;
+  // The attempt goes on with a run that was counted before.
+  bool is_same_run_ = false;
   bool has_head_ = false;
   bool is_relaying_ = false;
-  std::optional<std::int64_t> last_event_;
+  std::int64_t last_event_ = 0;
 };
 
 }  // namespace kumquat
--- a/src/libs/coordination/forwarding/part_index.cpp
+++ b/src/libs/coordination/forwarding/part_index.cpp
@@ -14,11 +14,11 @@
   Source& source = sources_[news.source];
   const bool is_new_epoch = news.epoch != source.epoch;
   const bool is_whole = news.is_snapshot || news.from == 0;
-  if (!is_new_epoch && news.next <= source.next && !news.is_snapshot) return true;
-  const bool continues = !is_new_epoch && news.from <= source.next;
-  if (!is_whole && !continues) return false;
-  if (is_whole && !continues) {
-    source = {};
+  // Another replica may have told of it before.
+  if (!is_new_epoch && news.next <= source.next) return true;
+  if (!is_whole && (is_new_epoch || news.from > source.next)) return false;
+  if (is_whole) {
+    source.held.clear();
     source.epoch = news.epoch;
   }
   source.next = news.next;
--- a/src/libs/coordination/forwarding/part_index.h
+++ b/src/libs/coordination/forwarding/part_index.h
@@ -8,8 +8,8 @@
 #include <string_view>
 #include <unordered_map>
 
-#include "protocol/part_events.h"
 #include "protocol/control_news.h"
+#include "protocol/part_events.h"
 #include "utils/hooks.h"
 
 namespace kumquat {
--- a/src/libs/protocol/routing_table.cpp
+++ b/src/libs/protocol/routing_table.cpp
@@ -53,7 +53,8 @@
   if (!engine) return nullptr;
   return QCborArray{Number(engine->slots),           Number(engine->memory_tokens),
                     Number(engine->bytes_per_token), Number(engine->link_mbps),
-                    Number(engine->event_reads),     Texts(engine->models)};
+                    Number(engine->event_reads),     engine->moves_runs,
+                    engine->backs_up_runs,           Texts(engine->models)};
 }
 
 QCborValue ToCbor(const std::optional<CacheStore>& store) {
@@ -185,6 +186,8 @@
       .Read(&engine->bytes_per_token)
       .Read(&engine->link_mbps)
       .Read(&engine->event_reads)
+      .Read(&engine->moves_runs)
+      .Read(&engine->backs_up_runs)
       .Read(&engine->models)
       .ok();
 }
--- a/src/libs/protocol/routing_table.h
+++ b/src/libs/protocol/routing_table.h
@@ -73,6 +73,10 @@
   std::int64_t link_mbps = 0;
   // Reads of cache events that one engine holds open at once.
   std::int64_t event_reads = 0;
+  // A run can be stopped and gone on with at another engine.
+  bool moves_runs = false;
+  // Another engine can keep a copy of a run while it runs.
+  bool backs_up_runs = false;
   std::vector<std::string> models;
 
   bool operator==(const EngineProfile&) const = default;
--- a/src/libs/transport/event_splitter.cpp
+++ b/src/libs/transport/event_splitter.cpp
@@ -42,7 +42,7 @@
   buffer_ += bytes;
   std::size_t taken = 0;
   while (true) {
-    const std::string_view rest = std::string_view(buffer_).substr(taken);
+    const std::string_view rest = std::string_view{buffer_}.substr(taken);
     const std::size_t end = EndOfEvent(rest, searched_);
     if (end == std::string_view::npos) {
       // The end may begin with the last two bytes.
--- a/src/libs/transport/termination_signal.cpp
+++ b/src/libs/transport/process_signals.cpp
@@ -1,12 +1,12 @@
-#include "transport/termination_signal.h"
+#include "transport/process_signals.h"
 
-#include <fcntl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <array>
 #include <cerrno>
 #include <csignal>
+#include <utility>
 
 namespace kumquat {
 namespace {
@@ -16,31 +16,34 @@
 
 void OnSignal(int signal) {
   const int saved_errno = errno;
-  const char byte = 1;
+  const char byte = signal == SIGHUP ? 'r' : 't';
   [[maybe_unused]] const auto written = write(signal_sockets[0], &byte, sizeof(byte));
-  // The next one has its default effect.
-  std::signal(signal, SIG_DFL);
+  // The next one to end the process has its default effect.
+  if (signal != SIGHUP) std::signal(signal, SIG_DFL);
   errno = saved_errno;
 }
 
 }  // namespace
 
-TerminationSignal::TerminationSignal(std::function<void()> hook) {
+ProcessSignals::ProcessSignals(std::function<void()> on_terminate,
+                               std::function<void()> on_reload) {
   if (socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, signal_sockets.data()) != 0) return;
   notifier_ = std::make_unique<QSocketNotifier>(signal_sockets[1], QSocketNotifier::Read);
-  QObject::connect(
-      notifier_.get(), &QSocketNotifier::activated, notifier_.get(), [hook = std::move(hook)] {
-        char byte = 0;
-        [[maybe_unused]] const auto count = read(signal_sockets[1], &byte, sizeof(byte));
-        hook();
-      });
+  QObject::connect(notifier_.get(), &QSocketNotifier::activated, notifier_.get(),
+                   [on_terminate = std::move(on_terminate), on_reload = std::move(on_reload)] {
+                     char byte = 0;
+                     if (read(signal_sockets[1], &byte, sizeof(byte)) != sizeof(byte)) return;
+                     (byte == 'r' ? on_reload : on_terminate)();
+                   });
   std::signal(SIGTERM, OnSignal);
   std::signal(SIGINT, OnSignal);
+  std::signal(SIGHUP, OnSignal);
 }
 
-TerminationSignal::~TerminationSignal() {
+ProcessSignals::~ProcessSignals() {
   std::signal(SIGTERM, SIG_DFL);
   std::signal(SIGINT, SIG_DFL);
+  std::signal(SIGHUP, SIG_DFL);
   close(signal_sockets[0]);
   close(signal_sockets[1]);
 }
--- /dev/null
+++ b/src/libs/transport/process_signals.h
@@ -0,0 +1,23 @@
+// Takes the signals that a process is steered by into the event loop.
+#pragma once
+
+#include <QSocketNotifier>
+#include <functional>
+#include <memory>
+
+namespace kumquat {
+
+// Runs the hooks in the event loop: at the first SIGTERM or SIGINT, a second one of which ends the
+// process at once, and at each SIGHUP. One object a process.
+class ProcessSignals {
+ public:
+  ProcessSignals(std::function<void()> on_terminate, std::function<void()> on_reload);
+  ~ProcessSignals();
+  ProcessSignals(const ProcessSignals&) = delete;
+  ProcessSignals& operator=(const ProcessSignals&) = delete;
+
+ private:
+  std::unique_ptr<QSocketNotifier> notifier_;
+};
+
+}  // namespace kumquat
--- a/src/libs/utils/program.cpp
+++ b/src/libs/utils/program.cpp
@@ -20,6 +20,8 @@
 
 }  // namespace
 
+std::string SettingsPath() { return FLAGS_config; }
+
 std::optional<int> StartProgram(int* argc, char*** argv, std::string_view name,
                                 std::string_view version, std::string_view purpose,
                                 SettingsReader& settings) {
--- a/src/platform/configuration.cpp
+++ b/src/platform/configuration.cpp
@@ -79,7 +79,9 @@
       .ReadOptional("kvCapacity", &engine.memory_tokens)
       .ReadOptional("tokenBytes", &engine.bytes_per_token)
       .ReadOptional("linkMbps", &link)
-      .ReadOptional("maxInflight", &engine.event_reads);
+      .ReadOptional("maxInflight", &engine.event_reads)
+      .ReadOptional("moves", &engine.moves_runs)
+      .ReadOptional("backups", &engine.backs_up_runs);
   engine.link_mbps = static_cast<std::int64_t>(link);
   for (const QJsonValue& item : fields.Array("models", kMaxItems)) {
     std::string model;
--- a/src/platform/front_edge.cpp
+++ b/src/platform/front_edge.cpp
@@ -10,6 +10,8 @@
 #include <utility>
 #include <vector>
 
+#include "protocol/json_fields.h"
+
 namespace kumquat::platform {
 namespace {
 
@@ -28,6 +30,8 @@
 constexpr std::string_view kCacheSalt = "Kumquatcross-Cache-Salt";
 constexpr std::string_view kKvFetch = "Kumquatcross-Kv-Fetch";
 constexpr std::string_view kKvSave = "Kumquatcross-Kv-Save";
+constexpr std::string_view kKvFrom = "Kv-From";
+constexpr std::string_view kKvBackup = "Kumquatcross-Kv-Backup";
 constexpr std::string_view kPriority = "Kumquatcross-Request-Priority";
 constexpr std::string_view kNotRun = "Kumquatcross-Not-Run";
 constexpr std::string_view kStamp = "Kumquatcross-Server-Stamp";
@@ -43,12 +47,12 @@
                                       kCacheSalt,
                                       kKvFetch,
                                       kKvSave,
+                                      kKvFrom,
+                                      kKvBackup,
                                       kPriority,
                                       kDeadline,
-                                      std::string_view("Kv-From"),
                                       std::string_view("Kumquatcross-Kv-From"),
                                       std::string_view("Kumquatcross-Kv-Hold"),
-                                      std::string_view("Kumquatcross-Kv-Backup"),
                                       std::string_view("Kumquatcross-Pin-Ms")};
 
 // What concerns one connection only.
@@ -56,6 +60,7 @@
     "Connection", "Keep-Alive",        "Proxy-Connection", "TE",    "Trailer",
     "Upgrade",    "Transfer-Encoding", "Content-Length",   "Expect"};
 
+constexpr int kOk = 200;
 constexpr int kMisdirected = 421;
 constexpr int kFirstError = 300;
 constexpr std::int64_t kLowestPriority = 9;
@@ -164,6 +169,8 @@
   if (call.expected_weights) add(kExpectVersion, std::to_string(*call.expected_weights));
   if (call.fetch_from) add(kKvFetch, call.fetch_from->ToString());
   if (call.save_to) add(kKvSave, call.save_to->ToString());
+  if (call.copy) add(kKvFrom, call.copy->holder.ToString() + "/" + call.copy->handle);
+  if (call.back_up_to) add(kKvBackup, call.back_up_to->ToString());
   return headers;
 }
 
@@ -181,6 +188,28 @@
   return result;
 }
 
+BackendCallRequest EncodeMove(const RunMove& move) {
+  BackendCallRequest request;
+  request.endpoint = move.from_endpoint;
+  request.method = "POST";
+  request.target = "/kv-move";
+  request.headers = {{"Content-Type", "application/json"},
+                     {std::string(kExpectInstance), move.from.backend_id}};
+  // With "last" the run stops before its memory is copied.
+  request.body = ToJsonText(
+      {{"id", ToQString(move.request_id)}, {"to", ToQString(move.to.ToString())}, {"last", true}});
+  return request;
+}
+
+MoveAnswer DecodeMove(int status, std::string_view body) {
+  const auto json = ParseJsonObject(body);
+  MoveAnswer answer;
+  if (!json) return answer;
+  answer.handle = json->value(QLatin1String("handle")).toVariant().toString().toStdString();
+  answer.has_arrived = status == kOk && !answer.handle.empty();
+  return answer;
+}
+
 AnswerHead DecodeHead(const CallerRequest& request, int status, const HttpHeaders& headers) {
   AnswerHead head;
   head.status = status;
@@ -212,6 +241,8 @@
   codec.decode_request = DecodeRequest;
   codec.encode_call = EncodeCall;
   codec.decode_head = DecodeHead;
+  codec.encode_move = EncodeMove;
+  codec.decode_move = DecodeMove;
   codec.weights_of = [](const HttpHeaders& headers) {
     return ParseNumber(HeaderValue(headers, kWeightVersions));
   };
--- /dev/null
+++ b/tests/libs/coordination/forwarding/backend_pool_test.cpp
@@ -0,0 +1,105 @@
+#include "coordination/forwarding/backend_pool.h"
+
+#include <array>
+
+#include "property.h"
+
+namespace kumquat {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+MemberRecord Server(const std::string& id, std::int64_t incarnation = 1, bool leaving = false) {
+  Announcement announcement;
+  announcement.backend_id = id;
+  announcement.service = std::string("s");
+  announcement.incarnation = incarnation;
+  announcement.failure_domain = id.substr(0, 1);
+  announcement.concurrent_requests = 4;
+  announcement.models = {{"m", "", "3"}};
+  announcement.state = leaving ? BackendState::kLeaving : BackendState::kServing;
+  return RecordOf(announcement);
+}
+
+std::vector<std::string> Ids(const std::vector<PooledBackend*>& backends) {
+  std::vector<std::string> ids;
+  ids.reserve(backends.size());
+  for (const PooledBackend* backend : backends) ids.push_back(backend->id);
+  return ids;
+}
+
+using Names = std::vector<std::string>;
+
+TEST_CASE("Servers that leave, are avoided or unreachable get no requests") {
+  BackendPool pool;
+  for (const char* id : {"a1", "a2", "b1"}) pool.Update(Server(id));
+  pool.Update(Server("b2", 1, true));
+  const Instant now = seconds(1);
+  CHECK(Ids(pool.Candidates("s", {}, now)) == Names{"a1", "a2", "b1"});
+  const std::array<BackendChoice, 1> avoid = {BackendChoice{"a1", 1}};
+  CHECK(Ids(pool.Candidates("s", avoid, now)) == Names{"a2", "b1"});
+  BackendPool::OnFailure(*pool.Find({"a2", 1}), CallFailure::kNotSent, now);
+  CHECK(Ids(pool.Candidates("s", {}, now)) == Names{"a1", "b1"});
+  CHECK(Ids(pool.Candidates("s", {}, now + seconds(1))) == Names{"a1", "a2", "b1"});
+  CHECK(pool.Candidates("other", {}, now).empty());
+}
+
+TEST_CASE("Findings never take all servers out") {
+  BackendPool pool;
+  for (const char* id : {"a1", "a2"}) pool.Update(Server(id));
+  const Instant now = seconds(1);
+  for (const char* id : {"a1", "a2"}) {
+    BackendPool::OnFailure(*pool.Find({id, 1}), CallFailure::kSilent, now);
+  }
+  CHECK(pool.Candidates("s", {}, now).size() == 2);
+}
+
+TEST_CASE("A server that fails again and again is left alone for longer, and an answer ends that") {
+  BackendPool pool;
+  pool.Update(Server("a1"));
+  pool.Update(Server("a2"));
+  PooledBackend& server = *pool.Find({"a1", 1});
+  Duration before{0};
+  Instant now = seconds(1);
+  for (int i = 0; i < 12; ++i) {
+    BackendPool::OnFailure(server, CallFailure::kNotSent, now);
+    const Duration shunned = server.shunned_until - now;
+    CHECK(shunned >= before);
+    CHECK(shunned <= seconds(2));
+    before = shunned;
+  }
+  BackendPool::OnAnswer(server, false);
+  CHECK(Ids(pool.Candidates("s", {}, now)) == Names{"a1", "a2"});
+}
+
+TEST_CASE("A new incarnation begins without the findings of the one before") {
+  BackendPool pool;
+  pool.Update(Server("a1", 1));
+  BackendPool::OnFailure(*pool.Find({"a1", 1}), CallFailure::kNotSent, seconds(1));
+  pool.Update(Server("a1", 2));
+  CHECK(!pool.Find({"a1", 1}));
+  CHECK(pool.Find({"a1", 2})->failures == 0);
+  CHECK(pool.Find({"a1", 2})->VersionOf("m") == 3);
+  // A late word of the dead one changes nothing.
+  pool.Update(Server("a1", 1, true));
+  CHECK(Ids(pool.Candidates("s", {}, seconds(1))) == Names{"a1"});
+}
+
+TEST_CASE("The least busy server is chosen, the nearer one among equals, seldom a failing one") {
+  BackendPool pool;
+  for (const char* id : {"a1", "a2", "b1"}) pool.Update(Server(id));
+  const auto choose = [&](const std::string& domain) {
+    const auto candidates = pool.Candidates("s", {}, seconds(1));
+    return ChooseLeastBusy(candidates, domain, [] { return std::uint64_t{1}; })->id;
+  };
+  CHECK(choose("b") == "b1");
+  pool.Find({"b1", 1})->in_flight = 8;
+  CHECK(choose("b") != "b1");
+  pool.Find({"a1", 1})->failing = 0.5;
+  CHECK(choose("a") == "a2");
+  CHECK(ChooseLeastBusy({}, "a", [] { return std::uint64_t{1}; }) == nullptr);
+}
+
+}  // namespace
+}  // namespace kumquat
--- /dev/null
+++ b/tests/libs/coordination/forwarding/prompt_placement_test.cpp
@@ -0,0 +1,141 @@
+#include "coordination/forwarding/prompt_placement.h"
+
+#include <random>
+
+#include "property.h"
+
+namespace kumquat {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const Endpoint kStore{"10.9.9.9", 80};
+
+// Engines with weights of version 1, and a router that places on them.
+struct Fixture {
+  explicit Fixture(int engines) {
+    for (int i = 0; i < engines; ++i) {
+      Announcement announcement;
+      announcement.backend_id = "e" + std::to_string(i);
+      announcement.service = "lm";
+      announcement.endpoint = {"10.0.0." + std::to_string(i + 1), 80};
+      announcement.concurrent_requests = 64;
+      announcement.models = {{"m", "", "1"}};
+      pool.Update(RecordOf(announcement));
+    }
+  }
+
+  PromptChoice Choose(const Prompt& prompt, const PromptSetting& setting = {"", kStore}) {
+    const auto candidates = pool.Candidates("lm", {}, now);
+    return placement.Choose(prompt, setting, candidates, now);
+  }
+
+  // The source holds these parts, as its events say.
+  void Holds(const std::string& source, const std::vector<std::string>& parts,
+             std::int64_t version = 1) {
+    CacheNews news{source, 1, 0, static_cast<std::int64_t>(parts.size()), true, {}};
+    for (const std::string& part : parts) {
+      news.changes.push_back({PartKey(CacheSaltOf(version, ""), part), 3000});
+    }
+    index.Apply(news);
+  }
+
+  std::mt19937_64 generator{1};
+  Instant now = seconds(10);
+  BackendPool pool;
+  NamedWeights named;
+  PartIndex index;
+  PromptPlacement placement{{}, &named, &index, [this] { return generator(); }};
+};
+
+Prompt PromptOf(const std::string& session, const std::string& own) {
+  Prompt prompt;
+  prompt.model = "m";
+  prompt.parts = {{"common", 3000}, {session, 3000}, {own, 1000}};
+  prompt.tokens = 7000;
+  return prompt;
+}
+
+TEST_CASE("A request goes where its shared parts are") {
+  Fixture fixture(6);
+  fixture.Holds("e4", {"common", "s1"});
+  fixture.Holds("e2", {"common"});
+  const PromptChoice choice = fixture.Choose(PromptOf("s1", "own"));
+  CHECK(choice.backend->id == "e4");
+  CHECK(!choice.fetch_from);
+}
+
+TEST_CASE("A queue is worth a fetch, and what is fetched comes from who holds most") {
+  Fixture fixture(3);
+  fixture.Holds("e0", {"common", "s1"});
+  PromptChoice choice;
+  for (int i = 0; i < 5; ++i) choice = fixture.Choose(PromptOf("s1", "own" + std::to_string(i)));
+  CHECK(choice.backend->id != "e0");
+  int at_home = 0;
+  for (int i = 5; i < 35; ++i) {
+    choice = fixture.Choose(PromptOf("s1", "own" + std::to_string(i)));
+    at_home += choice.backend->id == "e0" ? 1 : 0;
+  }
+  // One hot session is carried by all engines.
+  CHECK(at_home < 20);
+}
+
+TEST_CASE("Parts come from the store where no engine has them, and go there where it lacks them") {
+  Fixture fixture(3);
+  PromptChoice first = fixture.Choose(PromptOf("s1", "own1"));
+  CHECK(first.save_to == kStore);
+  CHECK(!first.fetch_from);
+  fixture.now += seconds(5);
+  fixture.Holds(kStore.ToString(), {"common", "s1"});
+  const PromptChoice second = fixture.Choose(PromptOf("s1", "own2"));
+  CHECK(second.fetch_from == kStore);
+  CHECK(!second.save_to);
+  // Without a store nothing is fetched or saved.
+  fixture.now += seconds(5);
+  const PromptChoice third = fixture.Choose(PromptOf("s2", "own3"), {"", std::nullopt});
+  CHECK(!third.fetch_from);
+  CHECK(!third.save_to);
+}
+
+TEST_CASE("What was cached under other weights or behind a wall is not counted on") {
+  Fixture fixture(2);
+  fixture.Holds("e1", {"common", "s1"}, 7);
+  CHECK(!fixture.Choose(PromptOf("s1", "own"), {"", std::nullopt}).fetch_from);
+  Fixture walled(2);
+  walled.Holds("e0", {"common", "s1"});
+  walled.Holds("e1", {"common", "s1"});
+  CHECK(!walled.Choose(PromptOf("s1", "own"), {"workshop", std::nullopt}).fetch_from);
+  CHECK(CacheSaltOf(1, "a") != CacheSaltOf(1, "b"));
+  CHECK(CacheSaltOf(1, "a") != CacheSaltOf(2, "a"));
+}
+
+TEST_CASE("Engines with replaced weights are spared once that costs the caller") {
+  Fixture fixture(2);
+  fixture.pool.Find({"e0", 0})->weights["m"] = 2;
+  fixture.named.Learn("m", 2, fixture.now);
+  fixture.now += seconds(3);
+  int on_new = 0;
+  for (int i = 0; i < 10; ++i) {
+    const PromptChoice choice = fixture.Choose(PromptOf("s" + std::to_string(i), "own"));
+    on_new += choice.backend->id == "e0" ? 1 : 0;
+    fixture.placement.Ended(choice.dispatch, fixture.now);
+    fixture.now += milliseconds(300);
+  }
+  CHECK(on_new == 10);
+}
+
+TEST_CASE("Weights count as replaced since the first newer version was named") {
+  NamedWeights named;
+  CHECK(!named.ReplacedFor("m", 1, seconds(9)));
+  named.Learn("m", 2, seconds(3));
+  named.Learn("m", 4, seconds(5));
+  CHECK(named.ReplacedFor("m", 1, seconds(9)) == seconds(6));
+  CHECK(named.ReplacedFor("m", 3, seconds(9)) == seconds(4));
+  CHECK(!named.ReplacedFor("m", 4, seconds(9)));
+  named.Learn("m", 2, seconds(8));
+  CHECK(named.ReplacedFor("m", 1, seconds(9)) == seconds(6));
+}
+
+}  // namespace
+}  // namespace kumquat
--- /dev/null
+++ b/tests/libs/coordination/forwarding/repeat_budget_test.cpp
@@ -0,0 +1,75 @@
+// Repeats of many routers that restart, against what the service allows in any stretch of time.
+#include "coordination/forwarding/repeat_budget.h"
+
+#include <deque>
+#include <memory>
+#include <vector>
+
+#include "property.h"
+#include "utils/hooks.h"
+
+namespace kumquat {
+namespace {
+
+constexpr RepeatAllowance kAllowance{0.2, 54};
+constexpr Duration kWindow = std::chrono::seconds(10);
+
+TEST_CASE("Repeats of all routers stay within the allowance in any window, also over restarts") {
+  std::int64_t repeats_made = 0;
+  CheckProperty("repeats in any window", [&] {
+    const auto routers = *rc::gen::inRange<std::size_t>(1, 12);
+    std::vector<std::unique_ptr<RepeatBudget>> budgets(routers);
+    const auto restart = [&](std::size_t router) {
+      budgets[router] = std::make_unique<RepeatBudget>(kAllowance);
+      budgets[router]->SetRouters(static_cast<std::int64_t>(routers));
+    };
+    for (std::size_t i = 0; i < routers; ++i) restart(i);
+    struct Step {
+      Instant at;
+      bool is_repeat;
+    };
+    std::deque<Step> window;
+    std::int64_t requests = 0;
+    std::int64_t repeats = 0;
+    Instant now{0};
+    const auto steps = *rc::gen::container<std::vector<int>>(1500, rc::gen::inRange(0, 1000));
+    for (const int step : steps) {
+      now += std::chrono::milliseconds(step % 40);
+      const auto router = static_cast<std::size_t>(step) % routers;
+      if (step % 97 == 0) restart(router);
+      const bool is_repeat = step % 2 == 0;
+      if (is_repeat && !budgets[router]->TryRepeat("s")) continue;
+      if (!is_repeat) budgets[router]->OnRequest("s");
+      window.push_back({now, is_repeat});
+      (is_repeat ? repeats : requests) += 1;
+      repeats_made += is_repeat ? 1 : 0;
+      while (window.front().at <= now - kWindow) {
+        (window.front().is_repeat ? repeats : requests) -= 1;
+        window.pop_front();
+      }
+      const double allowed = kAllowance.ratio * static_cast<double>(requests) + kAllowance.slack;
+      RC_ASSERT(static_cast<double>(repeats) <= allowed);
+    }
+  });
+  CHECK(repeats_made > 1000);
+}
+
+TEST_CASE("A budget begins empty, and each service has its own") {
+  RepeatBudget budget(kAllowance);
+  CHECK(!budget.TryRepeat("a"));
+  for (int i = 0; i < 5; ++i) budget.OnRequest("a");
+  CHECK(budget.TryRepeat("a"));
+  CHECK(!budget.TryRepeat("a"));
+  CHECK(!budget.TryRepeat("b"));
+}
+
+TEST_CASE("What was saved up shrinks when there are more routers") {
+  RepeatBudget budget(kAllowance);
+  for (int i = 0; i < 1000; ++i) budget.OnRequest("a");
+  budget.SetRouters(100);
+  CHECK(budget.TryRepeat("a"));
+  CHECK(!budget.TryRepeat("a"));
+}
+
+}  // namespace
+}  // namespace kumquat
--- /dev/null
+++ b/tests/libs/coordination/forwarding/route_index_test.cpp
@@ -0,0 +1,85 @@
+#include "coordination/forwarding/route_index.h"
+
+#include <algorithm>
+
+#include "property.h"
+#include "protocol/key_digest.h"
+
+namespace kumquat {
+namespace {
+
+Route RouteAt(const std::string& host, const std::string& prefix) {
+  Route route;
+  route.name = host + prefix;
+  route.host = host;
+  route.path_prefix = prefix;
+  route.services = {{"s", 1}};
+  return route;
+}
+
+TEST_CASE("The longest prefix that begins the path counts") {
+  RoutingTable table;
+  table.routes = {RouteAt("a.example", "/x/"), RouteAt("a.example", "/x/y/"),
+                  RouteAt("b.example", "/")};
+  const RouteIndex index(table);
+  const auto name_of = [&](std::string_view host, std::string_view path) {
+    const Route* route = index.FindRoute(host, path);
+    return route ? route->name : std::string("-");
+  };
+  CHECK(name_of("a.example", "/x/y/z") == "a.example/x/y/");
+  CHECK(name_of("A.Example:8080", "/x/yz") == "a.example/x/");
+  CHECK(name_of("a.example", "/x/") == "a.example/x/");
+  CHECK(name_of("a.example", "/x") == "-");
+  CHECK(name_of("a.example", "/xy/") == "-");
+  CHECK(name_of("a.example", "/") == "-");
+  CHECK(name_of("b.example", "/anything") == "b.example/");
+  CHECK(name_of("c.example", "/x/") == "-");
+  CHECK(name_of("a.example", "") == "-");
+}
+
+TEST_CASE("Lookups agree with a plain search") {
+  CheckProperty("longest prefix", [] {
+    const auto any_path = rc::gen::map(
+        rc::gen::container<std::vector<int>>(*rc::gen::inRange(0, 4), rc::gen::inRange(0, 3)),
+        [](const std::vector<int>& parts) {
+          std::string path = "/";
+          for (const int part : parts) path += std::string(1, static_cast<char>('a' + part)) + "/";
+          return path;
+        });
+    RoutingTable table;
+    for (const std::string& prefix : *rc::gen::container<std::vector<std::string>>(6, any_path)) {
+      table.routes.push_back(RouteAt("h", prefix));
+    }
+    const RouteIndex index(table);
+    const std::string path = *any_path + *rc::gen::element<std::string>("", "a", "b");
+    std::size_t longest = 0;
+    for (const Route& route : table.routes) {
+      if (path.starts_with(route.path_prefix)) {
+        longest = std::max(longest, route.path_prefix.size());
+      }
+    }
+    const Route* found = index.FindRoute("h", path);
+    RC_ASSERT((found ? found->path_prefix.size() : 0) == longest);
+  });
+}
+
+TEST_CASE("A key names its organisation, and services are picked by weight") {
+  RoutingTable table;
+  table.organisations = {{"workshop", {KeyDigest("k1"), KeyDigest("k2")}, {}, false}};
+  Route route = RouteAt("h", "/");
+  route.services = {{"never", 0}, {"often", 3}, {"seldom", 1}};
+  const RouteIndex index(table);
+  CHECK(index.FindOrganisation("k2")->name == "workshop");
+  CHECK(!index.FindOrganisation("k3"));
+  CHECK(!index.FindOrganisation(""));
+  std::map<std::string, int> picked;
+  for (std::uint64_t draw = 0; draw < 400; ++draw) {
+    ++picked[RouteIndex::PickService(route, [draw] { return draw; })];
+  }
+  CHECK(picked["never"] == 0);
+  CHECK(picked["often"] == 300);
+  CHECK(picked["seldom"] == 100);
+}
+
+}  // namespace
+}  // namespace kumquat
