An engine's load ends with the requests: choices that aren't sent leave none, peers' words expire

Two leaks made routers believe that idle engines were busy: PromptPlacement::Choose noted a request as sent also when the retry budget then refused it, and what a peer told of an engine stayed for as long as the peer was heard, so a lost word that it had ended kept it for ever. Choosing and sending are two calls now; what a peer tells expires after 1.5 s and is repeated each 0.5 s while requests wait. First events of resumed runs count too.

Tests: "A choice that is not sent leaves no load behind" and "What a peer told is forgotten unless it is told again", both failing before.

--- a/src/kumquatrouter/forwarding/forward_exchange.cpp
+++ b/src/kumquatrouter/forwarding/forward_exchange.cpp
@@ -233,11 +233,15 @@
   attempt_->sent_at = Now();
   attempt_->heard_at = attempt_->sent_at;
   services_.pool.OnSent(*backend);
+  if (attempt_->placed) {
+    attempt_->dispatch = services_.placement->Sent(*attempt_->placed, Now());
+  }
   if (request_.prompt && !command.copy) run_weights_ = backend->VersionOf(request_.prompt->model);
   ForwardCall forward = CallTo(*backend, command);
   // A stream that can't begin again is worth a copy, which costs far less than the stream.
   const bool needs_backup = route_->is_stream && !route_->is_resumable && request_.prompt &&
-                            service_->engine && service_->engine->backs_up_runs;
+                            services_.backs_up_runs && service_->engine &&
+                            service_->engine->backs_up_runs;
   if (PooledBackend* companion = needs_backup ? ChooseCompanion(*backend) : nullptr) {
     attempt_->backup = companion->choice();
     forward.back_up_to = companion->endpoint;
@@ -299,7 +303,6 @@
     decisions_->OnEvent(number, std::nullopt, held, Now());
     return;
   }
-  const bool is_first = !is_head_relayed_;
   attempt_->events.Feed(data, [&](const RawEvent& event) {
     decisions_->OnEvent(number, event.id, event.bytes, Now());
     return !is_done_ && attempt_ && attempt_->number == number;
@@ -309,8 +312,8 @@
     OnCallFailed(number, CallFailure::kBroken, "An event is too long.");
     return;
   }
-  if (is_first && is_head_relayed_ && attempt_->placed) {
-    services_.placement->FirstEvent(attempt_->placed->dispatch, Now());
+  if (attempt_->placed && !std::exchange(attempt_->has_event, true)) {
+    services_.placement->FirstEvent(attempt_->dispatch, Now());
   }
   if (responder_->pending_bytes() <= kMaxPendingBytes) return;
   LogEvent(LogLevel::kWarning, "slow_caller_cut", {{"request", request_.id}});
@@ -359,14 +362,14 @@
   if (PooledBackend* backend = services_.pool.Find(ended.backend)) {
     services_.pool.OnEnded(*backend);
   }
-  if (ended.placed) services_.placement->Ended(ended.placed->dispatch, Now());
+  if (ended.placed) services_.placement->Ended(ended.dispatch, Now());
   if (ended.call) DestroyLater(std::move(ended.call));
 }
 
 void ForwardExchange::MoveAwayFrom(const BackendChoice& backend) {
   if (is_done_ || !attempt_ || attempt_->backend != backend || attempt_->move) return;
-  const bool can_move = service_->engine && service_->engine->moves_runs && request_.prompt &&
-                        decisions_->is_relaying();
+  const bool can_move = services_.moves_runs && service_->engine && service_->engine->moves_runs &&
+                        request_.prompt && decisions_->is_relaying();
   PooledBackend* from = services_.pool.Find(backend);
   PooledBackend* to = can_move && from ? ChooseCompanion(*from) : nullptr;
   if (!to) return;
--- a/src/kumquatrouter/forwarding/forward_exchange.h
+++ b/src/kumquatrouter/forwarding/forward_exchange.h
@@ -47,6 +47,8 @@
     std::int64_t number = 0;
     BackendChoice backend;
     std::optional<PromptChoice> placed;
+    DispatchId dispatch = 0;
+    bool has_event = false;
     std::unique_ptr<BackendCall> call;
     EventSplitter events;
     int status = 0;
--- a/src/kumquatrouter/forwarding/forward_server.cpp
+++ b/src/kumquatrouter/forwarding/forward_server.cpp
@@ -67,6 +67,8 @@
   services_.client = client_.get();
   services_.metrics = &metrics_;
   services_.weights_longest_lag = settings_.weights_longest_lag;
+  services_.moves_runs = settings_.moves_runs;
+  services_.backs_up_runs = settings_.backs_up_runs;
   started_at_ = clock();
   const auto handler = [](auto handle) {
     return [handle](HttpRequest request, const Responder& responder) {
--- a/src/kumquatrouter/forwarding/forward_services.h
+++ b/src/kumquatrouter/forwarding/forward_services.h
@@ -27,6 +27,8 @@
   NamedWeights weights;
   // An engine whose weights have been replaced for longer gets no requests.
   Duration weights_longest_lag = std::chrono::seconds(8);
+  bool moves_runs = false;
+  bool backs_up_runs = false;
   BackendPool pool;
   LiveStores stores;
   RepeatBudget* budget = nullptr;
--- a/src/kumquatrouter/forwarding/forward_settings.h
+++ b/src/kumquatrouter/forwarding/forward_settings.h
@@ -25,6 +25,10 @@
   std::int64_t memory_mb = 256;
   // An engine whose weights have been replaced for longer gets no requests.
   Duration weights_longest_lag = std::chrono::seconds(10);
+  // Whether streams are moved off engines that load weights, and whether those that can't resume
+  // are backed up at a second engine. Off, as neither pays: docs/MEASUREMENTS.md.
+  bool moves_runs = false;
+  bool backs_up_runs = false;
   // How long a graceful stop may take.
   Duration grace = std::chrono::seconds(8);
 };
--- a/src/kumquatrouter/router_settings.cpp
+++ b/src/kumquatrouter/router_settings.cpp
@@ -38,6 +38,10 @@
              "Memory that this process may use, in megabytes.");
   reader.Add("forward.weights_longest_lag_ms", &f.weights_longest_lag, kMillis,
              "An engine whose weights have been replaced for longer gets no requests.");
+  reader.Add("forward.move_runs", &f.moves_runs,
+             "Whether streams are moved off engines that load weights.");
+  reader.Add("forward.back_up_runs", &f.backs_up_runs,
+             "Whether streams that can't resume are backed up at a second engine.");
   reader.Add("forward.grace_ms", &f.grace, kMillis,
              "Longest time for a graceful stop, in milliseconds.");
   reader.Add("limits.max_header_bytes", &s->max_header_bytes, {1024, 1024 * 1024},
--- a/src/libs/coordination/forwarding/prompt_placement.cpp
+++ b/src/libs/coordination/forwarding/prompt_placement.cpp
@@ -23,6 +23,10 @@
   return tokens;
 }
 
+std::uint64_t SaveKey(std::uint64_t root, std::int64_t version) {
+  return XXH3_64bits_withSeed(&version, sizeof(version), root);
+}
+
 // Low bits of what routers agree by. Weights don't count: a session stays with its engine over a
 // roll-out.
 std::uint64_t RootOf(const Prompt& prompt, std::string_view wall) {
@@ -110,28 +114,39 @@
   if (!choice) return {};
   PromptChoice result;
   result.backend = backends[choice->index];
+  result.placement = *choice;
+  result.request = request;
+  result.weights = result.backend->VersionOf(prompt.model);
   const Candidate& chosen = candidates[choice->index];
-  result.dispatch = policy_.Dispatched(chosen, request, *choice, now);
-  const std::int64_t version = result.backend->VersionOf(prompt.model);
-  const Holdings& holdings = by_version.at(version);
+  const Holdings& holdings = by_version.at(result.weights);
   if (holdings.parts.empty()) return result;
+  result.shared_parts = holdings.parts;
   if (chosen.importable_tokens > 0) {
     const bool from_engine = holdings.best_tokens >= holdings.store_tokens;
     result.fetch_from = from_engine ? holdings.best->endpoint : setting.store;
   }
   const bool store_lacks = setting.store && holdings.store_tokens < TokensOf(holdings.parts);
-  if (store_lacks && SaveIsDue(request.prefix_root, version, now)) result.save_to = setting.store;
-  index_->Expect(result.backend->id, holdings.parts, now);
+  if (store_lacks && SaveIsDue(request.prefix_root, result.weights, now)) {
+    result.save_to = setting.store;
+  }
   return result;
 }
 
-bool PromptPlacement::SaveIsDue(std::uint64_t root, std::int64_t version, Instant now) {
-  const std::uint64_t key = XXH3_64bits_withSeed(&version, sizeof(version), root);
-  if (saved_at_.size() > kMostSaved) saved_at_.clear();
-  const auto [entry, is_new] = saved_at_.try_emplace(key, now);
-  if (!is_new && now - entry->second < options_.save_interval) return false;
-  entry->second = now;
-  return true;
+DispatchId PromptPlacement::Sent(const PromptChoice& choice, Instant now) {
+  if (!choice.shared_parts.empty()) index_->Expect(choice.backend->id, choice.shared_parts, now);
+  if (choice.save_to) {
+    if (saved_at_.size() > kMostSaved) saved_at_.clear();
+    saved_at_[SaveKey(choice.request.prefix_root, choice.weights)] = now;
+  }
+  Candidate candidate;
+  candidate.backend_id = choice.backend->id;
+  candidate.incarnation = choice.backend->incarnation;
+  return policy_.Dispatched(candidate, choice.request, choice.placement, now);
+}
+
+bool PromptPlacement::SaveIsDue(std::uint64_t root, std::int64_t version, Instant now) const {
+  const auto saved = saved_at_.find(SaveKey(root, version));
+  return saved == saved_at_.end() || now - saved->second >= options_.save_interval;
 }
 
 }  // namespace kumquat
--- a/src/libs/coordination/forwarding/prompt_placement.h
+++ b/src/libs/coordination/forwarding/prompt_placement.h
@@ -75,8 +75,12 @@
   std::optional<Endpoint> fetch_from;
   // Where to save the parts that it reads.
   std::optional<Endpoint> save_to;
-  // For the calls below.
-  DispatchId dispatch = 0;
+
+  // For Sent.
+  PlacementChoice placement;
+  PlacementRequest request;
+  std::vector<KeyedPart> shared_parts;
+  std::int64_t weights = 0;
 };
 
 class PromptPlacement {
@@ -85,11 +89,14 @@
   PromptPlacement(PromptPlacementOptions options, const NamedWeights* named, PartIndex* index,
                   Random random);
 
-  // Chooses among the candidates, and notes the request as sent. Nothing when there is no
-  // candidate.
+  // Chooses among the candidates. Nothing when there is no candidate. Only Sent changes what is
+  // believed of engines.
   PromptChoice Choose(const Prompt& prompt, const PromptSetting& setting,
                       std::span<PooledBackend* const> candidates, Instant now);
 
+  // The request goes out as chosen. Returns the handle for the calls below.
+  DispatchId Sent(const PromptChoice& choice, Instant now);
+
   void FirstEvent(DispatchId dispatch, Instant now) { policy_.FirstToken(dispatch, now); }
   void Ended(DispatchId dispatch, Instant now) { policy_.Finished(dispatch, now); }
 
@@ -115,13 +122,13 @@
                                  std::span<PooledBackend* const> backends, Instant now) const;
   Candidate CandidateFor(const Prompt& prompt, const PooledBackend& backend,
                          const Holdings& holdings, Instant now) const;
-  bool SaveIsDue(std::uint64_t root, std::int64_t version, Instant now);
+  bool SaveIsDue(std::uint64_t root, std::int64_t version, Instant now) const;
 
   PromptPlacementOptions options_;
   const NamedWeights* named_;
   PartIndex* index_;
   PlacementPolicy policy_;
-  // When the parts up to the last shared one were last saved, by their key.
+  // When the parts up to the last shared one were last saved, by SaveKey.
   std::unordered_map<std::uint64_t, Instant> saved_at_;
 };
 
--- a/src/libs/coordination/placement/placement_tracker.cpp
+++ b/src/libs/coordination/placement/placement_tracker.cpp
@@ -17,8 +17,10 @@
 // A peer that is silent for longer is guessed like one that never told anything.
 constexpr Duration kPeerSilence = std::chrono::milliseconds(1500);
 
-// Peers are told again of an engine when its waiting tokens changed by this much.
+// Peers are told again of an engine when its waiting tokens changed by this much, and while some
+// wait after this time: words get lost, and a peer forgets what it isn't reminded of.
 constexpr std::int64_t kToldStepTokens = 1024;
+constexpr Duration kTellAgainAfter = std::chrono::milliseconds(500);
 
 // Reports that are older are not waited for.
 constexpr Duration kOldestReport = std::chrono::seconds(10);
@@ -89,9 +91,11 @@
   for (const auto& [router, peer] : peers_) {
     if (!peer.IsHeard(now)) continue;
     const auto found = peer.loads.find(backend_id);
-    if (found == peer.loads.end() || found->second.incarnation != incarnation) continue;
-    told.tokens += static_cast<double>(found->second.tokens);
-    told.reply_tokens += static_cast<double>(found->second.reply_tokens);
+    if (found == peer.loads.end()) continue;
+    const auto& [load, heard_at] = found->second;
+    if (load.incarnation != incarnation || now - heard_at >= kPeerSilence) continue;
+    told.tokens += static_cast<double>(load.tokens);
+    told.reply_tokens += static_cast<double>(load.reply_tokens);
   }
   return told;
 }
@@ -107,8 +111,11 @@
       if (dispatch.is_reply) load.reply_tokens += tokens;
     }
     const bool is_settled = (load.tokens == 0) == (engine.told_tokens == 0);
-    if (is_settled && std::abs(load.tokens - engine.told_tokens) < kToldStepTokens) continue;
+    const bool reminds = load.tokens > 0 && now - engine.told_at >= kTellAgainAfter;
+    const bool is_near = std::abs(load.tokens - engine.told_tokens) < kToldStepTokens;
+    if (is_settled && is_near && !reminds) continue;
     engine.told_tokens = load.tokens;
+    engine.told_at = now;
     loads.push_back(std::move(load));
   }
   return loads;
@@ -123,11 +130,11 @@
   peer.heard_at = now;
   for (const SentLoad& load : loads) {
     const auto told = peer.loads.find(load.backend_id);
-    if (told != peer.loads.end() && told->second.incarnation > load.incarnation) continue;
+    if (told != peer.loads.end() && told->second.load.incarnation > load.incarnation) continue;
     if (load.tokens == 0) {
       if (told != peer.loads.end()) peer.loads.erase(told);
     } else {
-      peer.loads.insert_or_assign(load.backend_id, load);
+      peer.loads.insert_or_assign(load.backend_id, ToldLoad{load, now});
     }
   }
 }
--- a/src/libs/coordination/placement/placement_tracker.h
+++ b/src/libs/coordination/placement/placement_tracker.h
@@ -66,8 +66,9 @@
     double mean_others_tokens = 0;
     double mean_others_requests = 0;
     std::vector<Dispatch> dispatches;
-    // What peers were told last.
+    // What peers were told last, and when.
     std::int64_t told_tokens = 0;
+    Instant told_at{};
   };
 
   struct StringHash {
@@ -80,10 +81,16 @@
   template <typename Value>
   using ByName = std::unordered_map<std::string, Value, StringHash, std::equal_to<>>;
 
+  // What another router told of an engine.
+  struct ToldLoad {
+    SentLoad load;
+    Instant heard_at{};
+  };
+
   // Another router, with what it told of its dispatches that wait for a first token.
   struct Peer {
     Instant heard_at{};
-    ByName<SentLoad> loads;
+    ByName<ToldLoad> loads;
 
     bool IsHeard(Instant now) const;
   };
--- a/tests/libs/coordination/forwarding/prompt_placement_test.cpp
+++ b/tests/libs/coordination/forwarding/prompt_placement_test.cpp
@@ -31,6 +31,13 @@
     return placement.Choose(prompt, setting, candidates, now);
   }
 
+  // Chooses and sends.
+  PromptChoice Place(const Prompt& prompt, const PromptSetting& setting = {"", kStore}) {
+    PromptChoice choice = Choose(prompt, setting);
+    dispatch = placement.Sent(choice, now);
+    return choice;
+  }
+
   // The source holds these parts, as its events say.
   void Holds(const std::string& source, const std::vector<std::string>& parts,
              std::int64_t version = 1) {
@@ -42,6 +49,7 @@
   }
 
   std::mt19937_64 generator{1};
+  DispatchId dispatch = 0;
   Instant now = seconds(10);
   BackendPool pool;
   NamedWeights named;
@@ -70,20 +78,28 @@
   Fixture fixture(3);
   fixture.Holds("e0", {"common", "s1"});
   PromptChoice choice;
-  for (int i = 0; i < 5; ++i) choice = fixture.Choose(PromptOf("s1", "own" + std::to_string(i)));
+  for (int i = 0; i < 5; ++i) choice = fixture.Place(PromptOf("s1", "own" + std::to_string(i)));
   CHECK(choice.backend->id != "e0");
   int at_home = 0;
   for (int i = 5; i < 35; ++i) {
-    choice = fixture.Choose(PromptOf("s1", "own" + std::to_string(i)));
+    choice = fixture.Place(PromptOf("s1", "own" + std::to_string(i)));
     at_home += choice.backend->id == "e0" ? 1 : 0;
   }
   // One hot session is carried by all engines.
   CHECK(at_home < 20);
 }
 
+TEST_CASE("A choice that is not sent leaves no load behind") {
+  Fixture fixture(2);
+  fixture.Holds("e0", {"common", "s1"});
+  for (int i = 0; i < 50; ++i) fixture.Choose(PromptOf("s1", "own"));
+  CHECK(fixture.Choose(PromptOf("s1", "own")).backend->id == "e0");
+  CHECK(fixture.placement.TakeSentLoads(fixture.now).empty());
+}
+
 TEST_CASE("Parts come from the store where no engine has them, and go there where it lacks them") {
   Fixture fixture(3);
-  PromptChoice first = fixture.Choose(PromptOf("s1", "own1"));
+  PromptChoice first = fixture.Place(PromptOf("s1", "own1"));
   CHECK(first.save_to == kStore);
   CHECK(!first.fetch_from);
   fixture.now += seconds(5);
@@ -117,9 +133,9 @@
   fixture.now += seconds(3);
   int on_new = 0;
   for (int i = 0; i < 10; ++i) {
-    const PromptChoice choice = fixture.Choose(PromptOf("s" + std::to_string(i), "own"));
+    const PromptChoice choice = fixture.Place(PromptOf("s" + std::to_string(i), "own"));
     on_new += choice.backend->id == "e0" ? 1 : 0;
-    fixture.placement.Ended(choice.dispatch, fixture.now);
+    fixture.placement.Ended(fixture.dispatch, fixture.now);
     fixture.now += milliseconds(300);
   }
   CHECK(on_new == 10);
--- a/tests/libs/coordination/placement/placement_test.cpp
+++ b/tests/libs/coordination/placement/placement_test.cpp
@@ -144,6 +144,25 @@
   CHECK(expected(seconds(3)) == milliseconds(100));
 }
 
+// A lost word that a load had ended must not keep an engine idle.
+TEST_CASE("What a peer told is forgotten unless it is told again") {
+  PlacementPolicy policy({.routers = 2}, Seeded(7));
+  auto candidates = IdleEngines();
+  candidates.resize(1);
+  const SentLoad sent{.backend_id = "e0", .incarnation = 1, .reply_tokens = 5000, .tokens = 5000};
+  policy.PeerSent("peer", std::vector{sent}, seconds(1));
+  policy.PeerSent("peer", {}, seconds(2));
+  policy.PeerSent("peer", {}, seconds(3));
+  CHECK(policy.Choose(candidates, Reply(1000), seconds(3))->expected_first_token ==
+        milliseconds(100));
+  // So a router repeats what still waits.
+  const auto choice = policy.Choose(candidates, Reply(9000), seconds(4));
+  policy.Dispatched(candidates[0], Reply(9000), *choice, seconds(4));
+  CHECK(policy.TakeSentLoads(seconds(4)).size() == 1);
+  CHECK(policy.TakeSentLoads(seconds(4) + milliseconds(100)).empty());
+  CHECK(policy.TakeSentLoads(seconds(5)).size() == 1);
+}
+
 // Whatever was sent, answered, failed, reported and told: once everything has ended and idle
 // reports came, nothing is left of it; and a new incarnation starts with nothing at once.
 TEST_CASE("Load that has ended leaves nothing behind") {
