Memory held by runs counts in placement; replaced weights are left before a request would begin late

Placement knew only prompt tokens that wait. Now each run's own tokens count until it ends, told to peers like waiting tokens; a run waits for memory that others hold, and holding the last of it has a price (60 ms, times the square of the part held).

--- a/src/kumquatrouter/forwarding/forward_exchange.cpp
+++ b/src/kumquatrouter/forwarding/forward_exchange.cpp
@@ -26,8 +26,10 @@
 constexpr int kQueuePartOfObjective = 2;
 // When callers that are refused for want of a backend server should come back.
 constexpr Duration kRetryAfter = std::chrono::milliseconds(300);
-// A request that is sent may wait in the engine's queue before it begins.
-constexpr Duration kBeginMargin = std::chrono::milliseconds(1500);
+// A request that is sent may wait longer in the engine's queue before it begins than was expected:
+// by so much, and by as much again as was expected.
+constexpr Duration kBeginMargin = std::chrono::milliseconds(2000);
+constexpr int kBeginFactor = 2;
 constexpr int kFirstServerError = 500;
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
@@ -128,30 +130,41 @@
 }
 
 std::optional<BackendChoice> ForwardExchange::Choose(std::span<const BackendChoice> avoid) {
-  const std::vector<PooledBackend*> candidates =
+  std::vector<PooledBackend*> candidates =
       EnginesFor(services_.pool.Candidates(service_->name, avoid, Now()));
   if (candidates.empty()) return std::nullopt;
   placed_.reset();
   if (!request_.prompt) {
     return ChooseLeastBusy(candidates, services_.failure_domain, services_.random)->choice();
   }
-  placed_ = services_.placement->Choose(*request_.prompt, {Wall(), LiveStore()}, candidates, Now());
-  return placed_->backend->choice();
+  const PromptSetting setting = {Wall(), LiveStore(),
+                                 service_->engine ? service_->engine->memory_tokens : 0};
+  while (!candidates.empty()) {
+    placed_ = services_.placement->Choose(*request_.prompt, setting, candidates, Now());
+    if (!BeginsTooLate(*placed_)) return placed_->backend->choice();
+    std::erase(candidates, placed_->backend);
+  }
+  placed_.reset();
+  return std::nullopt;
 }
 
-// Returns those that have the request's model, with weights that were not replaced too long ago.
+// Returns those that have the request's model.
 std::vector<PooledBackend*> ForwardExchange::EnginesFor(
     std::vector<PooledBackend*> candidates) const {
   if (!request_.prompt) return candidates;
   const std::string& model = request_.prompt->model;
-  std::erase_if(candidates, [&](const PooledBackend* backend) {
-    if (!backend->weights.contains(model)) return true;
-    const auto lag = services_.weights.ReplacedFor(model, backend->VersionOf(model), Now());
-    return lag && *lag > services_.weights_longest_lag - kBeginMargin;
-  });
+  std::erase_if(candidates,
+                [&](const PooledBackend* backend) { return !backend->weights.contains(model); });
   return candidates;
 }
 
+bool ForwardExchange::BeginsTooLate(const PromptChoice& choice) const {
+  const std::string& model = request_.prompt->model;
+  const auto lag = services_.weights.ReplacedFor(model, choice.backend->VersionOf(model), Now());
+  return lag && *lag + kBeginMargin + kBeginFactor * choice.placement.expected_first_token >
+                    services_.weights_longest_lag;
+}
+
 // Returns the store of kept cache that is alive, if the table names one.
 std::optional<Endpoint> ForwardExchange::LiveStore() const {
   for (const Service& service : routes_->table().services) {
--- a/src/kumquatrouter/forwarding/forward_exchange.h
+++ b/src/kumquatrouter/forwarding/forward_exchange.h
@@ -72,6 +72,8 @@
   ForwardHooks Hooks();
   std::optional<BackendChoice> Choose(std::span<const BackendChoice> avoid);
   std::vector<PooledBackend*> EnginesFor(std::vector<PooledBackend*> candidates) const;
+  // Weights that were replaced must not begin a request after the longest lag.
+  bool BeginsTooLate(const PromptChoice& choice) const;
   void Send(const SendCommand& command);
   ForwardCall CallTo(const PooledBackend& backend, const SendCommand& command) const;
   std::optional<RunCopy> FindCopy();
--- a/src/kumquatrouter/forwarding/forward_server.cpp
+++ b/src/kumquatrouter/forwarding/forward_server.cpp
@@ -255,7 +255,8 @@
   std::vector<SentLoad> loads;
   loads.reserve(load.engines.size());
   for (const EngineLoad& engine : load.engines) {
-    loads.push_back({engine.engine, engine.incarnation, engine.tokens, engine.tokens});
+    loads.push_back(
+        {engine.engine, engine.incarnation, engine.tokens, engine.tokens, engine.held_tokens});
   }
   placement_.PeerSent(load.router, loads, services_.clock());
 }
@@ -264,7 +265,7 @@
   const Instant now = services_.clock();
   std::vector<EngineLoad> engines;
   for (const SentLoad& load : placement_.TakeSentLoads(now)) {
-    engines.push_back({load.backend_id, load.incarnation, load.tokens});
+    engines.push_back({load.backend_id, load.incarnation, load.tokens, load.held_tokens});
   }
   // An empty word says that this router is still there.
   if (engines.empty() && now - load_told_at_ < kLongestLoadSilence) return;
--- a/src/kumquatrouter/index_messages.cpp
+++ b/src/kumquatrouter/index_messages.cpp
@@ -81,7 +81,8 @@
   for (const SentLoad& load : loads) {
     array.append(QJsonArray{ToQString(load.backend_id), static_cast<qint64>(load.incarnation),
                             static_cast<qint64>(load.reply_tokens),
-                            static_cast<qint64>(load.tokens)});
+                            static_cast<qint64>(load.tokens),
+                            static_cast<qint64>(load.held_tokens)});
   }
   return {{"loads", array}};
 }
@@ -92,7 +93,7 @@
   for (const QJsonValue& item : fields.Array("loads", kMaxBeliefs)) {
     const QJsonArray values = item.toArray();
     loads.push_back({values[0].toString().toStdString(), values[1].toInteger(),
-                     values[2].toInteger(), values[3].toInteger()});
+                     values[2].toInteger(), values[3].toInteger(), values[4].toInteger()});
   }
   return Finish(fields, std::move(loads));
 }
--- a/src/libs/coordination/forwarding/prompt_placement.cpp
+++ b/src/libs/coordination/forwarding/prompt_placement.cpp
@@ -23,6 +23,18 @@
   return tokens;
 }
 
+// Returns the memory that a run holds for itself: its runs share the first part with most others.
+std::int64_t HeldTokens(const Prompt& prompt) {
+  const bool shares = prompt.parts.size() > 1;
+  return prompt.tokens + prompt.max_answer_tokens - (shares ? prompt.parts.front().tokens : 0);
+}
+
+PlacementOptions PolicyOptions(const PromptPlacementOptions& options) {
+  PlacementOptions policy;
+  policy.memory_pressure = options.memory_pressure;
+  return policy;
+}
+
 std::uint64_t SaveKey(std::uint64_t root, std::int64_t version) {
   return XXH3_64bits_withSeed(&version, sizeof(version), root);
 }
@@ -45,7 +57,7 @@
     : options_(options),
       named_(named),
       index_(index),
-      policy_(PlacementOptions{}, std::move(random)) {}
+      policy_(PolicyOptions(options), std::move(random)) {}
 
 PromptPlacement::HoldingsByVersion PromptPlacement::FindHoldings(
     const Prompt& prompt, const PromptSetting& setting, std::span<PooledBackend* const> backends,
@@ -73,13 +85,15 @@
   return by_version;
 }
 
-Candidate PromptPlacement::CandidateFor(const Prompt& prompt, const PooledBackend& backend,
-                                        const Holdings& holdings, Instant now) const {
+Candidate PromptPlacement::CandidateFor(const Prompt& prompt, const PromptSetting& setting,
+                                        const PooledBackend& backend, const Holdings& holdings,
+                                        Instant now) const {
   Candidate candidate;
   candidate.backend_id = backend.id;
   candidate.incarnation = backend.incarnation;
   candidate.failure_domain = backend.failure_domain;
   candidate.concurrent_requests = backend.slots;
+  candidate.memory_tokens = setting.memory_tokens;
   candidate.prefill_ms_per_1k_tokens = options_.prefill_ms_per_1k_tokens;
   candidate.cached_tokens = index_->LeadingTokens(backend.id, holdings.parts, now);
   const std::int64_t most = std::max(holdings.best_tokens, holdings.store_tokens);
@@ -105,10 +119,11 @@
   candidates.reserve(backends.size());
   for (const PooledBackend* backend : backends) {
     const Holdings& holdings = by_version.at(backend->VersionOf(prompt.model));
-    candidates.push_back(CandidateFor(prompt, *backend, holdings, now));
+    candidates.push_back(CandidateFor(prompt, setting, *backend, holdings, now));
   }
   PlacementRequest request;
   request.prompt_tokens = prompt.tokens;
+  request.held_tokens = HeldTokens(prompt);
   request.prefix_root = RootOf(prompt, setting.wall);
   const auto choice = policy_.Choose(candidates, request, now);
   if (!choice) return {};
--- a/src/libs/coordination/forwarding/prompt_placement.h
+++ b/src/libs/coordination/forwarding/prompt_placement.h
@@ -56,6 +56,8 @@
   // for this long.
   Duration old_weights_cost = std::chrono::milliseconds(60);
   Duration old_weights_grace = std::chrono::milliseconds(1200);
+  // What a run costs others on an engine whose memory is full: cached parts are read again.
+  Duration memory_pressure = std::chrono::milliseconds(60);
   // Parts that the store lacks are saved again after this: its events come late.
   Duration save_interval = std::chrono::seconds(2);
 };
@@ -66,6 +68,8 @@
   std::string wall;
   // The store of kept cache that may be used.
   std::optional<Endpoint> store;
+  // Tokens that an engine's runs and cached parts share; 0 where it isn't known.
+  std::int64_t memory_tokens = 0;
 };
 
 // Where a request goes.
@@ -120,8 +124,8 @@
 
   HoldingsByVersion FindHoldings(const Prompt& prompt, const PromptSetting& setting,
                                  std::span<PooledBackend* const> backends, Instant now) const;
-  Candidate CandidateFor(const Prompt& prompt, const PooledBackend& backend,
-                         const Holdings& holdings, Instant now) const;
+  Candidate CandidateFor(const Prompt& prompt, const PromptSetting& setting,
+                         const PooledBackend& backend, const Holdings& holdings, Instant now) const;
   bool SaveIsDue(std::uint64_t root, std::int64_t version, Instant now) const;
 
   PromptPlacementOptions options_;
--- a/src/libs/coordination/placement/placement.cpp
+++ b/src/libs/coordination/placement/placement.cpp
@@ -47,10 +47,19 @@
          ComputeUs(imported, candidate.import_ms_per_1k_tokens);
 }
 
-double QueueUs(const Candidate& candidate, const LoadEstimate& load, RequestClass request_class,
-               Duration mean_decode) {
+// Returns how long a run waits until others have freed the memory that it needs.
+double MemoryWaitUs(const Candidate& candidate, const LoadEstimate& load,
+                    const PlacementRequest& request, Duration mean_decode) {
+  if (candidate.memory_tokens == 0 || load.held_tokens == 0) return 0;
+  const double over = load.held_tokens + static_cast<double>(request.held_tokens) -
+                      static_cast<double>(candidate.memory_tokens);
+  return std::max(0.0, over) / load.held_tokens * static_cast<double>(mean_decode.count());
+}
+
+double QueueUs(const Candidate& candidate, const LoadEstimate& load,
+               const PlacementRequest& request, Duration mean_decode) {
   double ahead = load.tokens;
-  if (request_class == RequestClass::kReply) {
+  if (request.request_class == RequestClass::kReply) {
     // Replies go first, but a draft's prefill that has begun is not broken off.
     const double drafts = std::min(load.tokens - load.reply_tokens, kMostTokensOfDraft);
     ahead = load.reply_tokens + drafts / 2;
@@ -59,7 +68,16 @@
       static_cast<double>(std::max<std::int64_t>(1, candidate.concurrent_requests));
   const double over = std::max(0.0, load.requests + 1 - slots);
   const double slot_us = over * static_cast<double>(mean_decode.count()) / slots;
-  return std::max(slot_us, ComputeUs(ahead, candidate.prefill_ms_per_1k_tokens));
+  return std::max({slot_us, MemoryWaitUs(candidate, load, request, mean_decode),
+                   ComputeUs(ahead, candidate.prefill_ms_per_1k_tokens)});
+}
+
+// Returns the part of the memory that would be held, from 0 to 1.
+double HeldPart(const Candidate& candidate, const LoadEstimate& load,
+                const PlacementRequest& request) {
+  if (candidate.memory_tokens == 0) return 0;
+  const double held = load.held_tokens + static_cast<double>(request.held_tokens);
+  return std::min(1.0, held / static_cast<double>(candidate.memory_tokens));
 }
 
 }  // namespace Internal
@@ -100,15 +118,16 @@
                             Instant now, Internal::ScoredCandidate& scored) const {
   const auto load = tracker_->Estimate(candidate.backend_id, candidate.incarnation, now);
   Internal::PlanPrefill(candidate, request, scored.choice);
-  const double queue_us =
-      Internal::QueueUs(candidate, load, request.request_class, tracker_->mean_decode());
+  const double queue_us = Internal::QueueUs(candidate, load, request, tracker_->mean_decode());
   const double prefill_us = Internal::PrefillUs(candidate, scored.choice);
   scored.choice.expected_first_token = Duration(static_cast<std::int64_t>(queue_us + prefill_us));
   const double weight = request.request_class == RequestClass::kReply
                             ? options_.reply_recompute_weight
                             : options_.draft_recompute_weight;
-  scored.score_us =
-      queue_us + prefill_us * (1 + weight) + static_cast<double>(candidate.penalty.count());
+  const double held_part = Internal::HeldPart(candidate, load, request);
+  scored.score_us = queue_us + prefill_us * (1 + weight) +
+                    static_cast<double>(candidate.penalty.count()) +
+                    held_part * held_part * static_cast<double>(options_.memory_pressure.count());
 }
 
 // Where nobody holds anything of the prompt, routers that decide at the same moment should agree,
@@ -134,7 +153,7 @@
 
 DispatchId PlacementPolicy::Dispatched(const Candidate& candidate, const PlacementRequest& request,
                                        const PlacementChoice& choice, Instant now) {
-  return tracker_->Dispatched(candidate, request.request_class, choice, now);
+  return tracker_->Dispatched(candidate, request, choice, now);
 }
 
 void PlacementPolicy::FirstToken(DispatchId dispatch, Instant now) {
--- a/src/libs/coordination/placement/placement.h
+++ b/src/libs/coordination/placement/placement.h
@@ -30,6 +30,8 @@
   // A leaving engine is never chosen.
   BackendState state = BackendState::kServing;
   std::int64_t concurrent_requests = 1;
+  // Tokens that runs and cached prefixes share; 0 where it isn't known.
+  std::int64_t memory_tokens = 0;
   // Milliseconds of prefill for a thousand prompt tokens.
   double prefill_ms_per_1k_tokens = 0;
   // Leading prompt tokens that the engine is believed to hold, or to have been sent already.
@@ -44,6 +46,8 @@
 // What placement needs to know of a request.
 struct PlacementRequest {
   std::int64_t prompt_tokens = 0;
+  // Tokens of memory that the run holds for itself until it ends.
+  std::int64_t held_tokens = 0;
   RequestClass request_class = RequestClass::kReply;
   // Low bits of the identity of the prompt's first piece, or of its organisation when it has none:
   // routers agree by it on where a prefix that nobody holds goes.
@@ -69,18 +73,22 @@
   // prefill delays those that come after, and what it stores evicts what they would have hit.
   double reply_recompute_weight = 0.7;
   double draft_recompute_weight = 0.4;
+  // What the last token of memory costs besides waiting for it: runs that hold it evict cached
+  // prefixes. Grows with the square of the part that is held.
+  Duration memory_pressure{0};
   // Choices within this much of the best one are equal, and are told apart at random.
   Duration tie = std::chrono::milliseconds(2);
 };
 
-// What one router has sent to an engine that waits for its first token. Routers tell each other,
-// since engines' own reports lag.
+// What one router has sent to an engine. Routers tell each other, since engines' own reports lag.
 struct SentLoad {
   std::string backend_id;
   std::int64_t incarnation = 0;
-  // Prompt tokens to compute, of replies and of all classes.
+  // Prompt tokens to compute of what waits for its first token, of replies and of all classes.
   std::int64_t reply_tokens = 0;
   std::int64_t tokens = 0;
+  // Tokens of memory of what waits or runs.
+  std::int64_t held_tokens = 0;
 
   bool operator==(const SentLoad&) const = default;
 };
--- a/src/libs/coordination/placement/placement_tracker.cpp
+++ b/src/libs/coordination/placement/placement_tracker.cpp
@@ -20,6 +20,7 @@
 // Peers are told again of an engine when its waiting tokens changed by this much, and while some
 // wait after this time: words get lost, and a peer forgets what it isn't reminded of.
 constexpr std::int64_t kToldStepTokens = 1024;
+constexpr std::int64_t kToldStepHeldTokens = 8192;
 constexpr Duration kTellAgainAfter = std::chrono::milliseconds(500);
 
 // Reports that are older are not waited for.
@@ -35,6 +36,13 @@
   return std::exp2(-ratio * ratio);
 }
 
+bool IsNothing(const SentLoad& load) { return load.tokens == 0 && load.held_tokens == 0; }
+
+bool IsNear(const SentLoad& left, const SentLoad& right) {
+  return std::abs(left.tokens - right.tokens) < kToldStepTokens &&
+         std::abs(left.held_tokens - right.held_tokens) < kToldStepHeldTokens;
+}
+
 double Average(double mean, double value) { return mean + kAverageWeight * (value - mean); }
 
 }  // namespace
@@ -67,7 +75,10 @@
       1 + unheard * kLikenessWeight * (1 - trust) * static_cast<double>(routers_ - 1);
   for (const Dispatch& dispatch : engine.dispatches) {
     const double weight = dispatch.sent_at > measured_at ? likeness : 1;
-    if (dispatch.RunsAt(now)) load.requests += weight;
+    if (dispatch.RunsAt(now)) {
+      load.requests += weight;
+      load.held_tokens += weight * dispatch.held_tokens;
+    }
     if (!dispatch.WaitsAt(now)) continue;
     const double tokens = weight * dispatch.tokens;
     load.tokens += tokens;
@@ -82,6 +93,7 @@
   const LoadEstimate told = ToldByPeers(backend_id, incarnation, now);
   load.tokens += std::max(0.0, told.tokens - others);
   load.reply_tokens += std::max(0.0, told.reply_tokens - others * reply_share_);
+  load.held_tokens += told.held_tokens;
   return load;
 }
 
@@ -96,26 +108,34 @@
     if (load.incarnation != incarnation || now - heard_at >= kPeerSilence) continue;
     told.tokens += static_cast<double>(load.tokens);
     told.reply_tokens += static_cast<double>(load.reply_tokens);
+    told.held_tokens += static_cast<double>(load.held_tokens);
   }
   return told;
 }
 
+SentLoad PlacementTracker::LoadOf(const Engine& engine, Instant now) {
+  SentLoad load;
+  load.incarnation = engine.incarnation;
+  for (const Dispatch& dispatch : engine.dispatches) {
+    if (dispatch.RunsAt(now)) load.held_tokens += static_cast<std::int64_t>(dispatch.held_tokens);
+    if (!dispatch.WaitsAt(now)) continue;
+    const auto tokens = static_cast<std::int64_t>(dispatch.tokens);
+    load.tokens += tokens;
+    if (dispatch.is_reply) load.reply_tokens += tokens;
+  }
+  return load;
+}
+
 std::vector<SentLoad> PlacementTracker::TakeSentLoads(Instant now) {
   std::vector<SentLoad> loads;
   for (auto& [backend_id, engine] : engines_) {
-    SentLoad load{.backend_id = backend_id, .incarnation = engine.incarnation};
-    for (const Dispatch& dispatch : engine.dispatches) {
-      if (!dispatch.WaitsAt(now)) continue;
-      const auto tokens = static_cast<std::int64_t>(dispatch.tokens);
-      load.tokens += tokens;
-      if (dispatch.is_reply) load.reply_tokens += tokens;
-    }
-    const bool is_settled = (load.tokens == 0) == (engine.told_tokens == 0);
-    const bool reminds = load.tokens > 0 && now - engine.told_at >= kTellAgainAfter;
-    const bool is_near = std::abs(load.tokens - engine.told_tokens) < kToldStepTokens;
-    if (is_settled && is_near && !reminds) continue;
-    engine.told_tokens = load.tokens;
+    SentLoad load = LoadOf(engine, now);
+    const bool is_idle = IsNothing(load);
+    const bool reminds = !is_idle && now - engine.told_at >= kTellAgainAfter;
+    if (is_idle == IsNothing(engine.told) && IsNear(load, engine.told) && !reminds) continue;
+    engine.told = load;
     engine.told_at = now;
+    load.backend_id = backend_id;
     loads.push_back(std::move(load));
   }
   return loads;
@@ -131,7 +151,7 @@
   for (const SentLoad& load : loads) {
     const auto told = peer.loads.find(load.backend_id);
     if (told != peer.loads.end() && told->second.load.incarnation > load.incarnation) continue;
-    if (load.tokens == 0) {
+    if (IsNothing(load)) {
       if (told != peer.loads.end()) peer.loads.erase(told);
     } else {
       peer.loads.insert_or_assign(load.backend_id, ToldLoad{load, now});
@@ -149,12 +169,12 @@
   return std::max(0.0, 1 - static_cast<double>(heard) / static_cast<double>(routers_ - 1));
 }
 
-DispatchId PlacementTracker::Dispatched(const Candidate& candidate, RequestClass request_class,
+DispatchId PlacementTracker::Dispatched(const Candidate& candidate, const PlacementRequest& request,
                                         const PlacementChoice& choice, Instant now) {
   const DispatchId id = ++last_dispatch_;
   Engine* const engine = EngineOf(candidate.backend_id, candidate.incarnation);
   if (engine == nullptr) return id;
-  const bool is_reply = request_class == RequestClass::kReply;
+  const bool is_reply = request.request_class == RequestClass::kReply;
   reply_share_ = Average(reply_share_, is_reply ? 1 : 0);
   std::erase_if(engine->dispatches, [&](const Dispatch& sent) {
     return sent.ended_at && now - *sent.ended_at > kOldestReport;
@@ -162,6 +182,7 @@
   Dispatch dispatch;
   dispatch.id = id;
   dispatch.tokens = static_cast<double>(choice.missing_tokens);
+  dispatch.held_tokens = static_cast<double>(request.held_tokens);
   dispatch.is_reply = is_reply;
   dispatch.sent_at = now;
   engine->dispatches.push_back(dispatch);
--- a/src/libs/coordination/placement/placement_tracker.h
+++ b/src/libs/coordination/placement/placement_tracker.h
@@ -17,8 +17,9 @@
   // Prompt tokens that wait for prefill, of replies and of all classes.
   double reply_tokens = 0;
   double tokens = 0;
-  // Requests that run or wait.
+  // Requests that run or wait, and the tokens of memory that they hold or will hold.
   double requests = 0;
+  double held_tokens = 0;
 };
 
 // Corrects reported load by what this router sent and heard since.
@@ -31,7 +32,7 @@
   // Returns how long an answer takes from its first token to its end, on average.
   Duration mean_decode() const { return mean_decode_; }
 
-  DispatchId Dispatched(const Candidate& candidate, RequestClass request_class,
+  DispatchId Dispatched(const Candidate& candidate, const PlacementRequest& request,
                         const PlacementChoice& choice, Instant now);
   void FirstToken(DispatchId dispatch, Instant now);
   void Ended(DispatchId dispatch, Instant now);
@@ -47,6 +48,7 @@
   struct Dispatch {
     DispatchId id = 0;
     double tokens = 0;
+    double held_tokens = 0;
     bool is_reply = true;
     Instant sent_at{};
     std::optional<Instant> first_token_at;
@@ -67,7 +69,7 @@
     double mean_others_requests = 0;
     std::vector<Dispatch> dispatches;
     // What peers were told last, and when.
-    std::int64_t told_tokens = 0;
+    SentLoad told;
     Instant told_at{};
   };
 
@@ -95,6 +97,8 @@
     bool IsHeard(Instant now) const;
   };
 
+  // Returns what this router has at the engine now.
+  static SentLoad LoadOf(const Engine& engine, Instant now);
   LoadEstimate ToldByPeers(std::string_view backend_id, std::int64_t incarnation,
                            Instant now) const;
   double UnheardShare(Instant now) const;
--- a/src/libs/protocol/control_news.cpp
+++ b/src/libs/protocol/control_news.cpp
@@ -168,7 +168,8 @@
     QCborArray engines;
     for (const EngineLoad& load : router.engines) {
       engines.append(QCborArray{Bytes(load.engine), static_cast<qint64>(load.incarnation),
-                                static_cast<qint64>(load.tokens)});
+                                static_cast<qint64>(load.tokens),
+                                static_cast<qint64>(load.held_tokens)});
     }
     routers.append(QCborArray{Bytes(router.router), engines});
   }
@@ -182,8 +183,8 @@
     router.router = ToText(fields.at(0));
     for (const QCborValue load_item : fields.at(1).toArray()) {
       const QCborArray load = load_item.toArray();
-      router.engines.push_back(
-          {ToText(load.at(0)), load.at(1).toInteger(), load.at(2).toInteger()});
+      router.engines.push_back({ToText(load.at(0)), load.at(1).toInteger(), load.at(2).toInteger(),
+                                load.at(3).toInteger()});
     }
   }
   return items.size() == 1;
--- a/src/libs/protocol/control_news.h
+++ b/src/libs/protocol/control_news.h
@@ -56,11 +56,14 @@
   bool operator==(const FleetNews&) const = default;
 };
 
-// What one router has sent to an engine that waits for its first token.
+// What one router has sent to an engine.
 struct EngineLoad {
   std::string engine;
   std::int64_t incarnation = 0;
+  // Prompt tokens to compute of what waits for its first token.
   std::int64_t tokens = 0;
+  // Tokens of memory of what waits or runs.
+  std::int64_t held_tokens = 0;
 
   bool operator==(const EngineLoad&) const = default;
 };
--- a/tests/libs/coordination/placement/placement_test.cpp
+++ b/tests/libs/coordination/placement/placement_test.cpp
@@ -144,6 +144,34 @@
   CHECK(expected(seconds(3)) == milliseconds(100));
 }
 
+// Runs that fill an engine's memory evict the cached prefixes that others would have hit, and the
+// next run waits until one of them has ended.
+TEST_CASE("Runs that hold memory send others elsewhere, and are told to peers until they end") {
+  PlacementPolicy policy({.routers = 2, .memory_pressure = milliseconds(60)}, Seeded(9));
+  auto candidates = IdleEngines();
+  candidates.resize(2);
+  for (Candidate& candidate : candidates) candidate.memory_tokens = 100'000;
+  PlacementRequest request = Reply(1000);
+  request.held_tokens = 60'000;
+  const auto first = policy.Choose(candidates, request, seconds(1));
+  const Candidate& taken = candidates[first->index];
+  const DispatchId dispatch = policy.Dispatched(taken, request, *first, seconds(1));
+  policy.FirstToken(dispatch, seconds(1) + milliseconds(100));
+  for (int i = 0; i < 20; ++i) {
+    CHECK(policy.Choose(candidates, Reply(1000), seconds(2))->index != first->index);
+  }
+  const auto told = policy.TakeSentLoads(seconds(2));
+  REQUIRE(told.size() == 1);
+  CHECK(told[0].tokens == 0);
+  CHECK(told[0].held_tokens == 60'000);
+  CHECK(policy.Choose({&taken, 1}, request, seconds(2))->expected_first_token >
+        PrefillTime(request.prompt_tokens));
+  policy.Finished(dispatch, seconds(3));
+  CHECK(policy.Choose({&taken, 1}, request, seconds(3))->expected_first_token ==
+        PrefillTime(request.prompt_tokens));
+  REQUIRE(policy.TakeSentLoads(seconds(3)).size() == 1);
+}
+
 // A lost word that a load had ended must not keep an engine idle.
 TEST_CASE("What a peer told is forgotten unless it is told again") {
   PlacementPolicy policy({.routers = 2}, Seeded(7));
