--- a/src/fakes/caller/main.cpp
+++ b/src/fakes/caller/main.cpp
@@ -48,7 +48,8 @@
   gflags::SetUsageMessage("Sends streamed requests through the routers and checks every answer.");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   QCoreApplication application(argc, argv);
-  kumquat::ConfigureLog("caller", kumquat::LogLevel::kInfo);
+  kumquat::ConfigureLog("caller", kumquat::LogLevel::kInfo,
+                        {.descriptor = kumquat::kStandardError});
   kumquat::CallerOptions options;
   for (const std::string& router : Split(FLAGS_routers)) {
     const auto endpoint = kumquat::ParseEndpoint(router);
--- a/src/kumquatctl/main.cpp
+++ b/src/kumquatctl/main.cpp
@@ -171,7 +171,7 @@
     fmt::print(stderr, "control: at least one replica is needed.\n");
     return kExitUsage;
   }
-  ConfigureLog(kName, LogLevel::kError);
+  ConfigureLog(kName, LogLevel::kError, {.descriptor = kStandardError});
   const QCoreApplication application(argc, argv);
   ControlClient control(settings.control, MachineRandom());
   Command command(settings, &control);
--- a/src/kumquatrouter/forwarding/forward_exchange.cpp
+++ b/src/kumquatrouter/forwarding/forward_exchange.cpp
@@ -34,6 +34,10 @@
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
 
+std::int64_t Milliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 double Seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
 std::string_view PathOf(const HttpRequest& request) {
@@ -265,12 +269,26 @@
   // A request that may not be repeated is lost when its server closes the kept connection that
   // moment; on a new one it is known whether it was sent.
   call.new_connection = !route_->may_repeat();
-  LogEvent(LogLevel::kDebug, "request_sent",
+  LogSent(command);
+  attempt_->call = services_.client->Start(std::move(call), CallHooks(number));
+}
+
+// Tells the choice and what decided it.
+void ForwardExchange::LogSent(const SendCommand& command) const {
+  const PlacementChoice placement =
+      attempt_->placed ? attempt_->placed->placement : PlacementChoice{};
+  LogEvent(LogLevel::kInfo, "request_sent",
            {{"request", request_.id},
-            {"attempt", number},
+            {"attempt", command.attempt},
             {"backend", command.backend.backend_id},
-            {"from_copy", command.copy ? "yes" : "no"}});
-  attempt_->call = services_.client->Start(std::move(call), CallHooks(number));
+            {"incarnation", command.backend.incarnation},
+            {"routing", routes_->table().version},
+            {"weights", run_weights_},
+            {"expected_ms", Milliseconds(placement.expected_first_token)},
+            {"read_tokens", placement.missing_tokens},
+            {"fetched_tokens", placement.import_tokens},
+            {"from_copy", command.copy ? "yes" : "no"},
+            {"ms", Milliseconds(Now() - received_)}});
 }
 
 BackendCallHooks ForwardExchange::CallHooks(std::int64_t number) {
@@ -351,14 +369,12 @@
     attempt_->failed_in_move = failure;
     return;
   }
-  LogEvent(
-      LogLevel::kInfo, "attempt_failed",
-      {{"request", request_.id},
-       {"backend", attempt_->backend.backend_id},
-       {"failure", CallFailureName(failure)},
-       {"reason", reason},
-       {"ms",
-        std::chrono::duration_cast<std::chrono::milliseconds>(Now() - attempt_->sent_at).count()}});
+  LogEvent(LogLevel::kInfo, "attempt_failed",
+           {{"request", request_.id},
+            {"backend", attempt_->backend.backend_id},
+            {"failure", CallFailureName(failure)},
+            {"reason", reason},
+            {"ms", Milliseconds(Now() - attempt_->sent_at)}});
   if (PooledBackend* backend = services_.pool.Find(attempt_->backend)) {
     BackendPool::OnFailure(*backend, failure, Now());
   }
--- a/src/kumquatrouter/forwarding/forward_exchange.h
+++ b/src/kumquatrouter/forwarding/forward_exchange.h
@@ -75,6 +75,7 @@
   // Weights that were replaced must not begin a request after the longest lag.
   bool BeginsTooLate(const PromptChoice& choice) const;
   void Send(const SendCommand& command);
+  void LogSent(const SendCommand& command) const;
   ForwardCall CallTo(const PooledBackend& backend, const SendCommand& command) const;
   std::optional<RunCopy> FindCopy();
   PooledBackend* ChooseCompanion(const PooledBackend& backend);
--- a/src/kumquatrouter/main.cpp
+++ b/src/kumquatrouter/main.cpp
@@ -27,7 +27,9 @@
     LogEvent(LogLevel::kError, "start_failed", {{"reason", server.last_reason()}});
     return kExitNoAddress;
   }
-  return QCoreApplication::exec();
+  const int status = QCoreApplication::exec();
+  LogEvent(LogLevel::kInfo, "router_stopped");
+  return status;
 }
 
 // Of all settings only the control seeds may change while the router runs.
@@ -49,7 +51,8 @@
   const auto exit_status =
       StartProgram(&argc, &argv, "kumquat-router", KUMQUAT_VERSION, kPurpose, reader);
   if (exit_status) return *exit_status;
-  ConfigureLog(settings.instance, LogLevelFromName(settings.log_level));
+  ConfigureLog(settings.instance, LogLevelFromName(settings.log_level),
+               {.bytes_per_second = settings.log_bytes_per_second});
 
   const QCoreApplication application(argc, argv);
   std::mt19937_64 generator(std::random_device{}());
--- a/src/libs/transport/process_signals.cpp
+++ b/src/libs/transport/process_signals.cpp
@@ -38,6 +38,8 @@
   std::signal(SIGTERM, OnSignal);
   std::signal(SIGINT, OnSignal);
   std::signal(SIGHUP, OnSignal);
+  // A reader of the log or a peer that goes away must not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
 }
 
 ProcessSignals::~ProcessSignals() {
--- a/src/libs/utils/log.cpp
+++ b/src/libs/utils/log.cpp
@@ -4,7 +4,7 @@
 #include <fmt/format.h>
 
 #include <chrono>
-#include <cstdio>
+#include <span>
 
 namespace kumquat {
 namespace {
@@ -12,6 +12,9 @@
 struct LogState {
   std::string instance = "-";
   LogLevel lowest = LogLevel::kInfo;
+  LogWriter writer = LogWriter(kStandardOutput, kLogBytesPerSecond, SteadyClock());
+  // Lines that were left out since one said so.
+  std::int64_t dropped = 0;
 };
 
 LogState& State() {
@@ -55,9 +58,10 @@
 LogField::LogField(std::string_view field_key, double field_value)
     : key(field_key), value(fmt::format("{:.3f}", field_value)) {}
 
-void ConfigureLog(std::string_view instance, LogLevel lowest) {
+void ConfigureLog(std::string_view instance, LogLevel lowest, const LogOutput& output) {
   State().instance = instance;
   State().lowest = lowest;
+  State().writer = LogWriter(output.descriptor, output.bytes_per_second, SteadyClock());
 }
 
 LogLevel LogLevelFromName(std::string_view name) {
@@ -67,8 +71,9 @@
   return LogLevel::kInfo;
 }
 
-void LogEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields) {
-  if (level < State().lowest) return;
+namespace {
+
+bool WriteLine(LogLevel level, std::string_view event, std::span<const LogField> fields) {
   const auto now = std::chrono::system_clock::now();
   const auto millis =
       std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count() % 1000;
@@ -82,7 +87,18 @@
     AppendValue(line, field.value);
   }
   line += '\n';
-  fmt::print(stderr, "{}", line);
+  return State().writer.Write(line, level >= LogLevel::kWarning);
+}
+
+}  // namespace
+
+void LogEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields) {
+  if (level < State().lowest) return;
+  if (State().dropped > 0) {
+    const LogField lines("lines", State().dropped);
+    if (WriteLine(LogLevel::kWarning, "log_lines_dropped", {&lines, 1})) State().dropped = 0;
+  }
+  if (!WriteLine(level, event, {fields.begin(), fields.size()})) ++State().dropped;
 }
 
 }  // namespace kumquat
--- a/src/libs/utils/log.h
+++ b/src/libs/utils/log.h
@@ -1,4 +1,5 @@
-// Structured logs: one line an event on standard error, as key=value pairs.
+// Structured logs: one line an event, as key=value pairs. Writing never waits for the reader; lines
+// that find no room are left out, and how many is logged once there is room again.
 #pragma once
 
 #include <concepts>
@@ -8,8 +9,13 @@
 #include <string>
 #include <string_view>
 
+#include "utils/log_writer.h"
+
 namespace kumquat {
 
+constexpr int kStandardOutput = 1;
+constexpr int kStandardError = 2;
+
 enum class LogLevel { kDebug, kInfo, kWarning, kError };
 
 // One key=value pair of a log line. Never holds a prompt or a key.
@@ -29,8 +35,15 @@
   std::string value;
 };
 
+// Where lines go, and how many.
+struct LogOutput {
+  // The file descriptor. Programs whose standard output is their answer log to standard error.
+  int descriptor = kStandardOutput;
+  std::int64_t bytes_per_second = kLogBytesPerSecond;
+};
+
 // Sets the instance name that each line carries and the lowest level that is written.
-void ConfigureLog(std::string_view instance, LogLevel lowest);
+void ConfigureLog(std::string_view instance, LogLevel lowest, const LogOutput& output = {});
 
 // Returns the level with this name: debug, info, warning or error; info for any other name.
 LogLevel LogLevelFromName(std::string_view name);
