A sixth of the engines loads weights at a time; those that don't answer take nobody's turn

The rule by memory is taken out: it was no better than the fixed part, and more code.

Test: orders_test. Looks and what they show are log lines.

--- a/src/libs/coordination/orders/weights_rollout.cpp
+++ b/src/libs/coordination/orders/weights_rollout.cpp
@@ -7,9 +7,6 @@
 namespace kumquat {
 namespace {
 
-// Weight of the newest report in the mean of what engines hold.
-constexpr double kNewestWeight = 0.2;
-
 std::int64_t VersionIn(const std::map<std::string, std::int64_t>& weights,
                        const std::string& model) {
   const auto found = weights.find(model);
@@ -67,20 +64,12 @@
       }));
 }
 
-// What the runs of all engines hold has to fit those that stay.
 std::size_t WeightsRollout::MostAtOnce(std::span<const RolloutEngine> engines) const {
-  double reachable = 0;
-  for (const RolloutEngine& engine : engines) {
-    if (progress_.at(engine.id).is_unreachable) continue;
-    ++reachable;
-  }
-  if (reachable == 0) return 1;
-  const double least = options_.least_at_once * reachable;
-  const double most = options_.most_at_once * reachable;
-  const double staying = reachable - static_cast<double>(Busy());
-  const double spare =
-      mean_held_ ? reachable - *mean_held_ * staying / options_.carried_memory : least;
-  return static_cast<std::size_t>(std::max(1.0, std::round(std::clamp(spare, least, most))));
+  const auto reachable = std::count_if(
+      engines.begin(), engines.end(),
+      [this](const RolloutEngine& engine) { return !progress_.at(engine.id).is_unreachable; });
+  const double most = std::ceil(options_.at_once * static_cast<double>(reachable));
+  return std::max<std::size_t>(1, static_cast<std::size_t>(most));
 }
 
 // Takes up engines with the oldest weights first.
@@ -144,10 +133,6 @@
     progress->phase = Phase::kIdle;
     return;
   }
-  if (progress->phase == Phase::kLooking && !state->is_busy) {
-    const double mean = mean_held_.value_or(state->memory_held);
-    mean_held_ = mean + kNewestWeight * (state->memory_held - mean);
-  }
   const bool is_loading = progress->phase == Phase::kLoading;
   const bool has_loaded =
       VersionIn(state->weights, progress->ordered.model) >= progress->ordered.version;
--- a/src/libs/coordination/orders/weights_rollout.h
+++ b/src/libs/coordination/orders/weights_rollout.h
@@ -1,9 +1,8 @@
 // Decides which engines load new weights when, after operators named a newer version.
 //
 // Requests on replaced weights lose worth within seconds, so engines load as soon as they can. Only
-// a part of them loads at a time, and a smaller one the busier they are: the others carry the load
-// meanwhile, and loads slow each other down. Engines finish what they run first, so that no stream
-// mixes two versions.
+// a part of them loads at a time: the others carry the load meanwhile, and loads slow each other
+// down. Engines finish what they run first, so that no stream mixes two versions.
 #pragma once
 
 #include <cstdint>
@@ -58,14 +57,10 @@
 };
 
 struct WeightsRolloutOptions {
-  // The largest and the smallest part of the engines that waits for its runs to end or loads at a
-  // time. Three of eighteen load at full speed together; as many again may wait for their runs
-  // meanwhile, while the others can carry that.
-  double most_at_once = 1.0 / 3;
-  double least_at_once = 1.0 / 8;
-  // The part of its memory that the runs of an engine which stays may hold. The rest keeps cached
-  // parts; past 0.8 runs were pushed out and shared parts read again (docs/MEASUREMENTS.md).
-  double carried_memory = 0.45;
+  // The part of the engines that waits for its runs to end or loads at a time. Three of eighteen
+  // load at full speed together. More at a time crowd the others' memory on heavy days, and fewer
+  // leave more requests to replaced weights (docs/MEASUREMENTS.md).
+  double at_once = 1.0 / 6;
   // A load takes some 0.8 s, so that nothing is to be seen before.
   Duration first_look = std::chrono::milliseconds(850);
   Duration look_interval = std::chrono::milliseconds(200);
@@ -162,9 +157,6 @@
   Progress* Find(const std::string& id, std::int64_t incarnation);
 
   WeightsRolloutOptions options_;
-  // The part of its memory that an engine's runs hold before its turn, as the latest ones reported
-  // it; nothing before the first report.
-  std::optional<double> mean_held_;
   std::map<std::string, Progress> progress_;
 };
 
