--- a/src/fakes/common/fake_settings.cpp
+++ b/src/fakes/common/fake_settings.cpp
@@ -2,7 +2,7 @@
 
 #include <chrono>
 
-#include "utils/log.h"
+#include "utils/log_settings.h"
 
 namespace kumquat {
 
@@ -11,7 +11,7 @@
   reader.Add("listen", &settings->listen, "Address to serve on.").Required();
   reader.Add("announced", &settings->announced, "Address to announce, if it isn't the same.");
   reader.Add("failure_domain", &settings->failure_domain, "Failure domain.");
-  reader.Add("log_level", &settings->log_level, "debug, info, warning or error.");
+  AddLogSettings(reader, &settings->log);
   reader.Add("routers", &settings->routers, "Routers to announce to, the first that answers.");
   reader.Add("announce_interval_ms", &settings->announce_interval, {10, 60'000},
              "Time between announcements.");
@@ -22,7 +22,7 @@
 }
 
 void ApplyFakeSettings(FakeSettings* settings) {
-  ConfigureLog(settings->id, LogLevelFromName(settings->log_level));
+  ApplyLogSettings(settings->id, settings->log);
   if (settings->announced.port == 0) settings->announced = settings->listen;
   if (settings->incarnation != 0) return;
   const auto now = std::chrono::system_clock::now().time_since_epoch();
--- a/src/fakes/common/fake_settings.h
+++ b/src/fakes/common/fake_settings.h
@@ -7,6 +7,7 @@
 
 #include "utils/endpoint.h"
 #include "utils/hooks.h"
+#include "utils/log_settings.h"
 #include "utils/settings.h"
 
 namespace kumquat {
@@ -17,7 +18,7 @@
   // Where routers reach this fake; the same as `listen` when the port is 0.
   Endpoint announced;
   std::string failure_domain = "a";
-  std::string log_level = "warning";
+  LogSettings log = {.level = "warning"};
   // Where to announce; none for a fake that is only called directly.
   std::vector<NamedEndpoint> routers;
   Duration announce_interval = std::chrono::milliseconds(500);
--- a/src/kumquatcontrol/cache_keeper.cpp
+++ b/src/kumquatcontrol/cache_keeper.cpp
@@ -44,21 +44,10 @@
   kept.number = number;
   BackendCallRequest request = codec_.encode_read(kept.endpoint, kept.next);
   request.timeouts = {kConnectTimeout, kReadTimeout, kReadTimeout};
-  struct Answer {
-    int status = 0;
-    std::string body;
+  const auto on_answer = [this, source, number](int status, std::string_view body) {
+    Answered(source, number, codec_.decode_read(status, body));
   };
-  const auto answer = std::make_shared<Answer>();
-  BackendCallHooks hooks;
-  hooks.on_headers = [answer](int status, const HttpHeaders&) { answer->status = status; };
-  hooks.on_data = [answer](std::string_view data) { answer->body += data; };
-  hooks.on_end = [this, source, number, answer] {
-    Answered(source, number, codec_.decode_read(answer->status, answer->body));
-  };
-  hooks.on_failure = [this, source, number](CallFailure, std::string_view) {
-    Answered(source, number, std::nullopt);
-  };
-  kept.call = client_->Start(std::move(request), std::move(hooks));
+  kept.call = client_->Start(std::move(request), GatherAnswer(on_answer));
 }
 
 void CacheKeeper::Answered(const std::string& source, std::int64_t number,
--- a/src/kumquatcontrol/control_node.cpp
+++ b/src/kumquatcontrol/control_node.cpp
@@ -3,7 +3,7 @@
 #include <QCborMap>
 #include <QCborValue>
 #include <algorithm>
-#include <cstdlib>
+
 #include <set>
 #include <utility>
 
@@ -29,7 +29,6 @@
 constexpr Duration kLeaderCallTimeout = std::chrono::milliseconds(600);
 // Before the name of a router among the gossip's neighbours; replicas have plain names.
 constexpr std::string_view kRouterPrefix = "router/";
-constexpr int kDecimal = 10;
 
 }  // namespace
 
@@ -132,16 +131,13 @@
   };
   hooks.engines = [this] {
     std::vector<RolloutEngine> engines;
-    directory_.table().ForEach([&](const Member& member) {
-      const MemberRecord& record = member.record;
-      if (!record.backend || record.leaving || record.backend->models.empty()) return;
+    ForEachEngine([&engines](const MemberRecord& record) {
       RolloutEngine engine;
       engine.id = record.id;
       engine.incarnation = record.incarnation;
       engine.endpoint = record.endpoint;
-
       for (const ModelVersion& model : record.backend->models) {
-        engine.weights[model.model] = std::strtoll(model.version.c_str(), nullptr, kDecimal);
+        engine.weights[model.model] = model.VersionNumber();
       }
       engines.push_back(std::move(engine));
     });
@@ -159,6 +155,15 @@
   return hooks;
 }
 
+void ControlNode::ForEachEngine(
+    const std::function<void(const MemberRecord& record)>& visit) const {
+  directory_.table().ForEach([&visit](const Member& member) {
+    const MemberRecord& record = member.record;
+    const bool is_engine = record.backend && !record.backend->models.empty();
+    if (is_engine && !record.leaving) visit(record);
+  });
+}
+
 std::vector<std::string> ControlNode::MemberNames() const {
   std::vector<std::string> names;
   for (const Endpoint& seed : options_.seeds) names.push_back(seed.ToString());
@@ -272,9 +277,8 @@
   if (const auto* hello = std::get_if<RouterHello>(&*news)) {
     desk_.Receive(connection, *hello);
   } else if (const auto* members = std::get_if<MemberNews>(&*news)) {
-    std::string reason = "It is not JSON.";
-    const auto json = ParseJsonObject(members->json);
-    const auto message = json ? ParseGossipMessage(*json, &reason) : std::nullopt;
+    std::string reason;
+    const auto message = ParseGossipMessage(members->json, &reason);
     if (message) {
       directory_.Receive(members->from, *message);
     } else {
@@ -305,8 +309,8 @@
   desk_.PushDocuments();
 }
 
-std::vector<Document> ControlNode::CompiledDocuments() {
-  std::vector<Document> documents;
+std::vector<const Document*> ControlNode::CompiledDocuments() {
+  std::vector<const Document*> documents;
   for (const auto& [name, document] : state_.documents().documents()) {
     auto known = compiled_.find(name);
     if (known == compiled_.end() || known->second.version != document.version) {
@@ -316,7 +320,7 @@
       known = compiled_.insert_or_assign(name, std::move(*made)).first;
       if (name == kRoutingDocument) WatchStores(known->second);
     }
-    documents.push_back(known->second);
+    documents.push_back(&known->second);
   }
   return documents;
 }
@@ -342,11 +346,7 @@
     const auto keeper = RendezvousTop(source.name, replicas, 1);
     if (keeper.front() == options_.log_name()) kept.push_back(source);
   };
-  directory_.table().ForEach([&](const Member& member) {
-    const MemberRecord& record = member.record;
-    if (!record.backend || record.leaving || record.backend->models.empty()) return;
-    keep_if_mine({record.id, record.endpoint});
-  });
+  ForEachEngine([&](const MemberRecord& record) { keep_if_mine({record.id, record.endpoint}); });
   for (const Endpoint& store : store_endpoints_) keep_if_mine({store.ToString(), store});
   cache_keeper_->SetSources(kept);
 }
--- a/src/kumquatcontrol/control_node.h
+++ b/src/kumquatcontrol/control_node.h
@@ -90,7 +90,7 @@
   void CallLeader(std::string_view method, const QJsonObject& params,
                   DocumentServiceHooks::OnResult on_result);
   void Applied(const LogPosition& position, std::string_view answer);
-  std::vector<Document> CompiledDocuments();
+  std::vector<const Document*> CompiledDocuments();
   std::vector<std::string> OtherReplicas() const;
   void UpdateNeighbours();
   void SendGossip(const std::string& to, const GossipMessage& message);
@@ -98,6 +98,8 @@
   void SendOrder(const Announcement& engine, const EngineOrder& order);
   void OrderEnded(std::int64_t fencing_number, std::string_view outcome);
   EngineOperatorHooks OperatorHooks();
+  // Visits the engines that are known and not leaving.
+  void ForEachEngine(const std::function<void(const MemberRecord& record)>& visit) const;
   void WatchStores(const Document& routing);
   void ShareCacheSources();
   void ReceivedLoad(const LoadNews& news);
--- a/src/kumquatcontrol/engine_operator.cpp
+++ b/src/kumquatcontrol/engine_operator.cpp
@@ -1,6 +1,5 @@
 #include "engine_operator.h"
 
-#include <QTimer>
 #include <algorithm>
 #include <utility>
 
@@ -109,26 +108,14 @@
                           std::function<void(int status, std::string_view body)> done) {
   const std::int64_t number = ++last_call_;
   request.timeouts = {kCallTimeout, kCallTimeout, kCallTimeout};
-  struct Answer {
-    int status = 0;
-    std::string body;
-  };
-  const auto answer = std::make_shared<Answer>();
-  const auto end = [this, number, answer, done = std::move(done)](bool whole) {
-    // The call can't be destroyed within its own hook.
+  const auto on_answer = [this, number, done = std::move(done)](int status, std::string_view body) {
     const auto call = calls_.find(number);
     if (call == calls_.end()) return;
-    const std::shared_ptr<BackendCall> ended = std::move(call->second);
+    DestroyLater(std::move(call->second));
     calls_.erase(call);
-    QTimer::singleShot(0, [ended] {});
-    done(whole ? answer->status : 0, answer->body);
+    done(status, body);
   };
-  BackendCallHooks hooks;
-  hooks.on_headers = [answer](int status, const HttpHeaders&) { answer->status = status; };
-  hooks.on_data = [answer](std::string_view data) { answer->body += data; };
-  hooks.on_end = [end] { end(true); };
-  hooks.on_failure = [end](CallFailure, std::string_view) { end(false); };
-  calls_[number] = client_->Start(std::move(request), std::move(hooks));
+  calls_[number] = client_->Start(std::move(request), GatherAnswer(on_answer));
 }
 
 void EngineOperator::Publish(Instant now) {
--- a/src/kumquatcontrol/main.cpp
+++ b/src/kumquatcontrol/main.cpp
@@ -15,6 +15,7 @@
 #include "state/storage/log_file_storage.h"
 #include "transport/process_signals.h"
 #include "utils/log.h"
+#include "utils/log_settings.h"
 #include "utils/program.h"
 #include "utils/settings.h"
 #include "utils/settings_watch.h"
@@ -34,8 +35,7 @@
   std::vector<Endpoint> seeds;
   Endpoint http_listen;
   std::string data_dir;
-  std::string log_level = "info";
-  std::int64_t log_bytes_per_second = kLogBytesPerSecond;
+  LogSettings log;
   std::int64_t snapshot_entries = 10'000;
   std::int64_t loads_at_once = 2;
   std::int64_t voters = 5;
@@ -59,11 +59,7 @@
       .Required();
   reader->Add("peers", &node.peers, "The other replicas, where there are no seeds.");
   reader->Add("data_dir", &settings->data_dir, "The folder of the durable state.").Required();
-  reader->Add("log_level", &settings->log_level, "debug, info, warning or error.");
-  reader->Add(
-      "log_bytes_per_second", &settings->log_bytes_per_second, {1000, 1'000'000'000},
-      "Bytes of log lines a second; what goes beyond is left out and counted. Warnings have "
-      "as much again.");
+  AddLogSettings(*reader, &settings->log);
   reader->Add("lease_ms", &node.service.lease, {500, 5000},
               "How long a router may serve by an answer.");
   reader->Add("heartbeat_ms", &node.log.heartbeat_interval, {10, 1000},
@@ -126,8 +122,7 @@
   }
   settings.node.log.snapshot_after_entries = static_cast<std::uint64_t>(settings.snapshot_entries);
   settings.node.service.orders.loads_at_once = static_cast<std::size_t>(settings.loads_at_once);
-  ConfigureLog(settings.node.instance, LogLevelFromName(settings.log_level),
-               {.bytes_per_second = settings.log_bytes_per_second});
+  ApplyLogSettings(settings.node.instance, settings.log);
   settings.node.seeds = ReplicasAt(settings.seeds, settings.node.listen.port);
   if (settings.node.is_open()) {
     settings.node.log.open_voters = static_cast<std::size_t>(settings.voters);
--- a/src/kumquatcontrol/router_desk.cpp
+++ b/src/kumquatcontrol/router_desk.cpp
@@ -44,11 +44,11 @@
 
 void RouterDesk::SendMissingDocuments(Router* router) {
   DocumentNews news;
-  for (Document& document : hooks_.documents()) {
-    std::int64_t& known = router->hello.versions[document.name];
-    if (document.version <= known) continue;
-    known = document.version;
-    news.documents.push_back(std::move(document));
+  for (const Document* document : hooks_.documents()) {
+    std::int64_t& known = router->hello.versions[document->name];
+    if (document->version <= known) continue;
+    known = document->version;
+    news.documents.push_back(*document);
   }
   if (!news.documents.empty()) SendTo(*router->connection, news);
 }
--- a/src/kumquatcontrol/router_desk.h
+++ b/src/kumquatcontrol/router_desk.h
@@ -17,8 +17,8 @@
 
 struct RouterDeskHooks {
   Clock clock;
-  // Returns the committed documents in the form that routers use.
-  std::function<std::vector<Document>()> documents;
+  // Returns the committed documents in the form that routers use. They stay until the next call.
+  std::function<std::vector<const Document*>()> documents;
   // Returns the digest of this replica's table of backend servers.
   std::function<std::uint64_t()> members_digest;
   // Tells a router all that is known of backend servers, and asks for what it knows.
--- a/src/kumquatcontrol/store_watch.cpp
+++ b/src/kumquatcontrol/store_watch.cpp
@@ -46,22 +46,11 @@
   watched.number = number;
   BackendCallRequest request = codec_.encode_read(store, watched.since);
   request.timeouts = {kConnectTimeout, kPollTimeout, kPollTimeout};
-  struct Answer {
-    int status = 0;
-    std::string body;
-  };
-  const auto answer = std::make_shared<Answer>();
-  BackendCallHooks hooks;
-  hooks.on_headers = [answer](int status, const HttpHeaders&) { answer->status = status; };
-  hooks.on_data = [answer](std::string_view data) { answer->body += data; };
-  hooks.on_end = [this, store, number, answer] {
-    const auto events = codec_.decode_read(answer->status, answer->body);
+  const auto on_answer = [this, store, number](int status, std::string_view body) {
+    const auto events = codec_.decode_read(status, body);
     Answered(store, number, events ? std::optional(events->next) : std::nullopt);
   };
-  hooks.on_failure = [this, store, number](CallFailure, std::string_view) {
-    Answered(store, number, std::nullopt);
-  };
-  watched.call = client_->Start(std::move(request), std::move(hooks));
+  watched.call = client_->Start(std::move(request), GatherAnswer(on_answer));
 }
 
 void StoreWatch::Answered(const Endpoint& store, std::int64_t number,
--- a/src/kumquatrouter/exchange.cpp
+++ b/src/kumquatrouter/exchange.cpp
@@ -70,10 +70,6 @@
   responder.Send(AnswerFor(error.kind).http_status, headers, ErrorBody(error));
 }
 
-void DestroyLater(std::unique_ptr<BackendCall> call) {
-  QTimer::singleShot(0, [shared = std::shared_ptr<BackendCall>(std::move(call))] {});
-}
-
 void RunAt(Instant moment, Instant now, std::function<void()> hook) {
   const Duration wait = std::max(Duration(0), moment - now);
   QTimer::singleShot(std::chrono::ceil<std::chrono::milliseconds>(wait), std::move(hook));
--- a/src/kumquatrouter/exchange.h
+++ b/src/kumquatrouter/exchange.h
@@ -57,9 +57,6 @@
 // Sends an error as a whole answer, with its Retry-After.
 void SendError(HttpResponder& responder, const std::string& request_id, const Error& error);
 
-// Destroys a call after the hook that may be running on it has returned.
-void DestroyLater(std::unique_ptr<BackendCall> call);
-
 // Runs the hook at this moment of the clock, unless the owner is gone by then.
 void RunAt(Instant moment, Instant now, std::function<void()> hook);
 
--- a/src/kumquatrouter/forwarding/control_feed.cpp
+++ b/src/kumquatrouter/forwarding/control_feed.cpp
@@ -103,9 +103,8 @@
 }
 
 void ControlFeed::Receive(const Endpoint& replica, const MemberNews& news) {
-  std::string reason = "It is not JSON.";
-  const auto json = ParseJsonObject(news.json);
-  const auto message = json ? ParseGossipMessage(*json, &reason) : std::nullopt;
+  std::string reason;
+  const auto message = ParseGossipMessage(news.json, &reason);
   if (!message) {
     LogEvent(LogLevel::kWarning, "gossip_dropped",
              {{"from", replica.ToString()}, {"reason", reason}});
--- a/src/kumquatrouter/forwarding/forward_exchange.cpp
+++ b/src/kumquatrouter/forwarding/forward_exchange.cpp
@@ -145,28 +145,29 @@
                                  service_->engine ? service_->engine->memory_tokens : 0};
   while (!candidates.empty()) {
     placed_ = services_.placement->Choose(*request_.prompt, setting, candidates, Now());
-    if (!BeginsTooLate(*placed_)) return placed_->backend->choice();
+    const Duration wait = placed_->placement.expected_first_token;
+    if (!BeginsTooLate(*placed_->backend, wait)) return placed_->backend->choice();
     std::erase(candidates, placed_->backend);
   }
   placed_.reset();
   return std::nullopt;
 }
 
-// Returns those that have the request's model.
+// Returns those that have the request's model, with weights that may begin a request still.
 std::vector<PooledBackend*> ForwardExchange::EnginesFor(
     std::vector<PooledBackend*> candidates) const {
   if (!request_.prompt) return candidates;
   const std::string& model = request_.prompt->model;
-  std::erase_if(candidates,
-                [&](const PooledBackend* backend) { return !backend->weights.contains(model); });
+  std::erase_if(candidates, [&](const PooledBackend* backend) {
+    return !backend->weights.contains(model) || BeginsTooLate(*backend, Duration(0));
+  });
   return candidates;
 }
 
-bool ForwardExchange::BeginsTooLate(const PromptChoice& choice) const {
+bool ForwardExchange::BeginsTooLate(const PooledBackend& backend, Duration expected_wait) const {
   const std::string& model = request_.prompt->model;
-  const auto lag = services_.weights.ReplacedFor(model, choice.backend->VersionOf(model), Now());
-  return lag && *lag + kBeginMargin + kBeginFactor * choice.placement.expected_first_token >
-                    services_.weights_longest_lag;
+  const auto lag = services_.weights.ReplacedFor(model, backend.VersionOf(model), Now());
+  return lag && *lag + kBeginMargin + kBeginFactor * expected_wait > services_.weights_longest_lag;
 }
 
 // Returns the store of kept cache that is alive, if the table names one.
@@ -419,25 +420,12 @@
   BackendCallRequest call =
       services_.codec.encode_move({backend, from->endpoint, to->endpoint, request_.id});
   call.timeouts = {kConnectTimeout, kMoveTimeout, kMoveTimeout};
-  struct Answer {
-    int status = 0;
-    std::string body;
-  };
-  const auto answer = std::make_shared<Answer>();
-  const auto weak = weak_from_this();
-  BackendCallHooks hooks;
-  hooks.on_headers = [answer](int status, const HttpHeaders&) { answer->status = status; };
-  hooks.on_data = [answer](std::string_view data) { answer->body += data; };
-  hooks.on_end = [weak, number, answer] {
+  const auto on_answer = [weak = weak_from_this(), number](int status, std::string_view body) {
     const auto exchange = weak.lock();
     if (!exchange) return;
-    exchange->OnMoveAnswered(number,
-                             exchange->services_.codec.decode_move(answer->status, answer->body));
-  };
-  hooks.on_failure = [weak, number](CallFailure, std::string_view) {
-    if (const auto exchange = weak.lock()) exchange->OnMoveAnswered(number, {});
+    exchange->OnMoveAnswered(number, exchange->services_.codec.decode_move(status, body));
   };
-  attempt_->move = services_.client->Start(std::move(call), std::move(hooks));
+  attempt_->move = services_.client->Start(std::move(call), GatherAnswer(on_answer));
 }
 
 void ForwardExchange::OnMoveAnswered(std::int64_t number, const MoveAnswer& answer) {
--- a/src/kumquatrouter/forwarding/forward_exchange.h
+++ b/src/kumquatrouter/forwarding/forward_exchange.h
@@ -73,7 +73,7 @@
   std::optional<BackendChoice> Choose(std::span<const BackendChoice> avoid);
   std::vector<PooledBackend*> EnginesFor(std::vector<PooledBackend*> candidates) const;
   // Weights that were replaced must not begin a request after the longest lag.
-  bool BeginsTooLate(const PromptChoice& choice) const;
+  bool BeginsTooLate(const PooledBackend& backend, Duration expected_wait) const;
   void Send(const SendCommand& command);
   void LogSent(const SendCommand& command) const;
   void OnFirstEvent();
--- a/src/kumquatrouter/forwarding/forward_server.cpp
+++ b/src/kumquatrouter/forwarding/forward_server.cpp
@@ -295,7 +295,7 @@
   const bool is_over = passed > settings_.grace - kExitMargin;
   if (server_->open_requests() > 0 && !is_over) return;
   drain_timer_.stop();
-  LogEvent(LogLevel::kInfo, "router_stopped", {{"requests_cut", server_->open_requests()}});
+  LogEvent(LogLevel::kInfo, "router_drained", {{"requests_cut", server_->open_requests()}});
   if (on_drained_) std::exchange(on_drained_, nullptr)();
 }
 
--- a/src/kumquatrouter/main.cpp
+++ b/src/kumquatrouter/main.cpp
@@ -51,8 +51,7 @@
   const auto exit_status =
       StartProgram(&argc, &argv, "kumquat-router", KUMQUAT_VERSION, kPurpose, reader);
   if (exit_status) return *exit_status;
-  ConfigureLog(settings.instance, LogLevelFromName(settings.log_level),
-               {.bytes_per_second = settings.log_bytes_per_second});
+  ApplyLogSettings(settings.instance, settings.log);
 
   const QCoreApplication application(argc, argv);
   std::mt19937_64 generator(std::random_device{}());
--- a/src/kumquatrouter/router_settings.cpp
+++ b/src/kumquatrouter/router_settings.cpp
@@ -14,10 +14,7 @@
       .Required();
   reader.Add("failure_domain", &s->failure_domain, "Failure domain that this instance is in.")
       .Required();
-  reader.Add("log_level", &s->log_level, "Lowest level logged: debug, info, warning or error.");
-  reader.Add("log_bytes_per_second", &s->log_bytes_per_second, {1000, 1'000'000'000},
-             "Bytes of log lines a second; what goes beyond is left out and counted. Warnings have "
-             "as much again.");
+  AddLogSettings(reader, &s->log);
   reader.Add("listen", &s->listen, "Where callers and backend servers reach this router.");
   reader.Add("peer_listen", &s->peer_listen, "Where the other routers reach this router.");
   reader.Add("peers", &s->peers, "The other routers, each as \"name@ip:port\" of its peer_listen.");
--- a/src/kumquatrouter/router_settings.h
+++ b/src/kumquatrouter/router_settings.h
@@ -8,7 +8,7 @@
 #include "forwarding/forward_settings.h"
 #include "utils/endpoint.h"
 #include "utils/hooks.h"
-#include "utils/log_writer.h"
+#include "utils/log_settings.h"
 #include "utils/settings.h"
 
 namespace kumquat {
@@ -16,8 +16,7 @@
 struct RouterSettings {
   std::string instance;
   std::string failure_domain;
-  std::string log_level = "info";
-  std::int64_t log_bytes_per_second = kLogBytesPerSecond;
+  LogSettings log;
   Endpoint listen{"127.0.0.1", 8080};
   Endpoint peer_listen{"127.0.0.1", 8081};
   std::vector<NamedEndpoint> peers;
--- a/src/libs/coordination/forwarding/backend_pool.cpp
+++ b/src/libs/coordination/forwarding/backend_pool.cpp
@@ -1,7 +1,6 @@
 #include "coordination/forwarding/backend_pool.h"
 
 #include <algorithm>
-#include <cstdlib>
 #include <span>
 #include <utility>
 
@@ -27,7 +26,7 @@
   backend->is_leaving = record.leaving;
   for (const ModelVersion& model : said.models) {
     std::int64_t& known = backend->weights[model.model];
-    known = std::max<std::int64_t>(known, std::strtoll(model.version.c_str(), nullptr, 10));
+    known = std::max(known, model.VersionNumber());
   }
 }
 
--- a/src/libs/coordination/forwarding/prompt_placement.cpp
+++ b/src/libs/coordination/forwarding/prompt_placement.cpp
@@ -29,12 +29,6 @@
   return prompt.tokens + prompt.max_answer_tokens - (shares ? prompt.parts.front().tokens : 0);
 }
 
-PlacementOptions PolicyOptions(const PromptPlacementOptions& options) {
-  PlacementOptions policy;
-  policy.memory_pressure = options.memory_pressure;
-  return policy;
-}
-
 std::uint64_t SaveKey(std::uint64_t root, std::int64_t version) {
   return XXH3_64bits_withSeed(&version, sizeof(version), root);
 }
@@ -57,7 +51,7 @@
     : options_(options),
       named_(named),
       index_(index),
-      policy_(PolicyOptions(options), std::move(random)) {}
+      policy_(PlacementOptions{}, std::move(random)) {}
 
 PromptPlacement::HoldingsByVersion PromptPlacement::FindHoldings(
     const Prompt& prompt, const PromptSetting& setting, std::span<PooledBackend* const> backends,
--- a/src/libs/coordination/forwarding/prompt_placement.h
+++ b/src/libs/coordination/forwarding/prompt_placement.h
@@ -56,8 +56,7 @@
   // for this long.
   Duration old_weights_cost = std::chrono::milliseconds(60);
   Duration old_weights_grace = std::chrono::milliseconds(1200);
-  // What a run costs others on an engine whose memory is full: cached parts are read again.
-  Duration memory_pressure = std::chrono::milliseconds(60);
+
   // Parts that the store lacks are saved again after this: its events come late.
   Duration save_interval = std::chrono::seconds(2);
 };
--- a/src/libs/coordination/membership/gossip.cpp
+++ b/src/libs/coordination/membership/gossip.cpp
@@ -40,6 +40,13 @@
   return message;
 }
 
+std::optional<GossipMessage> ParseGossipMessage(std::string_view text, std::string* reason) {
+  const auto json = ParseJsonObject(text);
+  if (json) return ParseGossipMessage(*json, reason);
+  *reason = "It is not JSON.";
+  return std::nullopt;
+}
+
 std::vector<std::string> GossipNeighbours(std::string_view self,
                                           std::span<const std::string> routers,
                                           std::size_t max_neighbours) {
--- a/src/libs/coordination/membership/gossip.h
+++ b/src/libs/coordination/membership/gossip.h
@@ -27,6 +27,8 @@
 
 QJsonObject ToJson(const GossipMessage& message);
 std::optional<GossipMessage> ParseGossipMessage(const QJsonObject& json, std::string* reason);
+// The same for a message in its text form.
+std::optional<GossipMessage> ParseGossipMessage(std::string_view text, std::string* reason);
 
 // Returns the routers that `self` keeps links to: all others up to `max_neighbours`, else those at
 // distance 1, 2, 4, 8, ... on a ring of hashed names, so that a flood takes few hops.
--- a/src/libs/coordination/orders/weights_rollout.cpp
+++ b/src/libs/coordination/orders/weights_rollout.cpp
@@ -29,7 +29,8 @@
     const auto wanted = named.find(model);
     if (wanted == named.end()) continue;
     const std::int64_t seen = progress.state ? VersionIn(progress.state->weights, model) : 0;
-    if (std::max(announced, seen) < wanted->second) return Need{model, wanted->second};
+    const std::int64_t has = std::max(announced, seen);
+    if (has < wanted->second) return Need{model, wanted->second, has};
   }
   return std::nullopt;
 }
@@ -82,9 +83,7 @@
     Progress& progress = progress_.at(engine.id);
     if (progress.phase != Phase::kIdle || now < progress.next_at) continue;
     const auto need = NeedOf(engine, progress, named);
-    if (!need) continue;
-    const std::int64_t seen = progress.state ? VersionIn(progress.state->weights, need->model) : 0;
-    waiting.emplace_back(std::max(seen, VersionIn(engine.weights, need->model)), &progress);
+    if (need) waiting.emplace_back(need->has, &progress);
   }
   std::stable_sort(waiting.begin(), waiting.end(),
                    [](const auto& left, const auto& right) { return left.first < right.first; });
--- a/src/libs/coordination/orders/weights_rollout.h
+++ b/src/libs/coordination/orders/weights_rollout.h
@@ -128,6 +128,8 @@
   struct Need {
     std::string model;
     std::int64_t version = 0;
+    // What it has, as far as is known.
+    std::int64_t has = 0;
   };
 
   struct Progress {
--- a/src/libs/coordination/placement/placement.h
+++ b/src/libs/coordination/placement/placement.h
@@ -75,7 +75,7 @@
   double draft_recompute_weight = 0.4;
   // What the last token of memory costs besides waiting for it: runs that hold it evict cached
   // prefixes. Grows with the square of the part that is held.
-  Duration memory_pressure{0};
+  Duration memory_pressure = std::chrono::milliseconds(60);
   // Choices within this much of the best one are equal, and are told apart at random.
   Duration tie = std::chrono::milliseconds(2);
 };
--- a/src/libs/protocol/lists.cpp
+++ b/src/libs/protocol/lists.cpp
@@ -1,6 +1,7 @@
 #include "protocol/lists.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <set>
 
 #include "protocol/json_fields.h"
@@ -75,6 +76,11 @@
   return adapter.empty() ? model : model + ":" + adapter;
 }
 
+std::int64_t ModelVersion::VersionNumber() const {
+  constexpr int kDecimal = 10;
+  return std::strtoll(version.c_str(), nullptr, kDecimal);
+}
+
 std::string_view RequestClassName(RequestClass request_class) {
   return request_class == RequestClass::kReply ? "reply" : "draft";
 }
--- a/src/libs/protocol/lists.h
+++ b/src/libs/protocol/lists.h
@@ -22,6 +22,9 @@
 
   // Returns the name that callers use: "model", or "model:adapter".
   std::string CallerName() const;
+
+  // Returns the version where versions are whole numbers that grow; 0 where it is none.
+  std::int64_t VersionNumber() const;
 };
 
 // The class of a request: replies go before drafts.
--- a/src/libs/transport/backend_client.cpp
+++ b/src/libs/transport/backend_client.cpp
@@ -296,6 +296,26 @@
   return "broken";
 }
 
+BackendCallHooks GatherAnswer(std::function<void(int status, std::string_view body)> on_answer) {
+  struct Answer {
+    int status = 0;
+    std::string body;
+    std::function<void(int status, std::string_view body)> on_answer;
+  };
+  const auto answer = std::make_shared<Answer>();
+  answer->on_answer = std::move(on_answer);
+  BackendCallHooks hooks;
+  hooks.on_headers = [answer](int status, const HttpHeaders&) { answer->status = status; };
+  hooks.on_data = [answer](std::string_view data) { answer->body += data; };
+  hooks.on_end = [answer] { answer->on_answer(answer->status, answer->body); };
+  hooks.on_failure = [answer](CallFailure, std::string_view) { answer->on_answer(0, {}); };
+  return hooks;
+}
+
+void DestroyLater(std::unique_ptr<BackendCall> call) {
+  QTimer::singleShot(0, [shared = std::shared_ptr<BackendCall>(std::move(call))] {});
+}
+
 std::unique_ptr<BackendClient> MakeHttpBackendClient() {
   return std::make_unique<Internal::HttpBackendClient>();
 }
--- a/src/libs/transport/backend_client.h
+++ b/src/libs/transport/backend_client.h
@@ -79,6 +79,13 @@
                                              BackendCallHooks hooks) = 0;
 };
 
+// Returns hooks that gather the whole answer and hand it on once; with status 0 and no body where
+// the call failed.
+BackendCallHooks GatherAnswer(std::function<void(int status, std::string_view body)> on_answer);
+
+// Destroys a call after the hook that may be running on it has returned.
+void DestroyLater(std::unique_ptr<BackendCall> call);
+
 // Returns the client that keeps connections for later calls.
 std::unique_ptr<BackendClient> MakeHttpBackendClient();
 
--- a/src/libs/utils/log.cpp
+++ b/src/libs/utils/log.cpp
@@ -53,26 +53,6 @@
   line += '"';
 }
 
-}  // namespace
-
-LogField::LogField(std::string_view field_key, double field_value)
-    : key(field_key), value(fmt::format("{:.3f}", field_value)) {}
-
-void ConfigureLog(std::string_view instance, LogLevel lowest, const LogOutput& output) {
-  State().instance = instance;
-  State().lowest = lowest;
-  State().writer = LogWriter(output.descriptor, output.bytes_per_second, SteadyClock());
-}
-
-LogLevel LogLevelFromName(std::string_view name) {
-  if (name == "debug") return LogLevel::kDebug;
-  if (name == "warning") return LogLevel::kWarning;
-  if (name == "error") return LogLevel::kError;
-  return LogLevel::kInfo;
-}
-
-namespace {
-
 bool WriteLine(LogLevel level, std::string_view event, std::span<const LogField> fields) {
   const auto now = std::chrono::system_clock::now();
   const auto millis =
@@ -92,6 +72,22 @@
 
 }  // namespace
 
+LogField::LogField(std::string_view field_key, double field_value)
+    : key(field_key), value(fmt::format("{:.3f}", field_value)) {}
+
+void ConfigureLog(std::string_view instance, LogLevel lowest, const LogOutput& output) {
+  State().instance = instance;
+  State().lowest = lowest;
+  State().writer = LogWriter(output.descriptor, output.bytes_per_second, SteadyClock());
+}
+
+LogLevel LogLevelFromName(std::string_view name) {
+  if (name == "debug") return LogLevel::kDebug;
+  if (name == "warning") return LogLevel::kWarning;
+  if (name == "error") return LogLevel::kError;
+  return LogLevel::kInfo;
+}
+
 void LogEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields) {
   if (level < State().lowest) return;
   if (State().dropped > 0) {
--- a/src/platform/engine_edge.cpp
+++ b/src/platform/engine_edge.cpp
@@ -2,12 +2,12 @@
 
 #include <utility>
 
+#include "platform/model_versions.h"
 #include "protocol/json_fields.h"
 
 namespace kumquat::platform {
 namespace {
 
-constexpr std::size_t kMaxModels = 1024;
 constexpr int kOk = 200;
 constexpr int kAccepted = 202;
 constexpr int kConflict = 409;
@@ -39,14 +39,7 @@
       .ReadOptional("kvUsed", &held)
       .ReadOptional("kvTotal", &total);
   if (total > 0) state.memory_held = held / total;
-  for (const QJsonValue& item : fields.Array("models", kMaxModels)) {
-    std::string model;
-    std::int64_t version = 0;
-    JsonFields named(item.toObject());
-    named.Read("name", &model).Read("version", &version);
-    if (!named.ok()) fields.Fail("models", named.last_reason());
-    state.weights[model] = version;
-  }
+  for (const auto& [name, version] : ReadModelVersions(fields)) state.weights[name] = version;
   if (!fields.ok()) return std::nullopt;
   return state;
 }
--- a/src/platform/heartbeat.cpp
+++ b/src/platform/heartbeat.cpp
@@ -3,12 +3,12 @@
 #include <limits>
 #include <utility>
 
+#include "platform/model_versions.h"
 #include "protocol/json_fields.h"
 
 namespace kumquat::platform {
 namespace {
 
-constexpr std::size_t kMaxModels = 1024;
 constexpr std::int64_t kMaxSlots = std::numeric_limits<std::int32_t>::max();
 
 void ReadAddress(JsonFields& fields, Endpoint* endpoint) {
@@ -30,12 +30,9 @@
 }
 
 void ReadModels(JsonFields& fields, std::vector<ModelVersion>* models) {
-  for (const QJsonValue& item : fields.Array("models", kMaxModels)) {
+  for (auto& [name, version] : ReadModelVersions(fields)) {
     ModelVersion model;
-    std::int64_t version = 0;
-    JsonFields named(item.toObject());
-    named.Read("name", &model.model).Read("version", &version);
-    if (!named.ok()) fields.Fail("models", named.last_reason());
+    model.model = std::move(name);
     model.version = std::to_string(version);
     models->push_back(std::move(model));
   }
--- a/tests/kumquatcontrol/engine_operator_test.cpp
+++ b/tests/kumquatcontrol/engine_operator_test.cpp
@@ -75,7 +75,7 @@
 
   // `leads` is the term in which a majority follows this replica now.
   void Step(std::optional<std::int64_t> leads, const std::function<bool()>& is_slow) {
-        leads_ = leads;
+    leads_ = leads;
     for (auto& round : std::exchange(rounds_, {})) {
       if (is_slow()) {
         rounds_.push_back(std::move(round));
@@ -87,7 +87,7 @@
     client_.Answer();
   }
 
-  private:
+ private:
   // A round whose outcome was settled when it began, and is heard later.
   struct Round {
     std::function<void(bool confirmed)> done;
@@ -99,7 +99,7 @@
     hooks.clock = [this] { return *now_; };
     hooks.term = [this] { return believed_; };
     hooks.confirm = [this](std::function<void(bool confirmed)> done) {
-            rounds_.push_back({std::move(done), leads_.has_value() && leads_ == believed_});
+      rounds_.push_back({std::move(done), leads_.has_value() && leads_ == believed_});
     };
     hooks.engines = [] {
       RolloutEngine engine;
@@ -146,7 +146,7 @@
   const Instant* now_;
   FakeClient client_;
   std::optional<std::int64_t> believed_;
-    std::optional<std::int64_t> leads_;
+  std::optional<std::int64_t> leads_;
   std::vector<Round> rounds_;
   std::unique_ptr<EngineOperator> operator_;
 };
--- a/tests/libs/transport/backend_client_test.cpp
+++ b/tests/libs/transport/backend_client_test.cpp
@@ -7,6 +7,9 @@
 
 #include <QTimer>
 #include <set>
+#include <string>
+#include <utility>
+#include <vector>
 
 #include "raw_peer.h"
 
@@ -395,5 +398,23 @@
   CHECK(SpinUntil([&] { return server.connections == kCalls + 1; }));
 }
 
+TEST_CASE("A gathered answer comes whole, or as status 0 without what had come of it") {
+  std::vector<std::pair<int, std::string>> answers;
+  const auto on_answer = [&answers](int status, std::string_view body) {
+    answers.emplace_back(status, body);
+  };
+  const BackendCallHooks whole = GatherAnswer(on_answer);
+  whole.on_headers(202, {});
+  whole.on_data("ab");
+  whole.on_data("c");
+  CHECK(answers.empty());
+  whole.on_end();
+  const BackendCallHooks broken = GatherAnswer(on_answer);
+  broken.on_headers(200, {});
+  broken.on_data("ab");
+  broken.on_failure(CallFailure::kBroken, "");
+  CHECK(answers == std::vector<std::pair<int, std::string>>{{202, "abc"}, {0, ""}});
+}
+
 }  // namespace
 }  // namespace kumquat
