--- a/src/libs/utils/log_settings.cpp
+++ b/src/libs/utils/log_settings.cpp
@@ -5,8 +5,7 @@
 namespace kumquat {
 
 void AddLogSettings(SettingsReader& reader, LogSettings* settings) {
-  reader.Add("log_level", &settings->level,
-             "Lowest level logged: debug, info, warning or error.");
+  reader.Add("log_level", &settings->level, "Lowest level logged: debug, info, warning or error.");
   reader.Add("log_bytes_per_second", &settings->bytes_per_second, {1000, 1'000'000'000},
              "Bytes of log lines a second; what goes beyond is left out and counted. Warnings have "
              "as much again.");
