At most four idle connections a server and router

Calls that may not be repeated open a new connection each, and left it to the pool: up to 32 idle ones a server, times seven routers. Ruled out: connections in use (6 places and a queue of 24 a server). Test: 'Few connections wait at a server for their next call', failing before (32).

--- a/src/libs/transport/connection_pool.cpp
+++ b/src/libs/transport/connection_pool.cpp
@@ -6,8 +6,9 @@
 namespace kumquat::Internal {
 namespace {
 
-// Further ones are closed; no server needs more at a time from one process.
-constexpr std::size_t kMaxIdlePerServer = 32;
+// Further ones are closed: servers take some 100 connections from all routers together, those that
+// carry a request included, and reset what comes beyond that.
+constexpr std::size_t kMaxIdlePerServer = 4;
 
 }  // namespace
 
--- a/tests/libs/transport/backend_client_test.cpp
+++ b/tests/libs/transport/backend_client_test.cpp
@@ -398,6 +398,28 @@
   CHECK(SpinUntil([&] { return server.connections == kCalls + 1; }));
 }
 
+// Servers count the connections of all routers together and reset what comes beyond their limit,
+// and a request is lost with its connection.
+TEST_CASE("Few connections wait at a server for their next call") {
+  std::vector<QTcpSocket*> waiting;
+  int closed = 0;
+  RawServer server([&](QTcpSocket* socket) {
+    waiting.push_back(socket);
+    QObject::connect(socket, &QTcpSocket::disconnected, socket, [&closed] { ++closed; });
+  });
+  const auto client = MakeHttpBackendClient();
+  constexpr int kCalls = 12;
+  std::vector<Heard> heard(kCalls);
+  std::vector<std::unique_ptr<BackendCall>> calls;
+  calls.reserve(kCalls);
+  for (Heard& one : heard) {
+    calls.push_back(client->Start(RequestTo(server.serverPort()), HooksInto(&one)));
+  }
+  CHECK(SpinUntil([&] { return server.requests == kCalls; }));
+  for (QTcpSocket* socket : waiting) Answer(socket, kWholeAnswer);
+  CHECK(SpinUntil([&] { return closed == kCalls - 4; }));
+}
+
 TEST_CASE("A gathered answer comes whole, or as status 0 without what had come of it") {
   std::vector<std::pair<int, std::string>> answers;
   const auto on_answer = [&answers](int status, std::string_view body) {
