A store's content is listed where its events have a gap; a read turned away loses nothing

A keeper now asks a store for all that it holds when events are missing; engines, whose work that holds up and whose cache changes within seconds, are not asked. Also: 429 to a read (too many readers) was taken for a restart of the source and wiped what was known of it.

--- a/src/kumquatcontrol/cache_keeper.cpp
+++ b/src/kumquatcontrol/cache_keeper.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "utils/log.h"
+
 namespace kumquat {
 namespace {
 
@@ -30,6 +32,7 @@
     if (!is_new) continue;
     Kept& kept = entry->second;
     kept.endpoint = source.endpoint;
+    kept.may_list = source.may_list;
     kept.timer = std::make_unique<QTimer>();
     kept.timer->setSingleShot(true);
     QObject::connect(kept.timer.get(), &QTimer::timeout, kept.timer.get(),
@@ -42,10 +45,13 @@
   Kept& kept = kept_.at(source);
   const std::int64_t number = ++last_number_;
   kept.number = number;
-  BackendCallRequest request = codec_.encode_read(kept.endpoint, kept.next);
+  const bool lists = kept.wants_list;
+  BackendCallRequest request =
+      lists ? codec_.encode_list(kept.endpoint) : codec_.encode_read(kept.endpoint, kept.next);
   request.timeouts = {kConnectTimeout, kReadTimeout, kReadTimeout};
-  const auto on_answer = [this, source, number](int status, std::string_view body) {
-    Answered(source, number, codec_.decode_read(status, body));
+  const auto on_answer = [this, source, number, lists](int status, std::string_view body) {
+    const auto& decode = lists ? codec_.decode_list : codec_.decode_read;
+    Answered(source, number, decode(status, body));
   };
   kept.call = client_->Start(std::move(request), GatherAnswer(on_answer));
 }
@@ -54,8 +60,41 @@
                            const std::optional<PartEvents>& events) {
   const auto found = kept_.find(source);
   if (found == kept_.end() || found->second.number != number) return;
-  found->second.timer->start(events ? kReadPause : kFailedReadPause);
-  if (events) Take(source, &found->second, *events);
+  Kept& kept = found->second;
+  const bool tells = events && events->epoch != 0;
+  kept.timer->start(tells ? kReadPause : kFailedReadPause);
+  if (!tells) return;
+  if (std::exchange(kept.wants_list, false)) {
+    TakeList(source, &kept, *events);
+  } else {
+    Take(source, &kept, *events);
+  }
+}
+
+// Takes the events in and returns them in their short form.
+std::vector<PartChange> CacheKeeper::Apply(const std::vector<PartEvent>& events, Kept* kept) {
+  std::vector<PartChange> changes;
+  changes.reserve(events.size());
+  for (const PartEvent& event : events) {
+    const PartChange change{PartKey(event.salt, event.part), event.tokens};
+    changes.push_back(change);
+    if (change.tokens > 0) {
+      kept->held[change.key] = change.tokens;
+    } else {
+      kept->held.erase(change.key);
+    }
+  }
+  return changes;
+}
+
+void CacheKeeper::TakeList(const std::string& source, Kept* kept, const PartEvents& list) {
+  LogEvent(LogLevel::kInfo, "cache_listed",
+           {{"source", source}, {"parts", list.events.size()}, {"next", list.next}});
+  kept->held.clear();
+  kept->epoch = list.epoch;
+  kept->next = list.next;
+  Apply(list.events, kept);
+  publish_(*Snapshot(source));
 }
 
 void CacheKeeper::Take(const std::string& source, Kept* kept, const PartEvents& events) {
@@ -75,16 +114,9 @@
       kept->next = 0;
       return;
     }
+    kept->wants_list = events.has_gap && kept->may_list;
   }
-  for (const PartEvent& event : events.events) {
-    const PartChange change{PartKey(event.salt, event.part), event.tokens};
-    news.changes.push_back(change);
-    if (change.tokens > 0) {
-      kept->held[change.key] = change.tokens;
-    } else {
-      kept->held.erase(change.key);
-    }
-  }
+  news.changes = Apply(events.events, kept);
   const bool is_news = begins_anew || !news.changes.empty();
   kept->next = events.next;
   if (is_news) publish_(news);
--- a/src/kumquatcontrol/cache_keeper.h
+++ b/src/kumquatcontrol/cache_keeper.h
@@ -25,14 +25,21 @@
   // Asks for events from this number on; the source holds the call for a while where there are
   // none.
   std::function<BackendCallRequest(const Endpoint& source, std::int64_t since)> encode_read;
-  // Returns nothing for an answer that tells none.
+  // Returns nothing for an answer that tells none, and epoch 0 for a source that is alive and has
+  // no time for this reader.
   std::function<std::optional<PartEvents>(int status, std::string_view body)> decode_read;
+  // Asks for all that the source holds, as one event a part, and where to read on from.
+  std::function<BackendCallRequest(const Endpoint& source)> encode_list;
+  std::function<std::optional<PartEvents>(int status, std::string_view body)> decode_list;
 };
 
 // A source of events; engines go by their id and stores by their address.
 struct CacheSource {
   std::string name;
   Endpoint endpoint;
+  // All that it holds may be asked for where events are missing. That holds up an engine's work,
+  // and what an engine holds changes within seconds anyway; a store keeps parts for long.
+  bool may_list = false;
 };
 
 class CacheKeeper {
@@ -51,6 +58,9 @@
  private:
   struct Kept {
     Endpoint endpoint;
+    bool may_list = false;
+    // Events are missing, so that all that is held is asked for next.
+    bool wants_list = false;
     std::int64_t epoch = 0;
     std::int64_t next = 0;
     std::unordered_map<std::uint64_t, std::int64_t> held;
@@ -64,6 +74,8 @@
   void Answered(const std::string& source, std::int64_t number,
                 const std::optional<PartEvents>& events);
   void Take(const std::string& source, Kept* kept, const PartEvents& events);
+  void TakeList(const std::string& source, Kept* kept, const PartEvents& list);
+  static std::vector<PartChange> Apply(const std::vector<PartEvent>& events, Kept* kept);
 
   PartEventCodec codec_;
   BackendClient* client_;
--- a/src/platform/engine_edge.cpp
+++ b/src/platform/engine_edge.cpp
@@ -116,9 +116,41 @@
   return events;
 }
 
+BackendCallRequest EncodeList(const Endpoint& source) {
+  BackendCallRequest request;
+  request.endpoint = source;
+  request.method = "GET";
+  request.target = "/kv-list";
+  return request;
+}
+
+// An entry is [salt, part, tokens, model].
+std::optional<PartEvent> DecodeHeld(const QJsonValue& value) {
+  const QJsonArray items = value.toArray();
+  constexpr qsizetype kItems = 4;
+  if (items.size() < kItems || !items.at(2).isDouble()) return std::nullopt;
+  return PartEvent{items.at(0).toString().toStdString(), items.at(1).toString().toStdString(),
+                   items.at(2).toInteger()};
+}
+
+std::optional<PartEvents> DecodeList(int status, std::string_view body) {
+  const auto json = ParseJsonObject(body);
+  if (status != kOk || !json) return std::nullopt;
+  PartEvents list;
+  JsonFields fields(*json);
+  fields.Read("bootEpoch", &list.epoch).Read("next", &list.next);
+  for (const QJsonValue& item : fields.Array("held", kMaxEvents)) {
+    auto held = DecodeHeld(item);
+    if (!held) return std::nullopt;
+    list.events.push_back(std::move(*held));
+  }
+  if (!fields.ok()) return std::nullopt;
+  return list;
+}
+
 }  // namespace
 
-PartEventCodec MakePartEventCodec() { return {EncodeRead, DecodeRead}; }
+PartEventCodec MakePartEventCodec() { return {EncodeRead, DecodeRead, EncodeList, DecodeList}; }
 
 EngineCodec MakeEngineCodec() { return {EncodeLook, DecodeLook, EncodeOrder, DecodeOrder}; }
 
--- a/tests/kumquatcontrol/engine_operator_test.cpp
+++ b/tests/kumquatcontrol/engine_operator_test.cpp
@@ -68,10 +68,12 @@
     EngineOperatorOptions options;
     options.holder = name_;
     options.lease = kLease;
+    options.engines_check_fences = true;
     operator_ = std::make_unique<EngineOperator>(options, Hooks(), Codec(), &client_);
   }
 
   void Believe(std::optional<std::int64_t> term) { believed_ = term; }
+  void FormerLeaderIsSilent(bool is_silent) { former_is_silent_ = is_silent; }
 
   // `leads` is the term in which a majority follows this replica now.
   void Step(std::optional<std::int64_t> leads, const std::function<bool()>& is_slow) {
@@ -112,6 +114,7 @@
     hooks.named = [this] {
       return std::map<std::string, std::int64_t>{{kModel, engines_->accepted + 1}};
     };
+    hooks.former_leader_is_silent = [this] { return former_is_silent_; };
     hooks.publish = [](const EngineNews&) {};
     return hooks;
   }
@@ -145,6 +148,7 @@
   Engines* engines_;
   const Instant* now_;
   FakeClient client_;
+  bool former_is_silent_ = false;
   std::optional<std::int64_t> believed_;
   std::optional<std::int64_t> leads_;
   std::vector<Round> rounds_;
@@ -179,6 +183,28 @@
   CHECK(engines.orders.size() - before < 4);
 }
 
+// Orders wait for seconds else, while requests on replaced weights lose their worth.
+TEST_CASE("A leader takes over from one that fell silent without waiting for its lease") {
+  for (const bool is_silent : {true, false}) {
+    CAPTURE(is_silent);
+    Instant now = seconds(100);
+    Engines engines;
+    Replica replica("c2", &engines, &now);
+    replica.FormerLeaderIsSilent(is_silent);
+    replica.Believe(8);
+    const Instant begun = now;
+    while (engines.orders.empty() && now < begun + seconds(5)) {
+      replica.Step(8, Never);
+      now += kStep;
+      QCoreApplication::processEvents();
+    }
+    REQUIRE_FALSE(engines.orders.empty());
+    // By then the other one has stopped, as its last confirmed round is too old.
+    CHECK(engines.orders[0].at - begun >= milliseconds(500));
+    CHECK((engines.orders[0].at - begun < kLease) == is_silent);
+  }
+}
+
 // Leaders change at any moment, learn late that they have lost, and their rounds are slow.
 TEST_CASE("No two replicas order within a lease of each other") {
   CheckProperty("turns", [] {
--- a/tests/platform/engine_edge_test.cpp
+++ b/tests/platform/engine_edge_test.cpp
@@ -62,6 +62,24 @@
   CHECK(HeaderValue(request.headers, "Kumquatcross-Expect-Instance") == "e1");
 }
 
+TEST_CASE("A list tells all that is held, and one that is garbled tells nothing wrong") {
+  const PartEventCodec codec = MakePartEventCodec();
+  const QJsonObject json{{"bootEpoch", 9},
+                         {"next", 3},
+                         {"held", QJsonArray{QJsonArray{"salt", "part", 512, "lm"},
+                                             QJsonArray{"salt", "other", 64, "lm"}}}};
+  const auto list = codec.decode_list(200, ToJsonText(json));
+  REQUIRE(list.has_value());
+  CHECK(list->epoch == 9);
+  CHECK(list->next == 3);
+  REQUIRE(list->events.size() == 2);
+  CHECK(list->events[0].part == "part");
+  CHECK(list->events[0].tokens == 512);
+  CHECK_FALSE(codec.decode_list(429, ToJsonText(json)).has_value());
+  CheckProperty("cut", [&] { RC_ASSERT(!codec.decode_list(200, CutShort(ToJsonText(json)))); });
+  CheckProperty("garbled", [&] { codec.decode_list(200, Garbled(ToJsonText(json))); });
+}
+
 TEST_CASE("Cache events tell what is held, and a read that is garbled tells nothing wrong") {
   const PartEventCodec codec = MakePartEventCodec();
   const auto events = codec.decode_read(200, ToJsonText(SomeEvents()));
