A new leader orders engines at once where they check fences and the former leader is silent

Where engines refuse older fencing numbers, a former leader that is dead, frozen or cut off needs no lease: its late orders are refused. A former leader that still answers heartbeats, or isn't known because terms lie between, is waited for as before; so are engines that check nothing. Ruled out: orders of two at a time (the former leader stops 0.5 s after its last confirmed round).

--- a/src/kumquatcontrol/control_node.cpp
+++ b/src/kumquatcontrol/control_node.cpp
@@ -26,6 +26,8 @@
 constexpr std::chrono::milliseconds kDiskRetryInterval{1000};
 // An order that is silent for longer is given up, well within the longest life of a message.
 constexpr Duration kOrderSilence = std::chrono::seconds(2);
+// A replica that answers none of several heartbeats is dead, frozen or cut off.
+constexpr Duration kLeaderSilence = std::chrono::milliseconds(400);
 constexpr Duration kLeaderCallTimeout = std::chrono::milliseconds(600);
 // Before the name of a router among the gossip's neighbours; replicas have plain names.
 constexpr std::string_view kRouterPrefix = "router/";
@@ -87,6 +89,7 @@
     EngineOperatorOptions operator_options;
     operator_options.holder = options_.log_name();
     operator_options.lease = options_.order_lease;
+    operator_options.engines_check_fences = options_.engines_check_fences;
     operator_ = std::make_unique<EngineOperator>(operator_options, OperatorHooks(),
                                                  *hooks_.engine_codec, backend_client_.get());
   }
@@ -104,6 +107,7 @@
   });
   QObject::connect(&tick_, &QTimer::timeout, &tick_, [this] {
     if (log_) log_->Tick();
+    NoteLeader();
     service_.Tick();
     documents_.Tick();
     if (operator_) operator_->Tick();
@@ -151,10 +155,32 @@
     }
     return named;
   };
+  hooks.former_leader_is_silent = [this] { return FormerLeaderIsSilent(); };
   hooks.publish = [this](const EngineNews& news) { Broadcast(news); };
   return hooks;
 }
 
+void ControlNode::NoteLeader() {
+  const auto leader = log_ ? log_->leader() : std::nullopt;
+  if (!leader || log_->term() == leadership_.term) return;
+  former_leadership_ = std::exchange(leadership_, {leader->name, log_->term()});
+}
+
+// Whether the term before this one had a leader, and which, is known only where no term lies
+// between.
+bool ControlNode::FormerLeaderIsSilent() const {
+  if (!log_ || former_leadership_.term == 0) return false;
+  if (former_leadership_.term + 1 != log_->term()) return false;
+  if (former_leadership_.name == options_.log_name()) return true;
+  bool is_known = false;
+  for (const LogStatus::Peer& peer : log_->status().peers) {
+    if (peer.id.name != former_leadership_.name) continue;
+    is_known = true;
+    if (peer.silent_for < kLeaderSilence) return false;
+  }
+  return is_known;
+}
+
 void ControlNode::ForEachEngine(
     const std::function<void(const MemberRecord& record)>& visit) const {
   directory_.table().ForEach([&visit](const Member& member) {
@@ -346,8 +372,10 @@
     const auto keeper = RendezvousTop(source.name, replicas, 1);
     if (keeper.front() == options_.log_name()) kept.push_back(source);
   };
-  ForEachEngine([&](const MemberRecord& record) { keep_if_mine({record.id, record.endpoint}); });
-  for (const Endpoint& store : store_endpoints_) keep_if_mine({store.ToString(), store});
+  ForEachEngine([&](const MemberRecord& record) {
+    keep_if_mine({record.id, record.endpoint, false});
+  });
+  for (const Endpoint& store : store_endpoints_) keep_if_mine({store.ToString(), store, true});
   cache_keeper_->SetSources(kept);
 }
 
--- a/src/kumquatcontrol/control_node.h
+++ b/src/kumquatcontrol/control_node.h
@@ -44,6 +44,8 @@
   ControlServiceOptions service;
   // No two replicas may order an engine within this time of each other.
   Duration order_lease = std::chrono::seconds(3);
+  // Engines refuse orders under an older fencing number than they have seen.
+  bool engines_check_fences = false;
 
   bool is_open() const { return !seeds.empty(); }
   std::string log_name() const { return is_open() ? listen.ToString() : instance; }
@@ -98,6 +100,8 @@
   void SendOrder(const Announcement& engine, const EngineOrder& order);
   void OrderEnded(std::int64_t fencing_number, std::string_view outcome);
   EngineOperatorHooks OperatorHooks();
+  void NoteLeader();
+  bool FormerLeaderIsSilent() const;
   // Visits the engines that are known and not leaving.
   void ForEachEngine(const std::function<void(const MemberRecord& record)>& visit) const;
   void WatchStores(const Document& routing);
@@ -126,6 +130,14 @@
   std::vector<Endpoint> store_endpoints_;
   // What routers told of their load since it was last passed on, by router.
   std::map<std::string, RouterLoad> untold_loads_;
+  // A leader and its term.
+  struct Leadership {
+    std::string name;
+    std::uint64_t term = 0;
+  };
+  // The last two that this replica has known of.
+  Leadership leadership_;
+  Leadership former_leadership_;
   // What compile_document made of the committed documents, by name.
   std::map<std::string, Document> compiled_;
   // Orders under way, by fencing number.
--- a/src/kumquatcontrol/engine_operator.cpp
+++ b/src/kumquatcontrol/engine_operator.cpp
@@ -33,7 +33,7 @@
   }
   if (!rollout_) return;
   const Instant now = hooks_.clock();
-  if (now < may_order_from_) return;
+  if (!HasWaited(now)) return;
   ConfirmWhenDue(now);
   if (!MayOrder(now)) return;
   for (const RolloutAction& action : rollout_->Advance(hooks_.engines(), hooks_.named(), now)) {
@@ -45,7 +45,7 @@
 void EngineOperator::BeginTerm(std::int64_t term) {
   term_ = term;
   rollout_.emplace(options_.rollout);
-  may_order_from_ = hooks_.clock() + options_.lease + kConfirmedFor;
+  term_began_at_ = hooks_.clock();
   confirmed_at_ = Instant(0);
   is_confirming_ = false;
   published_ = {};
@@ -57,6 +57,14 @@
   calls_.clear();
 }
 
+// The former leader stops by itself once its last confirmed round is old, which began before this
+// term did. What it sent before may still be on its way for a lease.
+bool EngineOperator::HasWaited(Instant now) const {
+  if (now >= term_began_at_ + kConfirmedFor + options_.lease) return true;
+  const bool has_stopped = now >= term_began_at_ + kConfirmedFor;
+  return has_stopped && options_.engines_check_fences && hooks_.former_leader_is_silent();
+}
+
 bool EngineOperator::MayOrder(Instant now) const {
   return confirmed_at_ != Instant(0) && now < confirmed_at_ + kConfirmedFor;
 }
--- a/src/kumquatcontrol/engine_operator.h
+++ b/src/kumquatcontrol/engine_operator.h
@@ -23,6 +23,9 @@
   std::string holder;
   // No two replicas may order within this time of each other.
   Duration lease = std::chrono::seconds(3);
+  // Engines refuse orders under an older fencing number than they have seen. Then there is no need
+  // to wait for a lease whose holder is dead, frozen or cut off.
+  bool engines_check_fences = false;
   WeightsRolloutOptions rollout;
 };
 
@@ -35,6 +38,9 @@
   std::function<std::vector<RolloutEngine>()> engines;
   // Returns the named version of each model.
   std::function<std::map<std::string, std::int64_t>()> named;
+  // Returns whether the replica that led in the term before this one is known and hasn't been
+  // heard since.
+  std::function<bool()> former_leader_is_silent;
   // Tells routers what became of engines.
   std::function<void(const EngineNews& news)> publish;
 };
@@ -50,6 +56,7 @@
  private:
   void BeginTerm(std::int64_t term);
   void EndTerm();
+  bool HasWaited(Instant now) const;
   bool MayOrder(Instant now) const;
   void ConfirmWhenDue(Instant now);
   void Perform(const LookAtEngine& look);
@@ -65,7 +72,7 @@
   BackendClient* client_;
   std::optional<std::int64_t> term_;
   std::optional<WeightsRollout> rollout_;
-  Instant may_order_from_{0};
+  Instant term_began_at_{0};
   // When the last confirmed round began.
   Instant confirmed_at_{0};
   bool is_confirming_ = false;
