A server that was unreachable gets requests again only after a new connection came about

Now a router tries a connection of its own first. Also in this file: those who wait are tried again by rank and age, not by their address in memory.

--- a/src/kumquatrouter/forwarding/forward_server.cpp
+++ b/src/kumquatrouter/forwarding/forward_server.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/forward_server.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "utils/log.h"
@@ -41,6 +42,7 @@
 ForwardServer::ForwardServer(ForwardSettings settings, ForwardCodec codec, const Clock& clock,
                              const Random& random)
     : settings_(std::move(settings)),
+      admission_(settings_.admission, random),
       budget_(settings_.repeats),
       placement_(PromptPlacementOptions(), &services_.weights, &parts_, random),
       client_(MakeHttpBackendClient()),
@@ -62,6 +64,7 @@
   services_.clock = clock;
   services_.random = random;
   services_.codec = std::move(codec);
+  services_.admission = &admission_;
   services_.budget = &budget_;
   services_.placement = &placement_;
   services_.client = client_.get();
@@ -138,11 +141,16 @@
   if (exchange->waits() && !wake_timer_.isActive()) wake_timer_.start(kWakeInterval);
 }
 
+// The most urgent go first, and among those the ones that came first.
 void ForwardServer::WakeWaiting() {
+  std::vector<std::shared_ptr<ForwardExchange>> waiting;
+  std::copy_if(exchanges_.begin(), exchanges_.end(), std::back_inserter(waiting),
+               [](const auto& exchange) { return exchange->waits(); });
+  std::sort(waiting.begin(), waiting.end(), [](const auto& left, const auto& right) {
+    return std::pair(left->Rank(), left->received()) < std::pair(right->Rank(), right->received());
+  });
   bool anyone_waits = false;
-  const auto exchanges = exchanges_;
-  for (const auto& exchange : exchanges) {
-    if (!exchange->waits()) continue;
+  for (const auto& exchange : waiting) {
     exchange->OnPlaceFree();
     anyone_waits = anyone_waits || exchange->waits();
   }
@@ -226,13 +234,17 @@
   for (const auto& exchange : exchanges) exchange->MoveAwayFrom(backend);
 }
 
-// An open connection that fell silent proves nothing; a new one that doesn't come about does.
+// An open connection that fell silent proves nothing; a new one that doesn't come about does. So
+// does one that comes about again.
 void ForwardServer::WatchSilence() {
   std::set<std::string> silent;
   for (const auto& exchange : exchanges_) {
     const auto backend = exchange->SilentBackend(kSilence);
     if (backend && silent.insert(backend->backend_id).second) Probe(*backend);
   }
+  for (const PooledBackend* backend : services_.pool.DueForProbe(services_.clock())) {
+    Probe(backend->choice());
+  }
 }
 
 void ForwardServer::Probe(const BackendChoice& backend) {
@@ -242,10 +254,13 @@
       pooled->endpoint, kProbeTimeout, [this, backend](ConnectProbeResult result) {
         QTimer::singleShot(kProbePause, &silence_timer_,
                            [this, id = backend.backend_id] { probes_.erase(id); });
-        if (result == ConnectProbeResult::kConnected) return;
+        PooledBackend* probed = services_.pool.Find(backend);
+        if (result == ConnectProbeResult::kConnected) {
+          if (probed) BackendPool::OnReachable(*probed);
+          return;
+        }
         LogEvent(LogLevel::kWarning, "backend_unreachable", {{"backend", backend.backend_id}});
-        PooledBackend* dead = services_.pool.Find(backend);
-        if (dead) BackendPool::OnFailure(*dead, CallFailure::kNotSent, services_.clock());
+        if (probed) BackendPool::OnFailure(*probed, CallFailure::kNotSent, services_.clock());
         const auto exchanges = exchanges_;
         for (const auto& exchange : exchanges) exchange->OnBackendDead(backend, kSilence);
       });
--- a/src/libs/coordination/forwarding/backend_pool.cpp
+++ b/src/libs/coordination/forwarding/backend_pool.cpp
@@ -68,12 +68,20 @@
   for (const auto& [id, backend] : backends_) {
     if (backend->service != service || backend->is_leaving) continue;
     if (std::find(avoid.begin(), avoid.end(), backend->choice()) != avoid.end()) continue;
-    const bool is_usable = now >= backend->shunned_until && now >= backend->loading_until;
-    (is_usable ? usable : shunned).push_back(backend.get());
+    (backend->is_usable(now) ? usable : shunned).push_back(backend.get());
   }
   return usable.empty() ? shunned : usable;
 }
 
+std::vector<PooledBackend*> BackendPool::DueForProbe(Instant now) {
+  std::vector<PooledBackend*> due;
+  for (const auto& [id, backend] : backends_) {
+    const bool is_due = backend->needs_probe && now >= backend->shunned_until;
+    if (is_due && !backend->is_leaving) due.push_back(backend.get());
+  }
+  return due;
+}
+
 bool BackendPool::HasAny(std::string_view service) const {
   return std::any_of(backends_.begin(), backends_.end(), [service](const auto& entry) {
     return entry.second->service == service && !entry.second->is_leaving;
@@ -83,6 +91,7 @@
 void BackendPool::OnAnswer(PooledBackend& backend, bool is_failure) {
   backend.failures = 0;
   backend.shunned_until = Instant(0);
+  backend.needs_probe = false;
   backend.failing += kFailingWeight * ((is_failure ? 1.0 : 0.0) - backend.failing);
 }
 
@@ -90,11 +99,17 @@
   backend.failing += kFailingWeight * (1.0 - backend.failing);
   // An answer that broke off says less than a connection that did not come about.
   if (failure == CallFailure::kBroken) return;
+  backend.needs_probe = true;
   ++backend.failures;
   const int doublings = std::min(backend.failures - 1, 10);
   backend.shunned_until = now + std::min(kLongestShun, kShortestShun * (1 << doublings));
 }
 
+void BackendPool::OnReachable(PooledBackend& backend) {
+  backend.needs_probe = false;
+  backend.shunned_until = Instant(0);
+}
+
 PooledBackend* ChooseLeastBusy(std::span<PooledBackend* const> candidates,
                                std::string_view failure_domain, const Random& random) {
   PooledBackend* best = nullptr;
--- a/src/libs/coordination/forwarding/backend_pool.h
+++ b/src/libs/coordination/forwarding/backend_pool.h
@@ -38,11 +38,18 @@
   // Failures in a row, and until when nothing is sent because of them.
   int failures = 0;
   Instant shunned_until{0};
+  // Nothing is sent after that either, until a new connection to it has come about: whatever is
+  // sent to a server that is gone costs a caller the whole connect timeout.
+  bool needs_probe = false;
   // Share of its latest answers that failed, from 0 to 1.
   double failing = 0;
 
   BackendChoice choice() const { return {id, incarnation}; }
 
+  bool is_usable(Instant now) const {
+    return !needs_probe && now >= shunned_until && now >= loading_until;
+  }
+
   // Returns the version of this model's weights; 0 when it isn't known.
   std::int64_t VersionOf(std::string_view model) const;
 };
@@ -64,6 +71,9 @@
   std::vector<PooledBackend*> Candidates(std::string_view service,
                                          std::span<const BackendChoice> avoid, Instant now);
 
+  // Returns those that have been left alone long enough for a new connection to be tried.
+  std::vector<PooledBackend*> DueForProbe(Instant now);
+
   // Returns whether any backend server of the service is known that isn't leaving.
   bool HasAny(std::string_view service) const;
 
@@ -76,6 +86,9 @@
   // A call to it failed without an answer.
   static void OnFailure(PooledBackend& backend, CallFailure failure, Instant now);
 
+  // A new connection to it came about. Its failures still count until it has answered a request.
+  static void OnReachable(PooledBackend& backend);
+
  private:
   std::map<std::string, std::unique_ptr<PooledBackend>, std::less<>> backends_;
 };
