Process test of the platform's path: real programs, stand-ins of callers, operators and servers

Seven cases: requests reach a server as sent through each router; a refusal while no server takes requests is true; a broken stream is cut; a lost answer of a booking says unknown and ran once; what may be repeated goes on elsewhere; configurations are in force and read back while replicas die one after the other; a router that is asked to end serves until the balancer knows.

--- /dev/null
+++ b/tests/process/forwarding/forward_bench.cpp
@@ -0,0 +1,140 @@
+#include "process/forwarding/forward_bench.h"
+
+#include <fmt/format.h>
+
+namespace kumquat {
+namespace {
+
+constexpr const char* kKey = "clerk-key";
+
+QJsonObject RouteTo(const char* service, const std::string& path, const char* kind,
+                    bool resumable) {
+  return {{"name", ToQString(path)},
+          {"hostname", "desk.example"},
+          {"pathPrefix", ToQString(path)},
+          {"kind", kind},
+          {"timeoutMs", 5000},
+          {"sloMs", 1000},
+          {"priority", 0},
+          {"service", service},
+          {"attempts", 3},
+          {"public", false},
+          {"sticky", false},
+          {"resumable", resumable},
+          {"gapTargetMs", 400}};
+}
+
+}  // namespace
+
+ForwardBench::ForwardBench() {
+  StartReplicas();
+  StartRouters();
+  PutConfiguration(1);
+  for (const Endpoint& ready : ready_) {
+    CHECK(SpinUntil([&] { return caller_.Run(ready, "GET", "/readyz")->status == 200; }));
+  }
+}
+
+std::string ForwardBench::LogOf(const std::string& name) const {
+  return folder_.filePath(QString::fromStdString(name + ".log")).toStdString();
+}
+
+// Replicas that find each other by seeds use one port on all addresses.
+void ForwardBench::StartReplicas() {
+  const std::uint16_t port = FreeEndpoint().port;
+  const std::uint16_t http_port = FreeEndpoint().port;
+  for (int i = 0; i < kReplicas; ++i) {
+    const std::string ip = fmt::format("127.0.0.{}", i + 1);
+    seeds_ += fmt::format("\"{}:{}\", ", ip, port);
+    control_[i] = {ip, http_port};
+  }
+  for (int i = 0; i < kReplicas; ++i) {
+    const std::string name = fmt::format("c{}", i + 1);
+    replicas_[i] = std::make_unique<TestProgram>(
+        "kumquat-control",
+        fmt::format("instance = \"{0}\"\nfailure_domain = \"d{1}\"\nlisten = \"{2}:{3}\"\n"
+                    "http_listen = \"{4}\"\nseeds = [{5}]\nfound = true\ndata_dir = \"{6}\"\n",
+                    name, i + 1, control_[i].ip, port, control_[i].ToString(), seeds_,
+                    folder_.filePath(QString::fromStdString(name)).toStdString()));
+    replicas_[i]->LogTo(LogOf(name));
+    replicas_[i]->Start();
+  }
+}
+
+void ForwardBench::StartRouters() {
+  for (int i = 0; i < kRouters; ++i) {
+    listens_[i] = FreeEndpoint();
+    ready_[i] = FreeEndpoint();
+    const std::string name = fmt::format("r{}", i + 1);
+    routers_[i] = std::make_unique<TestProgram>(
+        "kumquat-router", fmt::format("instance = \"{}\"\nfailure_domain = \"d1\"\n"
+                                      "listen = \"{}\"\n[forward]\ncontrol_seeds = [{}]\n"
+                                      "ready_listen = \"{}\"\n",
+                                      name, listens_[i].ToString(), seeds_, ready_[i].ToString()));
+    routers_[i]->LogTo(LogOf(name));
+    routers_[i]->Start();
+  }
+}
+
+void ForwardBench::PutConfiguration(int version, const std::string& more_path) {
+  QJsonArray routes{RouteTo("desk", "/once/", "non_idempotent", false),
+                    RouteTo("desk", "/again/", "idempotent", false),
+                    RouteTo("desk", "/live/", "streaming", false),
+                    RouteTo("desk", "/long/", "streaming", true)};
+  if (!more_path.empty()) routes.append(RouteTo("desk", more_path, "idempotent", false));
+  const QJsonObject service{{"name", "desk"}, {"healthPath", "/healthz"}, {"maxConns", 100}};
+  const QJsonObject tenant{
+      {"name", "clerks"}, {"apiKeys", QJsonArray{kKey}}, {"priority", 1}, {"isolated", false}};
+  const std::string body = ToJsonText({{"version", version},
+                                       {"routes", routes},
+                                       {"services", QJsonArray{service}},
+                                       {"tenants", QJsonArray{tenant}},
+                                       {"limits", QJsonObject{{"maxBodyBytes", 100'000}}}});
+  std::size_t at = 0;
+  CHECK(SpinUntil([&] {
+    const Endpoint& replica = control_[at++ % control_.size()];
+    return caller_.Run(replica, "PUT", "/config", {{"Content-Type", "application/json"}}, body)
+               ->status == 200;
+  }));
+}
+
+HttpHeaders ForwardBench::Headers(std::string* id) {
+  *id = fmt::format("request{:04}", ++last_id_);
+  return {{"Host", "desk.example"}, {"Kumquatcross-Request-Id", *id}, {"Api-Key", kKey}};
+}
+
+std::unique_ptr<TestCall> ForwardBench::Start(int router, const std::string& path, std::string* id,
+                                              const std::string& body, const HttpHeaders& more) {
+  HttpHeaders headers = Headers(id);
+  headers.insert(headers.end(), more.begin(), more.end());
+  return caller_.Start(listens_[router], "POST", path, headers, body);
+}
+
+std::unique_ptr<TestCall> ForwardBench::Run(int router, const std::string& path, std::string* id,
+                                            const std::string& body, const HttpHeaders& more) {
+  auto call = Start(router, path, id, body, more);
+  CHECK(SpinUntil([&] { return call->done(); }));
+  return call;
+}
+
+void ForwardBench::WaitForStatus(int router, const std::string& path, int status) {
+  std::string id;
+  CHECK(SpinUntil([&] { return Run(router, path, &id)->status == status; }));
+}
+
+std::string ForwardBench::Explain(const std::string& id) {
+  QStringList arguments{QStringLiteral("explain"), QString::fromStdString(id)};
+  for (int i = 0; i < kReplicas; ++i) {
+    arguments << QString::fromStdString(LogOf(fmt::format("c{}", i + 1)));
+  }
+  for (int i = 0; i < kRouters; ++i) {
+    arguments << QString::fromStdString(LogOf(fmt::format("r{}", i + 1)));
+  }
+  QProcess explain;
+  explain.start(QString::fromStdString(std::string(KUMQUAT_BIN_DIR) + "/kumquatctl"), arguments);
+  CHECK(explain.waitForFinished());
+  CHECK(explain.exitCode() == 0);
+  return explain.readAllStandardOutput().toStdString();
+}
+
+}  // namespace kumquat
--- /dev/null
+++ b/tests/process/forwarding/forward_process_test.cpp
@@ -0,0 +1,178 @@
+// The whole way through the users' platform's interfaces, with real programs.
+#include <QElapsedTimer>
+#include <csignal>
+#include <cstdlib>
+
+#include "process/forwarding/forward_bench.h"
+
+namespace kumquat {
+namespace {
+
+bool Has(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+TEST_CASE("Requests reach a backend server through each router, as they were sent") {
+  ForwardBench bench;
+  StandInServer server("s1", "desk", bench.control());
+  for (int router = 0; router < ForwardBench::kRouters; ++router) {
+    bench.WaitForStatus(router, "/again/look", 200);
+    std::string id;
+    const auto call = bench.Run(router, "/once/book?seat=7", &id, "a booking",
+                                {{"Kumquatcross-Tenant", "another"}, {"X-Own", "kept"}});
+    CHECK(call->status == 200);
+    CHECK(call->body == "ran a booking");
+    CHECK(HeaderValue(call->headers, "Kumquatcross-Server-Stamp") == "stamp.s1");
+    const HttpRequest& run = server.runs().back();
+    CHECK(run.target == "/once/book?seat=7");
+    CHECK(run.Header("Kumquatcross-Request-Id") == id);
+    CHECK(run.Header("Kumquatcross-Tenant") == "clerks");
+    CHECK(run.Header("X-Own") == "kept");
+    CHECK(run.Header("Api-Key").empty());
+    const auto stream = bench.Run(router, "/live/stream", &id);
+    CHECK(stream->body == StandInServer::StreamFrom(0));
+  }
+  std::string id;
+  CHECK(bench.Run(0, "/nowhere/", &id)->status == 404);
+  CHECK(bench.Run(0, "/again/big", &id, std::string(200'000, 'x'))->status == 413);
+  HttpHeaders headers = bench.Headers(&id);
+  headers.back().second = "no such key";
+  const auto runs = server.runs().size();
+  const auto stranger = bench.caller().Run(bench.control()[0], "GET", "/config");
+  CHECK(stranger->status == 200);
+  CHECK(server.runs().size() == runs);
+}
+
+// docs/OPERATIONS.md, "Explaining a failed request", the first way.
+TEST_CASE("A refusal while no server takes requests is true, and its cause is found by its id") {
+  ForwardBench bench;
+  StandInServer server("s1", "desk", bench.control());
+  bench.WaitForStatus(0, "/again/look", 200);
+  server.Leave();
+  bench.WaitForStatus(0, "/again/look", 503);
+  const auto runs = server.runs().size();
+  std::string id;
+  const auto call = bench.Run(0, "/once/book", &id, "a booking");
+  CHECK(call->status == 503);
+  CHECK(std::atof(std::string(HeaderValue(call->headers, "Retry-After")).c_str()) > 0);
+  CHECK(server.runs().size() == runs);
+  const std::string story = bench.Explain(id);
+  CAPTURE(story);
+  CHECK(Has(story, "outcome=no_backend_server"));
+  CHECK_FALSE(Has(story, "event=request_sent"));
+}
+
+// The second way.
+TEST_CASE("A stream that breaks and can't go on is cut, and its cause is found by its id") {
+  ForwardBench bench;
+  StandInServer server("s1", "desk", bench.control());
+  bench.WaitForStatus(0, "/again/look", 200);
+  server.SetMode(StandInServer::Mode::kBreaksStreams);
+  std::string id;
+  const auto call = bench.Run(0, "/live/stream", &id);
+  CHECK(call->failure == CallFailure::kBroken);
+  CHECK(StandInServer::StreamFrom(0).starts_with(call->body));
+  CHECK_FALSE(call->body.empty());
+  const std::string story = bench.Explain(id);
+  CAPTURE(story);
+  CHECK(Has(story, "event=attempt_failed"));
+  CHECK(Has(story, "backend=s1"));
+  CHECK(Has(story, "failure=broken"));
+  CHECK(Has(story, "outcome=cut"));
+}
+
+// The third way.
+TEST_CASE("A booking whose answer is lost ran once and says so, and its cause is found by its id") {
+  ForwardBench bench;
+  StandInServer lossy("s1", "desk", bench.control());
+  StandInServer other("s2", "desk", bench.control());
+  bench.WaitForStatus(0, "/again/look", 200);
+  CHECK(SpinUntil([&] {
+    std::string id;
+    bench.Run(0, "/again/look", &id);
+    return !lossy.runs().empty() && !other.runs().empty();
+  }));
+  lossy.SetMode(StandInServer::Mode::kLosesAnswers);
+  other.SetMode(StandInServer::Mode::kLosesAnswers);
+  const auto before = lossy.runs().size() + other.runs().size();
+  std::string id;
+  const auto call = bench.Run(0, "/once/book", &id, "a booking");
+  CHECK(call->status == 502);
+  CHECK(lossy.runs().size() + other.runs().size() == before + 1);
+  const std::string story = bench.Explain(id);
+  CAPTURE(story);
+  CHECK(Has(story, "event=request_sent"));
+  CHECK(Has(story, "failure=broken"));
+  CHECK(Has(story, "outcome=outcome_unknown"));
+}
+
+TEST_CASE("What may be repeated goes on at another server, and the caller gets it whole") {
+  ForwardBench bench;
+  StandInServer first("s1", "desk", bench.control());
+  StandInServer second("s2", "desk", bench.control());
+  bench.WaitForStatus(0, "/again/look", 200);
+  // A router begins without repeats, and each request pays for a fifth of one.
+  for (int i = 0; i < 100; ++i) {
+    std::string id;
+    bench.Run(0, "/again/look", &id);
+  }
+  CHECK(!first.runs().empty());
+  CHECK(!second.runs().empty());
+  first.SetMode(StandInServer::Mode::kBreaksStreams);
+  for (int i = 0; i < 10; ++i) {
+    std::string id;
+    const auto stream = bench.Run(0, "/long/stream", &id);
+    CHECK(stream->status == 200);
+    CHECK(stream->body == StandInServer::StreamFrom(0));
+    CHECK(stream->ended);
+  }
+  first.SetMode(StandInServer::Mode::kLosesAnswers);
+  for (int i = 0; i < 10; ++i) {
+    std::string id;
+    CHECK(bench.Run(0, "/again/look", &id)->status == 200);
+  }
+}
+
+TEST_CASE("Configurations are in force and read back although replicas die one after the other") {
+  ForwardBench bench;
+  StandInServer server("s1", "desk", bench.control());
+  bench.WaitForStatus(0, "/again/look", 200);
+  int version = 1;
+  for (int replica = 0; replica < ForwardBench::kReplicas; ++replica) {
+    bench.replica(replica).Kill();
+    const std::string path = "/new" + std::to_string(replica) + "/";
+    bench.PutConfiguration(++version, path);
+    for (int router = 0; router < ForwardBench::kRouters; ++router) {
+      bench.WaitForStatus(router, path, 200);
+    }
+    bench.replica(replica).Start();
+    CHECK(SpinUntil([&] {
+      const auto read = bench.caller().Run(bench.control()[replica], "GET", "/config");
+      if (read->status != 200) return false;
+      CHECK(read->json()["version"].toInt() == version);
+      return true;
+    }));
+  }
+}
+
+TEST_CASE("A router that is asked to end serves until the balancer knows, and cuts no stream") {
+  ForwardBench bench;
+  StandInServer server("s1", "desk", bench.control());
+  bench.WaitForStatus(0, "/again/look", 200);
+  bench.router(0).Signal(SIGTERM);
+  QElapsedTimer since;
+  since.start();
+  int served = 0;
+  while (since.elapsed() < 1500) {
+    std::string id;
+    const auto call = bench.Run(0, "/live/stream", &id);
+    CHECK(call->body == StandInServer::StreamFrom(0));
+    ++served;
+  }
+  CHECK(served > 0);
+  CHECK(SpinUntil([&] { return !bench.router(0).running(); }));
+  CHECK(bench.router(0).exit_status() == 0);
+}
+
+}  // namespace
+}  // namespace kumquat
--- /dev/null
+++ b/tests/process/forwarding/stand_in_server.cpp
@@ -0,0 +1,97 @@
+#include "process/forwarding/stand_in_server.h"
+
+#include <fmt/format.h>
+
+#include <cstdlib>
+#include <utility>
+
+#include "process/test_program.h"
+
+namespace kumquat {
+namespace {
+
+constexpr std::chrono::milliseconds kBeatInterval{300};
+constexpr int kEventsBeforeBreak = 2;
+constexpr qint64 kBorn = 1'790'000'000'000;
+
+std::string Event(int id) { return fmt::format("id: {}\ndata: piece {}\n\n", id, id); }
+
+}  // namespace
+
+StandInServer::StandInServer(std::string id, std::string service, std::vector<Endpoint> control)
+    : id_(std::move(id)),
+      service_(std::move(service)),
+      control_(std::move(control)),
+      endpoint_(FreeEndpoint()),
+      server_(HttpServer::Builder()
+                  .WithHandler([this](HttpRequest request, const Responder& responder) {
+                    Handle(std::move(request), responder);
+                  })
+                  .Build()) {
+  REQUIRE(server_->Listen(endpoint_));
+  QObject::connect(&beats_, &QTimer::timeout, &beats_, [this] { beat_ = Announce(); });
+  beats_.start(kBeatInterval);
+}
+
+std::string StandInServer::StreamFrom(int event) {
+  std::string whole;
+  for (int id = event + 1; id <= kEvents; ++id) whole += Event(id);
+  return whole;
+}
+
+std::unique_ptr<TestCall> StandInServer::Announce() {
+  const QJsonObject body{{"service", ToQString(service_)},
+                         {"addr", ToQString(endpoint_.ToString())},
+                         {"zone", "d1"},
+                         {"version", "v1"},
+                         {"slots", 4},
+                         {"state", is_leaving_ ? "draining" : "ready"},
+                         {"coldLeftMs", 0},
+                         {"born", kBorn},
+                         {"seq", ++sequence_}};
+  const Endpoint& control = control_[next_control_++ % control_.size()];
+  return caller_.Start(control, "PUT", "/instances/" + id_, {{"Content-Type", "application/json"}},
+                       ToJsonText(body));
+}
+
+void StandInServer::Leave() {
+  is_leaving_ = true;
+  CHECK(SpinUntil([&] {
+    const auto call = Announce();
+    CHECK(SpinUntil([&call] { return call->done(); }));
+    return call->status == 200;
+  }));
+}
+
+HttpHeaders StandInServer::Head(const HttpRequest& request) const {
+  return {{"Kumquatcross-Request-Id", std::string(request.Header("Kumquatcross-Request-Id"))},
+          {"Kumquatcross-Server-Stamp", "stamp." + id_}};
+}
+
+void StandInServer::Handle(HttpRequest request, const Responder& responder) {
+  if (request.Header("Kumquatcross-Expect-Instance") != id_) {
+    responder->Send(421, Head(request), "");
+    return;
+  }
+  runs_.push_back(request);
+  if (mode_ == Mode::kLosesAnswers) return responder->Abort();
+  if (request.path.ends_with("/stream")) return Stream(request, responder);
+  responder->Send(200, Head(request), "ran " + request.body);
+}
+
+void StandInServer::Stream(const HttpRequest& request, const Responder& responder) {
+  HttpHeaders head = Head(request);
+  head.emplace_back("Content-Type", "text/event-stream");
+  responder->StartStream(200, head);
+  const int after = std::atoi(std::string(request.Header("Last-Event-Id")).c_str());
+  if (mode_ == Mode::kBreaksStreams) {
+    for (int id = after + 1; id <= after + kEventsBeforeBreak; ++id) responder->Write(Event(id));
+    // What was written goes out before the connection ends.
+    QTimer::singleShot(std::chrono::milliseconds(50), [responder] { responder->Abort(); });
+    return;
+  }
+  responder->Write(StreamFrom(after));
+  responder->End();
+}
+
+}  // namespace kumquat
--- a/tests/process/test_program.h
+++ b/tests/process/test_program.h
@@ -39,10 +39,18 @@
   TestProgram& operator=(const TestProgram&) = delete;
   ~TestProgram() { Kill(); }
 
+  // Lets the standard output of all later starts go to this file.
+  void LogTo(std::string path) { log_path_ = std::move(path); }
+
   void Start() {
     const std::string path = folder_.filePath(QStringLiteral("settings.toml")).toStdString();
     std::ofstream(path) << settings_;
-    process_.setProcessChannelMode(QProcess::ForwardedChannels);
+    if (log_path_.empty()) {
+      process_.setProcessChannelMode(QProcess::ForwardedChannels);
+    } else {
+      process_.setProcessChannelMode(QProcess::ForwardedErrorChannel);
+      process_.setStandardOutputFile(QString::fromStdString(log_path_), QIODevice::Append);
+    }
     process_.start(QString::fromStdString(std::string(KUMQUAT_BIN_DIR) + "/" + name_),
                    {QStringLiteral("--config"), QString::fromStdString(path)});
     REQUIRE(process_.waitForStarted());
@@ -65,6 +73,7 @@
  private:
   std::string name_;
   std::string settings_;
+  std::string log_path_;
   QTemporaryDir folder_;
   QProcess process_;
 };
