A server whose address another one has is left alone for longer each time

Such a server now gets a send after 1 s, 2 s, 4 s and so on. 421 for other weights, which tells the right ones, doesn't count so. Ruled out: news of control that came late (none can come). Test: 'A server whose address another one has is left alone for longer each time', decoder test. Answers that say not run have a line of their own in the log.

--- a/src/kumquatrouter/forwarding/forward_exchange.cpp
+++ b/src/kumquatrouter/forwarding/forward_exchange.cpp
@@ -336,8 +336,20 @@
   attempt_->headers = headers;
   attempt_->is_event_stream = route_->is_stream && IsSuccess(status);
   const AnswerHead head = services_.codec.decode_head(request_, status, headers);
+  if (head.promises_not_run) {
+    LogEvent(LogLevel::kInfo, "attempt_not_run",
+             {{"request", request_.id},
+              {"backend", attempt_->backend.backend_id},
+              {"status", status},
+              {"misdirected", head.is_misdirected ? "yes" : "no"},
+              {"ms", Milliseconds(Now() - attempt_->sent_at)}});
+  }
   if (PooledBackend* backend = services_.pool.Find(attempt_->backend)) {
-    BackendPool::OnAnswer(*backend, status >= kFirstServerError && !head.promises_not_run);
+    if (head.is_misdirected) {
+      BackendPool::OnMisdirected(*backend, Now());
+    } else {
+      BackendPool::OnAnswer(*backend, status >= kFirstServerError && !head.promises_not_run);
+    }
     const auto version = services_.codec.weights_of(headers);
     if (version && request_.prompt) backend->weights[request_.prompt->model] = *version;
   }
--- a/src/libs/coordination/forwarding/backend_pool.cpp
+++ b/src/libs/coordination/forwarding/backend_pool.cpp
@@ -10,6 +10,11 @@
 // How long a backend server is left alone after a failed connection; doubled by each further one.
 constexpr Duration kShortestShun = std::chrono::milliseconds(150);
 constexpr Duration kLongestShun = std::chrono::seconds(2);
+// The same where another server has its address. That is seldom a mistake, and a send each second
+// from every router would use up the repeats of the service.
+constexpr Duration kShortestMisdirectedShun = std::chrono::seconds(1);
+constexpr Duration kLongestMisdirectedShun = std::chrono::seconds(60);
+constexpr int kMostDoublings = 10;
 // Weight of the newest answer in the share of failures.
 constexpr double kFailingWeight = 0.15;
 // A busy place more, of all places, counts as much as this share of failures.
@@ -92,6 +97,7 @@
   backend.failures = 0;
   backend.shunned_until = Instant(0);
   backend.needs_probe = false;
+  backend.misdirected = 0;
   backend.failing += kFailingWeight * ((is_failure ? 1.0 : 0.0) - backend.failing);
 }
 
@@ -101,10 +107,17 @@
   if (failure == CallFailure::kBroken) return;
   backend.needs_probe = true;
   ++backend.failures;
-  const int doublings = std::min(backend.failures - 1, 10);
+  const int doublings = std::min(backend.failures - 1, kMostDoublings);
   backend.shunned_until = now + std::min(kLongestShun, kShortestShun * (1 << doublings));
 }
 
+void BackendPool::OnMisdirected(PooledBackend& backend, Instant now) {
+  const int doublings = std::min(backend.misdirected, kMostDoublings);
+  ++backend.misdirected;
+  backend.shunned_until =
+      now + std::min(kLongestMisdirectedShun, kShortestMisdirectedShun * (1 << doublings));
+}
+
 void BackendPool::OnReachable(PooledBackend& backend) {
   backend.needs_probe = false;
   backend.shunned_until = Instant(0);
--- a/src/libs/coordination/forwarding/backend_pool.h
+++ b/src/libs/coordination/forwarding/backend_pool.h
@@ -41,6 +41,8 @@
   // Nothing is sent after that either, until a new connection to it has come about: whatever is
   // sent to a server that is gone costs a caller the whole connect timeout.
   bool needs_probe = false;
+  // How often in a row another server answered at its address.
+  int misdirected = 0;
   // Share of its latest answers that failed, from 0 to 1.
   double failing = 0;
 
@@ -86,6 +88,10 @@
   // A call to it failed without an answer.
   static void OnFailure(PooledBackend& backend, CallFailure failure, Instant now);
 
+  // Another server answered at its address. It is left alone for longer each time, as nobody else
+  // may ever say that it is gone.
+  static void OnMisdirected(PooledBackend& backend, Instant now);
+
   // A new connection to it came about. Its failures still count until it has answered a request.
   static void OnReachable(PooledBackend& backend);
 
--- a/src/libs/coordination/forwarding/forward_request.h
+++ b/src/libs/coordination/forwarding/forward_request.h
@@ -39,6 +39,8 @@
   int status = 0;
   // The backend server says that it did not run the request.
   bool promises_not_run = false;
+  // It says that the server that was meant isn't there: another one has its address by now.
+  bool is_misdirected = false;
   // It carries what every answer of a backend server carries.
   bool is_genuine = true;
 };
--- a/src/platform/front_edge.cpp
+++ b/src/platform/front_edge.cpp
@@ -214,6 +214,8 @@
   AnswerHead head;
   head.status = status;
   head.promises_not_run = status == kMisdirected || !HeaderValue(headers, kNotRun).empty();
+  // The same status answers a wrong version of the weights, but then tells the right one.
+  head.is_misdirected = status == kMisdirected && HeaderValue(headers, kWeightVersions).empty();
   const bool is_success = status < kFirstError;
   const bool has_id = HeaderValue(headers, kRequestId) == request.id;
   const bool has_stamp = !HeaderValue(headers, kStamp).empty();
--- a/tests/libs/coordination/forwarding/backend_pool_test.cpp
+++ b/tests/libs/coordination/forwarding/backend_pool_test.cpp
@@ -64,6 +64,24 @@
   CHECK(server.shunned_until - now > first);
 }
 
+// An engine that was replaced tells nobody that it is gone, and the store of kept cache that has
+// its address next announces nothing: every request went there first.
+TEST_CASE("A server whose address another one has is left alone for longer each time") {
+  BackendPool pool;
+  for (const char* id : {"a1", "a2"}) pool.Update(Server(id));
+  Instant now = seconds(1);
+  PooledBackend& server = *pool.Find({"a2", 1});
+  int sends = 0;
+  for (; now < seconds(31); now += milliseconds(10)) {
+    if (pool.Candidates("s", {}, now).size() < 2) continue;
+    ++sends;
+    BackendPool::OnMisdirected(server, now);
+  }
+  CHECK(sends <= 5);
+  BackendPool::OnAnswer(server, false);
+  CHECK(Ids(pool.Candidates("s", {}, now)) == Names{"a1", "a2"});
+}
+
 TEST_CASE("Findings never take all servers out") {
   BackendPool pool;
   for (const char* id : {"a1", "a2"}) pool.Update(Server(id));
--- a/tests/platform/front_edge_test.cpp
+++ b/tests/platform/front_edge_test.cpp
@@ -81,6 +81,10 @@
                                {"Kumquatcross-Server-Stamp", "s"}};
   CHECK_FALSE(codec.decode_head(request, 200, foreign).is_genuine);
   CHECK(codec.decode_head(request, 421, {}).promises_not_run);
+  CHECK(codec.decode_head(request, 421, {}).is_misdirected);
+  const HttpHeaders other_weights = {{"Kumquatcross-Weight-Versions", "4"}};
+  CHECK(codec.decode_head(request, 421, other_weights).promises_not_run);
+  CHECK_FALSE(codec.decode_head(request, 421, other_weights).is_misdirected);
   CHECK_FALSE(codec.decode_head(request, 503, {}).promises_not_run);
   CHECK(codec.decode_head(request, 503, {{"Kumquatcross-Not-Run", "1"}}).promises_not_run);
 }
