Replicas link to each other at their start; links give up an attempt after 0.4 s

Cause: after a restart of all, replicas were back at 34.553 s and the first led at 35.42 to 35.51 s: a link was made when the first message was sent, and that message, the question of the first campaign, was lost. After a loss of power, attempts to connect to instances that had no power yet hung for 1 s.

--- a/src/kumquatcontrol/control_node.cpp
+++ b/src/kumquatcontrol/control_node.cpp
@@ -211,6 +211,8 @@
     // A full or broken disk may get better, and this process is of use meanwhile.
     RestartLogLater(last_reason_);
   }
+  // The first campaign comes soon, and what is sent while a link is made is lost.
+  links_.Connect(OtherReplicas());
   tick_.start(kTickInterval);
   gossip_tick_.start(kGossipInterval);
   load_tick_.start(kLoadInterval);
--- a/src/kumquatcontrol/replica_links.cpp
+++ b/src/kumquatcontrol/replica_links.cpp
@@ -30,6 +30,10 @@
   return link.get();
 }
 
+void ReplicaLinks::Connect(const std::vector<std::string>& names) {
+  for (const std::string& name : names) LinkTo(name);
+}
+
 void ReplicaLinks::Send(const LogMessage& message) {
   Send(message.to.name, FrameKind::kCbor, Encode(message));
 }
--- a/src/kumquatcontrol/replica_links.h
+++ b/src/kumquatcontrol/replica_links.h
@@ -23,6 +23,9 @@
   // `names_are_addresses` says so.
   ReplicaLinks(std::vector<NamedEndpoint> peers, bool names_are_addresses, Random random);
 
+  // Links to these replicas, so that what is sent to them later finds a connection.
+  void Connect(const std::vector<std::string>& names);
+
   void Send(const LogMessage& message);
   void Send(std::string_view name, FrameKind kind, std::string_view payload);
 
--- a/src/libs/transport/frame_link.h
+++ b/src/libs/transport/frame_link.h
@@ -33,7 +33,9 @@
   Duration heartbeat_interval = std::chrono::milliseconds(500);
   // Silence after which a connection is replaced.
   Duration silence_limit = std::chrono::milliseconds(1500);
-  Duration connect_timeout = std::chrono::milliseconds(1000);
+  // Within a region connections come about within milliseconds. What goes out to an instance
+  // without power is lost and not sent again for a second, so that a new attempt is sooner.
+  Duration connect_timeout = std::chrono::milliseconds(400);
   // Between attempts to connect, doubled up to the longest, with full jitter.
   Duration reconnect_shortest = std::chrono::milliseconds(50);
   Duration reconnect_longest = std::chrono::milliseconds(1000);
