--- a/src/libs/coordination/forwarding/prompt_placement.h
+++ b/src/libs/coordination/forwarding/prompt_placement.h
@@ -54,7 +54,7 @@
   Duration fetch_cost = std::chrono::milliseconds(6);
   // What an answer on replaced weights costs: a fifth of its worth, once they have been replaced
   // for this long.
-  Duration old_weights_cost = std::chrono::milliseconds(60);
+  Duration old_weights_cost = std::chrono::milliseconds(200);
   Duration old_weights_grace = std::chrono::milliseconds(1200);
 
   // Parts that the store lacks are saved again after this: its events come late.
--- a/tests/process/forwarding/stand_in_server.cpp
+++ b/tests/process/forwarding/stand_in_server.cpp
@@ -24,8 +24,8 @@
       control_(std::move(control)),
       endpoint_(FreeEndpoint()),
       server_(HttpServer::Builder()
-                  .WithHandler([this](HttpRequest request, const Responder& responder) {
-                    Handle(std::move(request), responder);
+                  .WithHandler([this](const HttpRequest& request, const Responder& responder) {
+                    Handle(request, responder);
                   })
                   .Build()) {
   REQUIRE(server_->Listen(endpoint_));
@@ -68,7 +68,7 @@
           {"Kumquatcross-Server-Stamp", "stamp." + id_}};
 }
 
-void StandInServer::Handle(HttpRequest request, const Responder& responder) {
+void StandInServer::Handle(const HttpRequest& request, const Responder& responder) {
   if (request.Header("Kumquatcross-Expect-Instance") != id_) {
     responder->Send(421, Head(request), "");
     return;
--- a/tests/process/forwarding/stand_in_server.h
+++ b/tests/process/forwarding/stand_in_server.h
@@ -44,7 +44,7 @@
  private:
   using Responder = std::shared_ptr<HttpResponder>;
 
-  void Handle(HttpRequest request, const Responder& responder);
+  void Handle(const HttpRequest& request, const Responder& responder);
   HttpHeaders Head(const HttpRequest& request) const;
   void Stream(const HttpRequest& request, const Responder& responder);
   std::unique_ptr<TestCall> Announce();
