Routers hear of engines that load before these are ordered

The leader told routers of an engine once it had been looked at and was ordered; now it does when the engine's turn begins, a look earlier. Test: 'Engines are told of as loading before they are ordered'.

--- a/src/libs/coordination/orders/weights_rollout.cpp
+++ b/src/libs/coordination/orders/weights_rollout.cpp
@@ -166,8 +166,8 @@
 std::vector<std::string> WeightsRollout::loading() const {
   std::vector<std::string> ids;
   for (const auto& [id, progress] : progress_) {
-    const bool is_ordered = progress.phase == Phase::kLoading || progress.phase == Phase::kOrdering;
-    if (is_ordered) ids.push_back(id);
+    const bool has_turn = progress.phase != Phase::kIdle && !progress.is_unreachable;
+    if (has_turn) ids.push_back(id);
   }
   return ids;
 }
--- a/tests/libs/coordination/orders/weights_rollout_test.cpp
+++ b/tests/libs/coordination/orders/weights_rollout_test.cpp
@@ -155,6 +155,22 @@
   for (const Engine& engine : fleet.engines()) CHECK(engine.orders == 1);
 }
 
+// Routers moved streams to engines that were ordered milliseconds later, and those were cut.
+TEST_CASE("Engines are told of as loading before they are ordered") {
+  WeightsRollout rollout{WeightsRolloutOptions{}};
+  std::vector<RolloutEngine> engines(2);
+  for (std::size_t i = 0; i < engines.size(); ++i) {
+    engines[i].id = fmt::format("e{}", i);
+    engines[i].incarnation = 1;
+    engines[i].weights[kModel] = 1;
+  }
+  const std::map<std::string, std::int64_t> named{{kModel, 2}};
+  const auto actions = rollout.Advance(engines, named, seconds(100));
+  REQUIRE(actions.size() == 1);
+  CHECK(std::holds_alternative<LookAtEngine>(actions[0]));
+  CHECK(rollout.loading() == std::vector<std::string>{"e0"});
+}
+
 // Engines that don't answer would else hold up the others, a second or more each.
 TEST_CASE("An engine that does not answer takes nobody's turn, and loads once it answers") {
   Fleet fleet(12);
