--- a/src/kumquatrouter/forwarding/forward_services.h
+++ b/src/kumquatrouter/forwarding/forward_services.h
@@ -28,7 +28,7 @@
   NamedWeights weights;
   // An engine whose weights have been replaced for longer gets no requests.
   Duration weights_longest_lag = std::chrono::seconds(8);
-  bool moves_runs = false;
+  bool moves_runs = true;
   bool backs_up_runs = false;
   BackendPool pool;
   LiveStores stores;
--- a/src/kumquatrouter/forwarding/forward_settings.h
+++ b/src/kumquatrouter/forwarding/forward_settings.h
@@ -28,8 +28,8 @@
   // An engine whose weights have been replaced for longer gets no requests.
   Duration weights_longest_lag = std::chrono::seconds(10);
   // Whether streams are moved off engines that load weights, and whether those that can't resume
-  // are backed up at a second engine. Off, as neither pays: docs/MEASUREMENTS.md.
-  bool moves_runs = false;
+  // are backed up at a second engine. Only the first pays on loaded days: docs/MEASUREMENTS.md.
+  bool moves_runs = true;
   bool backs_up_runs = false;
   // How long a graceful stop may take.
   Duration grace = std::chrono::seconds(8);
