A router whose loop stood still takes no backend server for dead

A beat of the loop that is more than 40 ms late says now that what others said is yet to be read: then neither a silence nor a connection that doesn't come about counts. A refused connection does as before.

--- a/src/kumquatrouter/forwarding/forward_server.cpp
+++ b/src/kumquatrouter/forwarding/forward_server.cpp
@@ -18,6 +18,9 @@
 // callers of the sheets take pauses of 400 ms.
 constexpr Duration kSilence = std::chrono::milliseconds(200);
 constexpr std::chrono::milliseconds kSilenceCheckInterval{50};
+// A timer that is late by this much says that the loop was busy or the instance without a
+// processor.
+constexpr Duration kLateLoop = std::chrono::milliseconds(40);
 // A connection within one region comes about within milliseconds.
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(120);
 constexpr std::chrono::milliseconds kProbePause{300};
@@ -59,7 +62,8 @@
              },
              [this](const EngineNews& news) { OnEngines(news); },
              [this](const CacheNews& news) { return parts_.Apply(news); },
-             [this](const RouterLoad& load) { OnPeerLoad(load); }}) {
+             [this](const RouterLoad& load) { OnPeerLoad(load); }}),
+      loop_watch_(kSilenceCheckInterval, kLateLoop) {
   services_.failure_domain = settings_.failure_domain;
   services_.clock = clock;
   services_.random = random;
@@ -235,8 +239,11 @@
 }
 
 // An open connection that fell silent proves nothing; a new one that doesn't come about does. So
-// does one that comes about again.
+// does one that comes about again. Where this process itself stood still, what the servers said
+// meanwhile has yet to be read.
 void ForwardServer::WatchSilence() {
+  loop_watch_.Beat(services_.clock());
+  if (loop_watch_.WasLate(services_.clock() - kSilence)) return;
   std::set<std::string> silent;
   for (const auto& exchange : exchanges_) {
     const auto backend = exchange->SilentBackend(kSilence);
@@ -250,8 +257,9 @@
 void ForwardServer::Probe(const BackendChoice& backend) {
   const PooledBackend* pooled = services_.pool.Find(backend);
   if (!pooled || probes_.contains(backend.backend_id)) return;
+  const Instant begun = services_.clock();
   probes_[backend.backend_id] = StartConnectProbe(
-      pooled->endpoint, kProbeTimeout, [this, backend](ConnectProbeResult result) {
+      pooled->endpoint, kProbeTimeout, [this, backend, begun](ConnectProbeResult result) {
         QTimer::singleShot(kProbePause, &silence_timer_,
                            [this, id = backend.backend_id] { probes_.erase(id); });
         PooledBackend* probed = services_.pool.Find(backend);
@@ -259,6 +267,10 @@
           if (probed) BackendPool::OnReachable(*probed);
           return;
         }
+        loop_watch_.Look(services_.clock());
+        const bool may_be_unread =
+            result == ConnectProbeResult::kSilent && loop_watch_.WasLate(begun);
+        if (may_be_unread) return;
         LogEvent(LogLevel::kWarning, "backend_unreachable", {{"backend", backend.backend_id}});
         if (probed) BackendPool::OnFailure(*probed, CallFailure::kNotSent, services_.clock());
         const auto exchanges = exchanges_;
--- a/src/kumquatrouter/forwarding/forward_server.h
+++ b/src/kumquatrouter/forwarding/forward_server.h
@@ -16,6 +16,7 @@
 #include "transport/connect_probe.h"
 #include "transport/http_server.h"
 #include "utils/endpoint.h"
+#include "utils/loop_watch.h"
 
 namespace kumquat {
 
@@ -77,6 +78,7 @@
   Instant load_told_at_{0};
   QTimer load_timer_;
   QTimer silence_timer_;
+  LoopWatch loop_watch_;
   // New connections to backend servers that went silent, by their id.
   std::map<std::string, std::unique_ptr<ConnectProbe>> probes_;
   QTimer wake_timer_;
