The storm test tells the story of an interrupted chat from the routers' logs

The routers of the bench log to files now, and the test prints what kumquatctl explains of each interrupted chat.

--- a/src/kumquatrouter/forwarding/forward_exchange.cpp
+++ b/src/kumquatrouter/forwarding/forward_exchange.cpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "exchange.h"
+#include "utils/durations.h"
 #include "utils/log.h"
 
 namespace kumquat {
@@ -32,12 +33,6 @@
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
 
-std::int64_t Milliseconds(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
-double Seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
-
 std::string_view PathOf(const HttpRequest& request) {
   return std::string_view{request.target}.substr(0, request.target.find('?'));
 }
--- a/src/kumquatrouter/service_exchange.cpp
+++ b/src/kumquatrouter/service_exchange.cpp
@@ -13,6 +13,7 @@
 #include "membership_service.h"
 #include "protocol/control_messages.h"
 #include "router_settings.h"
+#include "utils/durations.h"
 #include "utils/histogram.h"
 #include "utils/log.h"
 
@@ -247,7 +248,7 @@
 
 void ServiceExchange::Answered(std::string_view outcome) {
   is_answered_ = true;
-  const double seconds = std::chrono::duration<double>(services_.clock() - start_.received).count();
+  const double seconds = Seconds(services_.clock() - start_.received);
   const std::string labels =
       fmt::format("organisation=\"{}\",class=\"service\"", start_.organisation);
   services_.metrics->Observe("kumquat_service_seconds", labels, seconds);
--- a/src/libs/coordination/admission/fair_queue.cpp
+++ b/src/libs/coordination/admission/fair_queue.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "utils/durations.h"
+
 namespace kumquat {
 namespace {
 
@@ -17,8 +19,6 @@
 // Least time to come back after.
 constexpr Duration kShortestRetryAfter = std::chrono::milliseconds(100);
 
-double Seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
-
 Duration ToDuration(double seconds) {
   return Duration(static_cast<Duration::rep>(std::ceil(seconds * 1e6)));
 }
--- a/src/libs/coordination/limits/demand_meter.cpp
+++ b/src/libs/coordination/limits/demand_meter.cpp
@@ -3,14 +3,14 @@
 #include <algorithm>
 #include <cmath>
 
+#include "utils/durations.h"
+
 namespace kumquat {
 namespace {
 
 // The part of the memory that counts for a rise.
 constexpr int kRiseDivisor = 4;
 
-double Seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
-
 double Faded(double rate, Duration memory, Duration passed) {
   return rate * std::exp(-Seconds(passed) / Seconds(memory));
 }
--- a/src/libs/coordination/limits/token_bucket.cpp
+++ b/src/libs/coordination/limits/token_bucket.cpp
@@ -3,12 +3,9 @@
 #include <algorithm>
 #include <cmath>
 
-namespace kumquat {
-namespace {
-
-double Seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+#include "utils/durations.h"
 
-}  // namespace
+namespace kumquat {
 
 void TokenBucket::SetRate(std::int64_t rate, Instant now) {
   level_ = LevelAt(now);
--- a/tests/process/forwarding/forward_bench.cpp
+++ b/tests/process/forwarding/forward_bench.cpp
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include "process/explain.h"
+
 namespace kumquat {
 namespace {
 
@@ -123,18 +125,14 @@
 }
 
 std::string ForwardBench::Explain(const std::string& id) {
-  QStringList arguments{QStringLiteral("explain"), QString::fromStdString(id)};
+  QStringList logs;
   for (int i = 0; i < kReplicas; ++i) {
-    arguments << QString::fromStdString(LogOf(fmt::format("c{}", i + 1)));
+    logs << QString::fromStdString(LogOf(fmt::format("c{}", i + 1)));
   }
   for (int i = 0; i < kRouters; ++i) {
-    arguments << QString::fromStdString(LogOf(fmt::format("r{}", i + 1)));
+    logs << QString::fromStdString(LogOf(fmt::format("r{}", i + 1)));
   }
-  QProcess explain;
-  explain.start(QString::fromStdString(std::string(KUMQUAT_BIN_DIR) + "/kumquatctl"), arguments);
-  CHECK(explain.waitForFinished());
-  CHECK(explain.exitCode() == 0);
-  return explain.readAllStandardOutput().toStdString();
+  return ExplainRequest(id, logs);
 }
 
 }  // namespace kumquat
--- a/tests/process/router/router_storm_test.cpp
+++ b/tests/process/router/router_storm_test.cpp
@@ -123,9 +123,16 @@
     CAPTURE(call.body);
     REQUIRE(refusal);
     (call.status == 200 ? chats_.interrupted : chats_.refused) += 1;
+    if (call.status == 200) TellStory(call);
     ++kinds_[refusal->kind];
   }
 
+  // An interrupted chat has a cause: what the routers logged of it says which.
+  void TellStory(const TestCall& call) const {
+    MESSAGE(call.events.back());
+    MESSAGE(bench_.Explain(std::string(HeaderValue(call.headers, "X-Request-Id"))));
+  }
+
   void Judge(Booking booking) {
     const TestCall& call = *booking.call;
     if (call.failure) {
--- a/tests/process/router/system_bench.cpp
+++ b/tests/process/router/system_bench.cpp
@@ -5,6 +5,7 @@
 #include <QCryptographicHash>
 
 #include "engine/answer_text.h"
+#include "process/explain.h"
 
 namespace kumquat {
 namespace {
@@ -57,15 +58,26 @@
     router_programs_[i] = std::make_unique<TestProgram>(
         "kumquat-router",
         fmt::format("instance = \"r{0}\"\nfailure_domain = \"d{0}\"\nlisten = \"{1}\"\n"
-                    "peer_listen = \"{2}\"\npeers = [{3}]\ncontrol = [{4}]\nlog_level = \"error\"\n"
+                    "peer_listen = \"{2}\"\npeers = [{3}]\ncontrol = [{4}]\n"
                     "[timeouts]\nconnect_ms = 500\nfirst_byte_ms = 2000\n"
                     "between_bytes_ms = 1000\nservice_ms = 1500\nrequest_ms = 30000\n{5}",
                     i + 1, routers_[i].ToString(), peers[i].ToString(), RouterList(peers, i),
                     control_.control_list(), options_.router_tables));
+    router_programs_[i]->LogTo(LogOf(i).toStdString());
     router_programs_[i]->Start();
   }
 }
 
+QString SystemBench::LogOf(int router) const {
+  return folder_.filePath(QStringLiteral("r%1.log").arg(router + 1));
+}
+
+std::string SystemBench::Explain(const std::string& id) const {
+  QStringList logs;
+  for (int i = 0; i < kRouters; ++i) logs << LogOf(i);
+  return ExplainRequest(id, logs);
+}
+
 void SystemBench::StartEngines() {
   for (int i = 0; i < kEngines; ++i) {
     BenchBackend& engine = engines_[i];
--- a/tests/process/router/system_bench.h
+++ b/tests/process/router/system_bench.h
@@ -1,6 +1,7 @@
 // The whole system as processes on loopback: control replicas, routers, and fakes behind relays.
 #pragma once
 
+#include <QTemporaryDir>
 #include <array>
 #include <map>
 #include <memory>
@@ -65,6 +66,9 @@
   // Returns the sum of this statistic over the engines that answer.
   int EngineStat(const char* name);
 
+  // Returns what the routers' logs tell of the request with this id.
+  std::string Explain(const std::string& id) const;
+
   // Waits until the router answers a chat.
   void WaitUntilServing(int router);
 
@@ -79,8 +83,10 @@
   void StartEngines();
   void StartServices();
   void SetLists();
+  QString LogOf(int router) const;
 
   SystemBenchOptions options_;
+  QTemporaryDir folder_;
   ControlCluster control_;
   TestCaller caller_;
   std::array<Endpoint, kRouters> routers_;
