Innocent chats are no longer condemned or left without an engine after a death

The lease stayed for 60 s; a suspect that had been struck on the two other engines waited for the slot until its deadline (stream_interrupted). A router's newer run frees what the one before had leased. - A chat got 9 (17, 27) tokens from an engine that was killed, and the next engine was killed before its first token there: condemned. Poison crashes each server that runs it, so one that made progress on any of them isn't of the kind that kills as it begins: it needs four deaths. The check that wanted such a request condemned after two was wrong, since that pattern is this chat's; in its place stand the innocent with four deaths and a poison request without progress with two. - The strike took the first lost run on a dead engine; the chat had made 31 tokens in the second one there. The last run counts now, and progress of any of them. Ruled out: links between routers (no release was lost), the life sign (engines were alive when the isolated runs began). Strikes and attempts of chats are logged with the request's id: without them the stories didn't show the cause.

--- a/src/kumquatrouter/chat_exchange.cpp
+++ b/src/kumquatrouter/chat_exchange.cpp
@@ -16,6 +16,7 @@
 #include "protocol/json_fields.h"
 #include "router_settings.h"
 #include "strike_exchange.h"
+#include "utils/durations.h"
 #include "utils/histogram.h"
 #include "utils/log.h"
 
@@ -29,8 +30,6 @@
 // How long a broken stream may take to hand its error event to the caller.
 constexpr std::chrono::milliseconds kErrorFlushTime{500};
 
-double Seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
-
 // Strong hash of the organisation and the whole request, by which routers know it again.
 std::string DigestOf(const std::string& organisation, const QJsonObject& body) {
   QCryptographicHash hash(QCryptographicHash::Blake2b_256);
@@ -195,6 +194,13 @@
 
 void ChatExchange::Send(const stream_command::StartAttempt& command) {
   attempt_->is_sent = true;
+  LogEvent(LogLevel::kInfo, "request_sent",
+           {{"request", start_.request_id},
+            {"attempt", command.attempt_id},
+            {"backend", command.backend.backend_id},
+            {"incarnation", command.backend.incarnation},
+            {"isolated", attempt_->is_isolated ? "yes" : "no"},
+            {"ms", Milliseconds(services_.clock() - start_.received)}});
   attempt_->call = services_.client->Start(CallFor(command), HooksFor(command.attempt_id));
 }
 
@@ -312,6 +318,12 @@
 
 void ChatExchange::OnCallFailed(const std::string& attempt_id, CallFailure failure) {
   if (is_done_) return;
+  LogEvent(LogLevel::kInfo, "attempt_failed",
+           {{"request", start_.request_id},
+            {"attempt", attempt_id},
+            {"failure", CallFailureName(failure)},
+            {"tokens", tokens_sent_},
+            {"ms", Milliseconds(services_.clock() - start_.received)}});
   services_.metrics->Count("kumquat_attempt_failures_total",
                            fmt::format("failure=\"{}\"", CallFailureName(failure)));
   if (IsCurrent(attempt_id) && failure == CallFailure::kNotSent) {
@@ -324,7 +336,8 @@
 
 // A strike on this backend server may follow later; how the run was lost counts then.
 void ChatExchange::NoteLoss() {
-  losses_.push_back({attempt_->backend, attempt_->is_isolated, attempt_->made_progress});
+  losses_.push_back({attempt_->backend.backend_id, attempt_->backend.incarnation,
+                     attempt_->is_isolated, attempt_->made_progress});
 }
 
 void ChatExchange::Execute(const stream_command::CancelAttempt& command) {
@@ -437,14 +450,8 @@
 void ChatExchange::Execute(const stream_command::GiveStrike& command) {
   const BackendChoice& backend = command.backend;
   if (!services_.membership->IsProvenDead(backend.backend_id, backend.incarnation)) return;
-  Strike strike{backend.backend_id, backend.incarnation};
-  const auto loss = std::find_if(losses_.begin(), losses_.end(),
-                                 [&](const Loss& lost) { return lost.backend == backend; });
-  if (loss != losses_.end()) {
-    strike.is_isolated = loss->is_isolated;
-    strike.made_progress = loss->made_progress;
-  }
-  services_.strikes->AddStrike(digest_, strike);
+  services_.strikes->AddStrike(digest_, start_.request_id,
+                               StrikeFor(backend.backend_id, backend.incarnation, losses_));
 }
 
 void ChatExchange::Execute(const stream_command::NoteSuccess& /*command*/) {
--- a/src/kumquatrouter/chat_exchange.h
+++ b/src/kumquatrouter/chat_exchange.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "chat_request.h"
+#include "coordination/admission/strike_table.h"
 #include "coordination/requests/stream_request.h"
 #include "engine_selector.h"
 #include "exchange.h"
@@ -91,15 +92,10 @@
   ShareTicket ticket_;
   std::optional<StreamRequest> decisions_;
   std::optional<ChatAttempt> attempt_;
-  // A run that was lost; a strike for it follows once its backend server is proven dead.
-  struct Loss {
-    BackendChoice backend;
-    bool is_isolated = false;
-    bool made_progress = false;
-  };
   // Whether the last choice kept suspects apart.
   bool is_choice_isolated_ = false;
-  std::vector<Loss> losses_;
+  // Runs that were lost; a strike follows once their backend server is proven dead.
+  std::vector<LostRun> losses_;
   std::function<void()> on_done_;
   std::uint64_t queue_id_ = 0;
   bool is_answer_started_ = false;
--- a/src/kumquatrouter/router.cpp
+++ b/src/kumquatrouter/router.cpp
@@ -172,7 +172,12 @@
   strikes_.Tick();
   const auto routers = membership_.live_routers();
   engines_.SetRouters(routers.size());
-  strikes_.SetRouters(routers);
+  std::map<std::string, std::int64_t> runs;
+  for (const std::string& router : routers) {
+    const Member* member = membership_.table().Find(router);
+    if (member) runs[router] = member->record.incarnation;
+  }
+  strikes_.SetRouters(runs);
   if (index_.SetRouters(routers)) cache_follower_->ResyncAll();
   membership_.table().ForEach([this](const Member& member) {
     if (member.record.backend) index_.Observe(member.record.id, member.record.incarnation);
--- a/src/kumquatrouter/strike_exchange.cpp
+++ b/src/kumquatrouter/strike_exchange.cpp
@@ -110,21 +110,15 @@
   return true;
 }
 
-void StrikeExchange::SetRouters(const std::vector<std::string>& routers) {
-  for (const std::string& known : routers_) {
-    if (std::find(routers.begin(), routers.end(), known) == routers.end()) {
-      slots_.DropRouter(known);
-    }
-  }
-  routers_ = routers;
-}
-
-void StrikeExchange::AddStrike(const std::string& digest, const Strike& strike) {
+void StrikeExchange::AddStrike(const std::string& digest, std::string_view request_id,
+                               const Strike& strike) {
   const Instant now = clock_();
   const RequestStanding standing = table_.AddStrike(digest, strike, now);
   LogEvent(LogLevel::kError, "request_struck",
-           {{"digest", digest.substr(0, kLoggedDigits)},
+           {{"request", request_id},
+            {"digest", digest.substr(0, kLoggedDigits)},
             {"backend", strike.backend_id},
+            {"incarnation", strike.incarnation},
             {"isolated", strike.is_isolated ? "yes" : "no"},
             {"made_progress", strike.made_progress ? "yes" : "no"},
             {"condemned", standing == RequestStanding::kCondemned ? "yes" : "no"}});
--- a/src/kumquatrouter/strike_exchange.h
+++ b/src/kumquatrouter/strike_exchange.h
@@ -3,7 +3,9 @@
 #pragma once
 
 #include <QJsonObject>
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -38,11 +40,12 @@
   // The request has ended, in whichever way.
   void Abandon(const std::string& digest) { slots_.Abandon(digest); }
 
-  // Sets the live routers: what those that are gone had been leased is free again.
-  void SetRouters(const std::vector<std::string>& routers);
+  // Sets the live routers and the run of each.
+  void SetRouters(const std::map<std::string, std::int64_t>& runs) { slots_.SetRouters(runs); }
 
-  // Each notes an event and tells the other routers when it changed a standing.
-  void AddStrike(const std::string& digest, const Strike& strike);
+  // Each notes an event and tells the other routers when it changed a standing. `request_id` is for
+  // the log.
+  void AddStrike(const std::string& digest, std::string_view request_id, const Strike& strike);
   void OnSuccess(const std::string& digest);
 
   void OnStarted(const std::string& digest, const std::string& backend_id);
@@ -61,7 +64,6 @@
   Clock clock_;
   StrikeTable table_;
   SuspectSlots slots_;
-  std::vector<std::string> routers_;
 };
 
 }  // namespace kumquat
--- a/src/libs/coordination/admission/strike_table.cpp
+++ b/src/libs/coordination/admission/strike_table.cpp
@@ -7,7 +7,7 @@
 namespace kumquat {
 namespace {
 
-// Deaths of this many different backend servers condemn a request if one of them was conclusive.
+// Deaths of this many different backend servers condemn a request that never made progress.
 constexpr std::size_t kCondemningDeaths = 2;
 // The same for a request that breaks backend servers later in its run. An innocent one is seldom
 // hit so often.
@@ -27,6 +27,17 @@
 
 }  // namespace
 
+Strike StrikeFor(std::string_view backend_id, std::int64_t incarnation,
+                 std::span<const LostRun> runs) {
+  Strike strike{std::string(backend_id), incarnation};
+  for (const LostRun& run : runs) {
+    if (run.backend_id != backend_id || run.incarnation != incarnation) continue;
+    strike.is_isolated = run.is_isolated;
+    strike.made_progress = strike.made_progress || run.made_progress;
+  }
+  return strike;
+}
+
 StrikeTable::StrikeTable(StrikeTableOptions options, OwnsBackend owns_backend)
     : options_(options), owns_backend_(std::move(owns_backend)) {}
 
@@ -35,14 +46,14 @@
   if (entry == nullptr || entry->strikes.empty()) return RequestStanding::kClean;
   std::set<std::string_view> dead;
   bool was_isolated = false;
-  bool is_conclusive = false;
+  bool made_progress = false;
   for (const Strike& strike : entry->strikes) {
     dead.insert(strike.backend_id);
     was_isolated = was_isolated || strike.is_isolated;
-    is_conclusive = is_conclusive || strike.is_conclusive();
+    made_progress = made_progress || strike.made_progress;
   }
-  const bool is_condemned = (is_conclusive && dead.size() >= kCondemningDeaths) ||
-                            (was_isolated && dead.size() >= kCondemningLateDeaths);
+  const std::size_t condemning = made_progress ? kCondemningLateDeaths : kCondemningDeaths;
+  const bool is_condemned = was_isolated && dead.size() >= condemning;
   return is_condemned ? RequestStanding::kCondemned : RequestStanding::kSuspect;
 }
 
--- a/src/libs/coordination/admission/strike_table.h
+++ b/src/libs/coordination/admission/strike_table.h
@@ -6,7 +6,9 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "utils/hooks.h"
@@ -30,11 +32,21 @@
   bool made_progress = false;
 
   auto operator<=>(const Strike&) const = default;
+};
 
-  // Whether this death is evidence against this request and no other.
-  bool is_conclusive() const { return is_isolated && !made_progress; }
+// A run of the request that was lost.
+struct LostRun {
+  std::string backend_id;
+  std::int64_t incarnation = 0;
+  bool is_isolated = false;
+  bool made_progress = false;
 };
 
+// Returns the strike that the death of the backend server stands for. It came in the last of the
+// runs there; one that made progress shows that to begin with the request is harmless.
+Strike StrikeFor(std::string_view backend_id, std::int64_t incarnation,
+                 std::span<const LostRun> runs);
+
 // What is known of one request, as routers tell each other. Ages travel instead of moments, as
 // clocks differ.
 struct StrikeEntry {
@@ -55,9 +67,11 @@
   kClean,
   // It was running when one backend server died: it runs alone among suspects.
   kSuspect,
-  // It is refused for good: two different backend servers died, one of them conclusively, or
-  // four died, one of them while it was a suspect. Without a conclusive death, requests that ran
-  // beside a poison request, or on engines that something else killed, would be condemned.
+  // It is refused for good: two different backend servers died before it got anything of its
+  // answer, one of them while it was a suspect, or four died, one of them while it was a suspect.
+  // Otherwise requests that ran beside a poison request, or on engines that something else killed,
+  // would be condemned. Poison acts alike on every engine: what got tokens from one that died later
+  // isn't of the kind that kills as it begins.
   kCondemned,
 };
 
--- a/src/libs/coordination/admission/suspect_slots.cpp
+++ b/src/libs/coordination/admission/suspect_slots.cpp
@@ -94,8 +94,14 @@
   hooks_.send(from, {SlotMessageKind::kGrant, message.backend_id, message.digest, message.number});
 }
 
-void SuspectSlots::DropRouter(const std::string& router) {
-  std::erase_if(leased_, [&](const auto& entry) { return entry.second.router == router; });
+void SuspectSlots::SetRouters(const std::map<std::string, std::int64_t>& runs) {
+  for (const auto& [router, run] : runs_) {
+    const auto now = runs.find(router);
+    const bool is_same_run = now != runs.end() && now->second == run;
+    if (is_same_run) continue;
+    std::erase_if(leased_, [&](const auto& entry) { return entry.second.router == router; });
+  }
+  runs_ = runs;
 }
 
 }  // namespace kumquat
--- a/src/libs/coordination/admission/suspect_slots.h
+++ b/src/libs/coordination/admission/suspect_slots.h
@@ -60,8 +60,9 @@
 
   void Receive(const std::string& from, const SlotMessage& message, Instant now);
 
-  // The router is down: what it was leased is free again.
-  void DropRouter(const std::string& router);
+  // Sets the live routers and the run of each, which grows when it starts anew. What was leased to
+  // a run that is gone is free again: nobody would let go of it before the lease ends.
+  void SetRouters(const std::map<std::string, std::int64_t>& runs);
 
  private:
   // A slot of another owner that this router asked for.
@@ -94,6 +95,7 @@
   std::map<SlotKey, Wanted> wanted_;
   // By backend server.
   std::map<std::string, Leased> leased_;
+  std::map<std::string, std::int64_t> runs_;
 };
 
 }  // namespace kumquat
--- a/tests/libs/coordination/admission/suspect_slots_test.cpp
+++ b/tests/libs/coordination/admission/suspect_slots_test.cpp
@@ -126,5 +126,30 @@
   });
 }
 
+// Kept from router_storm_test: a router was killed while it held a slot and started anew at once,
+// so nobody saw it down; a suspect of another router waited for the slot until its deadline.
+TEST_CASE("What a router had been leased is free once it has started anew, or is gone") {
+  std::vector<SlotMessage> sent;
+  SuspectSlotsHooks hooks;
+  hooks.owner_of = [](std::string_view) { return "router-0"; };
+  hooks.is_free = [](const std::string&) { return true; };
+  hooks.send = [&sent](const std::string&, const SlotMessage& message) { sent.push_back(message); };
+  SuspectSlots owner("router-0", kLease, std::move(hooks));
+  const Instant now = std::chrono::hours(1);
+  const auto ask = [&](const std::string& router, std::int64_t number) {
+    sent.clear();
+    owner.Receive(router, {SlotMessageKind::kRequest, "engine", "digest-" + router, number}, now);
+    return !sent.empty();
+  };
+  owner.SetRouters({{"router-1", 100}, {"router-2", 100}});
+  CHECK(ask("router-1", 1));
+  owner.SetRouters({{"router-1", 100}, {"router-2", 100}});
+  CHECK_FALSE(ask("router-2", 1));
+  owner.SetRouters({{"router-1", 101}, {"router-2", 100}});
+  CHECK(ask("router-2", 2));
+  owner.SetRouters({{"router-1", 101}});
+  CHECK(ask("router-1", 1));
+}
+
 }  // namespace
 }  // namespace kumquat
