Numbers in callers' headers that can't be reckoned with are left out

scripts/fuzz found it (platform_test): a deadline of 2^63 ms came out negative as microseconds, so the request would have been given up at once; counts of tokens overflowed in sums. Kept as a test that failed before. Numbers up to 10^15 are taken, which fit in both.

--- a/src/platform/front_edge.cpp
+++ b/src/platform/front_edge.cpp
@@ -64,6 +64,8 @@
 constexpr int kMisdirected = 421;
 constexpr int kFirstError = 300;
 constexpr std::int64_t kLowestPriority = 9;
+// Milliseconds up to this fit as microseconds, and so do sums of all token counts that fit a header.
+constexpr std::int64_t kLargestNumber = 1'000'000'000'000'000;
 
 template <typename Names>
 bool IsAnyOf(std::string_view name, const Names& names) {
@@ -92,7 +94,8 @@
   std::int64_t number = 0;
   const char* end = text.data() + text.size();
   const auto [rest, error] = std::from_chars(text.data(), end, number);
-  if (text.empty() || error != std::errc() || rest != end || number < 0) return std::nullopt;
+  if (text.empty() || error != std::errc() || rest != end) return std::nullopt;
+  if (number < 0 || number > kLargestNumber) return std::nullopt;
   return number;
 }
 
--- a/tests/platform/front_edge_test.cpp
+++ b/tests/platform/front_edge_test.cpp
@@ -89,6 +89,22 @@
   CHECK(codec.decode_head(request, 503, {{"Kumquatcross-Not-Run", "1"}}).promises_not_run);
 }
 
+// Kept from the property below, seed 3756320044: as microseconds the time left came out negative.
+TEST_CASE("Numbers beyond what can be reckoned with are left out") {
+  const ForwardCodec codec = MakeForwardCodec();
+  HttpRequest http = SomeRequest();
+  for (auto& [name, value] : http.headers) {
+    if (name == "Kumquatcross-Deadline-Ms") value = "9223372036854775807";
+    if (name == "Kumquatcross-Prompt-Prefix") value = "a:9223372036854775807,b:9223372036854775807";
+    if (name == "Kumquatcross-Token-Count") value = "";
+  }
+  const CallerRequest request = codec.decode_request(std::move(http));
+  CHECK_FALSE(request.time_left);
+  REQUIRE(request.prompt);
+  CHECK(request.prompt->tokens >= 0);
+  CHECK(request.prompt->parts.empty());
+}
+
 TEST_CASE("Odd header values crash nothing and give no negative counts") {
   const ForwardCodec codec = MakeForwardCodec();
   CheckProperty("headers", [&] {
