--- a/src/kumquatcontrol/control_node.cpp
+++ b/src/kumquatcontrol/control_node.cpp
@@ -56,11 +56,12 @@
                   },
                   [this] { return log_ ? log_->applied_index() : 0; }},
                  &state_),
-      directory_(
-          {SteadyClock(),
-           hooks_.random,
-           [this](const std::string& to, const GossipMessage& message) { SendGossip(to, message); },
-           {}}),
+      directory_({SteadyClock(),
+                  hooks_.random,
+                  [this](std::span<const std::string> to, const GossipMessage& message) {
+                    SendGossip(to, message);
+                  },
+                  {}}),
       desk_({SteadyClock(), [this] { return CompiledDocuments(); },
              [this] { return directory_.table().digest(); },
              [this](const std::string& router) {
@@ -96,9 +97,9 @@
   if (hooks_.cache_codec) {
     stores_ = std::make_unique<StoreWatch>(*hooks_.cache_codec, backend_client_.get(),
                                            [this] { desk_.PushFleet(); });
-    cache_keeper_ =
-        std::make_unique<CacheKeeper>(*hooks_.cache_codec, backend_client_.get(),
-                                      [this](const CacheNews& news) { Broadcast(news); });
+    cache_keeper_ = std::make_unique<CacheKeeper>(
+        *hooks_.cache_codec, backend_client_.get(),
+        [this](const CacheNews& news) { untold_cache_.push_back(news); });
   }
   flush_.setSingleShot(true);
   restart_.setSingleShot(true);
@@ -117,7 +118,7 @@
     directory_.Tick();
     ShareCacheSources();
   });
-  QObject::connect(&load_tick_, &QTimer::timeout, &load_tick_, [this] { TellLoads(); });
+  QObject::connect(&load_tick_, &QTimer::timeout, &load_tick_, [this] { TellRouters(); });
   QObject::connect(&restart_, &QTimer::timeout, &restart_, [this] {
     if (!StartLog()) RestartLogLater(last_reason_);
   });
@@ -156,7 +157,7 @@
     return named;
   };
   hooks.former_leader_is_silent = [this] { return FormerLeaderIsSilent(); };
-  hooks.publish = [this](const EngineNews& news) { Broadcast(news); };
+  hooks.publish = [this](const EngineNews& news) { desk_.SendAll(news); };
   return hooks;
 }
 
@@ -389,17 +390,15 @@
   }
 }
 
-void ControlNode::TellLoads() {
+// One tick's news go out together: each router is woken once for all of them.
+void ControlNode::TellRouters() {
+  for (const CacheNews& news : std::exchange(untold_cache_, {})) desk_.SendAll(news);
   if (untold_loads_.empty()) return;
   LoadNews news;
   for (auto& [router, load] : std::exchange(untold_loads_, {})) {
     news.routers.push_back(std::move(load));
   }
-  Broadcast(news);
-}
-
-void ControlNode::Broadcast(const ControlNews& news) {
-  for (const std::string& router : desk_.LiveRouters()) desk_.Send(router, news);
+  desk_.SendAll(news);
 }
 
 std::vector<std::string> ControlNode::OtherReplicas() const {
@@ -421,12 +420,14 @@
   directory_.SetNeighbours(std::move(neighbours));
 }
 
-void ControlNode::SendGossip(const std::string& to, const GossipMessage& message) {
-  const MemberNews news{options_.log_name(), ToJsonText(ToJson(message))};
-  if (to.starts_with(kRouterPrefix)) {
-    desk_.Send(to.substr(kRouterPrefix.size()), news);
-  } else {
-    links_.Send(to, FrameKind::kNews, Encode(news));
+void ControlNode::SendGossip(std::span<const std::string> to, const GossipMessage& message) {
+  const std::string news = Encode(MemberNews{options_.log_name(), ToJsonText(ToJson(message))});
+  for (const std::string& process : to) {
+    if (process.starts_with(kRouterPrefix)) {
+      desk_.SendEncoded(process.substr(kRouterPrefix.size()), news);
+    } else {
+      links_.Send(process, FrameKind::kNews, news);
+    }
   }
 }
 
--- a/src/kumquatcontrol/control_node.h
+++ b/src/kumquatcontrol/control_node.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -95,7 +96,7 @@
   std::vector<const Document*> CompiledDocuments();
   std::vector<std::string> OtherReplicas() const;
   void UpdateNeighbours();
-  void SendGossip(const std::string& to, const GossipMessage& message);
+  void SendGossip(std::span<const std::string> to, const GossipMessage& message);
   void AnnounceRevision(std::int64_t revision);
   void SendOrder(const Announcement& engine, const EngineOrder& order);
   void OrderEnded(std::int64_t fencing_number, std::string_view outcome);
@@ -107,8 +108,7 @@
   void WatchStores(const Document& routing);
   void ShareCacheSources();
   void ReceivedLoad(const LoadNews& news);
-  void TellLoads();
-  void Broadcast(const ControlNews& news);
+  void TellRouters();
 
   ControlNodeOptions options_;
   Hooks hooks_;
@@ -130,6 +130,8 @@
   std::vector<Endpoint> store_endpoints_;
   // What routers told of their load since it was last passed on, by router.
   std::map<std::string, RouterLoad> untold_loads_;
+  // What was read of cached parts since then.
+  std::vector<CacheNews> untold_cache_;
   // A leader and its term.
   struct Leadership {
     std::string name;
--- a/src/kumquatcontrol/router_desk.cpp
+++ b/src/kumquatcontrol/router_desk.cpp
@@ -9,6 +9,9 @@
 
 // Routers greet every second.
 constexpr Duration kSilenceLimit = std::chrono::milliseconds(3500);
+// A digest that differs once may be that of a change on its way; the tables of a large fleet take
+// some 30 KB each way to compare.
+constexpr int kMismatchesToExchange = 2;
 
 void SendTo(FrameConnection& connection, const ControlNews& news) {
   connection.Send(FrameKind::kNews, Encode(news));
@@ -21,7 +24,8 @@
   const auto [entry, is_new] = routers_.try_emplace(hello.router);
   Router& router = entry->second;
   if (!is_new && hello.incarnation < router.hello.incarnation) return;
-  if (is_new || hello.incarnation > router.hello.incarnation) {
+  const bool is_new_run = is_new || hello.incarnation > router.hello.incarnation;
+  if (is_new_run) {
     LogEvent(LogLevel::kInfo, "router_linked",
              {{"router", hello.router}, {"incarnation", hello.incarnation}});
   }
@@ -29,10 +33,21 @@
   router.hello = hello;
   router.heard_at = hooks_.clock();
   SendMissingDocuments(&router);
-  if (hello.members_digest != hooks_.members_digest()) hooks_.exchange_members(hello.router);
+  CompareMembers(&router, is_new_run);
   Send(hello.router, Fleet());
 }
 
+void RouterDesk::CompareMembers(Router* router, bool is_new_run) {
+  if (router->hello.members_digest == hooks_.members_digest()) {
+    router->mismatches = 0;
+    return;
+  }
+  ++router->mismatches;
+  if (!is_new_run && router->mismatches < kMismatchesToExchange) return;
+  router->mismatches = 0;
+  hooks_.exchange_members(router->hello.router);
+}
+
 FleetNews RouterDesk::Fleet() {
   return {hooks_.replicas(), static_cast<std::int64_t>(LiveRouters().size()), hooks_.stores()};
 }
@@ -58,8 +73,17 @@
 }
 
 void RouterDesk::Send(const std::string& router, const ControlNews& news) {
+  SendEncoded(router, Encode(news));
+}
+
+void RouterDesk::SendEncoded(const std::string& router, std::string_view news) {
   const auto found = routers_.find(router);
-  if (found != routers_.end()) SendTo(*found->second.connection, news);
+  if (found != routers_.end()) found->second.connection->Send(FrameKind::kNews, news);
+}
+
+void RouterDesk::SendAll(const ControlNews& news) {
+  const std::string encoded = Encode(news);
+  for (const std::string& name : LiveRouters()) SendEncoded(name, encoded);
 }
 
 std::vector<std::string> RouterDesk::LiveRouters() {
--- a/src/kumquatcontrol/router_desk.h
+++ b/src/kumquatcontrol/router_desk.h
@@ -45,6 +45,12 @@
   // Sends to one router; nothing happens when it isn't linked.
   void Send(const std::string& router, const ControlNews& news);
 
+  // The same for news that are encoded already.
+  void SendEncoded(const std::string& router, std::string_view news);
+
+  // Sends to all routers that greeted lately.
+  void SendAll(const ControlNews& news);
+
   // Returns the names of the routers that greeted lately, after dropping the others.
   std::vector<std::string> LiveRouters();
 
@@ -53,9 +59,12 @@
     std::shared_ptr<FrameConnection> connection;
     RouterHello hello;
     Instant heard_at{0};
+    // Greetings in a row whose digest of backend servers was another one than here.
+    int mismatches = 0;
   };
 
   void SendMissingDocuments(Router* router);
+  void CompareMembers(Router* router, bool is_new_run);
   FleetNews Fleet();
 
   RouterDeskHooks hooks_;
--- a/src/kumquatrouter/forwarding/control_feed.cpp
+++ b/src/kumquatrouter/forwarding/control_feed.cpp
@@ -20,12 +20,8 @@
     : options_(std::move(options)),
       hooks_(std::move(hooks)),
       directory_({hooks_.clock, hooks_.random,
-                  [this](const std::string& to, const GossipMessage& message) {
-                    const auto endpoint = ParseEndpoint(to);
-                    const auto replica = endpoint ? replicas_.find(*endpoint) : replicas_.end();
-                    if (replica == replicas_.end()) return;
-                    const MemberNews news{options_.router, ToJsonText(ToJson(message))};
-                    replica->second.link->Send(FrameKind::kNews, Encode(news));
+                  [this](std::span<const std::string> to, const GossipMessage& message) {
+                    SendGossip(to, message);
                   },
                   [this](const MemberRecord& record) { hooks_.on_member(record); }}) {
   QObject::connect(&greet_timer_, &QTimer::timeout, &greet_timer_, [this] {
@@ -35,6 +31,15 @@
   });
 }
 
+void ControlFeed::SendGossip(std::span<const std::string> to, const GossipMessage& message) {
+  const std::string news = Encode(MemberNews{options_.router, ToJsonText(ToJson(message))});
+  for (const std::string& address : to) {
+    const auto endpoint = ParseEndpoint(address);
+    const auto replica = endpoint ? replicas_.find(*endpoint) : replicas_.end();
+    if (replica != replicas_.end()) replica->second.link->Send(FrameKind::kNews, news);
+  }
+}
+
 void ControlFeed::Start() {
   for (const Endpoint& seed : options_.seeds) LinkTo(seed);
   greet_timer_.start(kGreetInterval);
--- a/src/kumquatrouter/forwarding/control_feed.h
+++ b/src/kumquatrouter/forwarding/control_feed.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -66,6 +67,7 @@
 
  private:
   void LinkTo(const Endpoint& replica);
+  void SendGossip(std::span<const std::string> to, const GossipMessage& message);
   void Greet(FrameLink& link) const;
   void Received(const Endpoint& replica, FrameKind kind, std::string_view payload);
   void Receive(const Endpoint& replica, const RouterHello& news);
--- a/src/kumquatrouter/membership_service.cpp
+++ b/src/kumquatrouter/membership_service.cpp
@@ -55,8 +55,11 @@
       random_(random),
       gossip_(
           &table_,
-          [this](const std::string& router, const GossipMessage& message) {
-            network_->Send(router, PeerMessageType::kGossip, ToJson(message));
+          [this](std::span<const std::string> routers, const GossipMessage& message) {
+            const QJsonObject json = ToJson(message);
+            for (const std::string& router : routers) {
+              network_->Send(router, PeerMessageType::kGossip, json);
+            }
           },
           std::move(random)),
       self_(SelfRecord(settings)) {
--- a/src/libs/coordination/membership/gossip.cpp
+++ b/src/libs/coordination/membership/gossip.cpp
@@ -94,31 +94,34 @@
   if (neighbours_.empty()) return;
   GossipMessage message;
   message.digest = table_->digest();
-  send_(neighbours_[random_() % neighbours_.size()], message);
+  SendTo(neighbours_[random_() % neighbours_.size()], message);
 }
 
 void Gossip::Greet(const std::string& router) {
   GossipMessage message;
   message.wants_all = true;
-  send_(router, message);
+  SendTo(router, message);
   SendAll(router);
 }
 
 void Gossip::Flood(std::span<const MemberRecord> records, const std::string& except) {
   GossipMessage message;
   message.records.assign(records.begin(), records.end());
-  for (const std::string& neighbour : neighbours_) {
-    if (neighbour == except) continue;
-    records_sent_ += static_cast<std::int64_t>(records.size());
-    send_(neighbour, message);
-  }
+  std::vector<std::string> others = neighbours_;
+  std::erase(others, except);
+  records_sent_ += static_cast<std::int64_t>(records.size() * others.size());
+  send_(others, message);
+}
+
+void Gossip::SendTo(const std::string& router, const GossipMessage& message) {
+  send_(std::span(&router, 1), message);
 }
 
 void Gossip::SendAll(const std::string& router) {
   GossipMessage message;
   table_->ForEach([&](const Member& member) { message.records.push_back(member.record); });
   records_sent_ += static_cast<std::int64_t>(message.records.size());
-  send_(router, message);
+  SendTo(router, message);
 }
 
 }  // namespace kumquat
--- a/src/libs/coordination/membership/gossip.h
+++ b/src/libs/coordination/membership/gossip.h
@@ -39,7 +39,8 @@
 // Floods changes and repairs differences. Free of sockets: messages go out by the hook.
 class Gossip {
  public:
-  using Send = std::function<void(const std::string& router, const GossipMessage& message)>;
+  using Send =
+      std::function<void(std::span<const std::string> routers, const GossipMessage& message)>;
 
   Gossip(MemberTable* table, Send send, Random random);
 
@@ -70,6 +71,7 @@
 
  private:
   void Flood(std::span<const MemberRecord> records, const std::string& except);
+  void SendTo(const std::string& router, const GossipMessage& message);
   void SendAll(const std::string& router);
 
   std::string self_;
--- a/src/libs/coordination/membership/member_table.cpp
+++ b/src/libs/coordination/membership/member_table.cpp
@@ -42,7 +42,7 @@
   MemberRecord merged = record;
   if (record.leaving) merged.MarkLeaving();
   if (is_new) {
-    digest_.reset();
+    Changed(record.id);
     member.record = std::move(merged);
     member.heard_at = now;
     member.load_at = now;
@@ -53,12 +53,12 @@
     // Leaving holds for the incarnation, also when the word comes late.
     if (!same_incarnation || !record.leaving || member.record.leaving) return MergeOutcome::kStale;
     member.record.MarkLeaving();
-    digest_.reset();
+    Changed(record.id);
     return MergeOutcome::kChanged;
   }
   if (same_incarnation && member.record.leaving) merged.MarkLeaving();
   const bool changed = LastingPart(merged) != LastingPart(member.record);
-  if (changed) digest_.reset();
+  if (changed) Changed(record.id);
   member.record = std::move(merged);
   member.heard_at = now;
   if (!record.down) member.load_at = now;
@@ -93,7 +93,7 @@
   member.retry_at = now + RetryDelay(member.failed_connections);
   member.record.is_silent = by_silence && (member.record.is_silent || !member.record.down);
   member.record.down = true;
-  digest_.reset();
+  Changed(id);
   return member.record;
 }
 
@@ -104,12 +104,19 @@
 }
 
 void MemberTable::Forget(Duration age, Instant now) {
-  const std::size_t erased = std::erase_if(members_, [&](const auto& entry) {
+  std::erase_if(members_, [&](const auto& entry) {
     const Member& member = entry.second;
     const bool gone = member.record.down || member.record.leaving;
-    return gone && now - member.heard_at > age;
+    const bool is_forgotten = gone && now - member.heard_at > age;
+    if (is_forgotten) Changed(entry.first);
+    return is_forgotten;
   });
-  if (erased > 0) digest_.reset();
+}
+
+void MemberTable::Changed(std::string_view id) {
+  const auto hash = hashes_.find(id);
+  if (hash != hashes_.end()) hashes_.erase(hash);
+  digest_.reset();
 }
 
 const Member* MemberTable::Find(std::string_view id) const {
@@ -134,8 +141,12 @@
   if (digest_) return *digest_;
   std::uint64_t digest = 0;
   for (const auto& [id, member] : members_) {
-    const std::string text = id + ToJsonText(ToJson(LastingPart(member.record)));
-    digest ^= XXH3_64bits(text.data(), text.size());
+    const auto [hash, is_missing] = hashes_.try_emplace(id);
+    if (is_missing) {
+      const std::string text = id + ToJsonText(ToJson(LastingPart(member.record)));
+      hash->second = XXH3_64bits(text.data(), text.size());
+    }
+    digest ^= hash->second;
   }
   digest_ = digest;
   return digest;
--- a/src/libs/coordination/membership/member_table.h
+++ b/src/libs/coordination/membership/member_table.h
@@ -73,7 +73,11 @@
   std::size_t size() const { return members_.size(); }
 
  private:
+  void Changed(std::string_view id);
+
   std::map<std::string, Member, std::less<>> members_;
+  // The hash of each member, for the digest; missing after a change that it covers.
+  mutable std::map<std::string, std::uint64_t, std::less<>> hashes_;
   // Nothing after a change that it covers.
   mutable std::optional<std::uint64_t> digest_;
 };
--- a/tests/libs/coordination/membership/backend_directory_test.cpp
+++ b/tests/libs/coordination/membership/backend_directory_test.cpp
@@ -33,8 +33,8 @@
       BackendDirectoryHooks hooks;
       hooks.clock = [this] { return now_; };
       hooks.random = [this] { return random_ = random_ * 6364136223846793005ULL + 1; };
-      hooks.send = [this, name](const std::string& to, const GossipMessage& message) {
-        sent_.push_back({name, to, message});
+      hooks.send = [this, name](std::span<const std::string> to, const GossipMessage& message) {
+        for (const std::string& other : to) sent_.push_back({name, other, message});
       };
       directories_[name] = std::make_unique<BackendDirectory>(std::move(hooks));
     }
--- a/tests/libs/coordination/membership/gossip_test.cpp
+++ b/tests/libs/coordination/membership/gossip_test.cpp
@@ -22,8 +22,9 @@
     for (std::size_t i = 0; i < size; ++i) names.push_back("router-" + std::to_string(i));
     for (const std::string& name : names) {
       Node& node = nodes_[name];
-      const auto send = [this, name](const std::string& to, const GossipMessage& message) {
-        queue_.push_back({name, to, message});
+      const auto send = [this, name](std::span<const std::string> to,
+                                     const GossipMessage& message) {
+        for (const std::string& other : to) queue_.push_back({name, other, message});
       };
       node.gossip = std::make_unique<Gossip>(&node.table, send, [this] { return random_(); });
       node.gossip->SetNeighbours(GossipNeighbours(name, names, kMaxNeighbours));
