--- a/src/libs/coordination/membership/gossip.cpp
+++ b/src/libs/coordination/membership/gossip.cpp
@@ -109,6 +109,7 @@
   message.records.assign(records.begin(), records.end());
   std::vector<std::string> others = neighbours_;
   std::erase(others, except);
+  if (others.empty()) return;
   records_sent_ += static_cast<std::int64_t>(records.size() * others.size());
   send_(others, message);
 }
