A moved run that is refused goes on at another engine from the same copy

Up to six engines are tried, each out of the budget of repeats. A server found dead is given up only where the request has another run and the budget one left, as a wrong finding ends what could still come.

--- a/src/kumquatrouter/forwarding/forward_exchange.cpp
+++ b/src/kumquatrouter/forwarding/forward_exchange.cpp
@@ -109,6 +109,11 @@
   hooks.try_repeat = [this] { return services_.budget->TryRepeat(service_->name); };
   hooks.send = [this](const SendCommand& command) { Send(command); };
   hooks.find_copy = [this] { return FindCopy(); };
+  hooks.choose_to_go_on =
+      [this](std::span<const BackendChoice> avoid) -> std::optional<BackendChoice> {
+    const PooledBackend* other = ChooseCompanion(avoid, run_weights_);
+    return other ? std::optional(other->choice()) : std::nullopt;
+  };
   hooks.cancel = [this](std::int64_t /*number*/) { EndAttempt(); };
   hooks.relay_head = [this](std::int64_t /*number*/) { RelayHead(); };
   hooks.relay_event = [this](std::string_view event) { responder_->Write(event); };
@@ -186,19 +191,23 @@
   return organisation_ && organisation_->rank ? *organisation_->rank : route_->rank;
 }
 
-// Returns another engine with the same weights that could go on with the run.
-PooledBackend* ForwardExchange::ChooseCompanion(const PooledBackend& backend) {
-  const std::array<BackendChoice, 1> avoid = {backend.choice()};
+PooledBackend* ForwardExchange::ChooseCompanion(std::span<const BackendChoice> avoid,
+                                                std::int64_t weights) {
   std::vector<PooledBackend*> others = services_.pool.Candidates(service_->name, avoid, Now());
   const std::string& model = request_.prompt->model;
   std::erase_if(others, [&](const PooledBackend* other) {
     // A run that goes on there counts as begun there.
     return !other->is_usable(Now()) || BeginsTooLate(*other, Duration(0)) ||
-           other->VersionOf(model) != backend.VersionOf(model);
+           other->VersionOf(model) != weights;
   });
   return ChooseLeastBusy(others, services_.failure_domain, services_.random);
 }
 
+PooledBackend* ForwardExchange::CompanionOf(const PooledBackend& backend) {
+  const std::array<BackendChoice, 1> avoid = {backend.choice()};
+  return ChooseCompanion(avoid, backend.VersionOf(request_.prompt->model));
+}
+
 // The engine that kept a copy may have gone or loaded other weights since; then it refuses.
 std::optional<RunCopy> ForwardExchange::FindCopy() {
   if (!last_backup_) return std::nullopt;
@@ -259,7 +268,7 @@
   const bool needs_backup = route_->is_stream && !route_->is_resumable && request_.prompt &&
                             services_.backs_up_runs && service_->engine &&
                             service_->engine->backs_up_runs;
-  if (PooledBackend* companion = needs_backup ? ChooseCompanion(*backend) : nullptr) {
+  if (PooledBackend* companion = needs_backup ? CompanionOf(*backend) : nullptr) {
     attempt_->backup = companion->choice();
     forward.back_up_to = companion->endpoint;
   }
@@ -437,7 +446,7 @@
   const bool can_move = services_.moves_runs && service_->engine && service_->engine->moves_runs &&
                         request_.prompt && decisions_->is_relaying();
   PooledBackend* from = services_.pool.Find(backend);
-  PooledBackend* to = can_move && from ? ChooseCompanion(*from) : nullptr;
+  PooledBackend* to = can_move && from ? CompanionOf(*from) : nullptr;
   if (!to) return;
   const std::int64_t number = attempt_->number;
   attempt_->move_to = to->choice();
@@ -480,7 +489,9 @@
 
 void ForwardExchange::OnBackendDead(const BackendChoice& backend, Duration silence) {
   if (SilentBackend(silence) != backend || attempt_->move) return;
-  const bool can_go_on = route_->may_repeat() || attempt_->backup;
+  // A wrong finding must not end what could still come.
+  const bool may_repeat = decisions_->MayBeLost() && services_.budget->saved(service_->name) >= 1;
+  const bool can_go_on = may_repeat || attempt_->backup;
   if (can_go_on) OnCallFailed(attempt_->number, CallFailure::kSilent, "The server is gone.");
 }
 
--- a/src/kumquatrouter/forwarding/forward_exchange.h
+++ b/src/kumquatrouter/forwarding/forward_exchange.h
@@ -85,7 +85,9 @@
   std::string RouteLabel() const;
   ForwardCall CallTo(const PooledBackend& backend, const SendCommand& command) const;
   std::optional<RunCopy> FindCopy();
-  PooledBackend* ChooseCompanion(const PooledBackend& backend);
+  PooledBackend* CompanionOf(const PooledBackend& backend);
+  // Returns an engine with these weights, other than those to avoid, that could go on with the run.
+  PooledBackend* ChooseCompanion(std::span<const BackendChoice> avoid, std::int64_t weights);
   void OnMoveAnswered(std::int64_t number, const MoveAnswer& answer);
   CallTimeouts Timeouts() const;
   BackendCallHooks CallHooks(std::int64_t number);
--- a/src/libs/coordination/forwarding/forward_request.cpp
+++ b/src/libs/coordination/forwarding/forward_request.cpp
@@ -9,6 +9,9 @@
 constexpr int kFirstServerError = 500;
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
+// A copy is kept for a few seconds only, and each engine that refuses costs the caller some of
+// them.
+constexpr int kMostCopySends = 6;
 
 bool IsSuccess(int status) { return status >= kFirstSuccess && status < kFirstRedirect; }
 
@@ -57,7 +60,8 @@
   backend_ = backend;
   attempt_ = ++last_attempt_;
   has_head_ = false;
-  is_same_run_ = copy.has_value();
+  copy_ = copy;
+  if (copy) ++copy_sends_;
   ++arrivals_;
   const auto resume_after = is_relaying_ ? std::optional(last_event_) : std::nullopt;
   hooks_.send({attempt_, backend_, resume_after, copy});
@@ -67,7 +71,7 @@
   if (!IsCurrent(attempt)) return;
   hooks_.cancel(attempt_);
   // Whatever comes of the copy, this run has been.
-  if (!is_same_run_) ++runs_;
+  if (!copy_) ++runs_;
   Send(copy.backend, copy);
 }
 
@@ -83,8 +87,7 @@
   const bool breaks_stream = is_relaying_ && !IsSuccess(head.status);
   const bool is_false_promise = LooksLikePromise(head.status) && !policy_.may_repeat;
   // A failure that the backend server answered is passed on unless another run is sure to follow.
-  const bool repeats = is_failure && !is_relaying_ && MayGoOn() && runs_ + 1 < policy_.attempts &&
-                       hooks_.try_repeat();
+  const bool repeats = is_failure && !is_relaying_ && MayBeLost() && hooks_.try_repeat();
   repeat_is_paid_ = repeats;
   if (!head.is_genuine || breaks_stream || repeats || is_false_promise) {
     hooks_.cancel(attempt_);
@@ -154,13 +157,14 @@
   avoid_.push_back(backend_);
   const bool has_time = now < policy_.deadline;
   if (outcome == Outcome::kMayHaveRun) {
-    if (!is_same_run_) ++runs_;
+    if (!copy_) ++runs_;
     const auto copy = has_time && policy_.is_stream ? hooks_.find_copy() : std::nullopt;
     if (copy) {
       Send(copy->backend, copy);
       return;
     }
   }
+  if (outcome == Outcome::kNotRun && has_time && SendCopyElsewhere()) return;
   if (!has_time) {
     OnDeadline(now);
   } else if (MayRunAgain()) {
@@ -170,11 +174,20 @@
   }
 }
 
+// The engine that was to go on with the run has refused; the copy is still where it was.
+bool ForwardRequest::SendCopyElsewhere() {
+  if (!copy_ || copy_sends_ >= kMostCopySends) return false;
+  const auto backend = hooks_.choose_to_go_on(avoid_);
+  if (!backend || !hooks_.try_repeat()) return false;
+  Send(*backend, RunCopy{*backend, copy_->holder, copy_->handle});
+  return true;
+}
+
 void ForwardRequest::OnDeadline(Instant /*now*/) {
   if (state_ == State::kDone) return;
   const bool is_sent = attempt_ != 0;
   if (is_sent) {
-    if (!is_same_run_) ++runs_;
+    if (!copy_) ++runs_;
     hooks_.cancel(attempt_);
   }
   GiveUp(ErrorKind::kTimedOut);
--- a/src/libs/coordination/forwarding/forward_request.h
+++ b/src/libs/coordination/forwarding/forward_request.h
@@ -80,6 +80,8 @@
   std::function<void(const SendCommand& command)> send;
   // Returns a copy of the run that has just broken off, kept by another engine while it ran.
   std::function<std::optional<RunCopy>()> find_copy;
+  // Chooses an engine other than those to avoid that could go on with the run.
+  std::function<std::optional<BackendChoice>(std::span<const BackendChoice> avoid)> choose_to_go_on;
   // Closes the connection of the attempt.
   std::function<void(std::int64_t attempt)> cancel;
   // Passes on the answer of this attempt: its head, one event, its end.
@@ -133,6 +135,8 @@
   // Returns the last event that was passed on, or that the caller had before.
   std::int64_t last_event() const { return last_event_; }
   bool is_relaying() const { return is_relaying_; }
+  // Returns whether the request may be sent again should the attempt in progress be lost.
+  bool MayBeLost() const { return MayGoOn() && runs_ + 1 < policy_.attempts; }
 
  private:
   enum class State { kNew, kWaiting, kSent, kAnswering, kDone };
@@ -144,6 +148,7 @@
   bool MayGoOn() const;
   bool MayRunAgain() const;
   void Send(const BackendChoice& backend, const std::optional<RunCopy>& copy);
+  bool SendCopyElsewhere();
   void GiveUp(ErrorKind when_run);
   void Refuse(ErrorKind kind);
 
@@ -159,8 +164,9 @@
   std::int64_t runs_ = 0;
   // The next send was taken from the budget already.
   bool repeat_is_paid_ = false;
-  // The attempt goes on with a run that was counted before.
-  bool is_same_run_ = false;
+  // The copy that the attempt goes on from, with a run that was counted before.
+  std::optional<RunCopy> copy_;
+  int copy_sends_ = 0;
   bool has_head_ = false;
   bool is_relaying_ = false;
   std::int64_t last_event_ = 0;
--- a/tests/libs/coordination/forwarding/forward_request_test.cpp
+++ b/tests/libs/coordination/forwarding/forward_request_test.cpp
@@ -151,6 +151,11 @@
       if (!std::exchange(has_copies_, false)) return std::nullopt;
       return RunCopy{{"copy", 1}, {}, "kept"};
     };
+    hooks.choose_to_go_on =
+        [this](std::span<const BackendChoice> avoid) -> std::optional<BackendChoice> {
+      if (avoid.size() % 2 == 0) return std::nullopt;
+      return BackendChoice{fmt::format("other{}", avoid.size()), 1};
+    };
     hooks.send = [this](const SendCommand& command) { Sent(command); };
     hooks.cancel = [this](std::int64_t) { running_ = false; };
     hooks.relay_head = [this](std::int64_t) {
@@ -268,6 +273,7 @@
   int cuts = 0;
   int budget = 10;
   bool has_server = true;
+  bool has_others = false;
   std::optional<RunCopy> copy;
 
   ForwardHooks Hooks() {
@@ -278,6 +284,11 @@
     };
     hooks.try_repeat = [this] { return budget-- > 0; };
     hooks.find_copy = [this] { return std::exchange(copy, std::nullopt); };
+    hooks.choose_to_go_on =
+        [this](std::span<const BackendChoice> avoid) -> std::optional<BackendChoice> {
+      if (!has_others) return std::nullopt;
+      return BackendChoice{fmt::format("other{}", avoid.size()), 1};
+    };
     hooks.send = [this](const SendCommand& command) { sends.push_back(command); };
     hooks.cancel = [](std::int64_t) {};
     hooks.relay_head = [](std::int64_t) {};
@@ -379,6 +390,33 @@
   CHECK(told.cuts == 1);
 }
 
+// Found in the logs of copenq-router-grown quiet-1: 82 of 180 streams that were cut had been moved
+// to an engine that refused them.
+TEST_CASE("A moved run that is refused goes on at another engine from the same copy") {
+  Told told;
+  told.has_others = true;
+  ForwardRequest request(PolicyOf(false, true, false), told.Hooks());
+  request.Start(seconds(1));
+  request.OnHead(1, {200, false, true}, seconds(1));
+  request.OnEvent(1, 1, "a", seconds(1));
+  request.OnMoved(1, {{"full", 1}, {"10.0.0.1", 1}, "handle"}, seconds(1));
+  request.OnHead(2, {503, true, true}, seconds(1));
+  REQUIRE(told.sends.size() == 3);
+  CHECK(told.sends[2].backend.backend_id == "other1");
+  REQUIRE(told.sends[2].copy);
+  CHECK(told.sends[2].copy->handle == "handle");
+  CHECK(told.sends[2].copy->holder == Endpoint{"10.0.0.1", 1});
+  CHECK(told.sends[2].resume_after == 1);
+  CHECK(told.cuts == 0);
+  CHECK(request.runs() == 1);
+  // Without end it doesn't go on.
+  for (std::int64_t attempt = 3; !request.done(); ++attempt) {
+    REQUIRE(attempt < 10);
+    request.OnFailure(attempt, CallFailure::kNotSent, seconds(1));
+  }
+  CHECK(told.cuts == 1);
+}
+
 TEST_CASE("A stream whose first event is missing is not passed on") {
   Told told;
   ForwardPolicy policy = PolicyOf(false, true, false);
