--- a/src/libs/coordination/admission/suspect_slots.cpp
+++ b/src/libs/coordination/admission/suspect_slots.cpp
@@ -95,11 +95,11 @@
 }
 
 void SuspectSlots::SetRouters(const std::map<std::string, std::int64_t>& runs) {
-  for (const auto& [router, run] : runs_) {
-    const auto now = runs.find(router);
-    const bool is_same_run = now != runs.end() && now->second == run;
+  for (const auto& known : runs_) {
+    const auto now = runs.find(known.first);
+    const bool is_same_run = now != runs.end() && now->second == known.second;
     if (is_same_run) continue;
-    std::erase_if(leased_, [&](const auto& entry) { return entry.second.router == router; });
+    std::erase_if(leased_, [&](const auto& entry) { return entry.second.router == known.first; });
   }
   runs_ = runs;
 }
--- a/src/libs/coordination/orders/weights_rollout.h
+++ b/src/libs/coordination/orders/weights_rollout.h
@@ -106,7 +106,8 @@
   void OnOrder(const std::string& id, std::int64_t incarnation, OrderOutcome outcome, Instant now);
 
   // Returns the engines that take no new requests, as they load or are ordered to as soon as they
-  // have been looked at. Routers have to know that soon: what they move to such an engine is refused.
+  // have been looked at. Routers have to know that soon: what they move to such an engine is
+  // refused.
   std::vector<std::string> loading() const;
 
   // Returns the newest known version of the model on the engine; nothing when it is not known
--- a/src/platform/front_edge.cpp
+++ b/src/platform/front_edge.cpp
@@ -64,7 +64,8 @@
 constexpr int kMisdirected = 421;
 constexpr int kFirstError = 300;
 constexpr std::int64_t kLowestPriority = 9;
-// Milliseconds up to this fit as microseconds, and so do sums of all token counts that fit a header.
+// Milliseconds up to this fit as microseconds, and so do sums of all token counts that fit a
+// header.
 constexpr std::int64_t kLargestNumber = 1'000'000'000'000'000;
 
 template <typename Names>
--- a/tests/libs/coordination/forwarding/forward_request_test.cpp
+++ b/tests/libs/coordination/forwarding/forward_request_test.cpp
@@ -152,7 +152,7 @@
       return RunCopy{{"copy", 1}, {}, "kept"};
     };
     hooks.choose_to_go_on =
-        [this](std::span<const BackendChoice> avoid) -> std::optional<BackendChoice> {
+        [](std::span<const BackendChoice> avoid) -> std::optional<BackendChoice> {
       if (avoid.size() % 2 == 0) return std::nullopt;
       return BackendChoice{fmt::format("other{}", avoid.size()), 1};
     };
--- a/tests/libs/transport/witnessed_probe_test.cpp
+++ b/tests/libs/transport/witnessed_probe_test.cpp
@@ -18,7 +18,7 @@
 // Probes whose results the test gives, in the order of their start.
 class Probes {
  public:
-  explicit Probes(std::optional<Endpoint> witness) {
+  explicit Probes(const std::optional<Endpoint>& witness) {
     probe_ = StartWitnessedProbe(
         {kSuspect, witness, std::chrono::milliseconds(100), kGrace},
         [this](ProbeVerdict verdict) { verdicts.push_back(verdict); },
