--- a/src/libs/coordination/forwarding/backend_pool.cpp
+++ b/src/libs/coordination/forwarding/backend_pool.cpp
@@ -4,6 +4,8 @@
 #include <span>
 #include <utility>
 
+#include "utils/durations.h"
+
 namespace kumquat {
 namespace {
 
@@ -14,7 +16,6 @@
 // from every router would use up the repeats of the service.
 constexpr Duration kShortestMisdirectedShun = std::chrono::seconds(1);
 constexpr Duration kLongestMisdirectedShun = std::chrono::seconds(60);
-constexpr int kMostDoublings = 10;
 // Weight of the newest answer in the share of failures.
 constexpr double kFailingWeight = 0.15;
 // A busy place more, of all places, counts as much as this share of failures.
@@ -118,16 +119,14 @@
   // An answer that broke off says less than a connection that did not come about.
   if (failure == CallFailure::kBroken) return;
   backend.needs_probe = true;
+  backend.shunned_until = now + DoubledPause(kShortestShun, kLongestShun, backend.failures);
   ++backend.failures;
-  const int doublings = std::min(backend.failures - 1, kMostDoublings);
-  backend.shunned_until = now + std::min(kLongestShun, kShortestShun * (1 << doublings));
 }
 
 void BackendPool::OnMisdirected(PooledBackend& backend, Instant now) {
-  const int doublings = std::min(backend.misdirected, kMostDoublings);
-  ++backend.misdirected;
   backend.shunned_until =
-      now + std::min(kLongestMisdirectedShun, kShortestMisdirectedShun * (1 << doublings));
+      now + DoubledPause(kShortestMisdirectedShun, kLongestMisdirectedShun, backend.misdirected);
+  ++backend.misdirected;
 }
 
 void BackendPool::OnReachable(PooledBackend& backend) {
--- a/src/libs/coordination/limits/share_holder.cpp
+++ b/src/libs/coordination/limits/share_holder.cpp
@@ -6,6 +6,7 @@
 
 #include "coordination/limits/capacity_math.h"
 #include "coordination/limits/usable_lease.h"
+#include "utils/durations.h"
 
 namespace kumquat {
 namespace {
@@ -146,8 +147,7 @@
   const Duration memory = options_.demand_memory;
   const double requests = share.request_demand.Rate(memory, now);
   if (requests < kNoDemand && share.running == 0 && !share.tokens.InDebt(now)) return {};
-  const double unmet =
-      share.unmet.Rate(memory, now) * std::chrono::duration<double>(memory).count();
+  const double unmet = share.unmet.Rate(memory, now) * Seconds(memory);
   Capacity wanted;
   // What waits now should get through within about a second.
   const std::int64_t burst = kLeastRequestsPerSecond + static_cast<std::int64_t>(std::ceil(unmet));
--- a/src/libs/coordination/membership/member_table.cpp
+++ b/src/libs/coordination/membership/member_table.cpp
@@ -6,6 +6,7 @@
 #include <tuple>
 
 #include "protocol/json_fields.h"
+#include "utils/durations.h"
 
 namespace kumquat {
 namespace {
@@ -29,11 +30,6 @@
   return record;
 }
 
-Duration RetryDelay(int failed_connections) {
-  const int doublings = std::min(failed_connections - 1, 10);
-  return std::min(kLongestRetry, kShortestRetry * (1 << doublings));
-}
-
 }  // namespace
 
 MergeOutcome MemberTable::Merge(const MemberRecord& record, Instant now) {
@@ -90,7 +86,8 @@
   }
   Member& member = entry->second;
   ++member.failed_connections;
-  member.retry_at = now + RetryDelay(member.failed_connections);
+  member.retry_at =
+      now + DoubledPause(kShortestRetry, kLongestRetry, member.failed_connections - 1);
   member.record.is_silent = by_silence && (member.record.is_silent || !member.record.down);
   member.record.down = true;
   Changed(id);
--- a/src/libs/transport/frame_link.cpp
+++ b/src/libs/transport/frame_link.cpp
@@ -1,16 +1,15 @@
 #include "transport/frame_link.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "transport/frame_socket.h"
+#include "utils/durations.h"
 
 namespace kumquat {
 namespace Internal {
 namespace {
 
 constexpr int kChecksPerHeartbeat = 4;
-constexpr int kMaxBackoffDoublings = 16;
 
 std::chrono::milliseconds ToMillis(Duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
@@ -113,9 +112,8 @@
 
   // Full jitter keeps the links of many processes from connecting in step.
   void Retry() {
-    const int doublings = std::min(failures_, kMaxBackoffDoublings);
     const Duration longest =
-        std::min(limits_.reconnect_longest, limits_.reconnect_shortest * (1 << doublings));
+        DoubledPause(limits_.reconnect_shortest, limits_.reconnect_longest, failures_);
     const auto delay = Duration(
         static_cast<std::int64_t>(random_() % static_cast<std::uint64_t>(longest.count() + 1)));
     retry_.start(ToMillis(delay));
--- a/src/libs/transport/frame_socket.cpp
+++ b/src/libs/transport/frame_socket.cpp
@@ -5,6 +5,7 @@
 #include <QtEndian>
 #include <utility>
 
+#include "utils/durations.h"
 #include "utils/log.h"
 
 namespace kumquat::Internal {
@@ -13,9 +14,7 @@
 constexpr qsizetype kHeaderBytes = 5;
 constexpr qsizetype kReadChunkBytes = 256 * 1024;
 
-int ToMillis(Duration duration) {
-  return static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-}
+int ToMillis(Duration duration) { return static_cast<int>(Milliseconds(duration)); }
 
 }  // namespace
 
--- a/src/libs/utils/durations.h
+++ b/src/libs/utils/durations.h
@@ -1,6 +1,7 @@
-// Durations as plain numbers, for logs, metrics and rates.
+// Durations as plain numbers, for logs, metrics and rates, and doubled ones.
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 
@@ -15,4 +16,11 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
+// Returns `shortest` doubled so many times, up to `longest`: the pause after failures in a row.
+inline Duration DoubledPause(Duration shortest, Duration longest, int times) {
+  // By then every pause is at its longest, and nothing overflows.
+  constexpr int kMostDoublings = 16;
+  return std::min(longest, shortest * (1 << std::min(times, kMostDoublings)));
+}
+
 }  // namespace kumquat
--- a/src/libs/utils/settings.cpp
+++ b/src/libs/utils/settings.cpp
@@ -6,6 +6,8 @@
 #include <set>
 #include <toml.hpp>
 
+#include "utils/durations.h"
+
 namespace kumquat {
 namespace {
 
@@ -20,7 +22,7 @@
   std::string operator()(const bool* value) const { return *value ? "true" : "false"; }
   std::string operator()(const double* value) const { return fmt::format("{}", *value); }
   std::string operator()(const Duration* value) const {
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(*value).count());
+    return std::to_string(Milliseconds(*value));
   }
   std::string operator()(const Endpoint* value) const { return '"' + value->ToString() + '"'; }
   std::string operator()(const std::vector<Endpoint>*) const { return "[]"; }
--- a/src/platform/front_edge.cpp
+++ b/src/platform/front_edge.cpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "protocol/json_fields.h"
+#include "utils/durations.h"
 
 namespace kumquat::platform {
 namespace {
@@ -162,8 +163,7 @@
   const auto add = [&](std::string_view name, std::string value) {
     headers.emplace_back(name, std::move(value));
   };
-  const auto left = std::chrono::duration_cast<milliseconds>(call.time_left).count();
-  add(kDeadline, std::to_string(std::max<std::int64_t>(1, left)));
+  add(kDeadline, std::to_string(std::max<std::int64_t>(1, Milliseconds(call.time_left))));
   add(kExpectInstance, call.backend.backend_id);
   if (!call.organisation.empty()) add(kTenant, call.organisation);
   if (call.resume_after) add(kLastEventId, std::to_string(*call.resume_after));
@@ -233,8 +233,7 @@
   HttpHeaders headers = {{"Content-Type", "application/json"}};
   if (!request.id.empty()) headers.emplace_back(kRequestId, request.id);
   if (refusal.retry_after) {
-    const double seconds = std::chrono::duration<double>(*refusal.retry_after).count();
-    headers.emplace_back("Retry-After", fmt::format("{:.2f}", seconds));
+    headers.emplace_back("Retry-After", fmt::format("{:.2f}", Seconds(*refusal.retry_after)));
   }
   const Error error{refusal.kind, "", std::nullopt};
   responder.Send(AnswerFor(refusal.kind).http_status, headers, ErrorBody(error));
