Findings of a second reading: twins joined, dead checks dropped

- the life sign of a chat's engine uses GatherAnswer like all other whole answers
- the desk's news to all routers go one way, without a list of names for each; a twin loop is gone
- both lists of cached parts are read by one function
- a lost run has the fields of a strike, so it is one
- a check for decisions that are always there, and repeated tests for a placement, are gone

--- a/src/kumquatcontrol/control_node.cpp
+++ b/src/kumquatcontrol/control_node.cpp
@@ -3,7 +3,6 @@
 #include <QCborMap>
 #include <QCborValue>
 #include <algorithm>
-
 #include <set>
 #include <utility>
 
--- a/src/kumquatcontrol/router_desk.cpp
+++ b/src/kumquatcontrol/router_desk.cpp
@@ -13,10 +13,6 @@
 // some 30 KB each way to compare.
 constexpr int kMismatchesToExchange = 2;
 
-void SendTo(FrameConnection& connection, const ControlNews& news) {
-  connection.Send(FrameKind::kNews, Encode(news));
-}
-
 }  // namespace
 
 void RouterDesk::Receive(const std::shared_ptr<FrameConnection>& connection,
@@ -52,10 +48,7 @@
   return {hooks_.replicas(), static_cast<std::int64_t>(LiveRouters().size()), hooks_.stores()};
 }
 
-void RouterDesk::PushFleet() {
-  const FleetNews news = Fleet();
-  for (auto& [name, router] : routers_) SendTo(*router.connection, news);
-}
+void RouterDesk::PushFleet() { SendAll(Fleet()); }
 
 void RouterDesk::SendMissingDocuments(Router* router) {
   DocumentNews news;
@@ -65,7 +58,7 @@
     known = document->version;
     news.documents.push_back(*document);
   }
-  if (!news.documents.empty()) SendTo(*router->connection, news);
+  if (!news.documents.empty()) router->connection->Send(FrameKind::kNews, Encode(news));
 }
 
 void RouterDesk::PushDocuments() {
@@ -83,22 +76,25 @@
 
 void RouterDesk::SendAll(const ControlNews& news) {
   const std::string encoded = Encode(news);
-  for (const std::string& name : LiveRouters()) SendEncoded(name, encoded);
+  DropSilent();
+  for (const auto& [name, router] : routers_) router.connection->Send(FrameKind::kNews, encoded);
 }
 
 std::vector<std::string> RouterDesk::LiveRouters() {
-  const Instant now = hooks_.clock();
+  DropSilent();
   std::vector<std::string> names;
-  for (auto router = routers_.begin(); router != routers_.end();) {
-    if (now - router->second.heard_at > kSilenceLimit) {
-      LogEvent(LogLevel::kInfo, "router_lost", {{"router", router->first}});
-      router = routers_.erase(router);
-      continue;
-    }
-    names.push_back(router->first);
-    ++router;
-  }
+  names.reserve(routers_.size());
+  for (const auto& [name, router] : routers_) names.push_back(name);
   return names;
 }
 
+void RouterDesk::DropSilent() {
+  const Instant now = hooks_.clock();
+  std::erase_if(routers_, [now](const auto& entry) {
+    const bool is_silent = now - entry.second.heard_at > kSilenceLimit;
+    if (is_silent) LogEvent(LogLevel::kInfo, "router_lost", {{"router", entry.first}});
+    return is_silent;
+  });
+}
+
 }  // namespace kumquat
--- a/src/kumquatcontrol/router_desk.h
+++ b/src/kumquatcontrol/router_desk.h
@@ -66,6 +66,7 @@
   void SendMissingDocuments(Router* router);
   void CompareMembers(Router* router, bool is_new_run);
   FleetNews Fleet();
+  void DropSilent();
 
   RouterDeskHooks hooks_;
   std::map<std::string, Router> routers_;
--- a/src/kumquatrouter/chat_exchange.cpp
+++ b/src/kumquatrouter/chat_exchange.cpp
@@ -214,25 +214,18 @@
   request.target = "/load";
   request.timeouts = {kLifeSignTimeout, kLifeSignTimeout, kLifeSignTimeout};
   request.new_connection = true;
-  const auto weak = weak_from_this();
-  const auto answer = std::make_shared<std::string>();
-  BackendCallHooks hooks;
-  hooks.on_data = [answer](std::string_view data) { answer->append(data); };
-  hooks.on_end = [weak, command, answer] {
+  const auto on_answer = [weak = weak_from_this(), command](int /*status*/, std::string_view body) {
     const auto exchange = weak.lock();
     if (!exchange || !exchange->IsCurrent(command.attempt_id)) return;
     DestroyLater(std::move(exchange->attempt_->call));
-    if (IsLifeSignOf(command.backend.incarnation, *answer)) {
+    // A call that failed has no body.
+    if (IsLifeSignOf(command.backend.incarnation, body)) {
       exchange->Send(command);
     } else {
       exchange->OnCallFailed(command.attempt_id, CallFailure::kNotSent);
     }
   };
-  hooks.on_failure = [weak, command](CallFailure /*failure*/, std::string_view /*reason*/) {
-    const auto exchange = weak.lock();
-    if (exchange) exchange->OnCallFailed(command.attempt_id, CallFailure::kNotSent);
-  };
-  attempt_->call = services_.client->Start(request, std::move(hooks));
+  attempt_->call = services_.client->Start(request, GatherAnswer(on_answer));
 }
 
 bool ChatExchange::IsCurrent(const std::string& attempt_id) const {
--- a/src/kumquatrouter/chat_exchange.h
+++ b/src/kumquatrouter/chat_exchange.h
@@ -95,7 +95,7 @@
   // Whether the last choice kept suspects apart.
   bool is_choice_isolated_ = false;
   // Runs that were lost; a strike follows once their backend server is proven dead.
-  std::vector<LostRun> losses_;
+  std::vector<Strike> losses_;
   std::function<void()> on_done_;
   std::uint64_t queue_id_ = 0;
   bool is_answer_started_ = false;
--- a/src/kumquatrouter/forwarding/forward_exchange.cpp
+++ b/src/kumquatrouter/forwarding/forward_exchange.cpp
@@ -145,7 +145,7 @@
     placed_ = services_.placement->Choose(*request_.prompt, setting, candidates, Now());
     const Duration wait = placed_->placement.expected_first_token;
     // Only a request that has not run yet is given up; a stream that has begun goes on.
-    const bool is_fresh = !decisions_ || decisions_->runs() == 0;
+    const bool is_fresh = decisions_->runs() == 0;
     if (is_fresh && services_.admission->IsTooLate(route_->objective, Now() - received_, wait)) {
       break;
     }
@@ -290,29 +290,26 @@
 void ForwardExchange::LogSent(const SendCommand& command) const {
   services_.metrics->Observe("kumquat_forward_wait_seconds", RouteLabel(),
                              Seconds(Now() - received_));
-  const PlacementChoice placement =
-      attempt_->placed ? attempt_->placed->placement : PlacementChoice{};
-  LogEvent(
-      LogLevel::kInfo, "request_sent",
-      {{"request", request_.id},
-       {"attempt", command.attempt},
-       {"backend", command.backend.backend_id},
-       {"incarnation", command.backend.incarnation},
-       {"routing", routes_->table().version},
-       {"weights", run_weights_},
-       {"expected_ms", Milliseconds(placement.expected_first_token)},
-       {"prefix", attempt_->placed ? fmt::format("{:016x}", attempt_->placed->request.prefix_root)
-                                   : std::string("-")},
-       {"prompt_tokens", request_.prompt ? request_.prompt->tokens : 0},
-       {"shared_tokens", attempt_->placed ? attempt_->placed->shared_tokens : 0},
-       {"cached_tokens", attempt_->placed ? attempt_->placed->cached_tokens : 0},
-       {"read_tokens", placement.missing_tokens},
-       {"fetched_tokens", placement.import_tokens},
-       {"fetched_from", attempt_->placed && attempt_->placed->fetch_from
-                            ? attempt_->placed->fetch_from->ToString()
-                            : std::string("-")},
-       {"from_copy", command.copy ? "yes" : "no"},
-       {"ms", Milliseconds(Now() - received_)}});
+  const PromptChoice none;
+  const PromptChoice& placed = attempt_->placed ? *attempt_->placed : none;
+  LogEvent(LogLevel::kInfo, "request_sent",
+           {{"request", request_.id},
+            {"attempt", command.attempt},
+            {"backend", command.backend.backend_id},
+            {"incarnation", command.backend.incarnation},
+            {"routing", routes_->table().version},
+            {"weights", run_weights_},
+            {"expected_ms", Milliseconds(placed.placement.expected_first_token)},
+            {"prefix", attempt_->placed ? fmt::format("{:016x}", placed.request.prefix_root)
+                                        : std::string("-")},
+            {"prompt_tokens", request_.prompt ? request_.prompt->tokens : 0},
+            {"shared_tokens", placed.shared_tokens},
+            {"cached_tokens", placed.cached_tokens},
+            {"read_tokens", placed.placement.missing_tokens},
+            {"fetched_tokens", placed.placement.import_tokens},
+            {"fetched_from", placed.fetch_from ? placed.fetch_from->ToString() : std::string("-")},
+            {"from_copy", command.copy ? "yes" : "no"},
+            {"ms", Milliseconds(Now() - received_)}});
 }
 
 BackendCallHooks ForwardExchange::CallHooks(std::int64_t number) {
--- a/src/kumquatrouter/strike_exchange.cpp
+++ b/src/kumquatrouter/strike_exchange.cpp
@@ -1,6 +1,5 @@
 #include "strike_exchange.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "peer_network.h"
--- a/src/kumquatrouter/strike_exchange.h
+++ b/src/kumquatrouter/strike_exchange.h
@@ -8,7 +8,6 @@
 #include <map>
 #include <string>
 #include <string_view>
-#include <vector>
 
 #include "coordination/admission/strike_table.h"
 #include "coordination/admission/suspect_slots.h"
--- a/src/libs/coordination/admission/strike_table.cpp
+++ b/src/libs/coordination/admission/strike_table.cpp
@@ -28,9 +28,9 @@
 }  // namespace
 
 Strike StrikeFor(std::string_view backend_id, std::int64_t incarnation,
-                 std::span<const LostRun> runs) {
+                 std::span<const Strike> lost_runs) {
   Strike strike{std::string(backend_id), incarnation};
-  for (const LostRun& run : runs) {
+  for (const Strike& run : lost_runs) {
     if (run.backend_id != backend_id || run.incarnation != incarnation) continue;
     strike.is_isolated = run.is_isolated;
     strike.made_progress = strike.made_progress || run.made_progress;
--- a/src/libs/coordination/admission/strike_table.h
+++ b/src/libs/coordination/admission/strike_table.h
@@ -22,7 +22,7 @@
   Duration longest_age = std::chrono::minutes(10);
 };
 
-// A backend server's death while a request ran on it.
+// A run of a request that was lost; a strike once its backend server is proven dead.
 struct Strike {
   std::string backend_id;
   std::int64_t incarnation = 0;
@@ -34,18 +34,10 @@
   auto operator<=>(const Strike&) const = default;
 };
 
-// A run of the request that was lost.
-struct LostRun {
-  std::string backend_id;
-  std::int64_t incarnation = 0;
-  bool is_isolated = false;
-  bool made_progress = false;
-};
-
 // Returns the strike that the death of the backend server stands for. It came in the last of the
 // runs there; one that made progress shows that to begin with the request is harmless.
 Strike StrikeFor(std::string_view backend_id, std::int64_t incarnation,
-                 std::span<const LostRun> runs);
+                 std::span<const Strike> lost_runs);
 
 // What is known of one request, as routers tell each other. Ages travel instead of moments, as
 // clocks differ.
--- a/src/libs/coordination/forwarding/prompt_placement.h
+++ b/src/libs/coordination/forwarding/prompt_placement.h
@@ -56,7 +56,6 @@
   // for this long.
   Duration old_weights_cost = std::chrono::milliseconds(200);
   Duration old_weights_grace = std::chrono::milliseconds(1200);
-
   // Parts that the store lacks are saved again after this: its events come late.
   Duration save_interval = std::chrono::seconds(2);
 };
--- a/src/platform/engine_edge.cpp
+++ b/src/platform/engine_edge.cpp
@@ -99,6 +99,18 @@
                    items.at(4).toInteger()};
 }
 
+// Reads the list `key` of parts; false when one of them is malformed.
+bool ReadParts(JsonFields& fields, const char* key,
+               std::optional<PartEvent> (*decode)(const QJsonValue& value),
+               std::vector<PartEvent>* parts) {
+  for (const QJsonValue& item : fields.Array(key, kMaxEvents)) {
+    auto part = decode(item);
+    if (!part) return false;
+    parts->push_back(std::move(*part));
+  }
+  return fields.ok();
+}
+
 // A source that holds as many reads as it may is alive too, and tells nothing.
 std::optional<PartEvents> DecodeRead(int status, std::string_view body) {
   if (status == kTooMany) return PartEvents{};
@@ -107,12 +119,7 @@
   JsonFields fields(json.value_or(QJsonObject()));
   fields.Read("bootEpoch", &events.epoch).Read("next", &events.next).Read("lost", &events.has_gap);
   if (status != kOk) return std::nullopt;
-  for (const QJsonValue& item : fields.Array("events", kMaxEvents)) {
-    auto event = DecodeEvent(item);
-    if (!event) return std::nullopt;
-    events.events.push_back(std::move(*event));
-  }
-  if (!fields.ok()) return std::nullopt;
+  if (!ReadParts(fields, "events", DecodeEvent, &events.events)) return std::nullopt;
   return events;
 }
 
@@ -139,12 +146,7 @@
   PartEvents list;
   JsonFields fields(*json);
   fields.Read("bootEpoch", &list.epoch).Read("next", &list.next);
-  for (const QJsonValue& item : fields.Array("held", kMaxEvents)) {
-    auto held = DecodeHeld(item);
-    if (!held) return std::nullopt;
-    list.events.push_back(std::move(*held));
-  }
-  if (!fields.ok()) return std::nullopt;
+  if (!ReadParts(fields, "held", DecodeHeld, &list.events)) return std::nullopt;
   return list;
 }
 
--- a/tests/libs/coordination/admission/strike_table_test.cpp
+++ b/tests/libs/coordination/admission/strike_table_test.cpp
@@ -262,10 +262,10 @@
 // on the same engine, which was killed then.
 TEST_CASE(
     "The last run on a dead engine says how it ran there, and any run that it made progress") {
-  const std::vector<LostRun> runs = {{"engine-1", 7, false, false},
-                                     {"engine-3", 5, true, false},
-                                     {"engine-3", 5, false, true},
-                                     {"engine-3", 6, true, false}};
+  const std::vector<Strike> runs = {{"engine-1", 7, false, false},
+                                    {"engine-3", 5, true, false},
+                                    {"engine-3", 5, false, true},
+                                    {"engine-3", 6, true, false}};
   CHECK(StrikeFor("engine-3", 5, runs) == Strike{"engine-3", 5, false, true});
   CHECK(StrikeFor("engine-1", 7, runs) == Strike{"engine-1", 7, false, false});
   CHECK(StrikeFor("engine-2", 1, runs) == Strike{"engine-2", 1, false, false});
--- a/tests/libs/transport/backend_client_test.cpp
+++ b/tests/libs/transport/backend_client_test.cpp
@@ -50,6 +50,17 @@
   return request;
 }
 
+// Calls that are made at the same time.
+struct Burst {
+  Burst(BackendClient& client, std::uint16_t port, int count) : heard(count) {
+    calls.reserve(count);
+    for (Heard& one : heard) calls.push_back(client.Start(RequestTo(port), HooksInto(&one)));
+  }
+
+  std::vector<Heard> heard;
+  std::vector<std::unique_ptr<BackendCall>> calls;
+};
+
 Heard Run(BackendClient& client, const BackendCallRequest& request) {
   Heard heard;
   const auto call = client.Start(request, HooksInto(&heard));
@@ -380,16 +391,12 @@
   RawServer server([&](QTcpSocket* socket) { waiting.push_back(socket); });
   const auto client = MakeHttpBackendClient();
   constexpr int kCalls = 40;
-  std::vector<Heard> heard(kCalls);
-  std::vector<std::unique_ptr<BackendCall>> calls;
-  calls.reserve(kCalls);
-  for (Heard& one : heard) {
-    calls.push_back(client->Start(RequestTo(server.serverPort()), HooksInto(&one)));
-  }
+  const Burst burst(*client, server.serverPort(), kCalls);
   CHECK(SpinUntil([&] { return server.requests == kCalls; }));
   for (QTcpSocket* socket : waiting) Answer(socket, kWholeAnswer);
   CHECK(SpinUntil([&] {
-    return std::all_of(heard.begin(), heard.end(), [](const Heard& one) { return one.ends == 1; });
+    return std::all_of(burst.heard.begin(), burst.heard.end(),
+                       [](const Heard& one) { return one.ends == 1; });
   }));
   BackendCallRequest request = RequestTo(server.serverPort());
   request.new_connection = true;
@@ -409,12 +416,7 @@
   });
   const auto client = MakeHttpBackendClient();
   constexpr int kCalls = 12;
-  std::vector<Heard> heard(kCalls);
-  std::vector<std::unique_ptr<BackendCall>> calls;
-  calls.reserve(kCalls);
-  for (Heard& one : heard) {
-    calls.push_back(client->Start(RequestTo(server.serverPort()), HooksInto(&one)));
-  }
+  const Burst burst(*client, server.serverPort(), kCalls);
   CHECK(SpinUntil([&] { return server.requests == kCalls; }));
   for (QTcpSocket* socket : waiting) Answer(socket, kWholeAnswer);
   CHECK(SpinUntil([&] { return closed == kCalls - 4; }));
