Logs and metrics tell how old an engine's weights are, and what a roll-out waits for

order_sent tells the replaced version, its age, and how many engines are outdated and loading; request_sent tells the age of the weights that the request begins on; control logs weights_named and serves kumquat_engines_outdated, _loading, kumquat_weights_replaced_seconds and kumquat_orders_total. For that, NamedWeights moves from forwarding to orders, and the roll-out takes it in place of a map. No decision changes. Tests: engine_operator_test reads the metrics.

--- a/src/kumquatcontrol/control_node.cpp
+++ b/src/kumquatcontrol/control_node.cpp
@@ -108,6 +108,7 @@
   QObject::connect(&tick_, &QTimer::timeout, &tick_, [this] {
     if (log_) log_->Tick();
     NoteLeader();
+    NoteNamedWeights();
     service_.Tick();
     documents_.Tick();
     if (operator_) operator_->Tick();
@@ -147,14 +148,8 @@
     });
     return engines;
   };
-  hooks.named = [this] {
-    std::map<std::string, std::int64_t> named;
-    for (const auto& [name, document] : state_.documents().documents()) {
-      if (!name.starts_with(kWeightsDocumentPrefix)) continue;
-      named[name.substr(kWeightsDocumentPrefix.size())] = document.version;
-    }
-    return named;
-  };
+  hooks.named = &named_weights_;
+  hooks.metrics = &metrics_;
   hooks.former_leader_is_silent = [this] { return FormerLeaderIsSilent(); };
   hooks.publish = [this](const EngineNews& news) { desk_.SendAll(news); };
   return hooks;
@@ -166,6 +161,23 @@
   former_leadership_ = std::exchange(leadership_, {leader->name, log_->term()});
 }
 
+void ControlNode::NoteNamedWeights() {
+  for (const auto& [name, document] : state_.documents().documents()) {
+    if (!name.starts_with(kWeightsDocumentPrefix)) continue;
+    const std::string model = name.substr(kWeightsDocumentPrefix.size());
+    if (document.version <= named_weights_.Newest(model)) continue;
+    named_weights_.Learn(model, document.version, SteadyClock()());
+    LogEvent(LogLevel::kInfo, "weights_named", {{"weights", name}, {"version", document.version}});
+  }
+}
+
+std::string ControlNode::MetricsText() {
+  const bool leads = log_ && log_->role() == LogRole::kLeader;
+  metrics_.Set("kumquat_control_leads", {}, leads ? 1 : 0);
+  metrics_.Set("kumquat_routers_linked", {}, static_cast<double>(desk_.LiveRouters().size()));
+  return metrics_.ToPrometheusText();
+}
+
 // Whether the term before this one had a leader, and which, is known only where no term lies
 // between.
 bool ControlNode::FormerLeaderIsSilent() const {
--- a/src/kumquatcontrol/control_node.h
+++ b/src/kumquatcontrol/control_node.h
@@ -15,6 +15,7 @@
 #include "control_api.h"
 #include "coordination/log/replicated_log.h"
 #include "coordination/membership/backend_directory.h"
+#include "coordination/orders/named_weights.h"
 #include "engine_codec.h"
 #include "engine_operator.h"
 #include "protocol/control_news.h"
@@ -28,6 +29,7 @@
 #include "transport/frame_link.h"
 #include "transport/rpc.h"
 #include "utils/endpoint.h"
+#include "utils/histogram.h"
 #include "utils/hooks.h"
 
 namespace kumquat {
@@ -78,6 +80,9 @@
   // Returns what the edges to backend servers and operators call.
   ControlApi api();
 
+  // Returns the replica's metrics in the Prometheus text format.
+  std::string MetricsText();
+
   // Replaces the seeds.
   void SetSeeds(const std::vector<Endpoint>& seeds);
 
@@ -102,6 +107,7 @@
   void OrderEnded(std::int64_t fencing_number, std::string_view outcome);
   EngineOperatorHooks OperatorHooks();
   void NoteLeader();
+  void NoteNamedWeights();
   bool FormerLeaderIsSilent() const;
   // Visits the engines that are known and not leaving.
   void ForEachEngine(const std::function<void(const MemberRecord& record)>& visit) const;
@@ -119,6 +125,7 @@
   DocumentService documents_;
   BackendDirectory directory_;
   RouterDesk desk_;
+  Metrics metrics_;
   std::unique_ptr<RpcServer> rpc_;
   std::unique_ptr<FrameServer> server_;
   std::unique_ptr<LogStorage> storage_;
@@ -140,6 +147,8 @@
   // The last two that this replica has known of.
   Leadership leadership_;
   Leadership former_leadership_;
+  // Kept when the log is read again, which doesn't tell when they were named.
+  NamedWeights named_weights_;
   // What compile_document made of the committed documents, by name.
   std::map<std::string, Document> compiled_;
   // Orders under way, by fencing number.
--- a/src/kumquatcontrol/engine_operator.cpp
+++ b/src/kumquatcontrol/engine_operator.cpp
@@ -1,8 +1,11 @@
 #include "engine_operator.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
+#include "utils/durations.h"
 #include "utils/log.h"
 
 namespace kumquat {
@@ -36,10 +39,11 @@
   if (!HasWaited(now)) return;
   ConfirmWhenDue(now);
   if (!MayOrder(now)) return;
-  for (const RolloutAction& action : rollout_->Advance(hooks_.engines(), hooks_.named(), now)) {
+  for (const RolloutAction& action : rollout_->Advance(hooks_.engines(), *hooks_.named, now)) {
     std::visit([this](const auto& one) { Perform(one); }, action);
   }
   Publish(now);
+  Measure();
 }
 
 void EngineOperator::BeginTerm(std::int64_t term) {
@@ -55,6 +59,8 @@
   term_.reset();
   rollout_.reset();
   calls_.clear();
+  // Another replica tells them from now on.
+  SetGauges(0, 0, Duration(0));
 }
 
 // The former leader stops by itself once its last confirmed round is old, which began before this
@@ -100,12 +106,17 @@
            {{"engine", order.id},
             {"model", order.model},
             {"version", order.version},
+            {"replaced_version", order.replaced_version},
+            {"replaced_ms", Milliseconds(order.replaced_for)},
+            {"outdated", rollout_->outdated()},
+            {"loading", rollout_->loading().size()},
             {"expected_orders", order.expected_orders},
             {"fencing_number", *term_}});
   Call(codec_.encode_order(order, {options_.holder, *term_}),
        [this, order](int status, std::string_view /*body*/) {
          LogEvent(LogLevel::kInfo, "order_answered",
                   {{"engine", order.id}, {"version", order.version}, {"status", status}});
+         hooks_.metrics->Count("kumquat_orders_total", fmt::format("status=\"{}\"", status));
          const OrderOutcome outcome =
              status == 0 ? OrderOutcome::kUnknown : codec_.decode_order(status);
          if (rollout_) rollout_->OnOrder(order.id, order.incarnation, outcome, hooks_.clock());
@@ -126,6 +137,16 @@
   calls_[number] = client_->Start(std::move(request), GatherAnswer(on_answer));
 }
 
+void EngineOperator::Measure() {
+  SetGauges(rollout_->outdated(), rollout_->loading().size(), rollout_->longest_replaced());
+}
+
+void EngineOperator::SetGauges(std::size_t outdated, std::size_t loading, Duration replaced) {
+  hooks_.metrics->Set("kumquat_engines_outdated", {}, static_cast<double>(outdated));
+  hooks_.metrics->Set("kumquat_engines_loading", {}, static_cast<double>(loading));
+  hooks_.metrics->Set("kumquat_weights_replaced_seconds", {}, Seconds(replaced));
+}
+
 void EngineOperator::Publish(Instant now) {
   EngineNews news;
   const auto loading = rollout_->loading();
--- a/src/kumquatcontrol/engine_operator.h
+++ b/src/kumquatcontrol/engine_operator.h
@@ -10,10 +10,12 @@
 #include <string_view>
 #include <vector>
 
+#include "coordination/orders/named_weights.h"
 #include "coordination/orders/weights_rollout.h"
 #include "engine_codec.h"
 #include "protocol/control_news.h"
 #include "transport/backend_client.h"
+#include "utils/histogram.h"
 #include "utils/hooks.h"
 
 namespace kumquat {
@@ -36,13 +38,15 @@
   // Tells, after a round of a majority, whether this replica leads still.
   std::function<void(std::function<void(bool confirmed)> done)> confirm;
   std::function<std::vector<RolloutEngine>()> engines;
-  // Returns the named version of each model.
-  std::function<std::map<std::string, std::int64_t>()> named;
+  // The weights that operators have named; outlives the operator.
+  const NamedWeights* named = nullptr;
   // Returns whether the replica that led in the term before this one is known and hasn't been
   // heard since.
   std::function<bool()> former_leader_is_silent;
   // Tells routers what became of engines.
   std::function<void(const EngineNews& news)> publish;
+  // Outlives the operator.
+  Metrics* metrics = nullptr;
 };
 
 class EngineOperator {
@@ -65,6 +69,8 @@
   void Call(BackendCallRequest request,
             std::function<void(int status, std::string_view body)> done);
   void Publish(Instant now);
+  void Measure();
+  void SetGauges(std::size_t outdated, std::size_t loading, Duration replaced);
 
   EngineOperatorOptions options_;
   EngineOperatorHooks hooks_;
--- a/src/kumquatcontrol/main.cpp
+++ b/src/kumquatcontrol/main.cpp
@@ -13,6 +13,7 @@
 #include "platform/control_edge.h"
 #include "platform/engine_edge.h"
 #include "state/storage/log_file_storage.h"
+#include "transport/http_server.h"
 #include "transport/process_signals.h"
 #include "utils/log.h"
 #include "utils/log_settings.h"
@@ -37,6 +38,7 @@
   std::string failure_domain;
   std::vector<Endpoint> seeds;
   Endpoint http_listen;
+  Endpoint metrics_listen;
   std::string data_dir;
   LogSettings log;
   std::int64_t snapshot_entries = 10'000;
@@ -56,6 +58,7 @@
   reader->Add("voters", &settings->voters, {1, 7}, "Voters of a cluster that is made by seeds.");
   reader->Add("http_listen", &settings->http_listen,
               "Where backend servers and operators of the users' platform reach this replica.");
+  reader->Add("metrics_listen", &settings->metrics_listen, "Where the metrics are served.");
   reader->Add("failure_domain", &settings->failure_domain, "The failure domain of this instance.")
       .Required();
   reader->Add("listen", &node.listen, "The address that routers and other replicas connect to.")
@@ -120,6 +123,13 @@
   node.SetSeeds(ReplicasAt(settings.seeds, settings.node.listen.port));
 }
 
+std::unique_ptr<HttpServer> MetricsServer(ControlNode& node) {
+  const auto answer = [&node](const HttpRequest&, const std::shared_ptr<HttpResponder>& responder) {
+    responder->Send(200, {{"Content-Type", "text/plain; version=0.0.4"}}, node.MetricsText());
+  };
+  return HttpServer::Builder().WithHandler(answer).Build();
+}
+
 int Main(int argc, char** argv) {
   Settings settings;
   SettingsReader reader;
@@ -156,6 +166,11 @@
       return kExitFailed;
     }
   }
+  const auto metrics = MetricsServer(node);
+  if (settings.metrics_listen.port != 0 && !metrics->Listen(settings.metrics_listen)) {
+    fmt::print(stderr, "{}: {}\n", kName, metrics->last_reason());
+    return kExitFailed;
+  }
   LogEvent(
       LogLevel::kInfo, "control_started",
       {{"listen", settings.node.listen.ToString()}, {"failure_domain", settings.failure_domain}});
--- a/src/kumquatrouter/forwarding/forward_exchange.cpp
+++ b/src/kumquatrouter/forwarding/forward_exchange.cpp
@@ -290,6 +290,9 @@
 void ForwardExchange::LogSent(const SendCommand& command) const {
   services_.metrics->Observe("kumquat_forward_wait_seconds", RouteLabel(),
                              Seconds(Now() - received_));
+  const auto replaced =
+      request_.prompt ? services_.weights.ReplacedFor(request_.prompt->model, run_weights_, Now())
+                      : std::nullopt;
   const PromptChoice none;
   const PromptChoice& placed = attempt_->placed ? *attempt_->placed : none;
   LogEvent(LogLevel::kInfo, "request_sent",
@@ -299,6 +302,7 @@
             {"incarnation", command.backend.incarnation},
             {"routing", routes_->table().version},
             {"weights", run_weights_},
+            {"replaced_ms", replaced ? Milliseconds(*replaced) : -1},
             {"expected_ms", Milliseconds(placed.placement.expected_first_token)},
             {"prefix", attempt_->placed ? fmt::format("{:016x}", placed.request.prefix_root)
                                         : std::string("-")},
--- a/src/libs/coordination/forwarding/prompt_placement.h
+++ b/src/libs/coordination/forwarding/prompt_placement.h
@@ -17,8 +17,8 @@
 #include <vector>
 
 #include "coordination/forwarding/backend_pool.h"
-#include "coordination/forwarding/named_weights.h"
 #include "coordination/forwarding/part_index.h"
+#include "coordination/orders/named_weights.h"
 #include "coordination/placement/placement.h"
 #include "utils/hooks.h"
 
--- a/src/libs/coordination/forwarding/named_weights.cpp
+++ b/src/libs/coordination/orders/named_weights.cpp
@@ -1,4 +1,4 @@
-#include "coordination/forwarding/named_weights.h"
+#include "coordination/orders/named_weights.h"
 
 namespace kumquat {
 namespace {
@@ -14,6 +14,11 @@
   if (versions.size() > kMostVersions) versions.erase(versions.begin());
 }
 
+std::int64_t NamedWeights::Newest(std::string_view model) const {
+  const auto versions = named_.find(model);
+  return versions != named_.end() ? versions->second.rbegin()->first : 0;
+}
+
 std::optional<Duration> NamedWeights::ReplacedFor(std::string_view model, std::int64_t version,
                                                   Instant now) const {
   const auto versions = named_.find(model);
--- a/src/libs/coordination/orders/weights_rollout.cpp
+++ b/src/libs/coordination/orders/weights_rollout.cpp
@@ -22,22 +22,20 @@
 }
 
 // What the engine answered last is newer than what it announced, while it is the same incarnation.
-std::optional<WeightsRollout::Need> WeightsRollout::NeedOf(
-    const RolloutEngine& engine, const Progress& progress,
-    const std::map<std::string, std::int64_t>& named) {
+std::optional<WeightsRollout::Need> WeightsRollout::NeedOf(const RolloutEngine& engine,
+                                                           const Progress& progress,
+                                                           const NamedWeights& named, Instant now) {
   for (const auto& [model, announced] : engine.weights) {
-    const auto wanted = named.find(model);
-    if (wanted == named.end()) continue;
     const std::int64_t seen = progress.state ? VersionIn(progress.state->weights, model) : 0;
     const std::int64_t has = std::max(announced, seen);
-    if (has < wanted->second) return Need{model, wanted->second, has};
+    const auto replaced_for = named.ReplacedFor(model, has, now);
+    if (replaced_for) return Need{model, named.Newest(model), has, *replaced_for};
   }
   return std::nullopt;
 }
 
 std::vector<RolloutAction> WeightsRollout::Advance(std::span<const RolloutEngine> engines,
-                                                   const std::map<std::string, std::int64_t>& named,
-                                                   Instant now) {
+                                                   const NamedWeights& named, Instant now) {
   for (const RolloutEngine& engine : engines) {
     Progress& progress = progress_[engine.id];
     if (progress.incarnation == engine.incarnation) continue;
@@ -74,16 +72,21 @@
 }
 
 // Takes up engines with the oldest weights first.
-void WeightsRollout::Begin(std::span<const RolloutEngine> engines,
-                           const std::map<std::string, std::int64_t>& named, Instant now) {
+void WeightsRollout::Begin(std::span<const RolloutEngine> engines, const NamedWeights& named,
+                           Instant now) {
+  outdated_ = 0;
+  longest_replaced_ = Duration(0);
   const std::size_t most = MostAtOnce(engines);
   std::size_t busy = Busy();
   std::vector<std::pair<std::int64_t, Progress*>> waiting;
   for (const RolloutEngine& engine : engines) {
     Progress& progress = progress_.at(engine.id);
-    if (progress.phase != Phase::kIdle || now < progress.next_at) continue;
-    const auto need = NeedOf(engine, progress, named);
-    if (need) waiting.emplace_back(need->has, &progress);
+    const auto need = NeedOf(engine, progress, named, now);
+    if (!need) continue;
+    ++outdated_;
+    longest_replaced_ = std::max(longest_replaced_, need->replaced_for);
+    const bool may_begin = progress.phase == Phase::kIdle && now >= progress.next_at;
+    if (may_begin) waiting.emplace_back(need->has, &progress);
   }
   std::stable_sort(waiting.begin(), waiting.end(),
                    [](const auto& left, const auto& right) { return left.first < right.first; });
@@ -95,10 +98,9 @@
 }
 
 std::optional<RolloutAction> WeightsRollout::Step(const RolloutEngine& engine, Progress* progress,
-                                                  const std::map<std::string, std::int64_t>& named,
-                                                  Instant now) {
+                                                  const NamedWeights& named, Instant now) {
   if (progress->phase == Phase::kIdle) return std::nullopt;
-  const auto need = NeedOf(engine, *progress, named);
+  const auto need = NeedOf(engine, *progress, named, now);
   if (!need) {
     progress->phase = Phase::kIdle;
     return std::nullopt;
@@ -109,7 +111,8 @@
     progress->ordered_at = now;
     progress->ordered = *need;
     return OrderWeights{engine.id,   engine.incarnation, engine.endpoint,
-                        need->model, need->version,      progress->state->orders};
+                        need->model, need->version,      progress->state->orders,
+                        need->has,   need->replaced_for};
   }
   progress->awaits_answer = true;
   return LookAtEngine{engine.id, engine.incarnation, engine.endpoint};
--- a/src/libs/coordination/orders/weights_rollout.h
+++ b/src/libs/coordination/orders/weights_rollout.h
@@ -13,6 +13,7 @@
 #include <variant>
 #include <vector>
 
+#include "coordination/orders/named_weights.h"
 #include "utils/endpoint.h"
 #include "utils/hooks.h"
 
@@ -85,6 +86,9 @@
   std::string model;
   std::int64_t version = 0;
   std::int64_t expected_orders = 0;
+  // What it has, and for how long that has been replaced.
+  std::int64_t replaced_version = 0;
+  Duration replaced_for{0};
 };
 
 using RolloutAction = std::variant<LookAtEngine, OrderWeights>;
@@ -94,10 +98,10 @@
  public:
   explicit WeightsRollout(const WeightsRolloutOptions& options) : options_(options) {}
 
-  // Takes the engines that may be ordered, and the named version of each model. Returns what to do
+  // Takes the engines that may be ordered, and the named versions of each model. Returns what to do
   // now; each look and order has to be followed by its outcome.
   std::vector<RolloutAction> Advance(std::span<const RolloutEngine> engines,
-                                     const std::map<std::string, std::int64_t>& named, Instant now);
+                                     const NamedWeights& named, Instant now);
 
   // The engine answered a look, or didn't.
   void OnLook(const std::string& id, std::int64_t incarnation,
@@ -110,6 +114,12 @@
   // refused.
   std::vector<std::string> loading() const;
 
+  // Returns how many engines need a newer version, including those that load it.
+  std::size_t outdated() const { return outdated_; }
+
+  // Returns for how long the oldest weights of an engine have been replaced.
+  Duration longest_replaced() const { return longest_replaced_; }
+
   // Returns the newest known version of the model on the engine; nothing when it is not known
   // better than from its announcements.
   std::optional<std::int64_t> KnownVersion(const std::string& id, std::int64_t incarnation,
@@ -130,8 +140,9 @@
   struct Need {
     std::string model;
     std::int64_t version = 0;
-    // What it has, as far as is known.
+    // What it has, as far as is known, and for how long that has been replaced.
     std::int64_t has = 0;
+    Duration replaced_for{0};
   };
 
   struct Progress {
@@ -149,19 +160,20 @@
   };
 
   static std::optional<Need> NeedOf(const RolloutEngine& engine, const Progress& progress,
-                                    const std::map<std::string, std::int64_t>& named);
+                                    const NamedWeights& named, Instant now);
   // Returns how many of the engines may wait for their runs or load now.
   std::size_t MostAtOnce(std::span<const RolloutEngine> engines) const;
   // Returns how many do.
   std::size_t Busy() const;
-  void Begin(std::span<const RolloutEngine> engines,
-             const std::map<std::string, std::int64_t>& named, Instant now);
+  void Begin(std::span<const RolloutEngine> engines, const NamedWeights& named, Instant now);
   std::optional<RolloutAction> Step(const RolloutEngine& engine, Progress* progress,
-                                    const std::map<std::string, std::int64_t>& named, Instant now);
+                                    const NamedWeights& named, Instant now);
   Progress* Find(const std::string& id, std::int64_t incarnation);
 
   WeightsRolloutOptions options_;
   std::map<std::string, Progress> progress_;
+  std::size_t outdated_ = 0;
+  Duration longest_replaced_{0};
 };
 
 }  // namespace kumquat
--- a/tests/kumquatcontrol/engine_operator_test.cpp
+++ b/tests/kumquatcontrol/engine_operator_test.cpp
@@ -73,6 +73,7 @@
   }
 
   void Believe(std::optional<std::int64_t> term) { believed_ = term; }
+  const Metrics& metrics() const { return metrics_; }
   void FormerLeaderIsSilent(bool is_silent) { former_is_silent_ = is_silent; }
 
   // `leads` is the term in which a majority follows this replica now.
@@ -85,6 +86,7 @@
         round.done(round.is_confirmed);
       }
     }
+    named_.Learn(kModel, engines_->accepted + 1, *now_);
     operator_->Tick();
     client_.Answer();
   }
@@ -110,10 +112,8 @@
       engine.weights[kModel] = 0;
       return std::vector{engine};
     };
-    // Each order that was accepted has loaded a version; one more is always named.
-    hooks.named = [this] {
-      return std::map<std::string, std::int64_t>{{kModel, engines_->accepted + 1}};
-    };
+    hooks.named = &named_;
+    hooks.metrics = &metrics_;
     hooks.former_leader_is_silent = [this] { return former_is_silent_; };
     hooks.publish = [](const EngineNews&) {};
     return hooks;
@@ -148,6 +148,9 @@
   Engines* engines_;
   const Instant* now_;
   FakeClient client_;
+  // Each order that was accepted has loaded a version; one more is always named.
+  NamedWeights named_;
+  Metrics metrics_;
   bool former_is_silent_ = false;
   std::optional<std::int64_t> believed_;
   std::optional<std::int64_t> leads_;
@@ -171,6 +174,10 @@
   REQUIRE_FALSE(engines.orders.empty());
   CHECK(engines.orders[0].at - begun >= kLease);
   CHECK(engines.orders[0].fencing_number == 7);
+  CHECK(replica.metrics().counter("kumquat_orders_total", "status=\"202\"") ==
+        engines.orders.size());
+  CHECK(replica.metrics().ToPrometheusText().find("\nkumquat_engines_outdated 1\n") !=
+        std::string::npos);
   const std::size_t before = engines.orders.size();
   // It still believes that it leads.
   const Instant lost = now;
--- a/tests/libs/coordination/orders/weights_rollout_test.cpp
+++ b/tests/libs/coordination/orders/weights_rollout_test.cpp
@@ -102,8 +102,8 @@
     for (const std::string& id : ids) Of(id).is_silent = is_silent;
   }
 
-  void Name(std::int64_t version) { named_[kModel] = version; }
-  std::int64_t named() const { return named_.at(kModel); }
+  void Name(std::int64_t version) { named_.Learn(kModel, version, now_); }
+  std::int64_t named() const { return named_.Newest(kModel); }
   std::size_t most_loading() const { return most_loading_; }
   Instant now() const { return now_; }
   const std::vector<Engine>& engines() const { return engines_; }
@@ -137,7 +137,7 @@
   WeightsRollout rollout_;
   std::vector<Engine> engines_;
   std::map<std::string, std::int64_t> announced_;
-  std::map<std::string, std::int64_t> named_;
+  NamedWeights named_;
   Instant now_ = seconds(100);
   std::size_t most_loading_ = 0;
 };
@@ -164,7 +164,8 @@
     engines[i].incarnation = 1;
     engines[i].weights[kModel] = 1;
   }
-  const std::map<std::string, std::int64_t> named{{kModel, 2}};
+  NamedWeights named;
+  named.Learn(kModel, 2, seconds(100));
   const auto actions = rollout.Advance(engines, named, seconds(100));
   REQUIRE(actions.size() == 1);
   CHECK(std::holds_alternative<LookAtEngine>(actions[0]));
