--- a/tests/libs/coordination/orders/weights_rollout_test.cpp
+++ b/tests/libs/coordination/orders/weights_rollout_test.cpp
@@ -21,6 +21,8 @@
 using std::chrono::seconds;
 
 constexpr Duration kLoadTime = milliseconds(800);
+// No request may begin on weights that have been replaced for longer.
+constexpr Duration kLongestLag = seconds(10);
 const std::string kModel = "lm";
 
 // An engine that loads what it is ordered to, if it has accepted as many orders as is expected.
@@ -30,6 +32,8 @@
   std::int64_t version = 1;
   std::int64_t orders = 0;
   bool is_silent = false;
+  // How long its runs go on after an order; it begins none meanwhile.
+  Duration runs_end_after{0};
   std::optional<std::pair<std::int64_t, Instant>> load;
 
   void RunUntil(Instant now) {
@@ -49,7 +53,7 @@
   OrderOutcome Take(const OrderWeights& order, Instant now) {
     if (load || order.expected_orders != orders) return OrderOutcome::kConflict;
     ++orders;
-    load = {order.version, now + kLoadTime};
+    load = {order.version, now + runs_end_after + kLoadTime};
     return OrderOutcome::kAccepted;
   }
 
@@ -90,6 +94,14 @@
       std::visit([&](const auto& one) { Perform(one, is_lost()); }, action);
     }
     most_loading_ = std::max(most_loading_, rollout_.loading().size());
+    for (const Engine& engine : engines_) {
+      const auto lag = named_.ReplacedFor(kModel, engine.version, now_);
+      if (lag && !engine.load) longest_lag_ = std::max(longest_lag_, *lag);
+    }
+  }
+
+  void RunsEndAfter(Duration time) {
+    for (Engine& engine : engines_) engine.runs_end_after = time;
   }
 
   void Restart(std::size_t engine, std::int64_t version) {
@@ -105,6 +117,8 @@
   void Name(std::int64_t version) { named_.Learn(kModel, version, now_); }
   std::int64_t named() const { return named_.Newest(kModel); }
   std::size_t most_loading() const { return most_loading_; }
+  // Returns for how long the weights of an engine that begins requests have been replaced at most.
+  Duration longest_lag() const { return longest_lag_; }
   Instant now() const { return now_; }
   const std::vector<Engine>& engines() const { return engines_; }
 
@@ -140,6 +154,7 @@
   NamedWeights named_;
   Instant now_ = seconds(100);
   std::size_t most_loading_ = 0;
+  Duration longest_lag_{0};
 };
 
 bool Never() { return false; }
@@ -191,6 +206,23 @@
   CHECK(fleet.most_loading() <= 2);
 }
 
+TEST_CASE("No engine begins requests on weights past the longest lag while runs end slowly") {
+  for (const Duration runs_end_after : {seconds(0), seconds(2), seconds(4), seconds(8)}) {
+    CAPTURE(runs_end_after.count());
+    Fleet fleet(9);
+    fleet.RunsEndAfter(runs_end_after);
+    fleet.Name(2);
+    const Instant begun = fleet.now();
+    while (fleet.now() < begun + seconds(60)) {
+      if (fleet.named() < 3 && fleet.now() - begun >= milliseconds(6500)) fleet.Name(3);
+      if (fleet.named() < 4 && fleet.now() - begun >= seconds(11)) fleet.Name(4);
+      fleet.Step(Never);
+    }
+    CHECK(fleet.HasAll());
+    CHECK(fleet.longest_lag() <= kLongestLag);
+  }
+}
+
 // Answers get lost, engines restart with old weights, newer versions are named meanwhile: all have
 // the newest in the end, no engine is ordered twice for one version, and never more than a sixth
 // are loading.
