A roll-out of weights has a deadline

Cause: turns of the roll-out were limited by number alone, a sixth of the engines. A turn lasts until the slowest run of its engine ends, which load stretches to seconds, so the time for all engines had no bound.

Ruled out: lost or late orders (each order for version 4 was answered 202), a change of leader (one leader, one fencing number), engines that couldn't be reached (they take nobody's turn).

Now control knows the longest lag (weights_longest_lag_ms, rendered from the platform's bound), and gives turns to more engines at a time where the roll-out is behind a schedule by which the engines that wait fall evenly from all to none. Engines whose weights have been replaced for longest go first.

--- a/src/kumquatcontrol/control_node.cpp
+++ b/src/kumquatcontrol/control_node.cpp
@@ -90,6 +90,7 @@
     operator_options.holder = options_.log_name();
     operator_options.lease = options_.order_lease;
     operator_options.engines_check_fences = options_.engines_check_fences;
+    operator_options.rollout = options_.rollout;
     operator_ = std::make_unique<EngineOperator>(operator_options, OperatorHooks(),
                                                  *hooks_.engine_codec, backend_client_.get());
   }
--- a/src/kumquatcontrol/control_node.h
+++ b/src/kumquatcontrol/control_node.h
@@ -49,6 +49,7 @@
   Duration order_lease = std::chrono::seconds(3);
   // Engines refuse orders under an older fencing number than they have seen.
   bool engines_check_fences = false;
+  WeightsRolloutOptions rollout;
 
   bool is_open() const { return !seeds.empty(); }
   std::string log_name() const { return is_open() ? listen.ToString() : instance; }
--- a/src/kumquatcontrol/main.cpp
+++ b/src/kumquatcontrol/main.cpp
@@ -78,6 +78,8 @@
               "Engines that may load weights at the same time.");
   reader->Add("order_lease_ms", &node.order_lease, {100, 60'000},
               "No two replicas order an engine of the users' platform within this time.");
+  reader->Add("weights_longest_lag_ms", &node.rollout.longest_lag, {1000, 600'000},
+              "Engines are ordered to load newer weights well within this time.");
   reader->Add(
       "engines_check_fences", &node.engines_check_fences,
       "Whether engines of the users' platform refuse an order under an older fencing number; "
--- a/src/libs/coordination/orders/weights_rollout.cpp
+++ b/src/libs/coordination/orders/weights_rollout.cpp
@@ -63,22 +63,34 @@
       }));
 }
 
-std::size_t WeightsRollout::MostAtOnce(std::span<const RolloutEngine> engines) const {
-  const auto reachable = std::count_if(
+std::size_t WeightsRollout::Reachable(std::span<const RolloutEngine> engines) const {
+  return static_cast<std::size_t>(std::count_if(
       engines.begin(), engines.end(),
-      [this](const RolloutEngine& engine) { return !progress_.at(engine.id).is_unreachable; });
-  const double most = std::ceil(options_.at_once * static_cast<double>(reachable));
+      [this](const RolloutEngine& engine) { return !progress_.at(engine.id).is_unreachable; }));
+}
+
+std::size_t WeightsRollout::MostAtOnce(std::size_t engines) const {
+  const double most = std::ceil(options_.at_once * static_cast<double>(engines));
   return std::max<std::size_t>(1, static_cast<std::size_t>(most));
 }
 
-// Takes up engines with the oldest weights first.
+// In time, those that wait fall evenly from all engines to none.
+bool WeightsRollout::IsBehind(std::size_t waiting, std::size_t engines,
+                              Duration replaced_for) const {
+  const double whole = options_.begin_within * static_cast<double>(options_.longest_lag.count());
+  const double left = 1 - static_cast<double>(replaced_for.count()) / whole;
+  return static_cast<double>(waiting) > left * static_cast<double>(engines);
+}
+
+// Takes up engines with the weights that have been replaced for longest first.
 void WeightsRollout::Begin(std::span<const RolloutEngine> engines, const NamedWeights& named,
                            Instant now) {
   outdated_ = 0;
   longest_replaced_ = Duration(0);
-  const std::size_t most = MostAtOnce(engines);
+  const std::size_t reachable = Reachable(engines);
+  const std::size_t most = MostAtOnce(reachable);
   std::size_t busy = Busy();
-  std::vector<std::pair<std::int64_t, Progress*>> waiting;
+  std::vector<std::pair<Duration, Progress*>> waiting;
   for (const RolloutEngine& engine : engines) {
     Progress& progress = progress_.at(engine.id);
     const auto need = NeedOf(engine, progress, named, now);
@@ -86,14 +98,21 @@
     ++outdated_;
     longest_replaced_ = std::max(longest_replaced_, need->replaced_for);
     const bool may_begin = progress.phase == Phase::kIdle && now >= progress.next_at;
-    if (may_begin) waiting.emplace_back(need->has, &progress);
+    if (may_begin && progress.is_unreachable) {
+      // It takes nobody's turn.
+      progress.phase = Phase::kLooking;
+    } else if (may_begin) {
+      waiting.emplace_back(need->replaced_for, &progress);
+    }
   }
   std::stable_sort(waiting.begin(), waiting.end(),
-                   [](const auto& left, const auto& right) { return left.first < right.first; });
-  for (const auto& [version, progress] : waiting) {
-    if (busy >= most && !progress->is_unreachable) continue;
-    if (!progress->is_unreachable) ++busy;
+                   [](const auto& left, const auto& right) { return left.first > right.first; });
+  std::size_t left = waiting.size();
+  for (const auto& [replaced_for, progress] : waiting) {
+    if (busy >= most && !IsBehind(left, reachable, replaced_for)) break;
     progress->phase = Phase::kLooking;
+    ++busy;
+    --left;
   }
 }
 
--- a/src/libs/coordination/orders/weights_rollout.h
+++ b/src/libs/coordination/orders/weights_rollout.h
@@ -2,7 +2,9 @@
 //
 // Requests on replaced weights lose worth within seconds, so engines load as soon as they can. Only
 // a part of them loads at a time: the others carry the load meanwhile, and loads slow each other
-// down. Engines finish what they run first, so that no stream mixes two versions.
+// down. Engines finish what they run first, so that no stream mixes two versions. How long that
+// takes depends on the load, while no request may begin on weights past a longest lag; so more
+// engines at a time have a turn where the roll-out would else fall behind.
 #pragma once
 
 #include <cstdint>
@@ -62,6 +64,11 @@
   // load at full speed together. More at a time crowd the others' memory on heavy days, and fewer
   // leave more requests to replaced weights (docs/MEASUREMENTS.md).
   double at_once = 1.0 / 6;
+  // No request may begin on weights that have been replaced for longer.
+  Duration longest_lag = std::chrono::seconds(10);
+  // The part of the longest lag within which the turn of every engine begins. The rest is for
+  // orders that get no answer, of which each takes more than a second.
+  double begin_within = 0.7;
   // A load takes some 0.8 s, so that nothing is to be seen before.
   Duration first_look = std::chrono::milliseconds(850);
   Duration look_interval = std::chrono::milliseconds(200);
@@ -161,10 +168,15 @@
 
   static std::optional<Need> NeedOf(const RolloutEngine& engine, const Progress& progress,
                                     const NamedWeights& named, Instant now);
-  // Returns how many of the engines may wait for their runs or load now.
-  std::size_t MostAtOnce(std::span<const RolloutEngine> engines) const;
+  // Returns how many of so many engines may wait for their runs or load on a roll-out in time.
+  std::size_t MostAtOnce(std::size_t engines) const;
+  // Returns how many of the engines answer.
+  std::size_t Reachable(std::span<const RolloutEngine> engines) const;
   // Returns how many do.
   std::size_t Busy() const;
+  // Returns whether too many of the engines wait for their turn, where the oldest weights have been
+  // replaced for so long.
+  bool IsBehind(std::size_t waiting, std::size_t engines, Duration replaced_for) const;
   void Begin(std::span<const RolloutEngine> engines, const NamedWeights& named, Instant now);
   std::optional<RolloutAction> Step(const RolloutEngine& engine, Progress* progress,
                                     const NamedWeights& named, Instant now);
