A request that its engine hasn't begun in time is taken back from replaced weights

Cause: the router's guard compares an estimate with the bound. It sends nothing that it expects to begin too late, with 2 s of margin; load makes the wait longer than any margin, and what was sent isn't looked at again.

Ruled out: a larger margin alone.

Now a request that still waits at its engine 0.3 s before the bound is taken back: its connection is closed, and it goes to another engine where it may be repeated or resumed; else its outcome is unknown. The engine isn't held to be at fault. Both limits are decisions of WeightsLimit.

--- a/src/kumquatrouter/forwarding/forward_exchange.cpp
+++ b/src/kumquatrouter/forwarding/forward_exchange.cpp
@@ -25,10 +25,6 @@
 constexpr std::int64_t kMaxPendingBytes = 1024 * 1024;
 // How long a request may wait for a backend server, as a part of its objective.
 constexpr int kQueuePartOfObjective = 2;
-// A request that is sent may wait longer in the engine's queue before it begins than was expected:
-// by so much, and by as much again as was expected.
-constexpr Duration kBeginMargin = std::chrono::milliseconds(2000);
-constexpr int kBeginFactor = 2;
 constexpr int kFirstServerError = 500;
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
@@ -169,8 +165,8 @@
 
 bool ForwardExchange::BeginsTooLate(const PooledBackend& backend, Duration expected_wait) const {
   const std::string& model = request_.prompt->model;
-  const auto lag = services_.weights.ReplacedFor(model, backend.VersionOf(model), Now());
-  return lag && *lag + kBeginMargin + kBeginFactor * expected_wait > services_.weights_longest_lag;
+  return services_.weights_limit->BeginsTooLate(model, backend.VersionOf(model), expected_wait,
+                                                Now());
 }
 
 // Returns the store of kept cache that is alive, if the table names one.
@@ -496,6 +492,20 @@
   if (can_go_on) OnCallFailed(attempt_->number, CallFailure::kSilent, "The server is gone.");
 }
 
+void ForwardExchange::TakeBackIfOutdated() {
+  const bool waits_there = !is_done_ && attempt_ && request_.prompt && !attempt_->has_event;
+  if (!waits_there || attempt_->move) return;
+  if (!services_.weights_limit->MustTakeBack(request_.prompt->model, run_weights_, Now())) return;
+  LogEvent(LogLevel::kWarning, "attempt_taken_back",
+           {{"request", request_.id},
+            {"backend", attempt_->backend.backend_id},
+            {"weights", run_weights_},
+            {"ms", Milliseconds(Now() - attempt_->sent_at)}});
+  services_.metrics->Count("kumquat_forward_taken_back_total", RouteLabel());
+  const auto self = shared_from_this();
+  decisions_->OnFailure(attempt_->number, CallFailure::kSilent, Now());
+}
+
 void ForwardExchange::RelayHead() {
   if (is_head_relayed_) return;
   is_head_relayed_ = true;
--- a/src/kumquatrouter/forwarding/forward_exchange.h
+++ b/src/kumquatrouter/forwarding/forward_exchange.h
@@ -46,6 +46,10 @@
   // up where the request can go on elsewhere.
   void OnBackendDead(const BackendChoice& backend, Duration silence);
 
+  // Takes an attempt back that still waits at its engine when that may begin nothing any more on
+  // the weights that it has.
+  void TakeBackIfOutdated();
+
  private:
   // The attempt in progress.
   struct Attempt {
--- a/src/kumquatrouter/forwarding/forward_server.cpp
+++ b/src/kumquatrouter/forwarding/forward_server.cpp
@@ -50,6 +50,7 @@
       admission_(settings_.admission, random),
       budget_(settings_.repeats),
       placement_(PromptPlacementOptions(), &services_.weights, &parts_, random),
+      weights_limit_(&services_.weights, settings_.weights_longest_lag),
       client_(MakeHttpBackendClient()),
       feed_({settings_.instance, settings_.failure_domain, WallClockMillis(),
              settings_.control_seeds},
@@ -75,7 +76,7 @@
   services_.placement = &placement_;
   services_.client = client_.get();
   services_.metrics = &metrics_;
-  services_.weights_longest_lag = settings_.weights_longest_lag;
+  services_.weights_limit = &weights_limit_;
   services_.moves_runs = settings_.moves_runs;
   services_.backs_up_runs = settings_.backs_up_runs;
   started_at_ = clock();
@@ -245,6 +246,7 @@
 // meanwhile has yet to be read.
 void ForwardServer::WatchSilence() {
   loop_watch_.Beat(services_.clock());
+  TakeBackOutdated();
   if (loop_watch_.WasLate(services_.clock() - kSilence)) return;
   std::set<std::string> silent;
   for (const auto& exchange : exchanges_) {
@@ -256,6 +258,12 @@
   }
 }
 
+// Each may send its request elsewhere, or end.
+void ForwardServer::TakeBackOutdated() {
+  const auto exchanges = exchanges_;
+  for (const auto& exchange : exchanges) exchange->TakeBackIfOutdated();
+}
+
 void ForwardServer::Probe(const BackendChoice& backend) {
   const PooledBackend* pooled = services_.pool.Find(backend);
   if (!pooled || probes_.contains(backend.backend_id)) return;
--- a/src/kumquatrouter/forwarding/forward_server.h
+++ b/src/kumquatrouter/forwarding/forward_server.h
@@ -51,6 +51,7 @@
   void TellLoad();
   void MoveAwayFrom(const BackendChoice& backend);
   void WatchSilence();
+  void TakeBackOutdated();
   void Probe(const BackendChoice& backend);
   void OnProbed(const BackendChoice& backend, Instant begun, ProbeVerdict verdict);
   void ApplyLimits(const CallerLimits& limits);
@@ -67,6 +68,7 @@
   ForwardServices services_;
   PartIndex parts_;
   PromptPlacement placement_;
+  WeightsLimit weights_limit_;
   std::unique_ptr<BackendClient> client_;
   ControlFeed feed_;
   std::unique_ptr<HttpServer> server_;
--- a/src/kumquatrouter/forwarding/forward_services.h
+++ b/src/kumquatrouter/forwarding/forward_services.h
@@ -10,6 +10,7 @@
 #include "coordination/forwarding/prompt_placement.h"
 #include "coordination/forwarding/repeat_budget.h"
 #include "coordination/forwarding/route_index.h"
+#include "coordination/forwarding/weights_limit.h"
 #include "coordination/orders/named_weights.h"
 #include "forwarding/forward_codec.h"
 #include "transport/backend_client.h"
@@ -26,8 +27,7 @@
   // Null until a routing table is known.
   std::shared_ptr<const RouteIndex> routes;
   NamedWeights weights;
-  // An engine whose weights have been replaced for longer gets no requests.
-  Duration weights_longest_lag = std::chrono::seconds(8);
+  const WeightsLimit* weights_limit = nullptr;
   bool moves_runs = true;
   bool backs_up_runs = false;
   BackendPool pool;
--- a/tests/process/forwarding/forward_bench.cpp
+++ b/tests/process/forwarding/forward_bench.cpp
@@ -71,8 +71,9 @@
     routers_[i] = std::make_unique<TestProgram>(
         "kumquat-router", fmt::format("instance = \"{}\"\nfailure_domain = \"d1\"\n"
                                       "listen = \"{}\"\n[forward]\ncontrol_seeds = [{}]\n"
-                                      "ready_listen = \"{}\"\n",
-                                      name, listens_[i].ToString(), seeds_, ready_[i].ToString()));
+                                      "ready_listen = \"{}\"\nweights_longest_lag_ms = {}\n",
+                                      name, listens_[i].ToString(), seeds_, ready_[i].ToString(),
+                                      kWeightsLongestLag.count()));
     routers_[i]->LogTo(LogOf(name));
     routers_[i]->Start();
   }
@@ -87,15 +88,25 @@
   const QJsonObject service{{"name", "desk"}, {"healthPath", "/healthz"}, {"maxConns", 100}};
   const QJsonObject tenant{
       {"name", "clerks"}, {"apiKeys", QJsonArray{kKey}}, {"priority", 1}, {"isolated", false}};
-  const std::string body = ToJsonText({{"version", version},
-                                       {"routes", routes},
-                                       {"services", QJsonArray{service}},
-                                       {"tenants", QJsonArray{tenant}},
-                                       {"limits", QJsonObject{{"maxBodyBytes", 100'000}}}});
+  Acknowledged("PUT", "/config",
+               {{"version", version},
+                {"routes", routes},
+                {"services", QJsonArray{service}},
+                {"tenants", QJsonArray{tenant}},
+                {"limits", QJsonObject{{"maxBodyBytes", 100'000}}}});
+}
+
+void ForwardBench::NameWeights(const std::string& model, int version) {
+  Acknowledged("POST", "/version-put", {{"model", ToQString(model)}, {"version", version}});
+}
+
+void ForwardBench::Acknowledged(const std::string& method, const std::string& path,
+                                const QJsonObject& body) {
+  const std::string text = ToJsonText(body);
   std::size_t at = 0;
   CHECK(SpinUntil([&] {
     const Endpoint& replica = control_[at++ % control_.size()];
-    return caller_.Run(replica, "PUT", "/config", {{"Content-Type", "application/json"}}, body)
+    return caller_.Run(replica, method, path, {{"Content-Type", "application/json"}}, text)
                ->status == 200;
   }));
 }
--- a/tests/process/forwarding/forward_bench.h
+++ b/tests/process/forwarding/forward_bench.h
@@ -18,6 +18,8 @@
  public:
   static constexpr int kReplicas = 3;
   static constexpr int kRouters = 2;
+  // For how long engines may begin requests on weights that were replaced.
+  static constexpr std::chrono::milliseconds kWeightsLongestLag{2600};
 
   // Starts everything, puts the first configuration, and waits until each router is ready.
   ForwardBench();
@@ -35,6 +37,9 @@
   // that can; `more_path` is one more that may be repeated.
   void PutConfiguration(int version, const std::string& more_path = {});
 
+  // Names weights of this version, to any replica that acknowledges it.
+  void NameWeights(const std::string& model, int version);
+
   // Waits until the request gets this status through the router.
   void WaitForStatus(int router, const std::string& path, int status);
 
@@ -47,6 +52,7 @@
   TestCaller& caller() { return caller_; }
 
  private:
+  void Acknowledged(const std::string& method, const std::string& path, const QJsonObject& body);
   void StartReplicas();
   void StartRouters();
   std::string LogOf(const std::string& name) const;
--- a/tests/process/forwarding/forward_process_test.cpp
+++ b/tests/process/forwarding/forward_process_test.cpp
@@ -133,6 +133,41 @@
   }
 }
 
+// Its engine queued it for longer than was expected, and would begin it on weights that are too
+// old.
+TEST_CASE("A request that its engine has not begun when its weights are too old goes elsewhere") {
+  ForwardBench bench;
+  StandInServer outdated("s1", "desk", bench.control());
+  outdated.SetWeights("lm", 1);
+  bench.WaitForStatus(0, "/again/look", 200);
+  // Each request pays for a fifth of a repeat.
+  for (int i = 0; i < 50; ++i) {
+    std::string id;
+    bench.Run(0, "/again/look", &id);
+  }
+  outdated.SetMode(StandInServer::Mode::kHoldsStreams);
+  const std::size_t before = outdated.runs().size();
+  bench.NameWeights("lm", 2);
+  QElapsedTimer since;
+  since.start();
+  std::string id;
+  const auto call = bench.Start(0, "/long/stream", &id, {},
+                                {{"Kumquatcross-Model", "lm"},
+                                 {"Kumquatcross-Token-Count", "100,10"},
+                                 {"Kumquatcross-Prompt-Prefix", "0a:90,0b:10"}});
+  REQUIRE(SpinUntil([&] { return outdated.runs().size() > before; }));
+  StandInServer current("s2", "desk", bench.control());
+  current.SetWeights("lm", 2);
+  CHECK(SpinUntil([&] { return call->done(); }));
+  CHECK(since.elapsed() < ForwardBench::kWeightsLongestLag.count() + 500);
+  CHECK(call->status == 200);
+  CHECK(call->body == StandInServer::StreamFrom(0));
+  REQUIRE(!current.runs().empty());
+  const std::string story = bench.Explain(id);
+  CAPTURE(story);
+  CHECK(Has(story, "event=attempt_taken_back"));
+}
+
 TEST_CASE("Configurations are in force and read back although replicas die one after the other") {
   ForwardBench bench;
   StandInServer server("s1", "desk", bench.control());
--- a/tests/process/forwarding/stand_in_server.cpp
+++ b/tests/process/forwarding/stand_in_server.cpp
@@ -48,12 +48,18 @@
                          {"state", is_leaving_ ? "draining" : "ready"},
                          {"coldLeftMs", 0},
                          {"born", kBorn},
+                         {"models", models_},
                          {"seq", ++sequence_}};
   const Endpoint& control = control_[next_control_++ % control_.size()];
   return caller_.Start(control, "PUT", "/instances/" + id_, {{"Content-Type", "application/json"}},
                        ToJsonText(body));
 }
 
+void StandInServer::SetWeights(const std::string& model, int version) {
+  models_ = {
+      QJsonObject{{"name", ToQString(model)}, {"version", version}, {"adapters", QJsonArray()}}};
+}
+
 void StandInServer::Leave() {
   is_leaving_ = true;
   CHECK(SpinUntil([&] {
@@ -75,7 +81,9 @@
   }
   runs_.push_back(request);
   if (mode_ == Mode::kLosesAnswers) return responder->Abort();
-  if (request.path.ends_with("/stream")) return Stream(request, responder);
+  const bool is_stream = request.path.ends_with("/stream");
+  if (is_stream && mode_ == Mode::kHoldsStreams) return held_.push_back(responder);
+  if (is_stream) return Stream(request, responder);
   responder->Send(200, Head(request), "ran " + request.body);
 }
 
--- a/tests/process/forwarding/stand_in_server.h
+++ b/tests/process/forwarding/stand_in_server.h
@@ -2,6 +2,7 @@
 // requests as its protocol says, or misbehaves by command.
 #pragma once
 
+#include <QJsonArray>
 #include <QTimer>
 #include <memory>
 #include <string>
@@ -21,6 +22,8 @@
     kLosesAnswers,
     // Breaks streams off after two events.
     kBreaksStreams,
+    // Keeps streamed requests in its queue and begins none.
+    kHoldsStreams,
   };
 
   StandInServer(std::string id, std::string service, std::vector<Endpoint> control);
@@ -29,10 +32,13 @@
 
   void SetMode(Mode mode) { mode_ = mode; }
 
+  // Says from now on that it is an engine with these weights.
+  void SetWeights(const std::string& model, int version);
+
   // Says that it is leaving from now on; returns once control has acknowledged it.
   void Leave();
 
-  // Returns the requests that it has run.
+  // Returns the requests that it has run; those that it holds are among them.
   const std::vector<HttpRequest>& runs() const { return runs_; }
   const std::string& id() const { return id_; }
 
@@ -56,7 +62,9 @@
   int sequence_ = 0;
   bool is_leaving_ = false;
   Mode mode_ = Mode::kServes;
+  QJsonArray models_;
   std::vector<HttpRequest> runs_;
+  std::vector<Responder> held_;
   Endpoint endpoint_;
   std::unique_ptr<HttpServer> server_;
   TestCaller caller_;
