Routers hear since when weights are replaced, also those that start later

Cause: each process took the moment at which it learned of a version for that at which it was named; documents carry no time.

Ruled out: times in the log's entries, as instances' clocks jump and differ.

The leader tells in its news of engines, every half second while an engine is outdated, how long ago the version was named that replaced what the engine has; a router keeps the earliest moment it heard. The same holds where replicas restart: those that stayed up know better. A leader now tells also while no engine loads, as one that it can't reach still gets requests.

--- a/src/kumquatcontrol/engine_operator.cpp
+++ b/src/kumquatcontrol/engine_operator.cpp
@@ -149,18 +149,28 @@
 
 void EngineOperator::Publish(Instant now) {
   EngineNews news;
+  std::map<std::pair<std::string, std::int64_t>, Duration> named;
   const auto loading = rollout_->loading();
   for (const RolloutEngine& engine : hooks_.engines()) {
     EngineNews::Engine entry{engine.id, engine.incarnation, false, {}};
     entry.is_loading = std::find(loading.begin(), loading.end(), engine.id) != loading.end();
     for (const auto& [model, announced] : engine.weights) {
       const auto known = rollout_->KnownVersion(engine.id, engine.incarnation, model);
-      if (known && *known > announced) entry.weights[model] = *known;
+      const std::int64_t has = std::max(announced, known.value_or(0));
+      if (has > announced) entry.weights[model] = has;
+      const auto replacement = hooks_.named->ReplacementOf(model, has);
+      if (replacement) {
+        named[{model, *replacement}] = *hooks_.named->ReplacedFor(model, has, now);
+      }
     }
     if (entry.is_loading || !entry.weights.empty()) news.engines.push_back(std::move(entry));
   }
-  const bool is_due = !news.engines.empty() && now >= published_at_ + kPublishInterval;
-  if (news == published_ && !is_due) return;
+  for (const auto& [weights, age] : named) {
+    news.named.push_back({weights.first, weights.second, age});
+  }
+  const bool has_news = !news.engines.empty() || !news.named.empty();
+  const bool is_due = has_news && now >= published_at_ + kPublishInterval;
+  if (news.engines == published_.engines && !is_due) return;
   published_ = news;
   published_at_ = now;
   hooks_.publish(news);
--- a/src/kumquatrouter/forwarding/forward_server.cpp
+++ b/src/kumquatrouter/forwarding/forward_server.cpp
@@ -220,6 +220,9 @@
 }
 
 void ForwardServer::OnEngines(const EngineNews& news) {
+  for (const EngineNews::Named& named : news.named) {
+    services_.weights.Learn(named.model, named.version, services_.clock() - named.age);
+  }
   std::vector<BackendChoice> evacuated;
   for (const EngineNews::Engine& engine : news.engines) {
     PooledBackend* backend = services_.pool.Find({engine.id, engine.incarnation});
--- a/src/libs/coordination/orders/named_weights.cpp
+++ b/src/libs/coordination/orders/named_weights.cpp
@@ -1,5 +1,7 @@
 #include "coordination/orders/named_weights.h"
 
+#include <algorithm>
+
 namespace kumquat {
 namespace {
 
@@ -8,9 +10,10 @@
 
 }  // namespace
 
-void NamedWeights::Learn(const std::string& model, std::int64_t version, Instant now) {
-  auto& versions = named_[model];
-  versions.try_emplace(version, now);
+void NamedWeights::Learn(const std::string& model, std::int64_t version, Instant named_at) {
+  Versions& versions = named_[model];
+  const auto entry = versions.try_emplace(version, named_at).first;
+  entry->second = std::min(entry->second, named_at);
   if (versions.size() > kMostVersions) versions.erase(versions.begin());
 }
 
@@ -19,13 +22,24 @@
   return versions != named_.end() ? versions->second.rbegin()->first : 0;
 }
 
-std::optional<Duration> NamedWeights::ReplacedFor(std::string_view model, std::int64_t version,
-                                                  Instant now) const {
+const NamedWeights::Versions::value_type* NamedWeights::Above(std::string_view model,
+                                                              std::int64_t version) const {
   const auto versions = named_.find(model);
-  if (versions == named_.end()) return std::nullopt;
+  if (versions == named_.end()) return nullptr;
   const auto next = versions->second.upper_bound(version);
-  if (next == versions->second.end()) return std::nullopt;
-  return now - next->second;
+  return next != versions->second.end() ? &*next : nullptr;
+}
+
+std::optional<Duration> NamedWeights::ReplacedFor(std::string_view model, std::int64_t version,
+                                                  Instant now) const {
+  const auto* next = Above(model, version);
+  return next ? std::optional(now - next->second) : std::nullopt;
+}
+
+std::optional<std::int64_t> NamedWeights::ReplacementOf(std::string_view model,
+                                                        std::int64_t version) const {
+  const auto* next = Above(model, version);
+  return next ? std::optional(next->first) : std::nullopt;
 }
 
 }  // namespace kumquat
--- a/src/libs/coordination/orders/named_weights.h
+++ b/src/libs/coordination/orders/named_weights.h
@@ -13,7 +13,9 @@
 
 class NamedWeights {
  public:
-  void Learn(const std::string& model, std::int64_t version, Instant now);
+  // This version was named then, or before. The earliest such moment counts, as one who learns late
+  // knows less.
+  void Learn(const std::string& model, std::int64_t version, Instant named_at);
 
   // Returns the newest version of the model; 0 when none was named.
   std::int64_t Newest(std::string_view model) const;
@@ -23,9 +25,17 @@
   std::optional<Duration> ReplacedFor(std::string_view model, std::int64_t version,
                                       Instant now) const;
 
+  // Returns the version that replaced this one first; nothing when none did.
+  std::optional<std::int64_t> ReplacementOf(std::string_view model, std::int64_t version) const;
+
  private:
-  // When each version became known, by model.
-  std::map<std::string, std::map<std::int64_t, Instant>, std::less<>> named_;
+  using Versions = std::map<std::int64_t, Instant>;
+
+  // Returns the first version above this one, or null.
+  const Versions::value_type* Above(std::string_view model, std::int64_t version) const;
+
+  // When each version was named, by model.
+  std::map<std::string, Versions, std::less<>> named_;
 };
 
 }  // namespace kumquat
--- a/src/libs/protocol/control_news.cpp
+++ b/src/libs/protocol/control_news.cpp
@@ -4,6 +4,7 @@
 #include <QCborMap>
 #include <QCborValue>
 #include <QtEndian>
+#include <algorithm>
 #include <utility>
 
 namespace kumquat {
@@ -98,7 +99,12 @@
     engines.append(QCborArray{Bytes(engine.id), static_cast<qint64>(engine.incarnation),
                               engine.is_loading, ToCbor(engine.weights)});
   }
-  return QCborArray{engines};
+  QCborArray named;
+  for (const EngineNews::Named& one : news.named) {
+    named.append(QCborArray{Bytes(one.model), static_cast<qint64>(one.version),
+                            static_cast<qint64>(one.age.count())});
+  }
+  return QCborArray{engines, named};
 }
 
 bool FromCbor(const QCborArray& items, EngineNews* news) {
@@ -107,7 +113,12 @@
     news->engines.push_back({ToText(fields.at(0)), fields.at(1).toInteger(), fields.at(2).toBool(),
                              VersionsFrom(fields.at(3))});
   }
-  return items.size() == 1;
+  for (const QCborValue item : items.at(1).toArray()) {
+    const QCborArray fields = item.toArray();
+    news->named.push_back({ToText(fields.at(0)), fields.at(1).toInteger(),
+                           Duration(std::max<qint64>(0, fields.at(2).toInteger()))});
+  }
+  return items.size() == 2;
 }
 
 // Keys and tokens stand in one byte string: 8 and 4 bytes each, the lowest first.
--- a/src/libs/protocol/control_news.h
+++ b/src/libs/protocol/control_news.h
@@ -11,6 +11,7 @@
 
 #include "protocol/document.h"
 #include "protocol/part_events.h"
+#include "utils/hooks.h"
 
 namespace kumquat {
 
@@ -83,6 +84,17 @@
   };
   std::vector<Engine> engines;
 
+  // A version of weights that replaced another one which an engine still has. A router that started
+  // or was linked since then can't know from the documents how long ago that was.
+  struct Named {
+    std::string model;
+    std::int64_t version = 0;
+    Duration age{0};
+
+    bool operator==(const Named&) const = default;
+  };
+  std::vector<Named> named;
+
   bool operator==(const EngineNews&) const = default;
 };
 
--- a/tests/libs/coordination/forwarding/prompt_placement_test.cpp
+++ b/tests/libs/coordination/forwarding/prompt_placement_test.cpp
@@ -151,6 +151,13 @@
   CHECK(!named.ReplacedFor("m", 4, seconds(9)));
   named.Learn("m", 2, seconds(8));
   CHECK(named.ReplacedFor("m", 1, seconds(9)) == seconds(6));
+  // Another process has known it for longer.
+  named.Learn("m", 2, seconds(1));
+  CHECK(named.ReplacedFor("m", 1, seconds(9)) == seconds(8));
+  CHECK(named.ReplacementOf("m", 1) == 2);
+  CHECK(named.ReplacementOf("m", 2) == 4);
+  CHECK(!named.ReplacementOf("m", 4));
+  CHECK(named.Newest("m") == 4);
 }
 
 }  // namespace
--- a/tests/libs/protocol/control_news_test.cpp
+++ b/tests/libs/protocol/control_news_test.cpp
@@ -17,6 +17,7 @@
   hello.members_digest = 0xfedcba9876543210;
   EngineNews engines;
   engines.engines = {{"e1", 4, true, {{"lm", 2}}}, {"e2", 1, false, {}}};
+  engines.named = {{"lm", 3, std::chrono::milliseconds(7500)}};
   CacheNews cache;
   cache.source = "e1";
   cache.epoch = 2;
--- a/tests/process/forwarding/stand_in_server.cpp
+++ b/tests/process/forwarding/stand_in_server.cpp
@@ -79,6 +79,8 @@
     responder->Send(421, Head(request), "");
     return;
   }
+  // It tells control nothing of its state, and takes no orders.
+  if (request.Header("Kumquatcross-Request-Id").empty()) return responder->Send(404, {}, "");
   runs_.push_back(request);
   if (mode_ == Mode::kLosesAnswers) return responder->Abort();
   const bool is_stream = request.path.ends_with("/stream");
