A roll-out of weights hurries only when it has to

Now the engines that wait become fewer from 0.6 of the longest lag on, and none waits after 0.8 of it.

--- a/src/libs/coordination/orders/weights_rollout.cpp
+++ b/src/libs/coordination/orders/weights_rollout.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "utils/durations.h"
+
 namespace kumquat {
 namespace {
 
@@ -74,12 +76,12 @@
   return std::max<std::size_t>(1, static_cast<std::size_t>(most));
 }
 
-// In time, those that wait fall evenly from all engines to none.
+// On schedule, those that wait fall evenly from all engines to none.
 bool WeightsRollout::IsBehind(std::size_t waiting, std::size_t engines,
                               Duration replaced_for) const {
-  const double whole = options_.begin_within * static_cast<double>(options_.longest_lag.count());
-  const double left = 1 - static_cast<double>(replaced_for.count()) / whole;
-  return static_cast<double>(waiting) > left * static_cast<double>(engines);
+  const double lag = Seconds(replaced_for) / Seconds(options_.longest_lag);
+  const double left = (options_.begin_within - lag) / (options_.begin_within - options_.hurry_from);
+  return static_cast<double>(waiting) > std::min(left, 1.0) * static_cast<double>(engines);
 }
 
 // Takes up engines with the weights that have been replaced for longest first.
--- a/src/libs/coordination/orders/weights_rollout.h
+++ b/src/libs/coordination/orders/weights_rollout.h
@@ -66,9 +66,11 @@
   double at_once = 1.0 / 6;
   // No request may begin on weights that have been replaced for longer.
   Duration longest_lag = std::chrono::seconds(10);
-  // The part of the longest lag within which the turn of every engine begins. The rest is for
-  // orders that get no answer, of which each takes more than a second.
-  double begin_within = 0.7;
+  // The parts of the longest lag from which on the engines that wait for their turn have to become
+  // fewer, and within which the turn of every engine begins. The rest is for orders that get no
+  // answer, of which each takes more than a second.
+  double hurry_from = 0.6;
+  double begin_within = 0.8;
   // A load takes some 0.8 s, so that nothing is to be seen before.
   Duration first_look = std::chrono::milliseconds(850);
   Duration look_interval = std::chrono::milliseconds(200);
