Bytes without end from a server end its call, and take no memory

Seen with a server that floods: 7 of 10 forms kept a call open and took memory as fast as they came (interim answers, other calls' answers and bodies, a chunk's size or extension, trailers); and calls whose answer is gathered (looks at engines, orders, reads of cache events, moves) had no end while bytes came. Of the three control replicas of a process test two held 281 MB and 723 MB after 4 s of one flooding engine; a control instance has 256 MB.

Cause: limits of time were limits of silence, which bytes without end never meet; Beast bounds a header, but neither a chunk's line nor trailers; what a call passes over was kept until it was whole.

Now the parser bounds lines within a body, a call bounds how many answers and bytes it passes over, and StartGathered takes a limit of time and of length with each gathered call; the own interface's probes, orders and reads of events get limits of time as well. A router ends a stream with 64 KB outside of numbered events, and gives up a caller that leaves too much unread also where the answer is no stream.

Evidence: 'Bytes without end that are no answer end the call soon, wherever they come' failed in 7 of 10 forms before, 0.5 to 1.6 GB sent until the test's own limit; 'Bytes without end from a server take neither a router's nor control's memory' failed with the programs before this commit.

--- a/src/kumquatcontrol/cache_keeper.cpp
+++ b/src/kumquatcontrol/cache_keeper.cpp
@@ -10,6 +10,8 @@
 
 constexpr Duration kReadTimeout = std::chrono::milliseconds(1800);
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
+// The list of a large store's parts takes some 60 bytes each.
+constexpr GatherLimits kReadLimits{std::chrono::seconds(5), 8 * 1024 * 1024};
 // Between the end of one read and the next one: events of this long are told together.
 constexpr std::chrono::milliseconds kReadPause{120};
 constexpr std::chrono::milliseconds kFailedReadPause{600};
@@ -53,7 +55,7 @@
     const auto& decode = lists ? codec_.decode_list : codec_.decode_read;
     Answered(source, number, decode(status, body));
   };
-  kept.call = client_->Start(std::move(request), GatherAnswer(on_answer));
+  kept.call = StartGathered(*client_, std::move(request), kReadLimits, on_answer);
 }
 
 void CacheKeeper::Answered(const std::string& source, std::int64_t number,
--- a/src/kumquatcontrol/control_node.cpp
+++ b/src/kumquatcontrol/control_node.cpp
@@ -458,6 +458,7 @@
   request.headers = {{"Content-Type", "application/json"}};
   request.body = ToJsonText(ToJson(order));
   request.timeouts.first_byte = kOrderSilence;
+  request.max_time = kOrderSilence;
   request.new_connection = true;
   BackendCallHooks hooks;
   hooks.on_end = [this, number] { OrderEnded(number, "answered"); };
--- a/src/kumquatcontrol/engine_operator.cpp
+++ b/src/kumquatcontrol/engine_operator.cpp
@@ -16,6 +16,8 @@
 constexpr Duration kConfirmedFor = std::chrono::milliseconds(500);
 constexpr Duration kConfirmInterval = std::chrono::milliseconds(200);
 constexpr Duration kCallTimeout = std::chrono::milliseconds(1000);
+// A report lists an engine's runs.
+constexpr GatherLimits kCallLimits{2 * kCallTimeout, 256 * 1024};
 // News are repeated, as a router's link may just have been down.
 constexpr Duration kPublishInterval = std::chrono::milliseconds(500);
 
@@ -134,7 +136,7 @@
     calls_.erase(call);
     done(status, body);
   };
-  calls_[number] = client_->Start(std::move(request), GatherAnswer(on_answer));
+  calls_[number] = StartGathered(*client_, std::move(request), kCallLimits, on_answer);
 }
 
 void EngineOperator::Measure() {
--- a/src/kumquatcontrol/store_watch.cpp
+++ b/src/kumquatcontrol/store_watch.cpp
@@ -11,6 +11,7 @@
 // The store holds a call for up to 0.8 s; an answer that takes longer than this doesn't come.
 constexpr Duration kPollTimeout = std::chrono::milliseconds(1300);
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
+constexpr GatherLimits kPollLimits{kConnectTimeout + kPollTimeout, 4 * 1024 * 1024};
 // Between the end of one poll and the next one, while the store is alive and while it is not.
 constexpr std::chrono::milliseconds kPollPause{100};
 constexpr std::chrono::milliseconds kDeadPollPause{400};
@@ -50,7 +51,7 @@
     const auto events = codec_.decode_read(status, body);
     Answered(store, number, events ? std::optional(events->next) : std::nullopt);
   };
-  watched.call = client_->Start(std::move(request), GatherAnswer(on_answer));
+  watched.call = StartGathered(*client_, std::move(request), kPollLimits, on_answer);
 }
 
 void StoreWatch::Answered(const Endpoint& store, std::int64_t number,
--- a/src/kumquatrouter/cache_follower.cpp
+++ b/src/kumquatrouter/cache_follower.cpp
@@ -15,9 +15,10 @@
 
 constexpr std::size_t kMaxEvents = 100'000;
 constexpr std::size_t kMaxBlocks = 1'000'000;
-constexpr std::size_t kMaxAnswerBytes = 64 * 1024 * 1024;
+constexpr std::int64_t kMaxAnswerBytes = 64 * 1024 * 1024;
 constexpr CallTimeouts kReadTimeouts{std::chrono::milliseconds(300), std::chrono::seconds(1),
                                      std::chrono::seconds(1)};
+constexpr Duration kLongestRead = std::chrono::seconds(5);
 
 }  // namespace
 
@@ -72,6 +73,8 @@
   request.target =
       contents ? "/cache/blocks" : "/cache/events?after=" + std::to_string(engine->last_sequence);
   request.timeouts = kReadTimeouts;
+  request.max_time = kLongestRead;
+  request.max_body_bytes = kMaxAnswerBytes;
   const auto finish = [this, id] {
     const auto entry = engines_.find(id);
     if (entry != engines_.end() && entry->second.call) DestroyLater(std::move(entry->second.call));
@@ -80,7 +83,7 @@
   hooks.on_data = [this, id](std::string_view data) {
     const auto entry = engines_.find(id);
     if (entry == engines_.end()) return;
-    if (entry->second.body.size() + data.size() <= kMaxAnswerBytes) entry->second.body += data;
+    entry->second.body += data;
   };
   hooks.on_end = [this, id, contents, finish] {
     OnRead(id, contents);
--- a/src/kumquatrouter/chat_exchange.cpp
+++ b/src/kumquatrouter/chat_exchange.cpp
@@ -27,6 +27,7 @@
 constexpr Duration kEngineWait = std::chrono::seconds(2);
 // Longest wait for an engine's life sign; an engine of the same region answers within milliseconds.
 constexpr Duration kLifeSignTimeout = std::chrono::milliseconds(500);
+constexpr GatherLimits kLifeSignLimits{2 * kLifeSignTimeout, 64 * 1024};
 // How long a broken stream may take to hand its error event to the caller.
 constexpr std::chrono::milliseconds kErrorFlushTime{500};
 
@@ -225,7 +226,7 @@
       exchange->OnCallFailed(command.attempt_id, CallFailure::kNotSent);
     }
   };
-  attempt_->call = services_.client->Start(request, GatherAnswer(on_answer));
+  attempt_->call = StartGathered(*services_.client, request, kLifeSignLimits, on_answer);
 }
 
 bool ChatExchange::IsCurrent(const std::string& attempt_id) const {
--- a/src/kumquatrouter/forwarding/forward_exchange.cpp
+++ b/src/kumquatrouter/forwarding/forward_exchange.cpp
@@ -19,8 +19,11 @@
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(250);
 // Runs are moved within milliseconds.
 constexpr Duration kMoveTimeout = std::chrono::milliseconds(1000);
+constexpr GatherLimits kMoveLimits{kConnectTimeout + kMoveTimeout, 64 * 1024};
 // An answer that is longer is passed on as it comes, and can't be repeated from then on.
 constexpr std::size_t kMaxHeldAnswer = 256 * 1024;
+// Engines number their events; few bytes of a stream, such as comments, stand outside of them.
+constexpr std::size_t kMaxBytesWithoutId = 64 * 1024;
 // Bytes kept for a caller that reads slowly; past them its request is cancelled.
 constexpr std::int64_t kMaxPendingBytes = 1024 * 1024;
 // How long a request may wait for a backend server, as a part of its objective.
@@ -365,19 +368,26 @@
     if (attempt_->body.size() <= kMaxHeldAnswer && !is_head_relayed_) return;
     const std::string held = std::exchange(attempt_->body, {});
     decisions_->OnEvent(number, std::nullopt, held, Now());
+    CutSlowCaller();
     return;
   }
   attempt_->events.Feed(data, [&](const RawEvent& event) {
+    if (!event.id) attempt_->bytes_without_id += event.bytes.size();
+    if (attempt_->bytes_without_id > kMaxBytesWithoutId) return false;
     decisions_->OnEvent(number, event.id, event.bytes, Now());
     return !is_done_ && attempt_ && attempt_->number == number;
   });
   if (is_done_ || !attempt_ || attempt_->number != number) return;
-  if (attempt_->events.overflowed()) {
-    OnCallFailed(number, CallFailure::kBroken, "An event is too long.");
+  if (attempt_->events.overflowed() || attempt_->bytes_without_id > kMaxBytesWithoutId) {
+    OnCallFailed(number, CallFailure::kBroken, "An event is too long, or has no number.");
     return;
   }
   if (!std::exchange(attempt_->has_event, true)) OnFirstEvent();
-  if (responder_->pending_bytes() <= kMaxPendingBytes) return;
+  CutSlowCaller();
+}
+
+void ForwardExchange::CutSlowCaller() {
+  if (is_done_ || responder_->pending_bytes() <= kMaxPendingBytes) return;
   LogEvent(LogLevel::kWarning, "slow_caller_cut", {{"request", request_.id}});
   responder_->Abort();
   OnCallerGone();
@@ -455,7 +465,7 @@
     if (!exchange) return;
     exchange->OnMoveAnswered(number, exchange->services_.codec.decode_move(status, body));
   };
-  attempt_->move = services_.client->Start(std::move(call), GatherAnswer(on_answer));
+  attempt_->move = StartGathered(*services_.client, std::move(call), kMoveLimits, on_answer);
 }
 
 void ForwardExchange::OnMoveAnswered(std::int64_t number, const MoveAnswer& answer) {
--- a/src/kumquatrouter/forwarding/forward_exchange.h
+++ b/src/kumquatrouter/forwarding/forward_exchange.h
@@ -60,6 +60,7 @@
     bool has_event = false;
     std::unique_ptr<BackendCall> call;
     EventSplitter events;
+    std::size_t bytes_without_id = 0;
     int status = 0;
     HttpHeaders headers;
     std::string body;
@@ -86,6 +87,8 @@
   void Send(const SendCommand& command);
   void LogSent(const SendCommand& command) const;
   void OnFirstEvent();
+  // Gives the request up if its caller has left too much unread.
+  void CutSlowCaller();
   std::string RouteLabel() const;
   ForwardCall CallTo(const PooledBackend& backend, const SendCommand& command) const;
   std::optional<RunCopy> FindCopy();
--- a/src/kumquatrouter/membership_service.cpp
+++ b/src/kumquatrouter/membership_service.cpp
@@ -207,6 +207,7 @@
   request.method = "GET";
   request.target = "/healthz";
   request.timeouts = {kProbeTimeout, kProbeTimeout, kProbeTimeout};
+  request.max_time = 2 * kProbeTimeout;
   request.new_connection = true;
   const auto done = [this, id = record.id] {
     // The call can't be destroyed from within its own hook.
--- a/src/libs/transport/backend_client.cpp
+++ b/src/libs/transport/backend_client.cpp
@@ -24,6 +24,11 @@
 // A request must not cross the server's close, so a connection is given up this much earlier.
 constexpr Duration kKeepMargin = std::chrono::milliseconds(500);
 
+// Answers that a call passes over. There are few: interim ones, and late ones to earlier calls.
+constexpr int kMaxPassedOver = 16;
+// Bytes of the bodies of answers that a call passes over.
+constexpr std::int64_t kMaxForeignBytes = 4 * 1024 * 1024;
+
 // Fields that belong to a connection and are set by the client itself.
 bool IsConnectionField(std::string_view name) {
   static constexpr std::array kNames = {"connection", "content-length",    "keep-alive", "te",
@@ -73,6 +78,7 @@
   }
 
   void Start() {
+    started_at_ = clock_();
     const auto weak = weak_from_this();
     QObject::connect(&timer_, &QTimer::timeout, &timer_, [weak] {
       if (const auto call = weak.lock()) call->HandleTimer();
@@ -131,7 +137,12 @@
 
   // The timer isn't restarted by each piece of data; it looks at the last one when it fires.
   void HandleTimer() {
-    const Duration left = last_progress_ + PhaseLimit() - clock_();
+    const Instant now = clock_();
+    if (request_.max_time && now >= started_at_ + *request_.max_time) {
+      Fail(CallFailure::kSilent, "The answer took too long.");
+      return;
+    }
+    const Duration left = last_progress_ + PhaseLimit() - now;
     if (left > Duration(0)) {
       StartTimer(left);
     } else {
@@ -140,6 +151,9 @@
   }
 
   void StartTimer(Duration timeout) {
+    if (request_.max_time) {
+      timeout = std::clamp(started_at_ + *request_.max_time - clock_(), Duration(0), timeout);
+    }
     timer_.start(std::chrono::ceil<std::chrono::milliseconds>(timeout));
   }
 
@@ -159,10 +173,22 @@
         if (!ended_) FinishWhole();
         return;
       }
+      if (++passed_over_ > kMaxPassedOver) {
+        Fail(CallFailure::kBroken, "Too many answers are not this call's.");
+        return;
+      }
       parser_.emplace(request_.method == "HEAD");
       if (input_.empty()) return;
     }
-    if (!ended_ && parser_->header_done() && !PassesOver()) Deliver();
+    if (ended_ || !parser_->header_done()) return;
+    if (!PassesOver()) {
+      Deliver();
+      return;
+    }
+    foreign_bytes_ += static_cast<std::int64_t>(parser_->TakeBody().size());
+    if (foreign_bytes_ > kMaxForeignBytes) {
+      Fail(CallFailure::kBroken, "An answer that is not this call's has no end.");
+    }
   }
 
   // Returns whether the answer is an interim one, or another call's.
@@ -191,6 +217,11 @@
     if (body.empty()) return;
     has_data_ = true;
     last_progress_ = clock_();
+    body_bytes_ += static_cast<std::int64_t>(body.size());
+    if (request_.max_body_bytes && body_bytes_ > *request_.max_body_bytes) {
+      Fail(CallFailure::kBroken, "The answer is too long.");
+      return;
+    }
     if (!hooks_.on_data) return;
     const auto on_data = hooks_.on_data;
     on_data(body);
@@ -249,7 +280,12 @@
   QTimer timer_;
   std::string input_;
   std::optional<ResponseParser> parser_;
+  Instant started_at_{0};
   Instant last_progress_{0};
+  std::int64_t body_bytes_ = 0;
+  // Bytes of bodies that aren't this call's, and how many answers were passed over whole.
+  std::int64_t foreign_bytes_ = 0;
+  int passed_over_ = 0;
   // Whether there was a connection, so that bytes of the request may have been sent.
   bool is_sending_ = false;
   bool has_headers_ = false;
@@ -312,6 +348,14 @@
   return hooks;
 }
 
+std::unique_ptr<BackendCall> StartGathered(
+    BackendClient& client, BackendCallRequest request, const GatherLimits& limits,
+    std::function<void(int status, std::string_view body)> on_answer) {
+  request.max_time = limits.time;
+  request.max_body_bytes = limits.body_bytes;
+  return client.Start(std::move(request), GatherAnswer(std::move(on_answer)));
+}
+
 void DestroyLater(std::unique_ptr<BackendCall> call) {
   QTimer::singleShot(0, [shared = std::shared_ptr<BackendCall>(std::move(call))] {});
 }
--- a/src/libs/transport/backend_client.h
+++ b/src/libs/transport/backend_client.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -35,6 +36,11 @@
   bool new_connection = false;
   // Whether an answer without a length is whole when its connection ends in order.
   bool takes_unframed_answer = false;
+  // Longest time from the start of the call to the end of its answer; nothing where only silence
+  // ends the call.
+  std::optional<Duration> max_time;
+  // An answer with a longer body fails as broken; nothing where bodies have no bound.
+  std::optional<std::int64_t> max_body_bytes;
   // Tells whether an answer belongs to this call. A server may send a second, late answer to an
   // earlier call on a kept connection; it is passed over, and the connection isn't kept.
   std::function<bool(int status, const HttpHeaders& headers)> is_own_answer;
@@ -83,6 +89,17 @@
 // the call failed.
 BackendCallHooks GatherAnswer(std::function<void(int status, std::string_view body)> on_answer);
 
+// What a gathered answer may take at most.
+struct GatherLimits {
+  Duration time{0};
+  std::int64_t body_bytes = 0;
+};
+
+// Starts a call whose whole answer is gathered. One that exceeds the limits counts as failed.
+std::unique_ptr<BackendCall> StartGathered(
+    BackendClient& client, BackendCallRequest request, const GatherLimits& limits,
+    std::function<void(int status, std::string_view body)> on_answer);
+
 // Destroys a call after the hook that may be running on it has returned.
 void DestroyLater(std::unique_ptr<BackendCall> call);
 
--- a/src/libs/transport/http_parser.cpp
+++ b/src/libs/transport/http_parser.cpp
@@ -17,6 +17,9 @@
 
 // Longest header of an answer; no server of ours comes near it.
 constexpr std::uint32_t kMaxResponseHeaderBytes = 64 * 1024;
+// Longest line of a chunk's size or of a trailer, all trailers together. Beast itself bounds
+// neither.
+constexpr std::size_t kMaxLineBytes = 64 * 1024;
 // A length with more digits than this is larger than any body.
 constexpr std::size_t kMaxLengthDigits = 18;
 
@@ -116,6 +119,9 @@
     *problem = ProblemOf(error);
     if (error || taken == input.size()) break;
   }
+  const bool wants_more =
+      *problem == ParseProblem::kNone && parser.is_header_done() && !parser.is_done();
+  if (wants_more && input.size() - taken > kMaxLineBytes) *problem = ParseProblem::kMalformed;
   return taken;
 }
 
--- a/tests/libs/transport/backend_client_test.cpp
+++ b/tests/libs/transport/backend_client_test.cpp
@@ -422,6 +422,104 @@
   CHECK(SpinUntil([&] { return closed == kCalls - 4; }));
 }
 
+// Answers each request with a beginning and then the same piece again and again, until the caller
+// closes.
+class FloodingServer : public QTcpServer {
+ public:
+  FloodingServer(std::string begin, std::string piece)
+      : begin_(std::move(begin)), piece_(std::move(piece)) {
+    while (piece_.size() < kWriteBytes / 2) piece_ += piece_;
+    listen(QHostAddress::LocalHost);
+  }
+
+  // Returns the bytes that have left this process.
+  std::int64_t sent() const { return sent_; }
+  bool closed() const { return closed_; }
+
+ protected:
+  void incomingConnection(qintptr descriptor) override {
+    auto* socket = new QTcpSocket(this);
+    socket->setSocketDescriptor(descriptor);
+    connect(socket, &QTcpSocket::readyRead, this, [this, socket] {
+      socket->readAll();
+      Answer(socket, begin_);
+      Answer(socket, piece_);
+    });
+    connect(socket, &QTcpSocket::bytesWritten, this, [this, socket](qint64 bytes) {
+      sent_ += bytes;
+      if (socket->bytesToWrite() < static_cast<qint64>(kWriteBytes)) Answer(socket, piece_);
+    });
+    connect(socket, &QTcpSocket::disconnected, this, [this] { closed_ = true; });
+  }
+
+ private:
+  static constexpr std::size_t kWriteBytes = 64 * 1024;
+  std::string begin_;
+  std::string piece_;
+  std::int64_t sent_ = 0;
+  bool closed_ = false;
+};
+
+// What the sockets on both sides may hold beside what the client takes.
+constexpr std::int64_t kSocketBytes = 16 * 1024 * 1024;
+constexpr std::string_view kChunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+TEST_CASE("Bytes without end that are no answer end the call soon, wherever they come") {
+  struct Flood {
+    std::string where;
+    std::string begin;
+    std::string piece;
+  };
+  const std::string chunked(kChunkedHead);
+  const std::vector<Flood> floods = {
+      {"status line", "", "x"},
+      {"head line", "HTTP/1.1 200 OK\r\nX: ", "x"},
+      {"head lines", "HTTP/1.1 200 OK\r\n", "X: y\r\n"},
+      {"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"other calls' answers", "", "HTTP/1.1 200 OK\r\nX: other\r\nContent-Length: 1\r\n\r\ns"},
+      {"chunk extension", chunked + "5;", "x"},
+      {"chunk size", chunked, "0"},
+      {"trailer", chunked + "0\r\nX: ", "x"},
+      {"trailers", chunked + "0\r\n", "X: y\r\n"},
+      {"other call's body", "HTTP/1.1 200 OK\r\nX: other\r\n\r\n", "x"},
+  };
+  for (const Flood& flood : floods) {
+    CAPTURE(flood.where);
+    FloodingServer server(flood.begin, flood.piece);
+    BackendCallRequest request = RequestTo(server.serverPort());
+    request.takes_unframed_answer = true;
+    request.is_own_answer = [](int, const HttpHeaders& headers) {
+      return HeaderValue(headers, "X") != "other";
+    };
+    const Heard heard = Run(*MakeHttpBackendClient(), request);
+    CHECK(heard.failure == CallFailure::kBroken);
+    CHECK(SpinUntil([&] { return server.closed(); }));
+    CHECK(server.sent() < kSocketBytes);
+  }
+}
+
+TEST_CASE("A gathered answer without end is given up, by its length or its time") {
+  const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n";
+  FloodingServer flood(head, "x");
+  RawServer drip([&](QTcpSocket* socket) {
+    Answer(socket, head);
+    auto* timer = new QTimer(socket);
+    QObject::connect(timer, &QTimer::timeout, socket, [socket] { Answer(socket, "x"); });
+    timer->start(20);
+  });
+  const auto client = MakeHttpBackendClient();
+  const GatherLimits limits{std::chrono::milliseconds(400), 100'000};
+  for (const std::uint16_t port : {flood.serverPort(), drip.serverPort()}) {
+    std::optional<int> status;
+    const auto call = StartGathered(*client, RequestTo(port), limits,
+                                    [&](int code, std::string_view) { status = code; });
+    CHECK(SpinUntil([&] { return status.has_value(); }));
+    CHECK(status == 0);
+  }
+  CHECK(SpinUntil([&] { return flood.closed() && drip.closed == 1; }));
+  CHECK(flood.sent() < kSocketBytes);
+}
+
 TEST_CASE("A gathered answer comes whole, or as status 0 without what had come of it") {
   std::vector<std::pair<int, std::string>> answers;
   const auto on_answer = [&answers](int status, std::string_view body) {
--- a/tests/process/forwarding/forward_process_test.cpp
+++ b/tests/process/forwarding/forward_process_test.cpp
@@ -1,5 +1,6 @@
 // The whole way through the users' platform's interfaces, with real programs.
 #include <QElapsedTimer>
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 
@@ -196,6 +197,39 @@
   CHECK(outdated.runs().size() == before);
 }
 
+TEST_CASE("Bytes without end from a server take neither a router's nor control's memory") {
+  ForwardBench bench;
+  StandInServer sound("s1", "desk", bench.control());
+  StandInServer faulty("s2", "desk", bench.control());
+  faulty.SetWeights("lm", 1);
+  bench.WaitForStatus(0, "/again/look", 200);
+  bench.NameWeights("lm", 2);
+  CHECK(SpinUntil([&] {
+    std::string id;
+    bench.Run(0, "/again/look", &id);
+    return !faulty.runs().empty();
+  }));
+  faulty.SetMode(StandInServer::Mode::kFloods);
+  QElapsedTimer since;
+  since.start();
+  std::vector<std::unique_ptr<TestCall>> calls;
+  while (since.elapsed() < 4000) {
+    std::string id;
+    for (const char* path : {"/live/stream", "/long/stream", "/again/look"}) {
+      if (calls.size() < 30) calls.push_back(bench.Start(0, path, &id));
+    }
+    QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents, 20);
+  }
+  constexpr std::int64_t kMostKilobytes = 120'000;
+  CHECK(bench.router(0).peak_kilobytes() < kMostKilobytes);
+  for (int replica = 0; replica < ForwardBench::kReplicas; ++replica) {
+    CHECK(bench.replica(replica).peak_kilobytes() < kMostKilobytes);
+  }
+  CHECK(SpinUntil([&] {
+    return std::all_of(calls.begin(), calls.end(), [](const auto& call) { return call->done(); });
+  }));
+}
+
 TEST_CASE("Configurations are in force and read back although replicas die one after the other") {
   ForwardBench bench;
   StandInServer server("s1", "desk", bench.control());
--- a/tests/process/forwarding/stand_in_server.cpp
+++ b/tests/process/forwarding/stand_in_server.cpp
@@ -12,6 +12,9 @@
 
 constexpr std::chrono::milliseconds kBeatInterval{300};
 constexpr int kEventsBeforeBreak = 2;
+constexpr std::chrono::milliseconds kFloodInterval{5};
+constexpr qint64 kFloodBytes = 1024 * 1024;
+const std::string kFlood(kFloodBytes, '\n');
 constexpr qint64 kBorn = 1'790'000'000'000;
 
 std::string Event(int id) { return fmt::format("id: {}\ndata: piece {}\n\n", id, id); }
@@ -31,6 +34,13 @@
   REQUIRE(server_->Listen(endpoint_));
   QObject::connect(&beats_, &QTimer::timeout, &beats_, [this] { beat_ = Announce(); });
   beats_.start(kBeatInterval);
+  QObject::connect(&flood_, &QTimer::timeout, &flood_, [this] {
+    if (mode_ != Mode::kFloods) return;
+    for (const Responder& responder : held_) {
+      if (responder->pending_bytes() < kFloodBytes) responder->Write(kFlood);
+    }
+  });
+  flood_.start(kFloodInterval);
 }
 
 std::string StandInServer::StreamFrom(int event) {
@@ -74,7 +84,15 @@
           {"Kumquatcross-Server-Stamp", "stamp." + id_}};
 }
 
+void StandInServer::Flood(const HttpRequest& request, const Responder& responder) {
+  HttpHeaders head = Head(request);
+  head.emplace_back("Content-Type", "text/event-stream");
+  responder->StartStream(200, head);
+  held_.push_back(responder);
+}
+
 void StandInServer::Handle(const HttpRequest& request, const Responder& responder) {
+  if (mode_ == Mode::kFloods) return Flood(request, responder);
   if (request.Header("Kumquatcross-Expect-Instance") != id_) {
     responder->Send(421, Head(request), "");
     return;
--- a/tests/process/forwarding/stand_in_server.h
+++ b/tests/process/forwarding/stand_in_server.h
@@ -24,6 +24,8 @@
     kBreaksStreams,
     // Keeps streamed requests in its queue and begins none.
     kHoldsStreams,
+    // Answers whatever comes, control's questions as well, with bytes without end.
+    kFloods,
   };
 
   StandInServer(std::string id, std::string service, std::vector<Endpoint> control);
@@ -53,6 +55,7 @@
   void Handle(const HttpRequest& request, const Responder& responder);
   HttpHeaders Head(const HttpRequest& request) const;
   void Stream(const HttpRequest& request, const Responder& responder);
+  void Flood(const HttpRequest& request, const Responder& responder);
   std::unique_ptr<TestCall> Announce();
 
   std::string id_;
@@ -65,6 +68,7 @@
   QJsonArray models_;
   std::vector<HttpRequest> runs_;
   std::vector<Responder> held_;
+  QTimer flood_;
   Endpoint endpoint_;
   std::unique_ptr<HttpServer> server_;
   TestCaller caller_;
--- a/tests/process/test_program.h
+++ b/tests/process/test_program.h
@@ -63,6 +63,15 @@
 
   void Signal(int number) const { ::kill(static_cast<pid_t>(process_.processId()), number); }
 
+  // Returns the most memory that the program has held at once, in kilobytes.
+  std::int64_t peak_kilobytes() const {
+    std::ifstream status("/proc/" + std::to_string(process_.processId()) + "/status");
+    for (std::string line; std::getline(status, line);) {
+      if (line.starts_with("VmHWM:")) return std::atoll(line.c_str() + sizeof("VmHWM:"));
+    }
+    return 0;
+  }
+
   bool running() const { return process_.state() != QProcess::NotRunning; }
 
   // Returns the exit status of a program that has ended; -1 when it was killed or crashed.
