Only streams are taken back, and routers look without copying all requests

An answer that is no stream doesn't show whether its run has begun, so that a request that may run once would be cut in the middle of it.

--- a/src/kumquatrouter/forwarding/forward_exchange.cpp
+++ b/src/kumquatrouter/forwarding/forward_exchange.cpp
@@ -502,10 +502,16 @@
   if (can_go_on) OnCallFailed(attempt_->number, CallFailure::kSilent, "The server is gone.");
 }
 
-void ForwardExchange::TakeBackIfOutdated() {
-  const bool waits_there = !is_done_ && attempt_ && request_.prompt && !attempt_->has_event;
-  if (!waits_there || attempt_->move) return;
-  if (!services_.weights_limit->MustTakeBack(request_.prompt->model, run_weights_, Now())) return;
+bool ForwardExchange::IsOutdated() const {
+  // Only a stream shows whether it has begun.
+  const bool is_prompted_stream = !is_done_ && route_ && route_->is_stream && request_.prompt;
+  const bool waits_there =
+      is_prompted_stream && attempt_ && !attempt_->has_event && !attempt_->move;
+  return waits_there &&
+         services_.weights_limit->MustTakeBack(request_.prompt->model, run_weights_, Now());
+}
+
+void ForwardExchange::TakeBack() {
   LogEvent(LogLevel::kWarning, "attempt_taken_back",
            {{"request", request_.id},
             {"backend", attempt_->backend.backend_id},
--- a/src/kumquatrouter/forwarding/forward_exchange.h
+++ b/src/kumquatrouter/forwarding/forward_exchange.h
@@ -46,9 +46,12 @@
   // up where the request can go on elsewhere.
   void OnBackendDead(const BackendChoice& backend, Duration silence);
 
-  // Takes an attempt back that still waits at its engine when that may begin nothing any more on
-  // the weights that it has.
-  void TakeBackIfOutdated();
+  // Returns whether an attempt still waits at an engine that may begin nothing any more on the
+  // weights that it has.
+  bool IsOutdated() const;
+
+  // Takes that attempt back; the request goes elsewhere where it may, and ends otherwise.
+  void TakeBack();
 
  private:
   // The attempt in progress.
--- a/src/kumquatrouter/forwarding/forward_server.cpp
+++ b/src/kumquatrouter/forwarding/forward_server.cpp
@@ -261,10 +261,12 @@
   }
 }
 
-// Each may send its request elsewhere, or end.
 void ForwardServer::TakeBackOutdated() {
-  const auto exchanges = exchanges_;
-  for (const auto& exchange : exchanges) exchange->TakeBackIfOutdated();
+  std::vector<std::shared_ptr<ForwardExchange>> outdated;
+  std::copy_if(exchanges_.begin(), exchanges_.end(), std::back_inserter(outdated),
+               [](const auto& exchange) { return exchange->IsOutdated(); });
+  // Each may end with this, and leave the set.
+  for (const auto& exchange : outdated) exchange->TakeBack();
 }
 
 void ForwardServer::Probe(const BackendChoice& backend) {
