--- a/cmake/KumquatHelpers.cmake
+++ b/cmake/KumquatHelpers.cmake
@@ -67,10 +67,11 @@
   if(NOT ARG_TIMEOUT)
     set(ARG_TIMEOUT 120)
   endif()
-  add_executable(${name} ${ARG_SOURCES} ${CMAKE_SOURCE_DIR}/tests/test_main.cpp)
+  add_executable(${name} ${ARG_SOURCES})
   target_include_directories(${name} PRIVATE ${CMAKE_SOURCE_DIR}/tests)
   target_compile_definitions(${name} PRIVATE KUMQUAT_BIN_DIR="${CMAKE_BINARY_DIR}/bin")
-  target_link_libraries(${name} PRIVATE kumquat_options ${RAPIDCHECK_LIBRARY} ${ARG_DEPENDS})
+  target_link_libraries(${name} PRIVATE kumquat_options test_main ${RAPIDCHECK_LIBRARY}
+    ${ARG_DEPENDS})
   add_test(NAME ${name} COMMAND ${name})
   set_tests_properties(${name} PROPERTIES LABELS ${ARG_LABEL} TIMEOUT ${ARG_TIMEOUT}
     ENVIRONMENT "RC_PARAMS=seed=20261204")
