--- a/src/kumquatcontrol/engine_operator.cpp
+++ b/src/kumquatcontrol/engine_operator.cpp
@@ -149,8 +149,9 @@
   hooks_.metrics->Set("kumquat_weights_replaced_seconds", {}, Seconds(replaced));
 }
 
-void EngineOperator::Publish(Instant now) {
+EngineNews EngineOperator::MakeNews(Instant now) const {
   EngineNews news;
+  // Engines share most of these.
   std::map<std::pair<std::string, std::int64_t>, Duration> named;
   const auto loading = rollout_->loading();
   for (const RolloutEngine& engine : hooks_.engines()) {
@@ -170,12 +171,17 @@
   for (const auto& [weights, age] : named) {
     news.named.push_back({weights.first, weights.second, age});
   }
+  return news;
+}
+
+void EngineOperator::Publish(Instant now) {
+  EngineNews news = MakeNews(now);
   const bool has_news = !news.engines.empty() || !news.named.empty();
   const bool is_due = has_news && now >= published_at_ + kPublishInterval;
   if (news.engines == published_.engines && !is_due) return;
-  published_ = news;
-  published_at_ = now;
   hooks_.publish(news);
+  published_ = std::move(news);
+  published_at_ = now;
 }
 
 }  // namespace kumquat
--- a/src/kumquatcontrol/engine_operator.h
+++ b/src/kumquatcontrol/engine_operator.h
@@ -68,7 +68,10 @@
   // Makes a call whose whole answer, or its lack, goes to `done`.
   void Call(BackendCallRequest request,
             std::function<void(int status, std::string_view body)> done);
+  // Returns what routers should know of engines that load, did so lately or have old weights.
+  EngineNews MakeNews(Instant now) const;
   void Publish(Instant now);
+  // Tells the metrics what the roll-out waits for.
   void Measure();
   void SetGauges(std::size_t outdated, std::size_t loading, Duration replaced);
 
