An engine with several models loads the one that has been replaced for longest first

Evidence: the new case of orders_test ordered model a (replaced for 1 s) before b (9 s); it passes now.

--- a/src/libs/coordination/orders/weights_rollout.cpp
+++ b/src/libs/coordination/orders/weights_rollout.cpp
@@ -27,13 +27,15 @@
 std::optional<WeightsRollout::Need> WeightsRollout::NeedOf(const RolloutEngine& engine,
                                                            const Progress& progress,
                                                            const NamedWeights& named, Instant now) {
+  std::optional<Need> need;
   for (const auto& [model, announced] : engine.weights) {
     const std::int64_t seen = progress.state ? VersionIn(progress.state->weights, model) : 0;
     const std::int64_t has = std::max(announced, seen);
     const auto replaced_for = named.ReplacedFor(model, has, now);
-    if (replaced_for) return Need{model, named.Newest(model), has, *replaced_for};
+    if (!replaced_for || (need && *replaced_for <= need->replaced_for)) continue;
+    need = Need{model, named.Newest(model), has, *replaced_for};
   }
-  return std::nullopt;
+  return need;
 }
 
 std::vector<RolloutAction> WeightsRollout::Advance(std::span<const RolloutEngine> engines,
--- a/tests/libs/coordination/orders/weights_rollout_test.cpp
+++ b/tests/libs/coordination/orders/weights_rollout_test.cpp
@@ -232,6 +232,28 @@
   CHECK(rollout.loading() == std::vector<std::string>{"e0"});
 }
 
+TEST_CASE("An engine with several models loads the one that has been replaced for longest first") {
+  WeightsRollout rollout{WeightsRolloutOptions{}};
+  std::vector<RolloutEngine> engines(1);
+  engines[0].id = "e0";
+  engines[0].incarnation = 1;
+  engines[0].weights = {{"a", 1}, {"b", 1}};
+  NamedWeights named;
+  named.Learn("b", 2, seconds(100));
+  named.Learn("a", 2, seconds(108));
+  REQUIRE(rollout.Advance(engines, named, seconds(109)).size() == 1);
+  EngineState state;
+  state.weights = engines[0].weights;
+  rollout.OnLook("e0", 1, state, seconds(109));
+  const auto actions = rollout.Advance(engines, named, seconds(109));
+  REQUIRE(actions.size() == 1);
+  const auto* order = std::get_if<OrderWeights>(&actions[0]);
+  REQUIRE(order);
+  CHECK(order->model == "b");
+  CHECK(order->replaced_for == seconds(9));
+  CHECK(rollout.longest_replaced() == seconds(9));
+}
+
 // Engines that don't answer would else hold up the others, a second or more each.
 TEST_CASE("An engine that does not answer takes nobody's turn, and loads once it answers") {
   Fleet fleet(12);
