--- a/src/kumquatrouter/forwarding/forward_exchange.cpp
+++ b/src/kumquatrouter/forwarding/forward_exchange.cpp
@@ -26,6 +26,8 @@
 constexpr std::size_t kMaxBytesWithoutId = 64 * 1024;
 // Bytes kept for a caller that reads slowly; past them its request is cancelled.
 constexpr std::int64_t kMaxPendingBytes = 1024 * 1024;
+// The same for an answer that is no stream, which may be long and come faster than it is read.
+constexpr std::int64_t kMaxPendingAnswer = 8 * 1024 * 1024;
 // How long a request may wait for a backend server, as a part of its objective.
 constexpr int kQueuePartOfObjective = 2;
 constexpr int kFirstServerError = 500;
@@ -368,7 +370,7 @@
     if (attempt_->body.size() <= kMaxHeldAnswer && !is_head_relayed_) return;
     const std::string held = std::exchange(attempt_->body, {});
     decisions_->OnEvent(number, std::nullopt, held, Now());
-    CutSlowCaller();
+    CutCallerPast(kMaxPendingAnswer);
     return;
   }
   attempt_->events.Feed(data, [&](const RawEvent& event) {
@@ -383,11 +385,11 @@
     return;
   }
   if (!std::exchange(attempt_->has_event, true)) OnFirstEvent();
-  CutSlowCaller();
+  CutCallerPast(kMaxPendingBytes);
 }
 
-void ForwardExchange::CutSlowCaller() {
-  if (is_done_ || responder_->pending_bytes() <= kMaxPendingBytes) return;
+void ForwardExchange::CutCallerPast(std::int64_t max_pending_bytes) {
+  if (is_done_ || responder_->pending_bytes() <= max_pending_bytes) return;
   LogEvent(LogLevel::kWarning, "slow_caller_cut", {{"request", request_.id}});
   responder_->Abort();
   OnCallerGone();
--- a/src/kumquatrouter/forwarding/forward_exchange.h
+++ b/src/kumquatrouter/forwarding/forward_exchange.h
@@ -90,8 +90,8 @@
   void Send(const SendCommand& command);
   void LogSent(const SendCommand& command) const;
   void OnFirstEvent();
-  // Gives the request up if its caller has left too much unread.
-  void CutSlowCaller();
+  // Gives the request up if its caller has left more than this unread.
+  void CutCallerPast(std::int64_t max_pending_bytes);
   std::string RouteLabel() const;
   ForwardCall CallTo(const PooledBackend& backend, const SendCommand& command) const;
   std::optional<RunCopy> FindCopy();
