--- a/src/kumquatrouter/forwarding/forward_exchange.cpp
+++ b/src/kumquatrouter/forwarding/forward_exchange.cpp
@@ -27,7 +27,7 @@
 // Bytes kept for a caller that reads slowly; past them its request is cancelled.
 constexpr std::int64_t kMaxPendingBytes = 1024 * 1024;
 // The same for an answer that is no stream, which may be long and come faster than it is read.
-constexpr std::int64_t kMaxPendingAnswer = 8 * 1024 * 1024;
+constexpr std::int64_t kMaxPendingAnswer = 2 * 1024 * 1024;
 // How long a request may wait for a backend server, as a part of its objective.
 constexpr int kQueuePartOfObjective = 2;
 constexpr int kFirstServerError = 500;
