The cache follower gathers its answers as all others do

It kept the body of a read in each engine's record and put it together by hand, beside StartGathered which does just that with the same limits of time and length. A failed call has no body, which OnRead has always passed over. router_parts_test and router_process_test pass.

--- a/src/kumquatrouter/cache_follower.cpp
+++ b/src/kumquatrouter/cache_follower.cpp
@@ -15,10 +15,9 @@
 
 constexpr std::size_t kMaxEvents = 100'000;
 constexpr std::size_t kMaxBlocks = 1'000'000;
-constexpr std::int64_t kMaxAnswerBytes = 64 * 1024 * 1024;
 constexpr CallTimeouts kReadTimeouts{std::chrono::milliseconds(300), std::chrono::seconds(1),
                                      std::chrono::seconds(1)};
-constexpr Duration kLongestRead = std::chrono::seconds(5);
+constexpr GatherLimits kReadLimits{std::chrono::seconds(5), 64 * 1024 * 1024};
 
 }  // namespace
 
@@ -65,7 +64,6 @@
 
 void CacheFollower::Read(const std::string& id, Engine* engine) {
   engine->next_read = clock_() + poll_interval_;
-  engine->body.clear();
   const bool contents = engine->needs_contents;
   BackendCallRequest request;
   request.endpoint = membership_->table().Find(id)->record.endpoint;
@@ -73,31 +71,19 @@
   request.target =
       contents ? "/cache/blocks" : "/cache/events?after=" + std::to_string(engine->last_sequence);
   request.timeouts = kReadTimeouts;
-  request.max_time = kLongestRead;
-  request.max_body_bytes = kMaxAnswerBytes;
-  const auto finish = [this, id] {
-    const auto entry = engines_.find(id);
-    if (entry != engines_.end() && entry->second.call) DestroyLater(std::move(entry->second.call));
-  };
-  BackendCallHooks hooks;
-  hooks.on_data = [this, id](std::string_view data) {
+  const auto on_answer = [this, id, contents](int /*status*/, std::string_view body) {
     const auto entry = engines_.find(id);
     if (entry == engines_.end()) return;
-    entry->second.body += data;
-  };
-  hooks.on_end = [this, id, contents, finish] {
-    OnRead(id, contents);
-    finish();
+    DestroyLater(std::move(entry->second.call));
+    OnRead(id, contents, body);
   };
-  hooks.on_failure = [finish](CallFailure /*failure*/, std::string_view /*reason*/) { finish(); };
-  engine->call = client_->Start(request, std::move(hooks));
+  engine->call = StartGathered(*client_, std::move(request), kReadLimits, on_answer);
 }
 
-void CacheFollower::OnRead(const std::string& id, bool contents) {
-  const auto entry = engines_.find(id);
-  if (entry == engines_.end()) return;
-  const auto json = ParseJsonObject(entry->second.body);
-  if (!json || (*json)["incarnation"].toInteger() != entry->second.incarnation) return;
+void CacheFollower::OnRead(const std::string& id, bool contents, std::string_view body) {
+  // A call that failed has no body.
+  const auto json = ParseJsonObject(body);
+  if (!json || (*json)["incarnation"].toInteger() != engines_.at(id).incarnation) return;
   if (contents) {
     TakeContents(id, *json);
   } else {
--- a/src/kumquatrouter/cache_follower.h
+++ b/src/kumquatrouter/cache_follower.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "transport/backend_client.h"
 #include "utils/hooks.h"
@@ -37,12 +38,11 @@
     std::int64_t last_sequence = 0;
     bool needs_contents = false;
     Instant next_read{0};
-    std::string body;
     std::unique_ptr<BackendCall> call;
   };
 
   void Read(const std::string& id, Engine* engine);
-  void OnRead(const std::string& id, bool contents);
+  void OnRead(const std::string& id, bool contents, std::string_view body);
   void Follow(const MemberRecord& record);
   void TakeEvents(const std::string& id, const QJsonObject& json);
   void TakeContents(const std::string& id, const QJsonObject& json);
