One lookup of what replaced a version, one content type of metrics

NamedWeights answered 'which version' and 'since when' by two lookups that its caller put together again, over a private third one. ReplacementOf returns both, and ReplacedFor is derived from it. IsOutdated no longer asks for what an attempt implies. The metrics' content type stood in the router and in control; it stands beside the text now. The tests' expectations are the same, with the moment checked too.

--- a/src/kumquatcontrol/engine_operator.cpp
+++ b/src/kumquatcontrol/engine_operator.cpp
@@ -158,9 +158,7 @@
       const std::int64_t has = std::max(announced, known.value_or(0));
       if (has > announced) entry.weights[model] = has;
       const auto replacement = hooks_.named->ReplacementOf(model, has);
-      if (replacement) {
-        named[{model, *replacement}] = *hooks_.named->ReplacedFor(model, has, now);
-      }
+      if (replacement) named[{model, replacement->version}] = now - replacement->at;
     }
     if (entry.is_loading || !entry.weights.empty()) news.engines.push_back(std::move(entry));
   }
--- a/src/kumquatcontrol/main.cpp
+++ b/src/kumquatcontrol/main.cpp
@@ -127,7 +127,7 @@
 
 std::unique_ptr<HttpServer> MetricsServer(ControlNode& node) {
   const auto answer = [&node](const HttpRequest&, const std::shared_ptr<HttpResponder>& responder) {
-    responder->Send(200, {{"Content-Type", "text/plain; version=0.0.4"}}, node.MetricsText());
+    responder->Send(200, {{"Content-Type", std::string(kMetricsContentType)}}, node.MetricsText());
   };
   return HttpServer::Builder().WithHandler(answer).Build();
 }
--- a/src/kumquatrouter/forwarding/forward_exchange.cpp
+++ b/src/kumquatrouter/forwarding/forward_exchange.cpp
@@ -505,11 +505,9 @@
 }
 
 bool ForwardExchange::IsOutdated() const {
+  const bool waits_there = attempt_ && !attempt_->has_event && !attempt_->move;
   // Only a stream shows whether it has begun.
-  const bool is_prompted_stream = !is_done_ && route_ && route_->is_stream && request_.prompt;
-  const bool waits_there =
-      is_prompted_stream && attempt_ && !attempt_->has_event && !attempt_->move;
-  return waits_there &&
+  return waits_there && route_->is_stream && request_.prompt &&
          services_.weights_limit->MustTakeBack(request_.prompt->model, run_weights_, Now());
 }
 
--- a/src/kumquatrouter/forwarding/forward_server.cpp
+++ b/src/kumquatrouter/forwarding/forward_server.cpp
@@ -175,7 +175,7 @@
                static_cast<double>(feed_.connected_replicas()));
   metrics_.Set("kumquat_routing_version", {},
                static_cast<double>(feed_.VersionOf(std::string(kRoutingDocument))));
-  responder->Send(200, {{"Content-Type", "text/plain; version=0.0.4"}},
+  responder->Send(200, {{"Content-Type", std::string(kMetricsContentType)}},
                   metrics_.ToPrometheusText());
 }
 
--- a/src/libs/coordination/orders/named_weights.cpp
+++ b/src/libs/coordination/orders/named_weights.cpp
@@ -11,7 +11,7 @@
 }  // namespace
 
 void NamedWeights::Learn(const std::string& model, std::int64_t version, Instant named_at) {
-  Versions& versions = named_[model];
+  auto& versions = named_[model];
   const auto entry = versions.try_emplace(version, named_at).first;
   entry->second = std::min(entry->second, named_at);
   if (versions.size() > kMostVersions) versions.erase(versions.begin());
@@ -22,24 +22,19 @@
   return versions != named_.end() ? versions->second.rbegin()->first : 0;
 }
 
-const NamedWeights::Versions::value_type* NamedWeights::Above(std::string_view model,
-                                                              std::int64_t version) const {
+std::optional<NamedWeights::Named> NamedWeights::ReplacementOf(std::string_view model,
+                                                               std::int64_t version) const {
   const auto versions = named_.find(model);
-  if (versions == named_.end()) return nullptr;
+  if (versions == named_.end()) return std::nullopt;
   const auto next = versions->second.upper_bound(version);
-  return next != versions->second.end() ? &*next : nullptr;
+  if (next == versions->second.end()) return std::nullopt;
+  return Named{next->first, next->second};
 }
 
 std::optional<Duration> NamedWeights::ReplacedFor(std::string_view model, std::int64_t version,
                                                   Instant now) const {
-  const auto* next = Above(model, version);
-  return next ? std::optional(now - next->second) : std::nullopt;
-}
-
-std::optional<std::int64_t> NamedWeights::ReplacementOf(std::string_view model,
-                                                        std::int64_t version) const {
-  const auto* next = Above(model, version);
-  return next ? std::optional(next->first) : std::nullopt;
+  const auto replacement = ReplacementOf(model, version);
+  return replacement ? std::optional(now - replacement->at) : std::nullopt;
 }
 
 }  // namespace kumquat
--- a/src/libs/coordination/orders/named_weights.h
+++ b/src/libs/coordination/orders/named_weights.h
@@ -1,4 +1,4 @@
-// Which versions of weights operators have named, and since when this process knows.
+// Which versions of weights operators have named, and when.
 #pragma once
 
 #include <cstdint>
@@ -13,6 +13,11 @@
 
 class NamedWeights {
  public:
+  struct Named {
+    std::int64_t version = 0;
+    Instant at{0};
+  };
+
   // This version was named then, or before. The earliest such moment counts, as one who learns late
   // knows less.
   void Learn(const std::string& model, std::int64_t version, Instant named_at);
@@ -26,16 +31,11 @@
                                       Instant now) const;
 
   // Returns the version that replaced this one first; nothing when none did.
-  std::optional<std::int64_t> ReplacementOf(std::string_view model, std::int64_t version) const;
+  std::optional<Named> ReplacementOf(std::string_view model, std::int64_t version) const;
 
  private:
-  using Versions = std::map<std::int64_t, Instant>;
-
-  // Returns the first version above this one, or null.
-  const Versions::value_type* Above(std::string_view model, std::int64_t version) const;
-
   // When each version was named, by model.
-  std::map<std::string, Versions, std::less<>> named_;
+  std::map<std::string, std::map<std::int64_t, Instant>, std::less<>> named_;
 };
 
 }  // namespace kumquat
--- a/src/libs/utils/histogram.h
+++ b/src/libs/utils/histogram.h
@@ -43,6 +43,9 @@
   Accumulator accumulator_;
 };
 
+// The content type of what Metrics render.
+inline constexpr std::string_view kMetricsContentType = "text/plain; version=0.0.4";
+
 // The metrics of a process: counters, gauges and histograms, each with a label set that is
 // already rendered, such as `organisation="a",class="reply"`.
 class Metrics {
--- a/tests/libs/coordination/forwarding/prompt_placement_test.cpp
+++ b/tests/libs/coordination/forwarding/prompt_placement_test.cpp
@@ -154,8 +154,11 @@
   // Another process has known it for longer.
   named.Learn("m", 2, seconds(1));
   CHECK(named.ReplacedFor("m", 1, seconds(9)) == seconds(8));
-  CHECK(named.ReplacementOf("m", 1) == 2);
-  CHECK(named.ReplacementOf("m", 2) == 4);
+  REQUIRE(named.ReplacementOf("m", 1));
+  CHECK(named.ReplacementOf("m", 1)->version == 2);
+  CHECK(named.ReplacementOf("m", 1)->at == seconds(1));
+  REQUIRE(named.ReplacementOf("m", 2));
+  CHECK(named.ReplacementOf("m", 2)->version == 4);
   CHECK(!named.ReplacementOf("m", 4));
   CHECK(named.Newest("m") == 4);
 }
