What process tests share is compiled and linted once

The twin of the main of tests: control_cluster.cpp was compiled and linted for four programs, and system_bench.cpp for three.

--- a/cmake/KumquatHelpers.cmake
+++ b/cmake/KumquatHelpers.cmake
@@ -60,6 +60,14 @@
   set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
 endfunction()
 
+# kumquat_add_test_library(name SOURCES file... [DEPENDS target...])
+# For what several tests share, so that it is compiled and linted once.
+function(kumquat_add_test_library name)
+  kumquat_add_library(${name} ${ARGN})
+  target_include_directories(${name} PRIVATE ${CMAKE_SOURCE_DIR}/tests)
+  target_compile_definitions(${name} PRIVATE KUMQUAT_BIN_DIR="${CMAKE_BINARY_DIR}/bin")
+endfunction()
+
 # kumquat_add_test(name LABEL label SOURCES file... [DEPENDS target...] [TIMEOUT seconds])
 # The fixed RC_PARAMS seed gives every run of a property test the same cases.
 function(kumquat_add_test name)
--- a/tests/process/forwarding/forward_process_test.cpp
+++ b/tests/process/forwarding/forward_process_test.cpp
@@ -9,6 +9,11 @@
 namespace kumquat {
 namespace {
 
+// A prompt for the engines with weights of "lm".
+const HttpHeaders kPrompt = {{"Kumquatcross-Model", "lm"},
+                             {"Kumquatcross-Token-Count", "100,10"},
+                             {"Kumquatcross-Prompt-Prefix", "0a:90,0b:10"}};
+
 bool Has(const std::string& text, const std::string& part) {
   return text.find(part) != std::string::npos;
 }
@@ -152,10 +157,7 @@
   QElapsedTimer since;
   since.start();
   std::string id;
-  const auto call = bench.Start(0, "/long/stream", &id, {},
-                                {{"Kumquatcross-Model", "lm"},
-                                 {"Kumquatcross-Token-Count", "100,10"},
-                                 {"Kumquatcross-Prompt-Prefix", "0a:90,0b:10"}});
+  const auto call = bench.Start(0, "/long/stream", &id, {}, kPrompt);
   REQUIRE(SpinUntil([&] { return outdated.runs().size() > before; }));
   StandInServer current("s2", "desk", bench.control());
   current.SetWeights("lm", 2);
@@ -175,11 +177,8 @@
   StandInServer outdated("s1", "desk", bench.control());
   outdated.SetWeights("lm", 1);
   bench.WaitForStatus(0, "/again/look", 200);
-  const HttpHeaders prompt = {{"Kumquatcross-Model", "lm"},
-                              {"Kumquatcross-Token-Count", "100,10"},
-                              {"Kumquatcross-Prompt-Prefix", "0a:90,0b:10"}};
   std::string id;
-  CHECK(bench.Run(0, "/long/stream", &id, {}, prompt)->status == 200);
+  CHECK(bench.Run(0, "/long/stream", &id, {}, kPrompt)->status == 200);
   bench.NameWeights("lm", 2);
   QElapsedTimer since;
   since.start();
@@ -190,10 +189,10 @@
   since.restart();
   // The leader tells all routers every half second; by what the router sees itself, it would send
   // for two seconds.
-  CHECK(SpinUntil([&] { return bench.Run(0, "/long/stream", &id, {}, prompt)->status == 503; }));
+  CHECK(SpinUntil([&] { return bench.Run(0, "/long/stream", &id, {}, kPrompt)->status == 503; }));
   CHECK(since.elapsed() < 2000);
   const std::size_t before = outdated.runs().size();
-  CHECK(bench.Run(0, "/long/stream", &id, {}, prompt)->status == 503);
+  CHECK(bench.Run(0, "/long/stream", &id, {}, kPrompt)->status == 503);
   CHECK(outdated.runs().size() == before);
 }
 
