--- a/tests/process/forwarding/stand_in_server.cpp
+++ b/tests/process/forwarding/stand_in_server.cpp
@@ -25,13 +25,9 @@
     : id_(std::move(id)),
       service_(std::move(service)),
       control_(std::move(control)),
-      endpoint_(FreeEndpoint()),
-      server_(HttpServer::Builder()
-                  .WithHandler([this](const HttpRequest& request, const Responder& responder) {
-                    Handle(request, responder);
-                  })
-                  .Build()) {
-  REQUIRE(server_->Listen(endpoint_));
+      born_(kStartedAtMillis),
+      endpoint_(FreeEndpoint()) {
+  Listen();
   QObject::connect(&announce_timer_, &QTimer::timeout, &announce_timer_,
                    [this] { announcement_ = Announce(); });
   announce_timer_.start(kAnnounceInterval);
@@ -44,6 +40,33 @@
   flood_timer_.start(kFloodInterval);
 }
 
+void StandInServer::Listen() {
+  server_ = HttpServer::Builder()
+                .WithHandler([this](const HttpRequest& request, const Responder& responder) {
+                  Handle(request, responder);
+                })
+                .Build();
+  REQUIRE(server_->Listen(endpoint_));
+}
+
+bool StandInServer::Crashes(const HttpRequest& request) const {
+  return !crash_body_.empty() && request.body == crash_body_;
+}
+
+void StandInServer::Crash() {
+  ++crashes_;
+  announce_timer_.stop();
+  open_responders_.clear();
+  // The server can't be destroyed within its own handler.
+  QTimer::singleShot(0, &announce_timer_, [this] { server_.reset(); });
+  QTimer::singleShot(kDownTime, &announce_timer_, [this] {
+    ++born_;
+    sequence_ = 0;
+    Listen();
+    announce_timer_.start(kAnnounceInterval);
+  });
+}
+
 std::string StandInServer::StreamFrom(int event) {
   std::string whole;
   for (int id = event + 1; id <= kEvents; ++id) whole += Event(id);
@@ -58,7 +81,7 @@
                          {"slots", 4},
                          {"state", is_leaving_ ? "draining" : "ready"},
                          {"coldLeftMs", 0},
-                         {"born", kStartedAtMillis},
+                         {"born", born_},
                          {"models", models_},
                          {"seq", ++sequence_}};
   const Endpoint& control = control_[next_control_++ % control_.size()];
@@ -101,6 +124,7 @@
   // Requests without an id are state queries and orders of control, which it doesn't support.
   if (request.Header("Kumquatcross-Request-Id").empty()) return responder->Send(404, {}, "");
   runs_.push_back(request);
+  if (Crashes(request)) return Crash();
   if (mode_ == Mode::kLosesAnswers) return responder->Abort();
   const bool is_stream = request.path.ends_with("/stream");
   if (is_stream && mode_ == Mode::kHoldsStreams) return open_responders_.push_back(responder);
--- a/tests/process/forwarding/stand_in_server.h
+++ b/tests/process/forwarding/stand_in_server.h
@@ -37,6 +37,12 @@
   // Announces itself as an engine with these weights from the next announcement on.
   void SetWeights(const std::string& model, int version);
 
+  // From now on each request with this body crashes the server: it closes all its connections and
+  // refuses new ones until it starts again, as a later incarnation, after kDownTime.
+  void CrashOnBody(std::string body) { crash_body_ = std::move(body); }
+
+  int crashes() const { return crashes_; }
+
   // Announces itself as leaving from now on; returns once control has acknowledged it.
   void Leave();
 
@@ -45,6 +51,7 @@
   const std::string& id() const { return id_; }
 
   static constexpr int kEvents = 6;
+  static constexpr std::chrono::milliseconds kDownTime{400};
 
   // Returns the complete body of a stream that starts after this event; 0 starts at the beginning.
   static std::string StreamFrom(int event);
@@ -56,6 +63,9 @@
   HttpHeaders Head(const HttpRequest& request) const;
   void Stream(const HttpRequest& request, const Responder& responder);
   void Flood(const HttpRequest& request, const Responder& responder);
+  bool Crashes(const HttpRequest& request) const;
+  void Crash();
+  void Listen();
   std::unique_ptr<TestCall> Announce();
 
   std::string id_;
@@ -63,6 +73,9 @@
   std::vector<Endpoint> control_;
   std::size_t next_control_ = 0;
   int sequence_ = 0;
+  qint64 born_ = 0;
+  std::string crash_body_;
+  int crashes_ = 0;
   bool is_leaving_ = false;
   Mode mode_ = Mode::kServes;
   QJsonArray models_;
