--- a/src/kumquatcontrol/control_node.cpp
+++ b/src/kumquatcontrol/control_node.cpp
@@ -79,6 +79,7 @@
                }
                return stores;
              }}),
+      suspects_(SteadyClock()),
       rpc_(MakeRpcServer()),
       backend_client_(MakeHttpBackendClient()) {
   service_.AddMethods(rpc_.get());
@@ -176,6 +177,7 @@
   const bool leads = log_ && log_->role() == LogRole::kLeader;
   metrics_.Set("kumquat_control_leads", {}, leads ? 1 : 0);
   metrics_.Set("kumquat_routers_linked", {}, static_cast<double>(desk_.LiveRouters().size()));
+  suspects_.Measure(&metrics_);
   if (operator_) operator_->Measure();
   return metrics_.ToPrometheusText();
 }
@@ -331,6 +333,9 @@
   } else if (const auto* wanted = std::get_if<CacheWanted>(&*news)) {
     const auto snapshot = cache_keeper_ ? cache_keeper_->Snapshot(wanted->source) : std::nullopt;
     if (snapshot) desk_.Send(wanted->router, *snapshot);
+  } else if (const auto* suspects = std::get_if<SuspectNews>(&*news)) {
+    const auto answer = suspects_.Receive(*suspects);
+    if (answer) desk_.Send(suspects->router, *answer);
   }
 }
 
@@ -406,6 +411,7 @@
 // One tick's news go out together: each router is woken once for all of them.
 void ControlNode::TellRouters() {
   for (const CacheNews& news : std::exchange(untold_cache_, {})) desk_.SendAll(news);
+  if (const auto suspects = suspects_.TakeNews()) desk_.SendAll(*suspects);
   if (untold_loads_.empty()) return;
   LoadNews news;
   for (auto& [router, load] : std::exchange(untold_loads_, {})) {
--- a/src/kumquatcontrol/control_node.h
+++ b/src/kumquatcontrol/control_node.h
@@ -25,6 +25,7 @@
 #include "state/control_service/control_service.h"
 #include "state/control_service/document_service.h"
 #include "store_watch.h"
+#include "suspect_relay.h"
 #include "transport/backend_client.h"
 #include "transport/frame_link.h"
 #include "transport/rpc.h"
@@ -126,6 +127,7 @@
   DocumentService documents_;
   BackendDirectory directory_;
   RouterDesk desk_;
+  SuspectRelay suspects_;
   Metrics metrics_;
   std::unique_ptr<RpcServer> rpc_;
   std::unique_ptr<FrameServer> server_;
--- a/src/kumquatrouter/forwarding/control_feed.cpp
+++ b/src/kumquatrouter/forwarding/control_feed.cpp
@@ -84,6 +84,7 @@
   const RouterHello hello{options_.router, options_.failure_domain, options_.incarnation, versions_,
                           directory_.table().digest()};
   link.Send(FrameKind::kNews, Encode(hello));
+  link.Send(FrameKind::kNews, Encode(hooks_.suspect_summary()));
 }
 
 void ControlFeed::OnFrame(const Endpoint& replica, FrameKind kind, std::string_view payload) {
@@ -145,6 +146,18 @@
   }
 }
 
+void ControlFeed::Receive(const Endpoint& replica, const SuspectNews& news) {
+  const auto answer = hooks_.on_suspects(news);
+  if (answer) replicas_[replica].link->Send(FrameKind::kNews, Encode(*answer));
+}
+
+void ControlFeed::ReportSuspects(const SuspectNews& news) {
+  const std::string encoded = Encode(news);
+  for (const auto& [endpoint, replica] : replicas_) {
+    if (replica.link->connected()) replica.link->Send(FrameKind::kNews, encoded);
+  }
+}
+
 // Returns the connection to the replica that relays this router's load reports; null if none is
 // connected. Rendezvous hashing spreads the routers over the replicas.
 FrameLink* ControlFeed::LoadRelayLink() {
--- a/src/kumquatrouter/forwarding/control_feed.h
+++ b/src/kumquatrouter/forwarding/control_feed.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -42,6 +43,10 @@
   // requested.
   std::function<bool(const CacheNews& news)> on_cache;
   std::function<void(const RouterLoad& load)> on_load;
+  // Returns the summary that is sent to each replica when a link comes up, and every second.
+  std::function<SuspectNews()> suspect_summary;
+  // Returns what to answer the replica; nullopt for nothing.
+  std::function<std::optional<SuspectNews>(const SuspectNews& news)> on_suspects;
 };
 
 // Keeps a connection to each control replica and merges their updates. A replica with older state
@@ -65,6 +70,9 @@
   // Dropped if no replica is connected.
   void ReportLoad(const std::vector<EngineLoad>& engines);
 
+  // Reports suspects to all connected replicas, which pass them on to the other routers.
+  void ReportSuspects(const SuspectNews& news);
+
   // Returns the number of replicas with an established connection.
   std::int64_t connected_replicas() const;
 
@@ -81,6 +89,7 @@
   void Receive(const Endpoint& replica, const CacheNews& news);
   void Receive(const Endpoint& replica, const CacheWanted& news);
   void Receive(const Endpoint& replica, const LoadNews& news);
+  void Receive(const Endpoint& replica, const SuspectNews& news);
   FrameLink* LoadRelayLink();
   void DropUnknownReplicas();
 
--- /dev/null
+++ b/src/kumquatrouter/forwarding/crash_watch.cpp
@@ -0,0 +1,139 @@
+#include "forwarding/crash_watch.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "utils/log.h"
+
+namespace kumquat {
+namespace {
+
+// Own changes are repeated in summaries for this long.
+constexpr Duration kRepeatChangesFor = std::chrono::milliseconds(2500);
+// Bytes of a digest that are logged.
+constexpr std::size_t kLoggedBytes = 6;
+
+std::string ForLog(std::string_view digest) {
+  std::string text;
+  for (const char byte : digest.substr(0, kLoggedBytes)) {
+    text += fmt::format("{:02x}", static_cast<unsigned char>(byte));
+  }
+  return text;
+}
+
+}  // namespace
+
+CrashWatch::CrashWatch(std::string router, CrashWatchHooks hooks, Metrics* metrics)
+    : router_(std::move(router)), hooks_(std::move(hooks)), metrics_(metrics) {}
+
+bool CrashWatch::IsCondemned(std::span<const std::string> suspects) const {
+  return std::any_of(suspects.begin(), suspects.end(),
+                     [this](const std::string& digest) { return table_.IsCondemned(digest); });
+}
+
+void CrashWatch::OnRunLost(const BackendChoice& backend, LostRun run) {
+  lost_runs_.Add(backend, std::move(run));
+  const auto latest = hooks_.latest_incarnation(backend.backend_id);
+  if (latest && *latest > backend.incarnation) {
+    OnIncarnation(backend.backend_id, *latest);
+  } else {
+    hooks_.probe(backend);
+  }
+}
+
+void CrashWatch::OnAnswerBegun(std::span<const std::string> suspects) {
+  const Instant now = hooks_.clock();
+  for (const std::string& digest : suspects) {
+    if (!table_.Clear(digest, now)) continue;
+    changed_at_[digest] = now;
+    LogEvent(LogLevel::kInfo, "suspect_cleared", {{"digest", ForLog(digest)}});
+  }
+}
+
+void CrashWatch::OnRefused(const BackendChoice& backend) {
+  OnCrashed(backend, lost_runs_.OnRefused(backend, hooks_.clock()));
+}
+
+void CrashWatch::OnReachable(const BackendChoice& backend) { lost_runs_.OnReachable(backend); }
+
+void CrashWatch::OnIncarnation(const std::string& backend_id, std::int64_t incarnation) {
+  const auto older = lost_runs_.OlderIncarnation(backend_id, incarnation);
+  if (older) OnCrashed(*older, lost_runs_.OnLaterIncarnation(*older, hooks_.clock()));
+}
+
+void CrashWatch::OnCrashed(const BackendChoice& backend, const std::vector<LostRun>& runs) {
+  const Instant now = hooks_.clock();
+  const std::uint64_t crash = CrashId(backend.backend_id, backend.incarnation);
+  for (const LostRun& run : runs) {
+    for (const std::string& digest : run.suspects) {
+      const bool was_condemned = table_.IsCondemned(digest);
+      if (!table_.AddCrash(digest, crash, run.lost_at, now)) continue;
+      changed_at_[digest] = now;
+      metrics_->Count("kumquat_crash_strikes_total");
+      LogEvent(LogLevel::kWarning, "request_struck",
+               {{"request", run.request_id},
+                {"digest", ForLog(digest)},
+                {"backend", backend.backend_id},
+                {"incarnation", backend.incarnation},
+                {"condemned", table_.IsCondemned(digest) ? "yes" : "no"}});
+      LogNewlyCondemned(digest, was_condemned);
+    }
+  }
+}
+
+void CrashWatch::LogNewlyCondemned(const std::string& digest, bool was_condemned) const {
+  if (was_condemned || !table_.IsCondemned(digest)) return;
+  LogEvent(LogLevel::kError, "suspect_condemned", {{"digest", ForLog(digest)}});
+}
+
+void CrashWatch::ProbeUnproven() {
+  for (const BackendChoice& backend : lost_runs_.Unproven(hooks_.clock())) hooks_.probe(backend);
+}
+
+SuspectNews CrashWatch::NewsOf(std::vector<SuspectEntry> entries) const {
+  return {router_, false, table_.CondemnedHash(), std::move(entries)};
+}
+
+void CrashWatch::ReportChanges() {
+  const Instant now = hooks_.clock();
+  std::vector<SuspectEntry> entries;
+  for (const auto& [digest, changed_at] : changed_at_) {
+    if (changed_at <= reported_at_) continue;
+    if (auto entry = table_.EntryOf(digest, now)) entries.push_back(std::move(*entry));
+  }
+  reported_at_ = now;
+  if (!entries.empty()) hooks_.report(NewsOf(std::move(entries)));
+}
+
+SuspectNews CrashWatch::Summary() {
+  const Instant now = hooks_.clock();
+  table_.Expire(now);
+  std::erase_if(changed_at_,
+                [&](const auto& change) { return now - change.second > kRepeatChangesFor; });
+  std::vector<SuspectEntry> entries;
+  for (const auto& [digest, changed_at] : changed_at_) {
+    if (auto entry = table_.EntryOf(digest, now)) entries.push_back(std::move(*entry));
+  }
+  SuspectNews summary = NewsOf(std::move(entries));
+  summary.is_summary = true;
+  return summary;
+}
+
+std::optional<SuspectNews> CrashWatch::Receive(const SuspectNews& news) {
+  const Instant now = hooks_.clock();
+  for (const SuspectEntry& entry : news.entries) {
+    const bool was_condemned = table_.IsCondemned(entry.digest);
+    if (table_.Merge(entry, now)) LogNewlyCondemned(entry.digest, was_condemned);
+  }
+  const bool lacks_some = news.is_summary && news.condemned_hash != table_.CondemnedHash();
+  if (!lacks_some) return std::nullopt;
+  return NewsOf(table_.SharedEntries(now));
+}
+
+void CrashWatch::Measure() {
+  metrics_->Set("kumquat_condemned_suspects", {}, static_cast<double>(table_.condemned().size()));
+}
+
+}  // namespace kumquat
--- /dev/null
+++ b/src/kumquatrouter/forwarding/crash_watch.h
@@ -0,0 +1,85 @@
+// Watches for crashes of backend servers, and keeps requests that cause them from being sent again.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "coordination/admission/culprit_table.h"
+#include "coordination/forwarding/lost_runs.h"
+#include "protocol/control_news.h"
+#include "utils/histogram.h"
+#include "utils/hooks.h"
+
+namespace kumquat {
+
+struct CrashWatchHooks {
+  Clock clock;
+  // Finds out whether the backend server takes connections; OnRefused() or OnReachable() follows.
+  std::function<void(const BackendChoice& backend)> probe;
+  // Returns the latest known incarnation of the backend server; nullopt if it isn't known.
+  std::function<std::optional<std::int64_t>(const std::string& backend_id)> latest_incarnation;
+  // Sends news to all control replicas, which pass them on to the other routers.
+  std::function<void(const SuspectNews& news)> report;
+};
+
+class CrashWatch {
+ public:
+  // `router` is the name of this router. `metrics` isn't owned.
+  CrashWatch(std::string router, CrashWatchHooks hooks, Metrics* metrics);
+
+  // Returns whether any of the suspects is condemned, so that the request must not be sent.
+  bool IsCondemned(std::span<const std::string> suspects) const;
+  bool has_condemned() const { return !table_.condemned().empty(); }
+
+  // Returns whether OnAnswerBegun() may have an effect.
+  bool has_suspects() const { return table_.has_suspects(); }
+
+  // A run was lost before its answer had begun.
+  void OnRunLost(const BackendChoice& backend, LostRun run);
+
+  // A backend server survived the beginning of a run.
+  void OnAnswerBegun(std::span<const std::string> suspects);
+
+  // What became known of a backend server.
+  void OnRefused(const BackendChoice& backend);
+  void OnReachable(const BackendChoice& backend);
+  void OnIncarnation(const std::string& backend_id, std::int64_t incarnation);
+
+  // Probes the backend servers whose crash is still unproven; call it at short intervals.
+  void ProbeUnproven();
+
+  // Reports what changed since the last call; call it at short intervals.
+  void ReportChanges();
+
+  // Returns the summary for control. Repeats recent changes, as the message that reported them may
+  // have been lost.
+  SuspectNews Summary();
+
+  // Takes news from a replica. Returns what the replica lacks; nullopt if nothing.
+  std::optional<SuspectNews> Receive(const SuspectNews& news);
+
+  // Sets the gauges.
+  void Measure();
+
+ private:
+  void OnCrashed(const BackendChoice& backend, const std::vector<LostRun>& runs);
+  void LogNewlyCondemned(const std::string& digest, bool was_condemned) const;
+  SuspectNews NewsOf(std::vector<SuspectEntry> entries) const;
+
+  std::string router_;
+  CrashWatchHooks hooks_;
+  Metrics* metrics_;
+  LostRuns lost_runs_;
+  CulpritTable table_;
+  // When this router itself last changed an entry, by digest.
+  std::map<std::string, Instant> changed_at_;
+  Instant reported_at_{-1};
+};
+
+}  // namespace kumquat
--- a/src/kumquatrouter/forwarding/forward_exchange.cpp
+++ b/src/kumquatrouter/forwarding/forward_exchange.cpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "exchange.h"
+#include "forwarding/request_suspects.h"
 #include "utils/durations.h"
 #include "utils/log.h"
 
@@ -95,6 +96,15 @@
   return true;
 }
 
+const std::vector<std::string>& ForwardExchange::Suspects() {
+  if (!suspects_) suspects_ = SuspectsOf(request_, organisation_ ? organisation_->name : "");
+  return *suspects_;
+}
+
+bool ForwardExchange::IsCondemned() {
+  return services_.crashes->has_condemned() && services_.crashes->IsCondemned(Suspects());
+}
+
 ForwardPolicy ForwardExchange::Policy() const {
   ForwardPolicy policy;
   policy.may_repeat = route_->repeat_rule == RepeatRule::kRepeatable;
@@ -110,6 +120,7 @@
 ForwardHooks ForwardExchange::Hooks() {
   ForwardHooks hooks;
   hooks.choose = [this](std::span<const BackendChoice> avoid) { return Choose(avoid); };
+  hooks.is_condemned = [this] { return IsCondemned(); };
   hooks.try_repeat = [this] { return services_.budget->TryRepeat(service_->name); };
   hooks.send = [this](const SendCommand& command) { Send(command); };
   hooks.find_copy = [this] { return TakeCopy(); };
@@ -266,6 +277,7 @@
   attempt_->number = number;
   attempt_->backend = command.backend;
   attempt_->prompt_choice = std::exchange(next_choice_, std::nullopt);
+  attempt_->continues_run = command.copy || command.resume_after;
   attempt_->sent_at = Now();
   attempt_->last_received_at = attempt_->sent_at;
   services_.pool.OnSent(*backend);
@@ -409,7 +421,21 @@
   OnCallerGone();
 }
 
+// A run that goes on elsewhere doesn't begin there, which is when it would crash its server.
+void ForwardExchange::OnAnswerBegun() {
+  if (attempt_->continues_run || !services_.crashes->has_suspects()) return;
+  services_.crashes->OnAnswerBegun(Suspects());
+}
+
+// Returns whether the attempt in progress shows that its server survived beginning to answer. The
+// head of a stream doesn't, as engines send it before the run begins.
+bool ForwardExchange::HasAnswerBegun() const {
+  if (attempt_->is_event_stream) return attempt_->has_stream_data;
+  return attempt_->status != 0;
+}
+
 void ForwardExchange::OnFirstEvent() {
+  OnAnswerBegun();
   if (attempt_->prompt_choice) services_.placement->FirstEvent(attempt_->dispatch, Now());
   // The run began after the engine was ordered to load weights, and would delay the loading until
   // the run ends.
@@ -426,6 +452,7 @@
     OnCallFailed(number, CallFailure::kBroken, "The answer ended in the middle of an event.");
     return;
   }
+  if (!attempt_->is_event_stream) OnAnswerBegun();
   decisions_->OnEnd(number, Now());
 }
 
@@ -449,6 +476,11 @@
   if (PooledBackend* backend = services_.pool.Find(attempt_->backend)) {
     BackendPool::OnFailure(*backend, failure, Now());
   }
+  const bool may_have_crashed =
+      failure != CallFailure::kNotSent && !attempt_->continues_run && !HasAnswerBegun();
+  if (may_have_crashed) {
+    services_.crashes->OnRunLost(attempt_->backend, {request_.id, Suspects(), Now()});
+  }
   EndAttempt();
   decisions_->OnFailure(number, failure, Now());
 }
--- a/src/kumquatrouter/forwarding/forward_exchange.h
+++ b/src/kumquatrouter/forwarding/forward_exchange.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "coordination/forwarding/forward_request.h"
 #include "forwarding/forward_services.h"
@@ -68,6 +69,8 @@
     DispatchId dispatch = 0;
     // Whether any data of a streamed answer has arrived, even if no event is complete yet.
     bool has_stream_data = false;
+    // The attempt goes on with a run that had begun before.
+    bool continues_run = false;
     std::unique_ptr<BackendCall> call;
     EventSplitter events;
     std::size_t bytes_without_id = 0;
@@ -90,6 +93,8 @@
   // Finds the route, organisation and service of the request. Refuses the request and returns false
   // if there is no routing table, no route, or no valid key where one is needed.
   bool ResolveRoute();
+  const std::vector<std::string>& Suspects();
+  bool IsCondemned();
   ForwardPolicy Policy() const;
   ForwardHooks Hooks();
   std::optional<BackendChoice> Choose(std::span<const BackendChoice> avoid);
@@ -100,6 +105,8 @@
   void Send(const SendCommand& command);
   void LogSent(const SendCommand& command) const;
   void OnFirstEvent();
+  void OnAnswerBegun();
+  bool HasAnswerBegun() const;
   // Cancels the request if more than this many bytes of its answer are still unread by the caller.
   void AbortIfCallerTooSlow(std::int64_t max_pending_bytes);
   std::string RouteLabel() const;
@@ -136,6 +143,8 @@
   const Route* route_ = nullptr;
   const RoutedOrganisation* organisation_ = nullptr;
   const Service* service_ = nullptr;
+  // Computed when first needed, since a long body takes time to hash.
+  std::optional<std::vector<std::string>> suspects_;
   Instant received_{0};
   std::optional<Instant> first_event_at_;
   Instant deadline_{0};
--- a/src/kumquatrouter/forwarding/forward_server.cpp
+++ b/src/kumquatrouter/forwarding/forward_server.cpp
@@ -55,6 +55,7 @@
       placement_(PromptPlacementOptions(), &services_.weights, &cache_parts_, random),
       weights_limit_(&services_.weights, settings_.weights_longest_lag),
       client_(MakeHttpBackendClient()),
+      crash_watch_(settings_.instance, CrashHooks(), &metrics_),
       feed_({settings_.instance, settings_.failure_domain, WallClockMillis(),
              settings_.control_seeds},
             {clock, random, [this](const Document& document) { OnDocument(document); },
@@ -68,13 +69,16 @@
              },
              [this](const EngineNews& news) { OnEngines(news); },
              [this](const CacheNews& news) { return cache_parts_.Apply(news); },
-             [this](const RouterLoad& load) { OnPeerLoad(load); }}),
+             [this](const RouterLoad& load) { OnPeerLoad(load); },
+             [this] { return crash_watch_.Summary(); },
+             [this](const SuspectNews& news) { return crash_watch_.Receive(news); }}),
       loop_watch_(kSilenceCheckInterval, kLateTimerThreshold) {
   services_.failure_domain = settings_.failure_domain;
   services_.clock = clock;
   services_.random = random;
   services_.codec = std::move(codec);
   services_.admission = &admission_;
+  services_.crashes = &crash_watch_;
   services_.budget = &budget_;
   services_.placement = &placement_;
   services_.client = client_.get();
@@ -116,6 +120,18 @@
 
 ForwardServer::~ForwardServer() = default;
 
+CrashWatchHooks ForwardServer::CrashHooks() {
+  CrashWatchHooks hooks;
+  hooks.clock = [this] { return services_.clock(); };
+  hooks.probe = [this](const BackendChoice& backend) { Probe(backend); };
+  hooks.latest_incarnation = [this](const std::string& id) -> std::optional<std::int64_t> {
+    const Member* member = feed_.members().Find(id);
+    return member ? std::optional(member->record.incarnation) : std::nullopt;
+  };
+  hooks.report = [this](const SuspectNews& news) { feed_.ReportSuspects(news); };
+  return hooks;
+}
+
 HttpServerLimits ForwardServer::DefaultHttpLimits() const {
   HttpServerLimits limits;
   limits.max_body_bytes = kDefaultMaxBodyBytes;
@@ -178,6 +194,7 @@
   metrics_.Set("kumquat_requests_in_progress", {}, static_cast<double>(exchanges_.size()));
   metrics_.Set("kumquat_control_replicas_connected", {},
                static_cast<double>(feed_.connected_replicas()));
+  crash_watch_.Measure();
   metrics_.Set("kumquat_routing_version", {},
                static_cast<double>(feed_.VersionOf(std::string(kRoutingDocument))));
   responder->Send(200, {{"Content-Type", std::string(kMetricsContentType)}},
@@ -222,6 +239,7 @@
             {"address", record.endpoint.ToString()},
             {"leaving", record.leaving ? "yes" : "no"}});
   services_.pool.Update(record);
+  crash_watch_.OnIncarnation(record.id, record.incarnation);
 }
 
 void ForwardServer::OnEngines(const EngineNews& news) {
@@ -257,6 +275,7 @@
 // that arrived meanwhile hasn't been read yet.
 void ForwardServer::CheckSilentBackends() {
   loop_watch_.Beat(services_.clock());
+  crash_watch_.ProbeUnproven();
   CancelOutdatedAttempts();
   if (loop_watch_.WasLate(services_.clock() - kSilenceThreshold)) return;
   std::set<std::string> silent;
@@ -293,6 +312,8 @@
                      [this, id = backend.backend_id] { probes_.erase(id); });
   PooledBackend* probed = services_.pool.Find(backend);
   if (verdict == ProbeVerdict::kReachable && probed) BackendPool::OnReachable(*probed);
+  if (verdict == ProbeVerdict::kReachable) crash_watch_.OnReachable(backend);
+  if (verdict == ProbeVerdict::kRefused) crash_watch_.OnRefused(backend);
   loop_watch_.Look(services_.clock());
   const bool is_gone = verdict == ProbeVerdict::kGone && !loop_watch_.WasLate(begun);
   if (!is_gone && verdict != ProbeVerdict::kRefused) return;
@@ -313,6 +334,7 @@
 }
 
 void ForwardServer::ReportLoad() {
+  crash_watch_.ReportChanges();
   const Instant now = services_.clock();
   std::vector<EngineLoad> engines;
   for (const SentLoad& load : placement_.TakeSentLoads(now)) {
--- a/src/kumquatrouter/forwarding/forward_server.h
+++ b/src/kumquatrouter/forwarding/forward_server.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "forwarding/control_feed.h"
+#include "forwarding/crash_watch.h"
 #include "forwarding/forward_exchange.h"
 #include "forwarding/forward_services.h"
 #include "forwarding/forward_settings.h"
@@ -53,6 +54,7 @@
   void MoveAwayFrom(const BackendChoice& backend);
   void CheckSilentBackends();
   void CancelOutdatedAttempts();
+  CrashWatchHooks CrashHooks();
   void Probe(const BackendChoice& backend);
   void OnProbed(const BackendChoice& backend, Instant begun, ProbeVerdict verdict);
   void ApplyLimits(const CallerLimits& limits);
@@ -73,6 +75,7 @@
   PromptPlacement placement_;
   WeightsLimit weights_limit_;
   std::unique_ptr<BackendClient> client_;
+  CrashWatch crash_watch_;
   ControlFeed feed_;
   std::unique_ptr<HttpServer> server_;
   std::unique_ptr<HttpServer> ready_server_;
--- a/src/kumquatrouter/forwarding/forward_services.h
+++ b/src/kumquatrouter/forwarding/forward_services.h
@@ -12,6 +12,7 @@
 #include "coordination/forwarding/route_index.h"
 #include "coordination/forwarding/weights_limit.h"
 #include "coordination/orders/named_weights.h"
+#include "forwarding/crash_watch.h"
 #include "forwarding/forward_codec.h"
 #include "transport/backend_client.h"
 #include "utils/histogram.h"
@@ -33,6 +34,7 @@
   BackendPool pool;
   LiveStores stores;
   const ForwardAdmission* admission = nullptr;
+  CrashWatch* crashes = nullptr;
   RepeatBudget* budget = nullptr;
   PromptPlacement* placement = nullptr;
   BackendClient* client = nullptr;
--- /dev/null
+++ b/src/libs/coordination/admission/culprit_table.cpp
@@ -0,0 +1,158 @@
+#include "coordination/admission/culprit_table.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace kumquat {
+namespace {
+
+// Crashes that are kept of one suspect, the latest ones. More add nothing to its standing.
+constexpr std::size_t kMaxCrashes = 16;
+// Entries with this many crashes are shared with all routers.
+constexpr std::size_t kSharedCrashes = 2;
+// An entry without crashes only rejects late reports of crashes from before its clearing.
+constexpr Duration kClearedLifetime = std::chrono::seconds(30);
+// The time of one clearing differs this much between processes, by the delay of messages.
+constexpr Duration kClearingTolerance = std::chrono::milliseconds(250);
+
+}  // namespace
+
+std::uint64_t CrashId(std::string_view backend_id, std::int64_t incarnation) {
+  return XXH3_64bits_withSeed(backend_id.data(), backend_id.size(),
+                              static_cast<std::uint64_t>(incarnation));
+}
+
+bool CulpritTable::AddCrash(const std::string& digest, std::uint64_t crash, Instant lost_at,
+                            Instant now) {
+  if (!AddCrashTo(entries_[digest], crash, lost_at)) return false;
+  OnChanged(digest, now);
+  return true;
+}
+
+bool CulpritTable::AddCrashTo(Entry& entry, std::uint64_t crash, Instant lost_at) const {
+  if (entry.cleared_at && lost_at <= *entry.cleared_at) return false;
+  const auto [known, is_new] = entry.crashes.try_emplace(crash, lost_at);
+  // Delays only ever make a crash look later than it was.
+  known->second = std::min(known->second, lost_at);
+  if (entry.crashes.size() > kMaxCrashes) {
+    entry.crashes.erase(std::min_element(
+        entry.crashes.begin(), entry.crashes.end(),
+        [](const auto& left, const auto& right) { return left.second < right.second; }));
+  }
+  return is_new;
+}
+
+bool CulpritTable::Clear(const std::string& digest, Instant now) {
+  const auto found = entries_.find(digest);
+  if (found == entries_.end() || found->second.crashes.empty()) return false;
+  found->second.cleared_at = now;
+  found->second.crashes.clear();
+  OnChanged(digest, now);
+  return true;
+}
+
+bool CulpritTable::Merge(const SuspectEntry& message, Instant now) {
+  Entry& entry = entries_[message.digest];
+  bool changed = false;
+  const auto cleared_at =
+      message.cleared_age ? std::optional(now - *message.cleared_age) : std::nullopt;
+  if (cleared_at && (!entry.cleared_at || *cleared_at > *entry.cleared_at + kClearingTolerance)) {
+    entry.cleared_at = cleared_at;
+    std::erase_if(entry.crashes, [&](const auto& crash) { return crash.second <= *cleared_at; });
+    changed = true;
+  }
+  for (const CrashSighting& sighting : message.crashes) {
+    if (sighting.age >= options_.max_age) continue;
+    changed = AddCrashTo(entry, sighting.crash, now - sighting.age) || changed;
+  }
+  if (changed) {
+    OnChanged(message.digest, now);
+  } else if (entry.crashes.empty() && !entry.cleared_at) {
+    entries_.erase(message.digest);
+  }
+  return changed;
+}
+
+void CulpritTable::OnChanged(const std::string& digest, Instant now) {
+  Entry& entry = entries_.at(digest);
+  entry.changed_at = now;
+  entry.is_shared = entry.is_shared || entry.crashes.size() >= kSharedCrashes;
+  if (entry.crashes.size() >= options_.crashes_to_condemn) {
+    condemned_.insert(digest);
+  } else {
+    condemned_.erase(digest);
+  }
+  Evict();
+}
+
+void CulpritTable::Evict() {
+  while (entries_.size() > options_.max_entries) {
+    const auto weakest =
+        std::min_element(entries_.begin(), entries_.end(), [](const auto& left, const auto& right) {
+          return std::pair(left.second.crashes.size(), left.second.changed_at) <
+                 std::pair(right.second.crashes.size(), right.second.changed_at);
+        });
+    condemned_.erase(weakest->first);
+    entries_.erase(weakest);
+  }
+}
+
+void CulpritTable::Expire(Instant now) {
+  std::erase_if(entries_, [&](const auto& item) {
+    const Entry& entry = item.second;
+    const Duration lifetime =
+        entry.crashes.empty() ? std::min(kClearedLifetime, options_.max_age) : options_.max_age;
+    if (now - entry.changed_at < lifetime) return false;
+    condemned_.erase(item.first);
+    return true;
+  });
+}
+
+SuspectEntry CulpritTable::ToMessage(const std::string& digest, const Entry& entry,
+                                     Instant now) const {
+  SuspectEntry message;
+  message.digest = digest;
+  for (const auto& [crash, lost_at] : entry.crashes) {
+    message.crashes.push_back({crash, std::max(Duration(0), now - lost_at)});
+  }
+  if (entry.cleared_at) message.cleared_age = std::max(Duration(0), now - *entry.cleared_at);
+  return message;
+}
+
+std::optional<SuspectEntry> CulpritTable::EntryOf(const std::string& digest, Instant now) const {
+  const auto found = entries_.find(digest);
+  if (found == entries_.end()) return std::nullopt;
+  return ToMessage(digest, found->second, now);
+}
+
+bool CulpritTable::IsShared(const std::string& digest) const {
+  const auto found = entries_.find(digest);
+  return found != entries_.end() && found->second.is_shared;
+}
+
+std::vector<SuspectEntry> CulpritTable::SharedEntries(Instant now) const {
+  std::vector<std::pair<Instant, const std::string*>> shared;
+  for (const auto& [digest, entry] : entries_) {
+    if (entry.is_shared) shared.emplace_back(entry.changed_at, &digest);
+  }
+  std::sort(shared.begin(), shared.end(), std::greater<>());
+  if (shared.size() > kMaxExchanged) shared.resize(kMaxExchanged);
+  std::vector<SuspectEntry> messages;
+  messages.reserve(shared.size());
+  for (const auto& [changed_at, digest] : shared) {
+    messages.push_back(ToMessage(*digest, entries_.at(*digest), now));
+  }
+  return messages;
+}
+
+std::uint64_t CulpritTable::CondemnedHash() const {
+  std::uint64_t hash = 0;
+  for (const std::string& digest : condemned_) {
+    hash = XXH3_64bits_withSeed(digest.data(), digest.size(), hash);
+  }
+  return hash;
+}
+
+}  // namespace kumquat
--- /dev/null
+++ b/src/libs/coordination/admission/culprit_table.h
@@ -0,0 +1,96 @@
+// Finds the requests that crash the backend servers which run them, from which runs were lost with
+// which crashes, as seen by all routers.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "protocol/suspect_entry.h"
+#include "utils/hooks.h"
+
+namespace kumquat {
+
+struct CulpritTableOptions {
+  // Maximum number of suspects. Those with the fewest crashes are evicted first, of these the ones
+  // that changed longest ago.
+  std::size_t max_entries = 2048;
+  // Lifetime of an entry after its last change.
+  Duration max_age = std::chrono::minutes(10);
+  // A suspect that was lost with this many crashes, and not cleared since, is condemned.
+  std::size_t crashes_to_condemn = 3;
+};
+
+// Returns the id of the crash of this incarnation of a backend server.
+std::uint64_t CrashId(std::string_view backend_id, std::int64_t incarnation);
+
+// A request becomes a suspect when a backend server crashes before it has begun to answer it, and
+// is cleared when any backend server begins to: a culprit crashes each of them. Requests that were
+// merely running beside a culprit are therefore cleared by their next run.
+//
+// Merging the entries of other processes gives the same crashes in any order and when repeated, as
+// long as no entry expires or is evicted.
+class CulpritTable {
+ public:
+  explicit CulpritTable(CulpritTableOptions options = {}) : options_(options) {}
+
+  // Records that a run of the suspect was lost at `lost_at` with this crash. Returns whether that
+  // changed the table.
+  bool AddCrash(const std::string& digest, std::uint64_t crash, Instant lost_at, Instant now);
+
+  // Records that a backend server survived beginning to answer the suspect. Returns whether it was
+  // one until now.
+  bool Clear(const std::string& digest, Instant now);
+
+  // Merges an entry of another process. Returns whether it changed the table.
+  bool Merge(const SuspectEntry& entry, Instant now);
+
+  bool IsCondemned(const std::string& digest) const { return condemned_.contains(digest); }
+
+  // Returns whether any entry could be cleared or is condemned.
+  bool has_suspects() const { return !entries_.empty(); }
+  const std::set<std::string>& condemned() const { return condemned_; }
+  std::size_t size() const { return entries_.size(); }
+
+  // Returns the entry of the suspect as it is sent to other processes; nullopt if there is none.
+  std::optional<SuspectEntry> EntryOf(const std::string& digest, Instant now) const;
+
+  // Returns whether other routers need to know the entry to clear it or to act on it. An entry that
+  // no two crashes support needn't leave the process that counts.
+  bool IsShared(const std::string& digest) const;
+
+  // Returns the shared entries with the latest changes, at most kMaxExchanged.
+  std::vector<SuspectEntry> SharedEntries(Instant now) const;
+
+  // Returns a hash of the condemned suspects, by which processes notice that they differ.
+  std::uint64_t CondemnedHash() const;
+
+  // Removes expired entries.
+  void Expire(Instant now);
+
+  static constexpr std::size_t kMaxExchanged = 256;
+
+ private:
+  struct Entry {
+    // When a run was lost, by crash. Only crashes after `cleared_at` are kept.
+    std::map<std::uint64_t, Instant> crashes;
+    std::optional<Instant> cleared_at;
+    Instant changed_at{0};
+    bool is_shared = false;
+  };
+
+  bool AddCrashTo(Entry& entry, std::uint64_t crash, Instant lost_at) const;
+  void OnChanged(const std::string& digest, Instant now);
+  void Evict();
+  SuspectEntry ToMessage(const std::string& digest, const Entry& entry, Instant now) const;
+
+  CulpritTableOptions options_;
+  std::map<std::string, Entry> entries_;
+  std::set<std::string> condemned_;
+};
+
+}  // namespace kumquat
--- a/src/libs/coordination/forwarding/forward_request.cpp
+++ b/src/libs/coordination/forwarding/forward_request.cpp
@@ -38,7 +38,11 @@
   if (state_ == State::kWaiting) TrySend(now);
 }
 
+// A request of which an answer has begun crashes no server by beginning.
+bool ForwardRequest::IsCondemned() const { return !is_relaying_ && hooks_.is_condemned(); }
+
 void ForwardRequest::TrySend(Instant now) {
+  if (IsCondemned()) return Refuse(ErrorKind::kPoisonRequest);
   std::optional<BackendChoice> backend = hooks_.choose(avoid_);
   // If no other server is left, one that failed before is tried again, but only if the request may
   // have run already. A request that surely hasn't run waits or is refused instead.
@@ -164,7 +168,8 @@
   const bool has_time = now < policy_.deadline;
   if (outcome == Outcome::kMayHaveRun) {
     if (!copy_) ++runs_;
-    const auto copy = has_time && policy_.is_stream ? hooks_.find_copy() : std::nullopt;
+    const bool may_resume = has_time && policy_.is_stream && !IsCondemned();
+    const auto copy = may_resume ? hooks_.find_copy() : std::nullopt;
     if (copy) {
       Send(copy->backend, copy);
       return;
--- a/src/libs/coordination/forwarding/forward_request.h
+++ b/src/libs/coordination/forwarding/forward_request.h
@@ -81,6 +81,8 @@
 struct ForwardHooks {
   // Chooses a backend server that is not in `avoid`; nullopt when none can take the request now.
   std::function<std::optional<BackendChoice>(std::span<const BackendChoice> avoid)> choose;
+  // Returns whether the request is known to crash the backend servers that begin to answer it.
+  std::function<bool()> is_condemned;
   // Takes one repeat from the budget; false when the budget is used up.
   std::function<bool()> try_repeat;
   std::function<void(const SendCommand& command)> send;
@@ -160,6 +162,7 @@
   bool MayContinueAfterRun() const;
   bool MayRestart() const;
   void Send(const BackendChoice& backend, const std::optional<RunCopy>& copy);
+  bool IsCondemned() const;
   bool ResumeOnOtherEngine();
   void GiveUp(ErrorKind kind_if_run);
   void Refuse(ErrorKind kind);
--- /dev/null
+++ b/src/libs/coordination/forwarding/lost_runs.cpp
@@ -0,0 +1,73 @@
+#include "coordination/forwarding/lost_runs.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace kumquat {
+namespace {
+
+// A server that refuses connections, or starts again after it took some, may do so for another
+// reason when it is later than this.
+constexpr Duration kRefusalWindow = std::chrono::seconds(2);
+// Crashed servers are back after some seconds.
+constexpr Duration kRestartWindow = std::chrono::seconds(10);
+
+}  // namespace
+
+void LostRuns::Add(const BackendChoice& backend, LostRun run) {
+  const auto known = backends_.find(backend.backend_id);
+  if (known == backends_.end() && backends_.size() >= kMaxBackends) return;
+  Backend& entry = backends_[backend.backend_id];
+  if (entry.incarnation > backend.incarnation) return;
+  if (entry.incarnation < backend.incarnation) entry = {backend.incarnation, false, {}};
+  // Whether it was reachable before this loss says nothing about the loss.
+  entry.was_reachable = false;
+  if (entry.runs.size() < kMaxRuns) entry.runs.push_back(std::move(run));
+}
+
+std::vector<LostRun> LostRuns::Take(const BackendChoice& backend, Instant now, Duration max_age) {
+  const auto found = backends_.find(backend.backend_id);
+  if (found == backends_.end() || found->second.incarnation != backend.incarnation) return {};
+  std::vector<LostRun> runs = std::move(found->second.runs);
+  backends_.erase(found);
+  std::erase_if(runs, [&](const LostRun& run) { return now - run.lost_at > max_age; });
+  return runs;
+}
+
+std::vector<LostRun> LostRuns::OnRefused(const BackendChoice& backend, Instant now) {
+  return Take(backend, now, kRefusalWindow);
+}
+
+std::vector<LostRun> LostRuns::OnLaterIncarnation(const BackendChoice& backend, Instant now) {
+  const auto found = backends_.find(backend.backend_id);
+  const bool was_reachable = found != backends_.end() && found->second.was_reachable;
+  return Take(backend, now, was_reachable ? kRefusalWindow : kRestartWindow);
+}
+
+void LostRuns::OnReachable(const BackendChoice& backend) {
+  const auto found = backends_.find(backend.backend_id);
+  const bool is_same = found != backends_.end() && found->second.incarnation == backend.incarnation;
+  if (is_same) found->second.was_reachable = true;
+}
+
+std::vector<BackendChoice> LostRuns::Unproven(Instant now) {
+  std::vector<BackendChoice> unproven;
+  for (auto& [id, backend] : backends_) {
+    std::erase_if(backend.runs,
+                  [&](const LostRun& run) { return now - run.lost_at > kRestartWindow; });
+    if (backend.runs.empty() || backend.was_reachable) continue;
+    const bool may_prove = now - backend.runs.back().lost_at <= kRefusalWindow;
+    if (may_prove) unproven.push_back({id, backend.incarnation});
+  }
+  std::erase_if(backends_, [](const auto& item) { return item.second.runs.empty(); });
+  return unproven;
+}
+
+std::optional<BackendChoice> LostRuns::OlderIncarnation(std::string_view backend_id,
+                                                        std::int64_t incarnation) const {
+  const auto found = backends_.find(backend_id);
+  if (found == backends_.end() || found->second.incarnation >= incarnation) return std::nullopt;
+  return BackendChoice{found->first, found->second.incarnation};
+}
+
+}  // namespace kumquat
--- /dev/null
+++ b/src/libs/coordination/forwarding/lost_runs.h
@@ -0,0 +1,64 @@
+// Runs that were lost with their connection, until it is known whether their backend server
+// crashed.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "coordination/requests/backend_choice.h"
+#include "utils/hooks.h"
+
+namespace kumquat {
+
+struct LostRun {
+  std::string request_id;
+  // Digests of the suspects that the run consists of.
+  std::vector<std::string> suspects;
+  Instant lost_at{0};
+};
+
+// A lost connection alone doesn't prove a crash: networks and faulty servers break them too, and
+// silence proves nothing. Proof is a refused connection soon after the loss, or a later incarnation
+// soon after it, or some seconds after it if the server hasn't been reached since.
+class LostRuns {
+ public:
+  // Adds a run that was lost on the backend server. At most kMaxRuns are kept for each server, and
+  // of kMaxBackends servers.
+  void Add(const BackendChoice& backend, LostRun run);
+
+  // Each returns the runs that are now proven lost with a crash, and forgets them.
+  std::vector<LostRun> OnRefused(const BackendChoice& backend, Instant now);
+  std::vector<LostRun> OnLaterIncarnation(const BackendChoice& backend, Instant now);
+
+  // The backend server took a connection.
+  void OnReachable(const BackendChoice& backend);
+
+  // Returns the backend servers of which it is unknown whether they take connections, after
+  // forgetting runs that were lost too long ago.
+  std::vector<BackendChoice> Unproven(Instant now);
+
+  // Returns the older incarnation than this one whose runs wait for proof, if there is one.
+  std::optional<BackendChoice> OlderIncarnation(std::string_view backend_id,
+                                                std::int64_t incarnation) const;
+
+  static constexpr std::size_t kMaxRuns = 64;
+  static constexpr std::size_t kMaxBackends = 64;
+
+ private:
+  struct Backend {
+    std::int64_t incarnation = 0;
+    bool was_reachable = false;
+    std::vector<LostRun> runs;
+  };
+
+  std::vector<LostRun> Take(const BackendChoice& backend, Instant now, Duration max_age);
+
+  // By backend id. Only the latest incarnation that lost a run is kept.
+  std::map<std::string, Backend, std::less<>> backends_;
+};
+
+}  // namespace kumquat
--- a/src/libs/protocol/control_news.cpp
+++ b/src/libs/protocol/control_news.cpp
@@ -201,6 +201,62 @@
   return items.size() == 1;
 }
 
+// Crash ids and ages in microseconds stand in one byte string, 8 bytes each, the lowest first.
+constexpr qsizetype kCrashBytes = 16;
+constexpr qsizetype kMaxEntries = 4096;
+constexpr qsizetype kMaxCrashes = 64;
+constexpr qint64 kNeverCleared = -1;
+
+QByteArray CrashesToBytes(const std::vector<CrashSighting>& crashes) {
+  QByteArray bytes(static_cast<qsizetype>(crashes.size()) * kCrashBytes, Qt::Uninitialized);
+  char* out = bytes.data();
+  for (const CrashSighting& sighting : crashes) {
+    qToLittleEndian(static_cast<quint64>(sighting.crash), out);
+    qToLittleEndian(static_cast<qint64>(sighting.age.count()), out + sizeof(quint64));
+    out += kCrashBytes;
+  }
+  return bytes;
+}
+
+bool CrashesFromBytes(const QByteArray& bytes, std::vector<CrashSighting>* crashes) {
+  if (bytes.size() % kCrashBytes != 0 || bytes.size() > kMaxCrashes * kCrashBytes) return false;
+  for (qsizetype at = 0; at < bytes.size(); at += kCrashBytes) {
+    const char* in = bytes.constData() + at;
+    const auto age = qFromLittleEndian<qint64>(in + sizeof(quint64));
+    if (age < 0) return false;
+    crashes->push_back({qFromLittleEndian<quint64>(in), Duration(age)});
+  }
+  return true;
+}
+
+QCborValue ToCbor(const SuspectNews& news) {
+  QCborArray entries;
+  for (const SuspectEntry& entry : news.entries) {
+    const qint64 cleared_age = entry.cleared_age ? entry.cleared_age->count() : kNeverCleared;
+    entries.append(QCborArray{Bytes(entry.digest), CrashesToBytes(entry.crashes), cleared_age});
+  }
+  return QCborArray{Bytes(news.router), news.is_summary, static_cast<qint64>(news.condemned_hash),
+                    entries};
+}
+
+bool FromCbor(const QCborArray& items, SuspectNews* news) {
+  news->router = ToText(items.at(0));
+  news->is_summary = items.at(1).toBool();
+  news->condemned_hash = static_cast<std::uint64_t>(items.at(2).toInteger());
+  const QCborArray entries = items.at(3).toArray();
+  if (items.size() != 4 || entries.size() > kMaxEntries) return false;
+  for (const QCborValue item : entries) {
+    const QCborArray fields = item.toArray();
+    SuspectEntry& entry = news->entries.emplace_back();
+    entry.digest = ToText(fields.at(0));
+    const qint64 cleared_age = fields.at(2).toInteger(kNeverCleared);
+    if (cleared_age >= 0) entry.cleared_age = Duration(cleared_age);
+    if (entry.digest.empty() || fields.size() != 3) return false;
+    if (!CrashesFromBytes(fields.at(1).toByteArray(), &entry.crashes)) return false;
+  }
+  return true;
+}
+
 // Reads the alternative with this number, which is its place in the variant.
 template <std::size_t Index = 0>
 bool AlternativeFromCbor(qint64 number, const QCborArray& items, ControlNews* news) {
--- a/src/libs/protocol/control_news.h
+++ b/src/libs/protocol/control_news.h
@@ -11,6 +11,7 @@
 
 #include "protocol/document.h"
 #include "protocol/part_events.h"
+#include "protocol/suspect_entry.h"
 #include "utils/hooks.h"
 
 namespace kumquat {
@@ -137,8 +138,22 @@
   bool operator==(const LoadNews&) const = default;
 };
 
+// What a router or a replica knows of requests that may crash backend servers.
+struct SuspectNews {
+  // The router that sends it; empty from a replica.
+  std::string router;
+  // Set if the receiver should compare hashes, and send the entries that it shares if they differ.
+  bool is_summary = false;
+  // Hash of the suspects that the sender has condemned.
+  std::uint64_t condemned_hash = 0;
+  std::vector<SuspectEntry> entries;
+
+  bool operator==(const SuspectNews&) const = default;
+};
+
+// New alternatives are added at the end, as their index identifies them in messages.
 using ControlNews = std::variant<RouterHello, DocumentNews, MemberNews, FleetNews, EngineNews,
-                                 CacheNews, CacheWanted, LoadNews>;
+                                 CacheNews, CacheWanted, LoadNews, SuspectNews>;
 
 std::string Encode(const ControlNews& news);
 
--- /dev/null
+++ b/tests/kumquatrouter/crash_fleet_test.cpp
@@ -0,0 +1,300 @@
+// Tests in virtual time how a fleet of routers and control replicas stops requests that crash
+// backend servers, while routers and replicas restart or lose contact.
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "forwarding/crash_watch.h"
+#include "property.h"
+#include "suspect_relay.h"
+#include "virtual_world.h"
+
+namespace kumquat {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kRouters = 6;
+constexpr std::size_t kReplicas = 3;
+constexpr std::size_t kServers = 9;
+constexpr Duration kContactTime = seconds(3);
+// The crashes after which a culprit may reach at most kMaxSends more servers.
+constexpr int kMaxCrashes = 3;
+constexpr int kMaxSends = 3;
+
+struct FleetOptions {
+  std::uint64_t seed = 1;
+  // Whether routers and replicas restart and lose their links.
+  bool has_faults = false;
+  // The share of requests that are the culprit.
+  int one_culprit_in = 20;
+};
+
+// Backend servers crash on beginning a culprit, and take all other runs with them. Each caller
+// sends through a random router; a run that was lost is repeated once.
+class CrashFleet {
+ public:
+  explicit CrashFleet(const FleetOptions& options) : options_(options), world_(options.seed) {
+    for (std::size_t i = 0; i < kRouters; ++i) StartRouter(i);
+    for (auto& replica : replicas_) replica = std::make_unique<SuspectRelay>(Now());
+    world_.After(milliseconds(20), [this] { Tick(); });
+    world_.After(milliseconds(40), [this] { Relay(); });
+    if (options_.has_faults) world_.After(seconds(4), [this] { Fault(); });
+  }
+
+  void Run(Duration length) {
+    for (Duration at{0}; at < length; at += milliseconds(10)) {
+      world_.After(at, [this] { Arrive(); });
+    }
+    world_.Advance(length + seconds(10), [] {});
+  }
+
+  int crashes = 0;
+  int culprits_sent_late = 0;
+  int sound = 0;
+  int sound_answered = 0;
+  int sound_condemned = 0;
+  std::size_t largest_message = 0;
+
+ private:
+  struct Request {
+    std::string digest;
+    bool is_culprit = false;
+    int attempts_left = 2;
+  };
+  struct Execution {
+    std::size_t router = 0;
+    Request request;
+    bool has_begun = false;
+    Instant sent_at{0};
+  };
+  struct Server {
+    std::int64_t incarnation = 1;
+    bool is_up = true;
+    std::map<int, Execution> executions;
+  };
+  struct Router {
+    std::unique_ptr<CrashWatch> watch;
+    // Which run of the process this is; messages to earlier ones are lost.
+    int run = 0;
+    Instant disturbed_at{0};
+    std::array<bool, kReplicas> is_cut{};
+  };
+
+  Clock Now() {
+    return [this] { return world_.now(); };
+  }
+  Duration Delay() { return world_.Between(milliseconds(1), milliseconds(8)); }
+
+  void StartRouter(std::size_t index) {
+    Router& router = routers_[index];
+    ++router.run;
+    CrashWatchHooks hooks;
+    hooks.clock = Now();
+    hooks.probe = [this, index](const BackendChoice& backend) { Probe(index, backend); };
+    hooks.latest_incarnation = [this](const std::string& id) {
+      return std::optional(servers_[std::stoul(id)].incarnation);
+    };
+    hooks.report = [this, index](const SuspectNews& news) { SendToReplicas(index, news); };
+    router.watch = std::make_unique<CrashWatch>("r" + std::to_string(index), hooks, &metrics_);
+    router.disturbed_at = world_.now();
+  }
+
+  // Runs the action on the router unless it has restarted by then.
+  void OnRouter(std::size_t index, Duration delay, std::function<void(CrashWatch&)> action) {
+    world_.After(delay, [this, index, run = routers_[index].run, action = std::move(action)] {
+      if (routers_[index].run == run) action(*routers_[index].watch);
+    });
+  }
+
+  void Probe(std::size_t index, const BackendChoice& backend) {
+    OnRouter(index, Delay(), [this, backend](CrashWatch& watch) {
+      const Server& server = servers_[std::stoul(backend.backend_id)];
+      if (server.is_up) {
+        watch.OnReachable(backend);
+      } else {
+        watch.OnRefused(backend);
+      }
+    });
+  }
+
+  void SendToReplicas(std::size_t index, const SuspectNews& news) {
+    for (std::size_t replica = 0; replica < kReplicas; ++replica) SendTo(replica, index, news);
+  }
+
+  void SendTo(std::size_t replica, std::size_t index, const SuspectNews& news) {
+    largest_message = std::max(largest_message, Encode(news).size());
+    if (routers_[index].is_cut[replica]) return;
+    world_.After(Delay(), [this, replica, index, news] {
+      const auto answer = replicas_[replica]->Receive(news);
+      if (answer) SendToRouter(replica, index, *answer);
+    });
+  }
+
+  void SendToRouter(std::size_t replica, std::size_t index, const SuspectNews& news) {
+    largest_message = std::max(largest_message, Encode(news).size());
+    if (routers_[index].is_cut[replica]) return;
+    OnRouter(index, Delay(), [this, replica, index, news](CrashWatch& watch) {
+      const auto answer = watch.Receive(news);
+      if (answer) SendTo(replica, index, *answer);
+    });
+  }
+
+  void Relay() {
+    for (std::size_t replica = 0; replica < kReplicas; ++replica) {
+      const auto news = replicas_[replica]->TakeNews();
+      for (std::size_t i = 0; news && i < kRouters; ++i) SendToRouter(replica, i, *news);
+    }
+    world_.After(milliseconds(40), [this] { Relay(); });
+  }
+
+  void Tick() {
+    ++ticks_;
+    for (std::size_t i = 0; i < kRouters; ++i) {
+      routers_[i].watch->ProbeUnproven();
+      routers_[i].watch->ReportChanges();
+      if (ticks_ % 50 == 0) SendToReplicas(i, routers_[i].watch->Summary());
+    }
+    world_.After(milliseconds(20), [this] { Tick(); });
+  }
+
+  void Fault() {
+    const std::size_t index = world_.Below(kRouters);
+    Router& router = routers_[index];
+    switch (world_.Below(3)) {
+      case 0:
+        StartRouter(index);
+        break;
+      case 1:
+        replicas_[world_.Below(kReplicas)] = std::make_unique<SuspectRelay>(Now());
+        break;
+      default:
+        router.is_cut.fill(true);
+        world_.After(seconds(2), [this, index] {
+          routers_[index].is_cut.fill(false);
+          routers_[index].disturbed_at = world_.now();
+        });
+    }
+    world_.After(world_.Between(milliseconds(500), seconds(3)), [this] { Fault(); });
+  }
+
+  bool IsInTouch(const Router& router) const {
+    const bool is_cut = router.is_cut[0];
+    return !is_cut && world_.now() - router.disturbed_at >= kContactTime;
+  }
+
+  void Arrive() {
+    Request request{"culprit", true};
+    if (!world_.OneIn(static_cast<std::uint64_t>(options_.one_culprit_in))) {
+      request = {"sound" + std::to_string(++sound), false};
+    }
+    Send(world_.Below(kRouters), request);
+  }
+
+  void Send(std::size_t index, Request request) {
+    const Router& router = routers_[index];
+    if (router.watch->IsCondemned(std::vector{request.digest})) {
+      if (!request.is_culprit) ++sound_condemned;
+      return;
+    }
+    std::vector<std::size_t> up;
+    for (std::size_t i = 0; i < kServers; ++i) {
+      if (servers_[i].is_up) up.push_back(i);
+    }
+    if (up.empty() || request.attempts_left == 0) return;
+    --request.attempts_left;
+    if (request.is_culprit && last_allowed_ && world_.now() > *last_allowed_ && IsInTouch(router)) {
+      ++culprits_sent_late;
+    }
+    const std::size_t server = up[world_.Below(up.size())];
+    const int id = ++last_execution_;
+    servers_[server].executions[id] = {index, std::move(request), false, world_.now()};
+    const std::int64_t incarnation = servers_[server].incarnation;
+    world_.After(world_.Between(milliseconds(20), milliseconds(400)),
+                 [this, server, incarnation, id] { Begin(server, incarnation, id); });
+  }
+
+  void Begin(std::size_t index, std::int64_t incarnation, int id) {
+    Server& server = servers_[index];
+    if (server.incarnation != incarnation || !server.executions.contains(id)) return;
+    Execution& execution = server.executions.at(id);
+    if (execution.request.is_culprit) return Crash(index);
+    execution.has_begun = true;
+    const std::vector<std::string> suspects = {execution.request.digest};
+    OnRouter(execution.router, Delay(),
+             [suspects](CrashWatch& watch) { watch.OnAnswerBegun(suspects); });
+    world_.After(milliseconds(300), [this, index, incarnation, id] {
+      Server& ending = servers_[index];
+      if (ending.incarnation != incarnation || ending.executions.erase(id) == 0) return;
+      ++sound_answered;
+    });
+  }
+
+  void Crash(std::size_t index) {
+    Server& server = servers_[index];
+    const BackendChoice backend{std::to_string(index), server.incarnation};
+    if (++crashes == kMaxCrashes) last_allowed_ = world_.now() + kContactTime;
+    server.is_up = false;
+    for (auto& [id, execution] : std::exchange(server.executions, {})) {
+      if (execution.has_begun) continue;
+      const std::size_t router = execution.router;
+      OnRouter(router, Delay(), [this, backend, router, request = execution.request](auto& watch) {
+        watch.OnRunLost(backend, {"q", {request.digest}, world_.now()});
+        Send(router, request);
+      });
+    }
+    world_.After(milliseconds(3200), [this, index] {
+      Server& starting = servers_[index];
+      starting.is_up = true;
+      ++starting.incarnation;
+      for (Router& router : routers_) {
+        router.watch->OnIncarnation(std::to_string(index), starting.incarnation);
+      }
+    });
+  }
+
+  FleetOptions options_;
+  VirtualWorld world_;
+  Metrics metrics_;
+  std::array<Server, kServers> servers_;
+  std::array<Router, kRouters> routers_;
+  std::array<std::unique_ptr<SuspectRelay>, kReplicas> replicas_;
+  std::optional<Instant> last_allowed_;
+  int last_execution_ = 0;
+  int ticks_ = 0;
+};
+
+constexpr std::uint64_t kSeeds = 40;
+
+TEST_CASE(
+    "A request that crashed three servers stops reaching servers; no sound one is condemned") {
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    CAPTURE(seed);
+    CrashFleet fleet({.seed = seed});
+    fleet.Run(seconds(30));
+    CHECK(fleet.crashes >= kMaxCrashes);
+    CHECK(fleet.culprits_sent_late == 0);
+    CHECK(fleet.sound_condemned == 0);
+    CHECK(fleet.sound_answered >= fleet.sound * 95 / 100);
+  }
+}
+
+TEST_CASE("The same while routers and replicas restart and lose their links") {
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    CAPTURE(seed);
+    CrashFleet fleet({.seed = seed, .has_faults = true});
+    fleet.Run(seconds(30));
+    CHECK(fleet.culprits_sent_late <= kMaxSends);
+    CHECK(fleet.sound_condemned == 0);
+    CHECK(fleet.sound_answered >= fleet.sound * 95 / 100);
+  }
+}
+
+}  // namespace
+}  // namespace kumquat
--- /dev/null
+++ b/tests/libs/coordination/admission/culprit_table_test.cpp
@@ -0,0 +1,102 @@
+// Tests CulpritTable: who is condemned, what clears, and that tables of several processes agree.
+#include "coordination/admission/culprit_table.h"
+
+#include <string>
+#include <vector>
+
+#include "property.h"
+
+namespace kumquat {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Instant kNow = seconds(1000);
+
+TEST_CASE("A request lost with three crashes is condemned, with the same crash thrice it isn't") {
+  CulpritTable table;
+  for (int i = 0; i < 3; ++i) table.AddCrash("r", CrashId("s1", 1), kNow, kNow);
+  CHECK_FALSE(table.IsCondemned("r"));
+  CHECK(table.AddCrash("r", CrashId("s1", 2), kNow, kNow));
+  CHECK_FALSE(table.IsCondemned("r"));
+  CHECK(table.AddCrash("r", CrashId("s2", 1), kNow, kNow));
+  CHECK(table.IsCondemned("r"));
+  CHECK_FALSE(table.IsCondemned("other"));
+}
+
+TEST_CASE("A request that a server survived is cleared; older crashes that are heard of late too") {
+  CulpritTable table;
+  for (int i = 0; i < 3; ++i) table.AddCrash("r", CrashId("s", i), kNow, kNow);
+  REQUIRE(table.IsCondemned("r"));
+  CHECK(table.Clear("r", kNow + seconds(1)));
+  CHECK_FALSE(table.IsCondemned("r"));
+  CHECK_FALSE(table.Clear("r", kNow + seconds(1)));
+  for (int i = 3; i < 6; ++i) {
+    CHECK_FALSE(table.AddCrash("r", CrashId("s", i), kNow, kNow + seconds(2)));
+  }
+  CHECK_FALSE(table.IsCondemned("r"));
+  const Instant later = kNow + seconds(3);
+  for (int i = 6; i < 9; ++i) table.AddCrash("r", CrashId("s", i), later, later);
+  CHECK(table.IsCondemned("r"));
+}
+
+TEST_CASE("Entries expire, and a full table keeps the suspects with the most crashes") {
+  CulpritTable table({.max_entries = 10, .max_age = seconds(60)});
+  for (int i = 0; i < 3; ++i) table.AddCrash("culprit", CrashId("s", i), kNow, kNow);
+  for (int i = 0; i < 100; ++i) table.AddCrash(std::to_string(i), CrashId("s", 0), kNow, kNow);
+  CHECK(table.size() == 10);
+  CHECK(table.IsCondemned("culprit"));
+  for (int i = 0; i < 1000; ++i) table.AddCrash("culprit", CrashId("s", i), kNow, kNow);
+  CHECK(table.EntryOf("culprit", kNow)->crashes.size() <= 16);
+  table.Expire(kNow + seconds(59));
+  CHECK(table.IsCondemned("culprit"));
+  table.Expire(kNow + seconds(60));
+  CHECK_FALSE(table.IsCondemned("culprit"));
+  CHECK(table.size() == 0);
+}
+
+TEST_CASE("A clearing that comes back by another process doesn't clear later crashes") {
+  CulpritTable table;
+  table.AddCrash("r", CrashId("s", 0), kNow, kNow);
+  table.Clear("r", kNow);
+  const SuspectEntry echo = *table.EntryOf("r", kNow);
+  table.AddCrash("r", CrashId("s", 1), kNow + milliseconds(5), kNow + milliseconds(5));
+  CHECK_FALSE(table.Merge(echo, kNow + milliseconds(40)));
+  CHECK(table.EntryOf("r", kNow)->crashes.size() == 1);
+}
+
+TEST_CASE("Tables that merge the same entries in any order condemn the same requests") {
+  CheckProperty("any order", [] {
+    CulpritTable source;
+    std::vector<SuspectEntry> entries;
+    Instant now = kNow;
+    for (int i = 0; i < 30; ++i) {
+      // Events lie further apart than the tolerance for the time of one clearing.
+      now += milliseconds(300);
+      const std::string digest = std::to_string(*rc::gen::inRange(0, 4));
+      if (*rc::gen::inRange(0, 6) == 0) {
+        source.Clear(digest, now);
+      } else {
+        source.AddCrash(digest, CrashId("s", *rc::gen::inRange(0, 8)), now, now);
+      }
+      const auto entry = source.EntryOf(digest, now);
+      if (!entry) continue;
+      // Ages count from the moment of the merge below.
+      SuspectEntry aged = *entry;
+      for (CrashSighting& sighting : aged.crashes) sighting.age += kNow + seconds(20) - now;
+      if (aged.cleared_age) *aged.cleared_age += kNow + seconds(20) - now;
+      entries.push_back(aged);
+    }
+    CulpritTable merged;
+    const auto order = *rc::gen::container<std::vector<std::size_t>>(
+        60, rc::gen::inRange<std::size_t>(0, entries.size()));
+    for (const std::size_t i : order) merged.Merge(entries[i], kNow + seconds(20));
+    for (const SuspectEntry& entry : entries) merged.Merge(entry, kNow + seconds(20));
+    RC_ASSERT(merged.condemned() == source.condemned());
+    RC_ASSERT(merged.CondemnedHash() == source.CondemnedHash());
+  });
+}
+
+}  // namespace
+}  // namespace kumquat
--- a/tests/libs/coordination/forwarding/forward_request_test.cpp
+++ b/tests/libs/coordination/forwarding/forward_request_test.cpp
@@ -147,6 +147,7 @@
       }
       return std::nullopt;
     };
+    hooks.is_condemned = [] { return false; };
     hooks.try_repeat = [this] { return budget_-- > 0; };
     hooks.find_copy = [this]() -> std::optional<RunCopy> {
       if (!std::exchange(has_copies_, false)) return std::nullopt;
@@ -277,11 +278,13 @@
   int cuts = 0;
   int budget = 10;
   bool has_server = true;
+  bool is_condemned = false;
   bool has_others = false;
   std::optional<RunCopy> copy;
 
   ForwardHooks Hooks() {
     ForwardHooks hooks;
+    hooks.is_condemned = [this] { return is_condemned; };
     hooks.choose = [this](std::span<const BackendChoice> avoid) -> std::optional<BackendChoice> {
       if (!has_server) return std::nullopt;
       return BackendChoice{fmt::format("s{}", avoid.size()), 1};
@@ -344,6 +347,46 @@
   CHECK(recorder.budget == 9);
 }
 
+TEST_CASE("A condemned request is refused at once, also while it waits or after a lost run") {
+  HookRecorder recorder;
+  recorder.is_condemned = true;
+  ForwardRequest first(PolicyOf(true, false, false), recorder.Hooks());
+  first.Start(seconds(1));
+  recorder.is_condemned = false;
+  recorder.has_server = false;
+  ForwardRequest waiting(PolicyOf(false, true, true), recorder.Hooks());
+  waiting.Start(seconds(1));
+  CHECK(waiting.is_waiting());
+  recorder.is_condemned = true;
+  waiting.OnCapacityFree(seconds(1));
+  CHECK(recorder.sends.empty());
+  recorder.is_condemned = false;
+  recorder.has_server = true;
+  recorder.copy = RunCopy{{"keeper", 1}, {}, "id"};
+  ForwardRequest lost(PolicyOf(true, true, true), recorder.Hooks());
+  lost.Start(seconds(1));
+  recorder.is_condemned = true;
+  lost.OnFailure(1, CallFailure::kBroken, seconds(1));
+  CHECK(recorder.sends.size() == 1);
+  REQUIRE(recorder.refusals.size() == 3);
+  for (const Refusal& refusal : recorder.refusals) {
+    CHECK(refusal.kind == ErrorKind::kPoisonRequest);
+    CHECK_FALSE(refusal.retry_after);
+  }
+}
+
+TEST_CASE("A stream that has begun is continued even if its request is condemned meanwhile") {
+  HookRecorder recorder;
+  ForwardRequest request(PolicyOf(false, true, true), recorder.Hooks());
+  request.Start(seconds(1));
+  request.OnHead(1, {200, false, true}, seconds(1));
+  request.OnEvent(1, 1, "a", seconds(1));
+  recorder.is_condemned = true;
+  request.OnFailure(1, CallFailure::kBroken, seconds(1));
+  CHECK(recorder.sends.size() == 2);
+  CHECK(recorder.refusals.empty());
+}
+
 TEST_CASE("A request without a server waits, then is refused as not run with a retry-after time") {
   HookRecorder recorder;
   recorder.has_server = false;
--- /dev/null
+++ b/tests/libs/coordination/forwarding/lost_runs_test.cpp
@@ -0,0 +1,69 @@
+// Tests what proves that a run was lost with a crash of its server.
+#include "coordination/forwarding/lost_runs.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+namespace kumquat {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Instant kLost = seconds(100);
+const BackendChoice kServer{"s1", 5};
+
+LostRuns WithOneRun() {
+  LostRuns runs;
+  runs.Add(kServer, {"q1", {"digest"}, kLost});
+  return runs;
+}
+
+TEST_CASE("A refused connection soon after the loss proves a crash, once") {
+  LostRuns runs = WithOneRun();
+  CHECK(runs.Unproven(kLost).size() == 1);
+  CHECK(runs.OnRefused({"s1", 4}, kLost).empty());
+  const auto proven = runs.OnRefused(kServer, kLost + milliseconds(1));
+  REQUIRE(proven.size() == 1);
+  CHECK(proven[0].suspects == std::vector<std::string>{"digest"});
+  CHECK(runs.OnRefused(kServer, kLost + milliseconds(2)).empty());
+  CHECK(runs.Unproven(kLost).empty());
+}
+
+TEST_CASE(
+    "A server that refuses seconds later, or takes connections, isn't proven to have crashed") {
+  LostRuns late = WithOneRun();
+  CHECK(late.OnRefused(kServer, kLost + seconds(3)).empty());
+  LostRuns reached = WithOneRun();
+  reached.OnReachable(kServer);
+  CHECK(reached.Unproven(kLost).empty());
+  CHECK(reached.OnLaterIncarnation(kServer, kLost + seconds(5)).empty());
+}
+
+TEST_CASE("A later incarnation proves the crash of one that fell silent") {
+  LostRuns runs = WithOneRun();
+  CHECK_FALSE(runs.OlderIncarnation("s1", 5));
+  CHECK_FALSE(runs.OlderIncarnation("s2", 6));
+  CHECK(runs.OlderIncarnation("s1", 6) == kServer);
+  CHECK(runs.OnLaterIncarnation(kServer, kLost + seconds(5)).size() == 1);
+  LostRuns too_late = WithOneRun();
+  CHECK(too_late.OnLaterIncarnation(kServer, kLost + seconds(11)).empty());
+}
+
+TEST_CASE("Lost runs are bounded and forgotten") {
+  LostRuns runs;
+  for (int server = 0; server < 1000; ++server) {
+    for (int i = 0; i < 100; ++i) {
+      runs.Add({"s" + std::to_string(server), 1}, {std::to_string(i), {"digest"}, kLost});
+    }
+  }
+  CHECK(runs.Unproven(kLost).size() == LostRuns::kMaxBackends);
+  CHECK(runs.OnRefused({"s0", 1}, kLost).size() == LostRuns::kMaxRuns);
+  CHECK(runs.Unproven(kLost + seconds(11)).empty());
+  runs.Add({"another", 1}, {"q", {"digest"}, kLost + seconds(11)});
+  CHECK(runs.Unproven(kLost + seconds(11)).size() == 1);
+}
+
+}  // namespace
+}  // namespace kumquat
--- a/tests/libs/protocol/control_news_test.cpp
+++ b/tests/libs/protocol/control_news_test.cpp
@@ -27,6 +27,12 @@
   cache.changes = {{0x123456789abcdef0, 512}, {1, 0}};
   LoadNews loads;
   loads.routers = {{"r1", {{"e1", 4, 9000, 20'000}}}, {"r2", {}}};
+  SuspectNews suspects;
+  suspects.router = "r1";
+  suspects.is_summary = true;
+  suspects.condemned_hash = 0xfedcba9876543210;
+  suspects.entries = {{std::string("\0digest", 7), {{1, Duration(5)}, {9, Duration(7)}}, {}},
+                      {"cleared", {}, std::chrono::milliseconds(3)}};
   return {hello,
           DocumentNews{{{"routing", 7, std::string("\0bytes", 6)}}},
           MemberNews{"c1", "{}"},
@@ -34,7 +40,8 @@
           engines,
           cache,
           CacheWanted{"r1", "e1"},
-          loads};
+          loads,
+          suspects};
 }
 
 TEST_CASE("News survive their encoding") {
--- a/tests/process/forwarding/forward_crash_test.cpp
+++ b/tests/process/forwarding/forward_crash_test.cpp
@@ -74,5 +74,31 @@
   CHECK(bench.Send(0, "/again/look", "sound") == 200);
 }
 
+TEST_CASE(
+    "Routers and replicas that restart one after the other still refuse a condemned request") {
+  CrashBench bench;
+  bench.CrashOnBody("crash");
+  bench.SendUntilCrashes(3, "/long/stream", "crash");
+  CrashBench::Wait(kContactTime);
+  const int before = bench.Crashes();
+  for (int round = 0; round < 2; ++round) {
+    for (int router = 0; router < ForwardBench::kRouters; ++router) {
+      bench.router(router).Kill();
+      bench.router(router).Start();
+      bench.WaitForStatus(router, "/again/look", 200);
+      CrashBench::Wait(std::chrono::seconds(1));
+      bench.Send(router, "/long/stream", "crash");
+    }
+    for (int replica = 0; replica < ForwardBench::kReplicas; ++replica) {
+      bench.replica(replica).Kill();
+      bench.replica(replica).Start();
+    }
+    CrashBench::Wait(std::chrono::seconds(2));
+  }
+  CHECK(bench.Crashes() == before);
+  CHECK(bench.Send(0, "/long/stream", "crash") == 422);
+  CHECK(bench.Send(1, "/long/stream", "sound") == 200);
+}
+
 }  // namespace
 }  // namespace kumquat
