Own interface: a plain service call that crashed three servers is refused by every router

CrashWatch moves out of forwarding/ and serves both paths. CrashExchange connects it to the own interface's membership (a backend server found down) and peer links, over which routers pass news on, as not every router is linked to every other. ServiceCall refuses a condemned call as poison_request before its claim and before each retry and hedge; the count and the clearing are CulpritTable's.

Evidence: router_poison_test, 'A call that crashed three plain services is refused by every router': real routers, replicas and fakes that exit on the call and are started again. With the check taken out it fails (the call is never answered 422). service_call_test has the decision alone.

--- a/src/fakes/service/booking_server.cpp
+++ b/src/fakes/service/booking_server.cpp
@@ -1,5 +1,7 @@
 #include "service/booking_server.h"
 
+#include <unistd.h>
+
 #include <QCoreApplication>
 #include <QJsonObject>
 #include <utility>
@@ -10,6 +12,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds kLeavePollInterval{20};
+// A request with this text in its query ends the process at once.
+constexpr std::string_view kCrashText = "please-crash";
 
 const HttpHeaders& JsonHeaders() {
   static const HttpHeaders headers = {{"Content-Type", "application/json"}};
@@ -53,6 +57,7 @@
 }
 
 void BookingServer::Handle(const HttpRequest& request, const Responder& responder) {
+  if (request.query.find(kCrashText) != std::string::npos) _exit(1);
   if (request.method == "POST" && request.path == "/book") {
     Book(request, responder);
   } else if (request.method == "GET" && request.path == "/slots") {
--- /dev/null
+++ b/src/kumquatrouter/crash_exchange.cpp
@@ -0,0 +1,94 @@
+#include "crash_exchange.h"
+
+#include <QByteArray>
+#include <QJsonObject>
+#include <optional>
+#include <utility>
+#include <variant>
+
+#include "coordination/membership/member_table.h"
+#include "membership_service.h"
+#include "peer_network.h"
+#include "utils/log.h"
+
+namespace kumquat {
+namespace {
+
+constexpr Duration kSummaryInterval = std::chrono::seconds(1);
+const QString kNewsField = QStringLiteral("news");
+
+QJsonObject ToBody(const SuspectNews& news) {
+  const QByteArray encoded = QByteArray::fromStdString(Encode(news)).toBase64();
+  return {{kNewsField, QString::fromLatin1(encoded)}};
+}
+
+std::optional<SuspectNews> FromBody(const QJsonObject& body) {
+  const QByteArray encoded = QByteArray::fromBase64(body[kNewsField].toString().toLatin1());
+  const auto news = DecodeControlNews(encoded.toStdString());
+  const auto* suspects = news ? std::get_if<SuspectNews>(&*news) : nullptr;
+  return suspects ? std::optional(*suspects) : std::nullopt;
+}
+
+}  // namespace
+
+CrashExchange::CrashExchange(std::string self, PeerNetwork* network, MembershipService* membership,
+                             Metrics* metrics, Clock clock)
+    : network_(network),
+      membership_(membership),
+      clock_(std::move(clock)),
+      watch_(std::move(self), Hooks(), metrics) {
+  network_->SetHandler(PeerMessageType::kSuspects,
+                       [this](const std::string& from, const QJsonObject& body) {
+                         const auto news = FromBody(body);
+                         if (!news) {
+                           LogEvent(LogLevel::kWarning, "peer_message_dropped", {{"from", from}});
+                           return;
+                         }
+                         const auto answer = watch_.Receive(*news);
+                         if (answer)
+                           network_->Send(from, PeerMessageType::kSuspects, ToBody(*answer));
+                       });
+}
+
+CrashWatchHooks CrashExchange::Hooks() {
+  CrashWatchHooks hooks;
+  hooks.clock = clock_;
+  hooks.probe = [this](const BackendChoice& backend) {
+    // It may have been found dead before the loss was noticed.
+    if (membership_->IsProvenDead(backend.backend_id, backend.incarnation)) {
+      OnBackendDown(backend);
+    } else {
+      membership_->ProbeBackend(backend.backend_id);
+    }
+  };
+  hooks.latest_incarnation = [this](const std::string& id) -> std::optional<std::int64_t> {
+    const Member* member = membership_->table().Find(id);
+    return member ? std::optional(member->record.incarnation) : std::nullopt;
+  };
+  hooks.report = [this](const SuspectNews& news) { SendToAll(news); };
+  // Not every router is linked to every other.
+  hooks.relays_news = true;
+  return hooks;
+}
+
+void CrashExchange::SendToAll(const SuspectNews& news) {
+  const QJsonObject body = ToBody(news);
+  for (const std::string& peer : network_->connected_peers()) {
+    network_->Send(peer, PeerMessageType::kSuspects, body);
+  }
+}
+
+void CrashExchange::OnBackendDown(const BackendChoice& backend) {
+  if (membership_->IsProvenDead(backend.backend_id, backend.incarnation)) watch_.OnRefused(backend);
+}
+
+void CrashExchange::Tick() {
+  watch_.ProbeUnproven();
+  watch_.ReportChanges();
+  const Instant now = clock_();
+  if (now - summary_sent_at_ < kSummaryInterval) return;
+  summary_sent_at_ = now;
+  SendToAll(watch_.Summary());
+}
+
+}  // namespace kumquat
--- a/src/kumquatrouter/forwarding/crash_watch.cpp
+++ b/src/kumquatrouter/crash_watch.cpp
@@ -1,4 +1,4 @@
-#include "forwarding/crash_watch.h"
+#include "crash_watch.h"
 
 #include <fmt/format.h>
 
@@ -125,7 +125,9 @@
   const Instant now = hooks_.clock();
   for (const SuspectEntry& entry : news.entries) {
     const bool was_condemned = table_.IsCondemned(entry.digest);
-    if (table_.Merge(entry, now)) LogNewlyCondemned(entry.digest, was_condemned);
+    if (!table_.Merge(entry, now)) continue;
+    LogNewlyCondemned(entry.digest, was_condemned);
+    if (hooks_.relays_news) changed_at_[entry.digest] = now;
   }
   const bool lacks_some = news.is_summary && news.condemned_hash != table_.CondemnedHash();
   if (!lacks_some) return std::nullopt;
--- a/src/kumquatrouter/forwarding/crash_watch.h
+++ b/src/kumquatrouter/crash_watch.h
@@ -24,8 +24,10 @@
   std::function<void(const BackendChoice& backend)> probe;
   // Returns the latest known incarnation of the backend server; nullopt if it isn't known.
   std::function<std::optional<std::int64_t>(const std::string& backend_id)> latest_incarnation;
-  // Sends news to all control replicas, which pass them on to the other routers.
+  // Sends news to the processes that this router is linked to.
   std::function<void(const SuspectNews& news)> report;
+  // Set if news that change the table are to be reported on.
+  bool relays_news = false;
 };
 
 class CrashWatch {
@@ -57,11 +59,11 @@
   // Reports what changed since the last call; call it at short intervals.
   void ReportChanges();
 
-  // Returns the summary for control. Repeats recent changes, as the message that reported them may
-  // have been lost.
+  // Returns the summary that is sent regularly. Repeats recent changes, as the message that
+  // reported them may have been lost.
   SuspectNews Summary();
 
-  // Takes news from a replica. Returns what the replica lacks; nullopt if nothing.
+  // Takes news from another process. Returns what that process lacks; nullopt if nothing.
   std::optional<SuspectNews> Receive(const SuspectNews& news);
 
   // Sets the gauges.
@@ -77,7 +79,7 @@
   Metrics* metrics_;
   LostRuns lost_runs_;
   CulpritTable table_;
-  // When this router itself last changed an entry, by digest.
+  // When this router last changed an entry that it has to report, by digest.
   std::map<std::string, Instant> changed_at_;
   Instant reported_at_{-1};
 };
--- a/src/kumquatrouter/forwarding/forward_server.h
+++ b/src/kumquatrouter/forwarding/forward_server.h
@@ -9,8 +9,8 @@
 #include <string>
 #include <vector>
 
+#include "crash_watch.h"
 #include "forwarding/control_feed.h"
-#include "forwarding/crash_watch.h"
 #include "forwarding/forward_exchange.h"
 #include "forwarding/forward_services.h"
 #include "forwarding/forward_settings.h"
--- a/src/kumquatrouter/forwarding/forward_services.h
+++ b/src/kumquatrouter/forwarding/forward_services.h
@@ -12,7 +12,7 @@
 #include "coordination/forwarding/route_index.h"
 #include "coordination/forwarding/weights_limit.h"
 #include "coordination/orders/named_weights.h"
-#include "forwarding/crash_watch.h"
+#include "crash_watch.h"
 #include "forwarding/forward_codec.h"
 #include "transport/backend_client.h"
 #include "utils/histogram.h"
--- a/src/kumquatrouter/peer_network.h
+++ b/src/kumquatrouter/peer_network.h
@@ -27,6 +27,7 @@
   kSuspectSlot,
   kLookup,
   kLookupAnswer,
+  kSuspects,
 };
 
 // Keeps a link to each peer and serves theirs. A message to a peer that can't be reached now is
--- a/src/kumquatrouter/router.cpp
+++ b/src/kumquatrouter/router.cpp
@@ -84,10 +84,12 @@
             return membership_.FirstKeeperOf(std::string(backend_id));
           },
           settings.request_deadline, clock_),
+      crashes_(settings.instance, &network_, &membership_, &metrics_, clock_),
       cache_follower_(std::make_unique<CacheFollower>(&membership_, &index_, client_.get(), clock_,
                                                       settings.cache_poll_interval)) {
-  services_ = {&settings_,     client_.get(), &control_, &membership_, &engines_, &index_, &queues_,
-               &retry_budget_, &strikes_,     &metrics_, incarnation_, clock_,    random_};
+  services_ = {&settings_, client_.get(), &control_,      &membership_, &engines_,
+               &index_,    &queues_,      &retry_budget_, &strikes_,    &crashes_,
+               &metrics_,  incarnation_,  clock_,         random_};
   membership_.OnLoadReported([this](const Announcement& engine, Instant measured_at) {
     engines_.LoadReported(engine, measured_at);
     queues_.Drain();
@@ -104,6 +106,7 @@
   membership_.OnBackendDown([this](const std::string& id, std::int64_t incarnation) {
     const auto chats = chats_;
     for (const auto& [key, chat] : chats) chat->OnBackendDown({id, incarnation});
+    crashes_.OnBackendDown({id, incarnation});
   });
 }
 
@@ -170,6 +173,7 @@
 void Router::TickMembership() {
   membership_.Tick();
   strikes_.Tick();
+  crashes_.Tick();
   const auto routers = membership_.live_routers();
   engines_.SetRouters(routers.size());
   std::map<std::string, std::int64_t> runs;
@@ -230,6 +234,7 @@
   metrics_.Set("kumquat_requests_in_progress", "",
                static_cast<double>(chats_.size() + calls_.size()));
   metrics_.Set("kumquat_requests_waiting", "", static_cast<double>(queues_.waiting()));
+  crashes_.watch().Measure();
   metrics_.Set("kumquat_members", "", static_cast<double>(membership_.table().size()));
   metrics_.Set("kumquat_index_entries", "", static_cast<double>(index_.shard().entries()));
   metrics_.Set("kumquat_peer_bytes", "", static_cast<double>(network_.bytes_transferred()));
--- a/src/kumquatrouter/router.h
+++ b/src/kumquatrouter/router.h
@@ -10,6 +10,7 @@
 
 #include "control_client.h"
 #include "coordination/admission/retry_budget.h"
+#include "crash_exchange.h"
 #include "engine_selector.h"
 #include "index_service.h"
 #include "membership_service.h"
@@ -83,6 +84,7 @@
   ModelQueues queues_;
   RetryBudget retry_budget_;
   StrikeExchange strikes_;
+  CrashExchange crashes_;
   std::unique_ptr<CacheFollower> cache_follower_;
   RouterServices services_;
   std::unique_ptr<HttpServer> server_;
--- a/src/kumquatrouter/router_services.h
+++ b/src/kumquatrouter/router_services.h
@@ -8,6 +8,7 @@
 namespace kumquat {
 
 class BackendClient;
+class CrashExchange;
 class ControlClient;
 class EngineSelector;
 class IndexService;
@@ -28,6 +29,7 @@
   ModelQueues* queues = nullptr;
   RetryBudget* retry_budget = nullptr;
   StrikeExchange* strikes = nullptr;
+  CrashExchange* crashes = nullptr;
   Metrics* metrics = nullptr;
   std::int64_t router_incarnation = 0;
   Clock clock;
--- a/src/kumquatrouter/service_exchange.cpp
+++ b/src/kumquatrouter/service_exchange.cpp
@@ -10,6 +10,7 @@
 #include "control_client.h"
 #include "coordination/admission/retry_budget.h"
 #include "coordination/membership/member_table.h"
+#include "crash_exchange.h"
 #include "membership_service.h"
 #include "protocol/control_messages.h"
 #include "router_settings.h"
@@ -93,11 +94,24 @@
   return options;
 }
 
+const std::vector<std::string>& ServiceExchange::Suspects() {
+  if (!suspects_) {
+    suspects_ = {start_.organisation + '/' + target_.service + '/' + ContentDigest(request_)};
+  }
+  return *suspects_;
+}
+
+bool ServiceExchange::IsCondemned() {
+  const CrashWatch& watch = services_.crashes->watch();
+  return watch.has_condemned() && watch.IsCondemned(Suspects());
+}
+
 void ServiceExchange::Run() {
   ServiceCallHooks hooks;
   hooks.choose_backend = [this](std::span<const BackendChoice> avoid) {
     return directory_->Choose(target_, avoid);
   };
+  hooks.is_condemned = [this] { return IsCondemned(); };
   hooks.try_retry = [this](int retries_before, Instant now, Instant deadline) {
     return services_.retry_budget->TryRetry(retries_before, now, deadline);
   };
@@ -214,6 +228,8 @@
     if (!exchange) return;
     const auto attempt = exchange->TakeAttempt(attempt_id);
     if (!attempt) return;
+    CrashWatch& watch = exchange->services_.crashes->watch();
+    if (watch.has_suspects()) watch.OnAnswerBegun(exchange->Suspects());
     exchange->Execute(
         exchange->decisions_->OnAnswer(attempt_id, attempt->answer, exchange->services_.clock()));
   };
@@ -231,10 +247,18 @@
     services_.membership->ConnectionFailed(backend.backend_id, backend.incarnation, false);
   } else {
     services_.membership->ProbeBackend(backend.backend_id);
+    NoteLoss(*attempt);
   }
   Execute(decisions_->OnFailure(attempt_id, failure, services_.clock()));
 }
 
+// A server that has begun to answer was not crashed by beginning.
+void ServiceExchange::NoteLoss(const Attempt& attempt) {
+  if (attempt.answer.status != 0) return;
+  services_.crashes->watch().OnRunLost(attempt.backend,
+                                       {start_.request_id, Suspects(), services_.clock()});
+}
+
 std::optional<ServiceExchange::Attempt> ServiceExchange::TakeAttempt(
     const std::string& attempt_id) {
   const auto entry = attempts_.find(attempt_id);
--- a/src/kumquatrouter/service_exchange.h
+++ b/src/kumquatrouter/service_exchange.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "coordination/requests/service_call.h"
 #include "exchange.h"
@@ -45,6 +46,9 @@
   void Execute(const service_command::RecordSuccess& command);
 
   ServiceCallOptions OptionsFor() const;
+  bool IsCondemned();
+  void NoteLoss(const Attempt& attempt);
+  const std::vector<std::string>& Suspects();
   BackendCallRequest CallFor(const service_command::StartAttempt& command) const;
   BackendCallHooks HooksFor(const std::string& attempt_id);
   void OnCallFailed(const std::string& attempt_id, CallFailure failure);
@@ -58,6 +62,8 @@
   HttpRequest request_;
   ServiceTarget target_;
   ShareTicket ticket_;
+  // Computed when first needed.
+  std::optional<std::vector<std::string>> suspects_;
   std::optional<ServiceCall> decisions_;
   std::map<std::string, Attempt> attempts_;
   std::function<void()> on_done_;
--- a/src/libs/coordination/requests/service_call.cpp
+++ b/src/libs/coordination/requests/service_call.cpp
@@ -30,6 +30,10 @@
 
 ServiceCommands ServiceCall::Start(Instant now) {
   ServiceCommands commands;
+  if (hooks_.is_condemned()) {
+    FinishAndReleaseClaim(ErrorKind::kPoisonRequest, &commands);
+    return commands;
+  }
   if (now + options_.min_time_to_run > options_.deadline) {
     FinishAndReleaseClaim(ErrorKind::kDeadlineBeforeRun, &commands);
     return commands;
@@ -180,6 +184,14 @@
 }
 
 void ServiceCall::StartAttempt(Instant now, ServiceCommands* commands) {
+  if (hooks_.is_condemned()) {
+    if (may_have_run_) {
+      FinishMayHaveRun(commands);
+    } else {
+      FinishAndReleaseClaim(ErrorKind::kPoisonRequest, commands);
+    }
+    return;
+  }
   const std::optional<BackendChoice> backend = hooks_.choose_backend(avoid_);
   if (!backend) {
     if (may_have_run_) {
@@ -206,6 +218,7 @@
 
 void ServiceCall::StartHedge(Instant now, ServiceCommands* commands) {
   hedge_at_.reset();
+  if (hooks_.is_condemned()) return;
   if (!hooks_.try_retry(0, now, options_.deadline)) return;
   std::vector<BackendChoice> avoid = avoid_;
   for (const Attempt& attempt : running_) avoid.push_back(attempt.backend);
--- a/src/libs/coordination/requests/service_call.h
+++ b/src/libs/coordination/requests/service_call.h
@@ -79,6 +79,8 @@
 // Callbacks that supply external state to the call.
 struct ServiceCallHooks {
   ChooseBackend choose_backend;
+  // Returns whether the call is known to crash the backend servers that run it.
+  std::function<bool()> is_condemned;
   // Takes a retry from the router's budget and returns the backoff before it; nothing when no
   // retry is allowed (RetryBudget::TryRetry).
   std::function<std::optional<Duration>(int retries_before, Instant now, Instant deadline)>
--- a/tests/kumquatrouter/crash_fleet_test.cpp
+++ b/tests/kumquatrouter/crash_fleet_test.cpp
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "forwarding/crash_watch.h"
+#include "crash_watch.h"
 #include "property.h"
 #include "suspect_relay.h"
 #include "virtual_world.h"
--- a/tests/libs/coordination/requests/service_call_test.cpp
+++ b/tests/libs/coordination/requests/service_call_test.cpp
@@ -156,6 +156,7 @@
               if (avoid.size() > 3) return std::nullopt;
               return BackendChoice{"s" + std::to_string(avoid.size()), 1};
             },
+            [] { return false; },
             [this](int, Instant, Instant) -> std::optional<Duration> {
               if (retries_left-- <= 0) return std::nullopt;
               return milliseconds(10);
@@ -326,6 +327,7 @@
       [](std::span<const BackendChoice>) {
         return BackendChoice{"s", 1};
       },
+      [] { return false; },
       [](int, Instant, Instant) { return std::optional<Duration>(milliseconds(5)); }};
   ServiceCall call(options, hooks);
   call.Start(seconds(1));
@@ -347,4 +349,32 @@
   CHECK(std::holds_alternative<service_command::ReleaseClaim>(late[0]));
 }
 
+TEST_CASE("A condemned call is never sent, nor sent again after a lost attempt") {
+  bool is_condemned = true;
+  ServiceCallOptions options;
+  options.request_id = "q1";
+  options.deadline = seconds(10);
+  options.repeatable = true;
+  const ServiceCallHooks hooks{
+      [](std::span<const BackendChoice>) {
+        return BackendChoice{"s", 1};
+      },
+      [&] { return is_condemned; },
+      [](int, Instant, Instant) { return std::optional<Duration>(milliseconds(5)); }};
+  ServiceCall refused(options, hooks);
+  const ServiceCommands commands = refused.Start(seconds(1));
+  REQUIRE(commands.size() == 1);
+  REQUIRE(std::holds_alternative<service_command::Refuse>(commands[0]));
+  CHECK(std::get<service_command::Refuse>(commands[0]).error.kind == ErrorKind::kPoisonRequest);
+  is_condemned = false;
+  ServiceCall lost(options, hooks);
+  lost.Start(seconds(1));
+  CHECK(lost.attempts() == 1);
+  lost.OnFailure("q1-1", CallFailure::kBroken, seconds(1));
+  is_condemned = true;
+  lost.OnWake(seconds(2));
+  CHECK(lost.done());
+  CHECK(lost.attempts() == 1);
+}
+
 }  // namespace kumquat
--- a/tests/process/router/router_poison_test.cpp
+++ b/tests/process/router/router_poison_test.cpp
@@ -40,5 +40,41 @@
   }
 }
 
+TEST_CASE(
+    "A call that crashed three plain services is refused by every router, others are served") {
+  SystemBench bench;
+  int crashes = 0;
+  int next = 0;
+  // Restarts crashed services, so that the call could crash them again.
+  const auto restart_services = [&] {
+    for (int i = 0; i < SystemBench::kServices; ++i) {
+      TestProgram& program = *bench.service(i).program;
+      if (program.running()) continue;
+      ++crashes;
+      program.Start();
+    }
+  };
+  const auto call_once = [&](int router) {
+    const auto call = bench.StartCrashingCall(router);
+    CHECK(SpinUntil([&] { return call->done(); }));
+    restart_services();
+    return call->status;
+  };
+  CHECK(SpinUntil([&] {
+    call_once(next++ % SystemBench::kRouters);
+    return crashes >= 3;
+  }));
+  CHECK(SpinUntil([&] { return call_once(next++ % SystemBench::kRouters) == 422; }));
+  for (int i = 0; i < 3 * SystemBench::kRouters; ++i) {
+    CHECK(call_once(i % SystemBench::kRouters) == 422);
+  }
+  CHECK(crashes <= 6);
+  CHECK(SpinUntil([&] {
+    const auto booking = bench.StartBooking(0, "sound-" + std::to_string(next++));
+    CHECK(SpinUntil([&] { return booking->done(); }));
+    return booking->status == 201;
+  }));
+}
+
 }  // namespace
 }  // namespace kumquat
--- a/tests/process/router/system_bench.cpp
+++ b/tests/process/router/system_bench.cpp
@@ -147,6 +147,11 @@
                        WithKey({{"Idempotency-Key", key}}), R"({"bay":1})");
 }
 
+std::unique_ptr<TestCall> SystemBench::StartCrashingCall(int router) {
+  return caller_.Start(routers_[router], "GET", "/services/bookings/slots?please-crash",
+                       WithKey({}));
+}
+
 std::string SystemBench::ChatText(const std::string& text) {
   const std::string hash = AnswerHash(Messages(text));
   std::string answer;
