--- /dev/null
+++ b/tests/process/forwarding/forward_crash_part_test.cpp
@@ -0,0 +1,48 @@
+// End-to-end tests with prompts of which one part crashes the engines that begin to answer them.
+#include <fmt/format.h>
+
+#include "process/forwarding/crash_bench.h"
+
+namespace kumquat {
+namespace {
+
+constexpr int kMaxPartCrashes = 5;
+
+// Headers of a prompt with two shared parts and one of its own.
+HttpHeaders Prompt(const std::string& shared_part, int number) {
+  return {{"Kumquatcross-Model", "lm"},
+          {"Kumquatcross-Token-Count", "100,10"},
+          {"Kumquatcross-Prompt-Prefix", fmt::format("aa:40,{}:30,{:x}:30", shared_part, number)}};
+}
+
+TEST_CASE(
+    "Prompts with a part that crashed five engines stop reaching engines; others are served") {
+  CrashBench bench;
+  bench.CrashOnPart("lm", "dead");
+  int number = 0;
+  const auto send = [&](const std::string& part) {
+    ++number;
+    return bench.Send(number % ForwardBench::kRouters, "/long/stream", std::to_string(number),
+                      Prompt(part, number));
+  };
+  CHECK(SpinUntil([&] { return send("50f7") == 200; }));
+  CHECK(SpinUntil([&] {
+    if (bench.Crashes() < kMaxPartCrashes) send("dead");
+    send("50f7");
+    return bench.Crashes() >= kMaxPartCrashes || send("dead") == 422;
+  }));
+  CrashBench::Wait(kContactTime);
+  const int before = bench.Crashes();
+  int sound_served = 0;
+  constexpr int kRounds = 20;
+  for (int i = 0; i < kRounds; ++i) {
+    send("dead");
+    if (send("50f7") == 200) ++sound_served;
+    CrashBench::Wait(StandInServer::kDownTime / 2);
+  }
+  CHECK(bench.Crashes() - before <= kMaxSendsAfterContactTime);
+  CHECK(sound_served >= kRounds * 9 / 10);
+}
+
+}  // namespace
+}  // namespace kumquat
--- a/tests/process/forwarding/stand_in_server.cpp
+++ b/tests/process/forwarding/stand_in_server.cpp
@@ -50,7 +50,10 @@
 }
 
 bool StandInServer::Crashes(const HttpRequest& request) const {
-  return !crash_body_.empty() && request.body == crash_body_;
+  if (!crash_body_.empty() && request.body == crash_body_) return true;
+  const std::string parts(request.Header("Kumquatcross-Prompt-Prefix"));
+  const std::string shared = parts.substr(0, parts.rfind(','));
+  return !crash_part_.empty() && shared.find(crash_part_) != std::string::npos;
 }
 
 void StandInServer::Crash() {
--- a/tests/process/forwarding/stand_in_server.h
+++ b/tests/process/forwarding/stand_in_server.h
@@ -41,6 +41,9 @@
   // refuses new ones until it starts again, as a later incarnation, after kDownTime.
   void CrashOnBody(std::string body) { crash_body_ = std::move(body); }
 
+  // The same for each request whose prompt has this part, other than as its last one.
+  void CrashOnPart(std::string part) { crash_part_ = std::move(part); }
+
   int crashes() const { return crashes_; }
 
   // Announces itself as leaving from now on; returns once control has acknowledged it.
@@ -75,6 +78,7 @@
   int sequence_ = 0;
   qint64 born_ = 0;
   std::string crash_body_;
+  std::string crash_part_;
   int crashes_ = 0;
   bool is_leaving_ = false;
   Mode mode_ = Mode::kServes;
