A part of prompts that crashes engines is condemned, and its requests aren't sent

Cause: what the requests have in common was never looked at.

Change: a lost run makes suspects of its request and of each part of its prompt but the last. Any engine that begins to answer a request with a part clears the part, in all routers; so what sound requests share with guilty ones is cleared within milliseconds, and what only ran beside them by its next run. Four crashes since then condemn a part. A crash needs one culprit only: the suspect with the most crashes is condemned first, of equal ones the most specific, and its crashes don't count for the others. Condemned prompts are refused as poison_request before each send.

Why it works: a culprit never gets an answer begun, and everything else does.

--- a/src/kumquatcontrol/suspect_relay.cpp
+++ b/src/kumquatcontrol/suspect_relay.cpp
@@ -14,7 +14,7 @@
   table_.Expire(now);
   for (const SuspectEntry& entry : news.entries) {
     if (!table_.Merge(entry, now)) continue;
-    if (table_.IsShared(entry.digest)) untold_.insert(entry.digest);
+    if (table_.IsShared(entry.suspect.digest)) untold_.insert(entry.suspect.digest);
   }
   const bool differs = news.is_summary && news.condemned_hash != table_.CondemnedHash();
   if (!differs) return std::nullopt;
--- a/src/kumquatrouter/crash_watch.cpp
+++ b/src/kumquatrouter/crash_watch.cpp
@@ -28,9 +28,9 @@
 CrashWatch::CrashWatch(std::string router, CrashWatchHooks hooks, Metrics* metrics)
     : router_(std::move(router)), hooks_(std::move(hooks)), metrics_(metrics) {}
 
-bool CrashWatch::IsCondemned(std::span<const std::string> suspects) const {
+bool CrashWatch::IsCondemned(std::span<const Suspect> suspects) const {
   return std::any_of(suspects.begin(), suspects.end(),
-                     [this](const std::string& digest) { return table_.IsCondemned(digest); });
+                     [this](const Suspect& suspect) { return table_.IsCondemned(suspect.digest); });
 }
 
 void CrashWatch::OnRunLost(const BackendChoice& backend, LostRun run) {
@@ -43,9 +43,9 @@
   }
 }
 
-void CrashWatch::OnAnswerBegun(std::span<const std::string> suspects) {
+void CrashWatch::OnAnswerBegun(std::span<const Suspect> suspects) {
   const Instant now = hooks_.clock();
-  for (const std::string& digest : suspects) {
+  for (const auto& [digest, depth] : suspects) {
     if (!table_.Clear(digest, now)) continue;
     changed_at_[digest] = now;
     LogEvent(LogLevel::kInfo, "suspect_cleared", {{"digest", ForLog(digest)}});
@@ -67,9 +67,10 @@
   const Instant now = hooks_.clock();
   const std::uint64_t crash = CrashId(backend.backend_id, backend.incarnation);
   for (const LostRun& run : runs) {
-    for (const std::string& digest : run.suspects) {
+    for (const Suspect& suspect : run.suspects) {
+      const std::string& digest = suspect.digest;
       const bool was_condemned = table_.IsCondemned(digest);
-      if (!table_.AddCrash(digest, crash, run.lost_at, now)) continue;
+      if (!table_.AddCrash(suspect, crash, run.lost_at, now)) continue;
       changed_at_[digest] = now;
       metrics_->Count("kumquat_crash_strikes_total");
       LogEvent(LogLevel::kWarning, "request_struck",
@@ -124,10 +125,11 @@
 std::optional<SuspectNews> CrashWatch::Receive(const SuspectNews& news) {
   const Instant now = hooks_.clock();
   for (const SuspectEntry& entry : news.entries) {
-    const bool was_condemned = table_.IsCondemned(entry.digest);
+    const std::string& digest = entry.suspect.digest;
+    const bool was_condemned = table_.IsCondemned(digest);
     if (!table_.Merge(entry, now)) continue;
-    LogNewlyCondemned(entry.digest, was_condemned);
-    if (hooks_.relays_news) changed_at_[entry.digest] = now;
+    LogNewlyCondemned(digest, was_condemned);
+    if (hooks_.relays_news) changed_at_[digest] = now;
   }
   const bool lacks_some = news.is_summary && news.condemned_hash != table_.CondemnedHash();
   if (!lacks_some) return std::nullopt;
--- a/src/kumquatrouter/crash_watch.h
+++ b/src/kumquatrouter/crash_watch.h
@@ -35,8 +35,8 @@
   // `router` is the name of this router. `metrics` isn't owned.
   CrashWatch(std::string router, CrashWatchHooks hooks, Metrics* metrics);
 
-  // Returns whether any of the suspects is condemned, so that the request must not be sent.
-  bool IsCondemned(std::span<const std::string> suspects) const;
+  // Returns whether any of the suspects is condemned, so that a request with it must not be sent.
+  bool IsCondemned(std::span<const Suspect> suspects) const;
   bool has_condemned() const { return !table_.condemned().empty(); }
 
   // Returns whether OnAnswerBegun() may have an effect.
@@ -46,7 +46,7 @@
   void OnRunLost(const BackendChoice& backend, LostRun run);
 
   // A backend server survived the beginning of a run.
-  void OnAnswerBegun(std::span<const std::string> suspects);
+  void OnAnswerBegun(std::span<const Suspect> suspects);
 
   // What became known of a backend server.
   void OnRefused(const BackendChoice& backend);
--- a/src/kumquatrouter/forwarding/forward_exchange.cpp
+++ b/src/kumquatrouter/forwarding/forward_exchange.cpp
@@ -96,7 +96,7 @@
   return true;
 }
 
-const std::vector<std::string>& ForwardExchange::Suspects() {
+const std::vector<Suspect>& ForwardExchange::Suspects() {
   if (!suspects_) suspects_ = SuspectsOf(request_, organisation_ ? organisation_->name : "");
   return *suspects_;
 }
--- a/src/kumquatrouter/forwarding/forward_exchange.h
+++ b/src/kumquatrouter/forwarding/forward_exchange.h
@@ -12,6 +12,7 @@
 
 #include "coordination/forwarding/forward_request.h"
 #include "forwarding/forward_services.h"
+#include "protocol/suspect_entry.h"
 #include "transport/event_splitter.h"
 #include "transport/http_server.h"
 
@@ -93,7 +94,7 @@
   // Finds the route, organisation and service of the request. Refuses the request and returns false
   // if there is no routing table, no route, or no valid key where one is needed.
   bool ResolveRoute();
-  const std::vector<std::string>& Suspects();
+  const std::vector<Suspect>& Suspects();
   bool IsCondemned();
   ForwardPolicy Policy() const;
   ForwardHooks Hooks();
@@ -144,7 +145,7 @@
   const RoutedOrganisation* organisation_ = nullptr;
   const Service* service_ = nullptr;
   // Computed when first needed, since a long body takes time to hash.
-  std::optional<std::vector<std::string>> suspects_;
+  std::optional<std::vector<Suspect>> suspects_;
   Instant received_{0};
   std::optional<Instant> first_event_at_;
   Instant deadline_{0};
--- a/src/kumquatrouter/forwarding/request_suspects.cpp
+++ b/src/kumquatrouter/forwarding/request_suspects.cpp
@@ -6,6 +6,9 @@
 namespace kumquat {
 namespace {
 
+// Shared parts of one prompt that are watched; a prompt has a few.
+constexpr std::size_t kMaxParts = 16;
+
 // Hashes the fields with their lengths, so that no two lists of fields look the same.
 std::string DigestOf(std::initializer_list<std::string_view> fields) {
   QCryptographicHash hash(QCryptographicHash::Blake2b_160);
@@ -18,9 +21,17 @@
 
 }  // namespace
 
-std::vector<std::string> SuspectsOf(const CallerRequest& request, std::string_view organisation) {
+std::vector<Suspect> SuspectsOf(const CallerRequest& request, std::string_view organisation) {
   const HttpRequest& http = request.http;
-  return {DigestOf({organisation, http.method, request.host, http.target, http.body})};
+  std::vector<Suspect> suspects = {
+      {DigestOf({organisation, http.method, request.host, http.target, http.body}), kRequestDepth}};
+  if (!request.prompt) return suspects;
+  const Prompt& prompt = *request.prompt;
+  for (std::size_t i = 0; i + 1 < prompt.parts.size() && i < kMaxParts; ++i) {
+    suspects.push_back(
+        {DigestOf({prompt.model, prompt.parts[i].id}), static_cast<std::int64_t>(i)});
+  }
+  return suspects;
 }
 
 }  // namespace kumquat
--- a/src/kumquatrouter/forwarding/request_suspects.h
+++ b/src/kumquatrouter/forwarding/request_suspects.h
@@ -6,11 +6,12 @@
 #include <vector>
 
 #include "forwarding/forward_codec.h"
+#include "protocol/suspect_entry.h"
 
 namespace kumquat {
 
-// Returns the digests by which routers recognise the suspects of a request of the organisation: the
-// request itself, by its organisation, method, host, target and body.
-std::vector<std::string> SuspectsOf(const CallerRequest& request, std::string_view organisation);
+// Returns the suspects of a request of the organisation: the request itself, by its organisation,
+// method, host, target and body, and the parts of its prompt but the last, by model and part.
+std::vector<Suspect> SuspectsOf(const CallerRequest& request, std::string_view organisation);
 
 }  // namespace kumquat
--- a/src/kumquatrouter/service_exchange.cpp
+++ b/src/kumquatrouter/service_exchange.cpp
@@ -94,9 +94,10 @@
   return options;
 }
 
-const std::vector<std::string>& ServiceExchange::Suspects() {
+const std::vector<Suspect>& ServiceExchange::Suspects() {
   if (!suspects_) {
-    suspects_ = {start_.organisation + '/' + target_.service + '/' + ContentDigest(request_)};
+    suspects_ = {{start_.organisation + '/' + target_.service + '/' + ContentDigest(request_),
+                  kRequestDepth}};
   }
   return *suspects_;
 }
--- a/src/kumquatrouter/service_exchange.h
+++ b/src/kumquatrouter/service_exchange.h
@@ -10,6 +10,7 @@
 
 #include "coordination/requests/service_call.h"
 #include "exchange.h"
+#include "protocol/suspect_entry.h"
 #include "service_directory.h"
 #include "transport/backend_client.h"
 #include "transport/http_message.h"
@@ -48,7 +49,7 @@
   ServiceCallOptions OptionsFor() const;
   bool IsCondemned();
   void NoteLoss(const Attempt& attempt);
-  const std::vector<std::string>& Suspects();
+  const std::vector<Suspect>& Suspects();
   BackendCallRequest CallFor(const service_command::StartAttempt& command) const;
   BackendCallHooks HooksFor(const std::string& attempt_id);
   void OnCallFailed(const std::string& attempt_id, CallFailure failure);
@@ -63,7 +64,7 @@
   ServiceTarget target_;
   ShareTicket ticket_;
   // Computed when first needed.
-  std::optional<std::vector<std::string>> suspects_;
+  std::optional<std::vector<Suspect>> suspects_;
   std::optional<ServiceCall> decisions_;
   std::map<std::string, Attempt> attempts_;
   std::function<void()> on_done_;
--- a/src/libs/coordination/admission/culprit_table.cpp
+++ b/src/libs/coordination/admission/culprit_table.cpp
@@ -3,6 +3,8 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <functional>
+#include <iterator>
 #include <utility>
 
 namespace kumquat {
@@ -24,10 +26,12 @@
                               static_cast<std::uint64_t>(incarnation));
 }
 
-bool CulpritTable::AddCrash(const std::string& digest, std::uint64_t crash, Instant lost_at,
+bool CulpritTable::AddCrash(const Suspect& suspect, std::uint64_t crash, Instant lost_at,
                             Instant now) {
-  if (!AddCrashTo(entries_[digest], crash, lost_at)) return false;
-  OnChanged(digest, now);
+  Entry& entry = entries_[suspect.digest];
+  entry.depth = suspect.depth;
+  if (!AddCrashTo(entry, crash, lost_at)) return false;
+  OnChanged(suspect.digest, now);
   return true;
 }
 
@@ -54,7 +58,9 @@
 }
 
 bool CulpritTable::Merge(const SuspectEntry& message, Instant now) {
-  Entry& entry = entries_[message.digest];
+  const std::string& digest = message.suspect.digest;
+  Entry& entry = entries_[digest];
+  entry.depth = message.suspect.depth;
   bool changed = false;
   const auto cleared_at =
       message.cleared_age ? std::optional(now - *message.cleared_age) : std::nullopt;
@@ -68,52 +74,82 @@
     changed = AddCrashTo(entry, sighting.crash, now - sighting.age) || changed;
   }
   if (changed) {
-    OnChanged(message.digest, now);
+    OnChanged(digest, now);
   } else if (entry.crashes.empty() && !entry.cleared_at) {
-    entries_.erase(message.digest);
+    entries_.erase(digest);
   }
   return changed;
 }
 
+std::size_t CulpritTable::CrashesToCondemn(const Entry& entry) const {
+  return entry.depth == kRequestDepth ? options_.crashes_to_condemn_request
+                                      : options_.crashes_to_condemn_part;
+}
+
 void CulpritTable::OnChanged(const std::string& digest, Instant now) {
   Entry& entry = entries_.at(digest);
   entry.changed_at = now;
   entry.is_shared = entry.is_shared || entry.crashes.size() >= kSharedCrashes;
-  if (entry.crashes.size() >= options_.crashes_to_condemn) {
-    condemned_.insert(digest);
-  } else {
-    condemned_.erase(digest);
-  }
-  Evict();
-}
-
-void CulpritTable::Evict() {
+  const bool is_incriminated = entry.crashes.size() >= CrashesToCondemn(entry);
+  const bool was_incriminated = incriminated_.contains(digest);
+  if (is_incriminated) incriminated_.insert(digest);
+  if (!is_incriminated) incriminated_.erase(digest);
+  if (is_incriminated || was_incriminated) Condemn();
   while (entries_.size() > options_.max_entries) {
-    const auto weakest =
+    Remove(
         std::min_element(entries_.begin(), entries_.end(), [](const auto& left, const auto& right) {
           return std::pair(left.second.crashes.size(), left.second.changed_at) <
                  std::pair(right.second.crashes.size(), right.second.changed_at);
-        });
-    condemned_.erase(weakest->first);
-    entries_.erase(weakest);
+        }));
   }
 }
 
+void CulpritTable::Condemn() {
+  condemned_.clear();
+  using Rank = std::pair<std::size_t, std::int64_t>;
+  std::map<Rank, std::vector<const std::string*>, std::greater<>> by_rank;
+  for (const std::string& digest : incriminated_) {
+    const Entry& entry = entries_.at(digest);
+    by_rank[{entry.crashes.size(), entry.depth}].push_back(&digest);
+  }
+  std::set<std::uint64_t> explained;
+  for (const auto& [rank, digests] : by_rank) {
+    // Nothing tells suspects of the same rank apart, so none explains the crashes of another.
+    std::set<std::uint64_t> newly_explained;
+    for (const std::string* digest : digests) {
+      const Entry& entry = entries_.at(*digest);
+      const auto unexplained = static_cast<std::size_t>(
+          std::count_if(entry.crashes.begin(), entry.crashes.end(),
+                        [&](const auto& crash) { return !explained.contains(crash.first); }));
+      if (unexplained < CrashesToCondemn(entry)) continue;
+      condemned_.insert(*digest);
+      for (const auto& [crash, lost_at] : entry.crashes) newly_explained.insert(crash);
+    }
+    explained.merge(newly_explained);
+  }
+}
+
+void CulpritTable::Remove(std::map<std::string, Entry>::iterator entry) {
+  const bool was_incriminated = incriminated_.erase(entry->first) > 0;
+  entries_.erase(entry);
+  if (was_incriminated) Condemn();
+}
+
 void CulpritTable::Expire(Instant now) {
-  std::erase_if(entries_, [&](const auto& item) {
-    const Entry& entry = item.second;
-    const Duration lifetime =
-        entry.crashes.empty() ? std::min(kClearedLifetime, options_.max_age) : options_.max_age;
-    if (now - entry.changed_at < lifetime) return false;
-    condemned_.erase(item.first);
-    return true;
-  });
+  for (auto entry = entries_.begin(); entry != entries_.end();) {
+    const auto next = std::next(entry);
+    const Duration lifetime = entry->second.crashes.empty()
+                                  ? std::min(kClearedLifetime, options_.max_age)
+                                  : options_.max_age;
+    if (now - entry->second.changed_at >= lifetime) Remove(entry);
+    entry = next;
+  }
 }
 
 SuspectEntry CulpritTable::ToMessage(const std::string& digest, const Entry& entry,
                                      Instant now) const {
   SuspectEntry message;
-  message.digest = digest;
+  message.suspect = {digest, entry.depth};
   for (const auto& [crash, lost_at] : entry.crashes) {
     message.crashes.push_back({crash, std::max(Duration(0), now - lost_at)});
   }
--- a/src/libs/coordination/admission/culprit_table.h
+++ b/src/libs/coordination/admission/culprit_table.h
@@ -1,5 +1,5 @@
-// Finds the requests that crash the backend servers which run them, from which runs were lost with
-// which crashes, as seen by all routers.
+// Finds the requests, and the parts of prompts, that crash the backend servers which run them, from
+// which runs were lost with which crashes, as seen by all routers.
 #pragma once
 
 #include <cstdint>
@@ -21,16 +21,22 @@
   std::size_t max_entries = 2048;
   // Lifetime of an entry after its last change.
   Duration max_age = std::chrono::minutes(10);
-  // A suspect that was lost with this many crashes, and not cleared since, is condemned.
-  std::size_t crashes_to_condemn = 3;
+  // A request that was lost with this many crashes, and not cleared since, is condemned; a part of
+  // prompts needs one more, since many sound requests may share it.
+  std::size_t crashes_to_condemn_request = 3;
+  std::size_t crashes_to_condemn_part = 4;
 };
 
 // Returns the id of the crash of this incarnation of a backend server.
 std::uint64_t CrashId(std::string_view backend_id, std::int64_t incarnation);
 
-// A request becomes a suspect when a backend server crashes before it has begun to answer it, and
-// is cleared when any backend server begins to: a culprit crashes each of them. Requests that were
-// merely running beside a culprit are therefore cleared by their next run.
+// A request and the shared parts of its prompt become suspects when a backend server crashes before
+// it has begun to answer the request, and are cleared when any backend server begins to answer a
+// request that has them: a culprit crashes each of them. What merely ran beside a culprit, or
+// shares parts with it, is therefore cleared by its next run.
+//
+// A crash needs one culprit only. So of the suspects with enough crashes the one with the most is
+// condemned first, of equal ones the most specific, and its crashes no longer count for the others.
 //
 // Merging the entries of other processes gives the same crashes in any order and when repeated, as
 // long as no entry expires or is evicted.
@@ -40,7 +46,7 @@
 
   // Records that a run of the suspect was lost at `lost_at` with this crash. Returns whether that
   // changed the table.
-  bool AddCrash(const std::string& digest, std::uint64_t crash, Instant lost_at, Instant now);
+  bool AddCrash(const Suspect& suspect, std::uint64_t crash, Instant lost_at, Instant now);
 
   // Records that a backend server survived beginning to answer the suspect. Returns whether it was
   // one until now.
@@ -76,6 +82,7 @@
 
  private:
   struct Entry {
+    std::int64_t depth = 0;
     // When a run was lost, by crash. Only crashes after `cleared_at` are kept.
     std::map<std::uint64_t, Instant> crashes;
     std::optional<Instant> cleared_at;
@@ -85,11 +92,16 @@
 
   bool AddCrashTo(Entry& entry, std::uint64_t crash, Instant lost_at) const;
   void OnChanged(const std::string& digest, Instant now);
+  std::size_t CrashesToCondemn(const Entry& entry) const;
+  void Condemn();
+  void Remove(std::map<std::string, Entry>::iterator entry);
   void Evict();
   SuspectEntry ToMessage(const std::string& digest, const Entry& entry, Instant now) const;
 
   CulpritTableOptions options_;
   std::map<std::string, Entry> entries_;
+  // Suspects with enough crashes, if these aren't explained by others.
+  std::set<std::string> incriminated_;
   std::set<std::string> condemned_;
 };
 
--- a/src/libs/coordination/forwarding/lost_runs.h
+++ b/src/libs/coordination/forwarding/lost_runs.h
@@ -10,14 +10,15 @@
 #include <vector>
 
 #include "coordination/requests/backend_choice.h"
+#include "protocol/suspect_entry.h"
 #include "utils/hooks.h"
 
 namespace kumquat {
 
 struct LostRun {
   std::string request_id;
-  // Digests of the suspects that the run consists of.
-  std::vector<std::string> suspects;
+  // What of the run may have crashed the server.
+  std::vector<Suspect> suspects;
   Instant lost_at{0};
 };
 
--- a/src/libs/protocol/control_news.cpp
+++ b/src/libs/protocol/control_news.cpp
@@ -233,7 +233,8 @@
   QCborArray entries;
   for (const SuspectEntry& entry : news.entries) {
     const qint64 cleared_age = entry.cleared_age ? entry.cleared_age->count() : kNeverCleared;
-    entries.append(QCborArray{Bytes(entry.digest), CrashesToBytes(entry.crashes), cleared_age});
+    entries.append(QCborArray{Bytes(entry.suspect.digest), static_cast<qint64>(entry.suspect.depth),
+                              CrashesToBytes(entry.crashes), cleared_age});
   }
   return QCborArray{Bytes(news.router), news.is_summary, static_cast<qint64>(news.condemned_hash),
                     entries};
@@ -248,11 +249,11 @@
   for (const QCborValue item : entries) {
     const QCborArray fields = item.toArray();
     SuspectEntry& entry = news->entries.emplace_back();
-    entry.digest = ToText(fields.at(0));
-    const qint64 cleared_age = fields.at(2).toInteger(kNeverCleared);
+    entry.suspect = {ToText(fields.at(0)), fields.at(1).toInteger()};
+    const qint64 cleared_age = fields.at(3).toInteger(kNeverCleared);
     if (cleared_age >= 0) entry.cleared_age = Duration(cleared_age);
-    if (entry.digest.empty() || fields.size() != 3) return false;
-    if (!CrashesFromBytes(fields.at(1).toByteArray(), &entry.crashes)) return false;
+    if (entry.suspect.digest.empty() || fields.size() != 4) return false;
+    if (!CrashesFromBytes(fields.at(2).toByteArray(), &entry.crashes)) return false;
   }
   return true;
 }
--- a/src/libs/protocol/suspect_entry.h
+++ b/src/libs/protocol/suspect_entry.h
@@ -1,4 +1,5 @@
-// What processes tell each other of requests that may crash the backend servers which run them.
+// What processes tell each other of requests, and parts of prompts, that may crash the backend
+// servers which run them.
 #pragma once
 
 #include <cstdint>
@@ -10,6 +11,18 @@
 
 namespace kumquat {
 
+// A whole request or a part of its prompt.
+struct Suspect {
+  // Strong hash that identifies it.
+  std::string digest;
+  // How specific it is: the index of a part in its prompt, kRequestDepth for a whole request.
+  std::int64_t depth = 0;
+
+  bool operator==(const Suspect&) const = default;
+};
+
+inline constexpr std::int64_t kRequestDepth = 1'000'000;
+
 // The crash of one incarnation of a backend server. Messages carry ages instead of points in time,
 // because the clocks of processes differ.
 struct CrashSighting {
@@ -23,8 +36,7 @@
 
 // What is known of one suspect.
 struct SuspectEntry {
-  // Strong hash that identifies the suspect.
-  std::string digest;
+  Suspect suspect;
   // The crashes with which runs of the suspect were lost, ordered by their id.
   std::vector<CrashSighting> crashes;
   // Time since a backend server last survived running it; nullopt if that hasn't been seen.
