Own interface: a piece of prompts that crashed four engines is condemned in every router

The pieces of a prompt, as engines cache them, become suspects of the router's crash watch where a chat is lost before its first token; the first token of any chat clears them. Chats with a condemned piece are refused as poison_request, unless tokens have gone out.

--- a/src/kumquatrouter/chat_exchange.cpp
+++ b/src/kumquatrouter/chat_exchange.cpp
@@ -10,6 +10,7 @@
 #include "control_client.h"
 #include "coordination/admission/retry_budget.h"
 #include "coordination/membership/member_table.h"
+#include "crash_exchange.h"
 #include "index_service.h"
 #include "membership_service.h"
 #include "model_queues.h"
@@ -30,6 +31,8 @@
 constexpr GatherLimits kLifeSignLimits{2 * kLifeSignTimeout, 64 * 1024};
 // How long a broken stream may take to hand its error event to the caller.
 constexpr std::chrono::milliseconds kErrorFlushTime{500};
+// Pieces of one prompt that are watched for crashes, from its beginning.
+constexpr std::size_t kMaxPartSuspects = 32;
 
 // Strong hash of the organisation and the whole request, by which routers know it again.
 std::string DigestOf(const std::string& organisation, const QJsonObject& body) {
@@ -65,7 +68,7 @@
   start_.responder->OnClosed([weak = weak_from_this()] {
     if (const auto exchange = weak.lock()) exchange->OnCallerGone();
   });
-  if (services_.strikes->StandingOf(digest_) == RequestStanding::kCondemned) {
+  if (IsCondemned()) {
     Refuse({ErrorKind::kPoisonRequest, "", std::nullopt});
     return;
   }
@@ -136,12 +139,27 @@
     return services_.retry_budget->TryRetry(retries_before, now, deadline);
   };
   hooks.may_wait_for_backend = [this] { return MayWaitForPlace(); };
-  hooks.is_condemned = [this] {
-    return services_.strikes->StandingOf(digest_) == RequestStanding::kCondemned;
-  };
+  hooks.is_condemned = [this] { return IsCondemned(); };
   return hooks;
 }
 
+// The request itself has strikes; here are the pieces of its prompt that other requests may share.
+const std::vector<Suspect>& ChatExchange::PartSuspects() {
+  if (part_suspects_) return *part_suspects_;
+  part_suspects_.emplace();
+  const std::vector<BlockId>& blocks = demand_.prefix.blocks;
+  for (std::size_t i = 0; i < std::min(blocks.size(), kMaxPartSuspects); ++i) {
+    part_suspects_->push_back({blocks[i].ToHex(), static_cast<std::int64_t>(i)});
+  }
+  return *part_suspects_;
+}
+
+bool ChatExchange::IsCondemned() {
+  if (services_.strikes->StandingOf(digest_) == RequestStanding::kCondemned) return true;
+  const CrashWatch& watch = services_.crashes->watch();
+  return tokens_sent_ == 0 && watch.has_condemned() && watch.IsCondemned(PartSuspects());
+}
+
 // A suspect asks each engine's owner for the slot, and takes the first that it gets.
 bool ChatExchange::MayWaitForPlace() {
   if (services_.strikes->StandingOf(digest_) != RequestStanding::kSuspect) return false;
@@ -300,7 +318,7 @@
     if (!IsCurrent(attempt_id)) return;
     if (text == "[DONE]") continue;
     const auto event = ParseEngineEvent(text);
-    if (event) attempt_->made_progress = true;
+    if (event && !std::exchange(attempt_->made_progress, true)) OnAnswerBegun();
     const Instant now = services_.clock();
     Execute(event ? decisions_->OnEvent(attempt_id, *event, now)
                   : decisions_->OnMalformedEvent(attempt_id, now));
@@ -328,8 +346,18 @@
   if (!is_done_) Execute(decisions_->OnFailure(attempt_id, failure, services_.clock()));
 }
 
+// A run that goes on elsewhere doesn't begin there, which is when it would crash its engine.
+void ChatExchange::OnAnswerBegun() {
+  CrashWatch& watch = services_.crashes->watch();
+  if (tokens_sent_ == 0 && watch.has_suspects()) watch.OnAnswerBegun(PartSuspects());
+}
+
 // A strike on this backend server may follow later; how the run was lost counts then.
 void ChatExchange::NoteLoss() {
+  if (tokens_sent_ == 0 && !attempt_->made_progress) {
+    services_.crashes->watch().OnRunLost(attempt_->backend,
+                                         {start_.request_id, PartSuspects(), services_.clock()});
+  }
   losses_.push_back({attempt_->backend.backend_id, attempt_->backend.incarnation,
                      attempt_->is_isolated, attempt_->made_progress});
 }
--- a/src/kumquatrouter/chat_exchange.h
+++ b/src/kumquatrouter/chat_exchange.h
@@ -12,6 +12,7 @@
 #include "coordination/requests/stream_request.h"
 #include "engine_selector.h"
 #include "exchange.h"
+#include "protocol/suspect_entry.h"
 #include "transport/backend_client.h"
 #include "transport/sse_parser.h"
 
@@ -72,10 +73,13 @@
   BackendCallHooks HooksFor(const std::string& attempt_id);
   StreamRequestHooks DecisionHooks();
   bool MayWaitForPlace();
+  bool IsCondemned();
+  const std::vector<Suspect>& PartSuspects();
   bool IsDead(const BackendChoice& backend) const;
   void OnData(const std::string& attempt_id, std::string_view data);
   void OnCallFailed(const std::string& attempt_id, CallFailure failure);
   void NoteLoss();
+  void OnAnswerBegun();
   void OnCallerGone();
   void EndAttempt(bool whole, std::int64_t cached_tokens);
   void StartAnswer();
@@ -89,6 +93,8 @@
   ChatRequest request_;
   EngineDemand demand_;
   std::string digest_;
+  // Computed when first needed.
+  std::optional<std::vector<Suspect>> part_suspects_;
   ShareTicket ticket_;
   std::optional<StreamRequest> decisions_;
   std::optional<ChatAttempt> attempt_;
--- a/tests/process/router/router_poison_test.cpp
+++ b/tests/process/router/router_poison_test.cpp
@@ -45,19 +45,10 @@
   SystemBench bench;
   int crashes = 0;
   int next = 0;
-  // Restarts crashed services, so that the call could crash them again.
-  const auto restart_services = [&] {
-    for (int i = 0; i < SystemBench::kServices; ++i) {
-      TestProgram& program = *bench.service(i).program;
-      if (program.running()) continue;
-      ++crashes;
-      program.Start();
-    }
-  };
   const auto call_once = [&](int router) {
     const auto call = bench.StartCrashingCall(router);
     CHECK(SpinUntil([&] { return call->done(); }));
-    restart_services();
+    crashes += bench.RestartCrashed();
     return call->status;
   };
   CHECK(SpinUntil([&] {
@@ -76,5 +67,32 @@
   }));
 }
 
+TEST_CASE(
+    "Chats with a part that crashed four engines are refused by every router, others served") {
+  SystemBench bench;
+  // Longer than the pieces in which engines cache prompts.
+  const std::string part = "please-crash" + std::string(12'000, 'x');
+  const std::string sound_part(12'000, 'y');
+  int crashes = 0;
+  int next = 0;
+  const auto chat = [&](int router, const std::string& text) {
+    const auto call = bench.StartChat(router, text + std::to_string(++next));
+    CHECK(SpinUntil([&] { return call->done(); }));
+    crashes += bench.RestartCrashed();
+    return call->status;
+  };
+  CHECK(SpinUntil([&] { return chat(next % SystemBench::kRouters, part) == 422 && crashes >= 4; }));
+  CHECK(SpinUntil([&] { return chat(0, sound_part) == 200; }));
+  const int before = crashes;
+  for (int i = 0; i < 4 * SystemBench::kRouters; ++i) {
+    CHECK(chat(i % SystemBench::kRouters, part) == 422);
+  }
+  CHECK(crashes == before);
+  CHECK(crashes <= 8);
+  for (int router = 0; router < SystemBench::kRouters; ++router) {
+    CHECK(SpinUntil([&] { return chat(router, sound_part) == 200; }));
+  }
+}
+
 }  // namespace
 }  // namespace kumquat
--- a/tests/process/router/system_bench.cpp
+++ b/tests/process/router/system_bench.cpp
@@ -152,6 +152,18 @@
                        WithKey({}));
 }
 
+int SystemBench::RestartCrashed() {
+  int crashes = 0;
+  const auto restart = [&crashes](const BenchBackend& backend) {
+    if (backend.program->running()) return;
+    ++crashes;
+    backend.program->Start();
+  };
+  for (const BenchBackend& engine : engines_) restart(engine);
+  for (const BenchBackend& service : services_) restart(service);
+  return crashes;
+}
+
 std::string SystemBench::ChatText(const std::string& text) {
   const std::string hash = AnswerHash(Messages(text));
   std::string answer;
--- a/tests/process/router/system_bench.h
+++ b/tests/process/router/system_bench.h
@@ -60,6 +60,9 @@
   // Returns the whole text of the answer to this chat.
   static std::string ChatText(const std::string& text);
 
+  // Starts every engine and service again that has crashed. Returns how many there were.
+  int RestartCrashed();
+
   // Returns the text that came so far.
   static std::string TextOf(const TestCall& call);
 
