An odd heartbeat is refused at the edge, and doesn't stop processes from following the others

Reported by operators of systems like ours; it can happen here. Callers of a router that started after one odd heartbeat got 503 for good: it never learned of any backend server. No process ended.

Cause: heartbeats were accepted by wider limits than those by which processes tell each other of them (200,000 slots, 400 models, a long id or a model without a name), and one record that a process can't accept made it drop the whole gossip message, the table that a starting router asks for included. Besides, a number beyond 64 bits (1e300) read as 0, and 999.1.1.1 or 1.2.3 passed for an IP number.

Change: what a heartbeat says is accepted only if it is in the form in which it is told on; a malformed record is left out of its message and logged as gossip_dropped; whole numbers must fit 64 bits; IP numbers are checked by inet_pton. Deep nesting was refused before (Qt's limit of 1,024 levels) and is tested now.

Not covered: an odd entry that is well formed and takes a real server's id or address with a later start can't be told from that server.

--- a/src/kumquatcontrol/control_node.cpp
+++ b/src/kumquatcontrol/control_node.cpp
@@ -323,11 +323,10 @@
   } else if (const auto* members = std::get_if<MemberNews>(&*news)) {
     std::string reason;
     const auto message = ParseGossipMessage(members->json, &reason);
-    if (message) {
-      directory_.Receive(members->from, *message);
-    } else {
+    if (!reason.empty()) {
       LogEvent(LogLevel::kWarning, "gossip_dropped", {{"from", members->from}, {"reason", reason}});
     }
+    if (message) directory_.Receive(members->from, *message);
   } else if (const auto* load = std::get_if<LoadNews>(&*news)) {
     ReceivedLoad(*load);
   } else if (const auto* wanted = std::get_if<CacheWanted>(&*news)) {
--- a/src/kumquatrouter/forwarding/control_feed.cpp
+++ b/src/kumquatrouter/forwarding/control_feed.cpp
@@ -112,12 +112,11 @@
 void ControlFeed::Receive(const Endpoint& replica, const MemberNews& news) {
   std::string reason;
   const auto message = ParseGossipMessage(news.json, &reason);
-  if (!message) {
+  if (!reason.empty()) {
     LogEvent(LogLevel::kWarning, "gossip_dropped",
              {{"from", replica.ToString()}, {"reason", reason}});
-    return;
   }
-  directory_.Receive(replica.ToString(), *message);
+  if (message) directory_.Receive(replica.ToString(), *message);
 }
 
 void ControlFeed::Receive(const Endpoint& /*replica*/, const FleetNews& news) {
--- a/src/kumquatrouter/membership_service.cpp
+++ b/src/kumquatrouter/membership_service.cpp
@@ -87,10 +87,10 @@
 void MembershipService::ReceiveGossip(const std::string& from, const QJsonObject& body) {
   std::string reason;
   const auto message = ParseGossipMessage(body, &reason);
-  if (!message) {
+  if (!reason.empty()) {
     LogEvent(LogLevel::kWarning, "gossip_dropped", {{"from", from}, {"reason", reason}});
-    return;
   }
+  if (!message) return;
   gossip_.Receive(from, *message, clock_());
   for (const MemberRecord& record : message->records) {
     const Member* member = table_.Find(record.id);
--- a/src/libs/coordination/membership/gossip.cpp
+++ b/src/libs/coordination/membership/gossip.cpp
@@ -30,14 +30,18 @@
   JsonFields fields(json);
   fields.Read("digest", &digest).Read("wants_all", &message.wants_all);
   for (const QJsonValue& item : fields.Array("records", kMaxRecords)) {
-    auto record = ParseMemberRecord(item.toObject(), reason);
-    if (!record) return std::nullopt;
-    message.records.push_back(std::move(*record));
+    std::string record_reason;
+    auto record = ParseMemberRecord(item.toObject(), &record_reason);
+    if (record) {
+      message.records.push_back(std::move(*record));
+    } else {
+      *reason = record_reason;
+    }
   }
   message.digest = ToQString(digest).toULongLong(nullptr, kHexadecimal);
+  if (fields.ok()) return message;
   *reason = fields.last_reason();
-  if (!fields.ok()) return std::nullopt;
-  return message;
+  return std::nullopt;
 }
 
 std::optional<GossipMessage> ParseGossipMessage(std::string_view text, std::string* reason) {
--- a/src/libs/coordination/membership/gossip.h
+++ b/src/libs/coordination/membership/gossip.h
@@ -28,7 +28,8 @@
 };
 
 QJsonObject ToJson(const GossipMessage& message);
-// Returns nullopt and sets `reason` if the message is malformed.
+// Returns nullopt if the message is malformed. A malformed record is left out, so that it doesn't
+// keep the receiver from following all other members. Both set `reason`.
 std::optional<GossipMessage> ParseGossipMessage(const QJsonObject& json, std::string* reason);
 // Parses the message from JSON text.
 std::optional<GossipMessage> ParseGossipMessage(std::string_view text, std::string* reason);
--- a/src/libs/protocol/json_fields.cpp
+++ b/src/libs/protocol/json_fields.cpp
@@ -35,7 +35,12 @@
     Fail(key, "a whole number is needed.");
     return *this;
   }
-  const std::int64_t number = field.toInteger();
+  // A number beyond 64 bits reads as the default.
+  const std::int64_t number = field.toInteger(0);
+  if (number != field.toInteger(1)) {
+    Fail(key, "the number is out of range.");
+    return *this;
+  }
   if (number < lowest || number > highest) {
     Fail(key, "the number is out of range.");
     return *this;
--- a/src/libs/utils/endpoint.cpp
+++ b/src/libs/utils/endpoint.cpp
@@ -1,13 +1,15 @@
 #include "utils/endpoint.h"
 
+#include <arpa/inet.h>
+
 #include <charconv>
 
 namespace kumquat {
 namespace {
 
 bool IsIpNumber(std::string_view ip, bool bracketed) {
-  const std::string_view allowed = bracketed ? "0123456789abcdefABCDEF:." : "0123456789.";
-  return !ip.empty() && ip.find_first_not_of(allowed) == std::string_view::npos;
+  in6_addr address{};
+  return inet_pton(bracketed ? AF_INET6 : AF_INET, std::string(ip).c_str(), &address) == 1;
 }
 
 }  // namespace
--- a/src/platform/heartbeat.cpp
+++ b/src/platform/heartbeat.cpp
@@ -63,7 +63,8 @@
   if (fields.ok() && announcement.service.empty()) fields.Fail("service", "a name is needed.");
   *reason = fields.last_reason();
   if (!fields.ok()) return std::nullopt;
-  return announcement;
+  // Other processes are told of it in this form, and must accept it too.
+  return ParseAnnouncement(ToJson(announcement), reason);
 }
 
 }  // namespace kumquat::platform
--- a/tests/libs/coordination/membership/gossip_test.cpp
+++ b/tests/libs/coordination/membership/gossip_test.cpp
@@ -1,5 +1,6 @@
 #include "coordination/membership/gossip.h"
 
+#include <QJsonArray>
 #include <deque>
 #include <map>
 #include <memory>
@@ -125,5 +126,24 @@
   CHECK(group.records_sent() <= static_cast<std::int64_t>(kRouters * kNeighbours));
 }
 
+TEST_CASE("A malformed record doesn't keep the other records of its message from being merged") {
+  MemberRecord good;
+  good.id = "s1";
+  good.endpoint = {"10.0.0.7", 8080};
+  QJsonObject json = ToJson(GossipMessage{{good, good}, 7, false});
+  QJsonArray records = json["records"].toArray();
+  QJsonObject odd = records[0].toObject();
+  odd["incarnation"] = 1e300;
+  records.insert(1, odd);
+  records.append(QJsonValue(5));
+  json["records"] = records;
+  std::string reason;
+  const auto message = ParseGossipMessage(json, &reason);
+  REQUIRE(message);
+  CHECK(message->records.size() == 2);
+  CHECK(message->digest == 7);
+  CHECK_FALSE(reason.empty());
+}
+
 }  // namespace
 }  // namespace kumquat
--- a/tests/process/forwarding/forward_process_test.cpp
+++ b/tests/process/forwarding/forward_process_test.cpp
@@ -1,5 +1,7 @@
 // End-to-end tests of forwarding: real control, router and kumquatctl processes, driven through the
 // interfaces of the users' platform.
+#include <fmt/format.h>
+
 #include <QElapsedTimer>
 #include <algorithm>
 #include <csignal>
@@ -250,6 +252,65 @@
   }));
 }
 
+// Heartbeats of another writer, each odd in one way.
+std::vector<std::string> OddHeartbeats() {
+  const auto beat = [](const std::string& fields) {
+    return R"({"service":"desk","zone":"d1","state":"ready","models":[],"seq":1,"born":1,)" +
+           fields + "}";
+  };
+  std::string models;
+  for (int i = 0; i < 400; ++i) {
+    models += fmt::format(R"({}{{"name":"m{}","version":1}})", i > 0 ? "," : "", i);
+  }
+  const std::string nested = std::string(100'000, '[') + std::string(100'000, ']');
+  const std::string address = R"("addr":"127.0.0.1:9")";
+  return {beat(R"("slots":1,)" + address + R"(,"more":)" + nested),
+          beat(R"("slots":1e300,)" + address),
+          beat(R"("slots":200000,)" + address),
+          beat(R"("slots":1,"addr":"127.0.0.1:70000")"),
+          beat(R"("slots":1,"addr":"999.1.1.1:80")"),
+          beat(R"("slots":1,"seq":1e300,"born":1e300,)" + address),
+          R"({"service":"desk","zone":"d1","state":"ready","models":[)" + models +
+              R"(],"seq":1,"born":1,"slots":1,)" + address + "}",
+          beat(R"("slots":1,"service":")" + std::string(5000, 'x') + R"(",)" + address)};
+}
+
+TEST_CASE("Odd heartbeats of another writer end no process, and servers are followed on") {
+  ForwardBench bench;
+  StandInServer early("s1", "desk", bench.control());
+  bench.WaitForStatus(0, "/again/look", 200);
+  int number = 0;
+  for (const std::string& beat : OddHeartbeats()) {
+    for (const Endpoint& replica : bench.control()) {
+      const std::string id = fmt::format("odd-{}", ++number);
+      const auto call = bench.caller().Run(replica, "PUT", "/instances/" + id,
+                                           {{"Content-Type", "application/json"}}, beat);
+      CHECK(call->status == 400);
+    }
+  }
+  const auto long_id = bench.caller().Run(
+      bench.control()[0], "PUT", "/instances/" + std::string(2000, 'i'),
+      {{"Content-Type", "application/json"}},
+      R"({"service":"desk","zone":"d1","state":"ready","models":[],"seq":1,"born":1,"slots":1,)"
+      R"("addr":"127.0.0.1:9"})");
+  CHECK(long_id->status == 400);
+  // A router that starts now gets the whole table of servers, and then hears of a later server.
+  bench.router(1).Kill();
+  bench.router(1).Start();
+  bench.WaitForStatus(1, "/again/look", 200);
+  early.Leave();
+  bench.WaitForStatus(0, "/again/look", 503);
+  bench.WaitForStatus(1, "/again/look", 503);
+  StandInServer late("s2", "desk", bench.control());
+  for (int router = 0; router < ForwardBench::kRouters; ++router) {
+    bench.WaitForStatus(router, "/again/look", 200);
+    CHECK(bench.router(router).running());
+  }
+  for (int replica = 0; replica < ForwardBench::kReplicas; ++replica) {
+    CHECK(bench.replica(replica).running());
+  }
+}
+
 TEST_CASE("Configurations put while each replica in turn is down take effect and reach it later") {
   ForwardBench bench;
   StandInServer server("s1", "desk", bench.control());
