A connection that carried a refusal isn't used again; calls that run once get one of their own

Reported by operators of systems like ours; it can happen here. A faulty server wrote an earlier refusal once more on a kept connection, and the next call on it took that for its answer: 'not run, try again' for a call that was running.

Cause: on a kept connection an answer is told from another call's by the id that it repeats, and refusals often carry none. On the users' platform requests that may run once only had connections of their own already, so that only repeatable ones were hit: they ran at a second server in vain. Calls to plain services of the own interface had none: a booking's first attempt could go out on a kept connection.

Change: after 408, 421, 429 or 503 a connection is closed, so that the refusal has nowhere to come again; ServiceCall asks for a new connection for every attempt of a call that may not be repeated.

Not covered: a refusal without an id that a server writes on another connection than the one on which it came first; only calls that may be repeated use kept connections.

--- a/src/libs/coordination/forwarding/forward_request.cpp
+++ b/src/libs/coordination/forwarding/forward_request.cpp
@@ -15,11 +15,6 @@
 
 bool IsSuccess(int status) { return status >= kFirstSuccess && status < kFirstRedirect; }
 
-// Callers take these statuses as a guarantee that the request has not run.
-bool ImpliesNotRun(int status) {
-  return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 }  // namespace
 
 ForwardRequest::ForwardRequest(const ForwardPolicy& policy, ForwardHooks hooks)
--- a/src/libs/coordination/requests/service_call.cpp
+++ b/src/libs/coordination/requests/service_call.cpp
@@ -203,8 +203,10 @@
   }
   phase_ = Phase::kRunning;
   ++attempts_;
+  // On a kept connection a faulty server may have left an answer of an earlier call.
+  const bool new_connection = !options_.repeatable || attempts_ > 1;
   running_.push_back({options_.request_id + "-" + std::to_string(attempts_), *backend});
-  commands->push_back(service_command::StartAttempt{running_.back().id, *backend, attempts_ > 1});
+  commands->push_back(service_command::StartAttempt{running_.back().id, *backend, new_connection});
   ScheduleHedge(now, commands);
 }
 
--- a/src/libs/transport/backend_client.cpp
+++ b/src/libs/transport/backend_client.cpp
@@ -251,9 +251,10 @@
     ended_ = true;
     timer_.stop();
     // An answer that came before the whole request was sent leaves the server waiting for the rest.
-    const bool reusable = stream_ && stream_->connected() && parser_->keep_alive() &&
-                          !parser_->ends_with_connection() && input_.empty() &&
-                          !saw_foreign_answer_ && stream_->pending_bytes() == 0;
+    // A faulty server may write a refusal once more, as the answer to a later request that it runs.
+    const bool reusable = !ImpliesNotRun(parser_->status()) && stream_ && stream_->connected() &&
+                          parser_->keep_alive() && !parser_->ends_with_connection() &&
+                          input_.empty() && !saw_foreign_answer_ && stream_->pending_bytes() == 0;
     const Duration kept_for = KeptFor(parser_->headers());
     if (reusable && kept_for > Duration(0)) {
       pool_->Keep(request_.endpoint, std::move(stream_), kept_for);
--- a/src/libs/transport/http_message.cpp
+++ b/src/libs/transport/http_message.cpp
@@ -19,4 +19,8 @@
   return {};
 }
 
+bool ImpliesNotRun(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 }  // namespace kumquat
--- a/src/libs/transport/http_message.h
+++ b/src/libs/transport/http_message.h
@@ -33,4 +33,7 @@
   std::string_view Header(std::string_view name) const { return HeaderValue(headers, name); }
 };
 
+// Returns whether callers take the status as a promise that the request has not run.
+bool ImpliesNotRun(int status);
+
 }  // namespace kumquat
--- a/tests/libs/coordination/requests/service_call_test.cpp
+++ b/tests/libs/coordination/requests/service_call_test.cpp
@@ -349,6 +349,27 @@
   CHECK(std::holds_alternative<service_command::ReleaseClaim>(late[0]));
 }
 
+TEST_CASE("A call that may not be repeated goes out on a connection without earlier answers") {
+  for (const bool repeatable : {true, false}) {
+    ServiceCallOptions options;
+    options.request_id = "q1";
+    options.deadline = seconds(10);
+    options.repeatable = repeatable;
+    const ServiceCallHooks hooks{[](std::span<const BackendChoice>) {
+                                   return BackendChoice{"s", 1};
+                                 },
+                                 [] { return false; },
+                                 [](int, Instant, Instant) { return std::optional<Duration>(); }};
+    ServiceCall call(options, hooks);
+    const ServiceCommands commands = call.Start(seconds(1));
+    const auto start = std::find_if(commands.begin(), commands.end(), [](const auto& command) {
+      return std::holds_alternative<service_command::StartAttempt>(command);
+    });
+    REQUIRE(start != commands.end());
+    CHECK(std::get<service_command::StartAttempt>(*start).new_connection == !repeatable);
+  }
+}
+
 TEST_CASE("A condemned call is never sent, nor sent again after a lost attempt") {
   bool is_condemned = true;
   ServiceCallOptions options;
--- a/tests/libs/transport/backend_client_test.cpp
+++ b/tests/libs/transport/backend_client_test.cpp
@@ -244,6 +244,29 @@
   }
 }
 
+TEST_CASE("A refusal that a server writes once more on its connection reaches no later call") {
+  for (const int status : {408, 421, 429, 503}) {
+    CAPTURE(status);
+    const std::string refusal =
+        "HTTP/1.1 " + std::to_string(status) + " No\r\nContent-Length: 2\r\n\r\nno";
+    int requests = 0;
+    RawServer server([&](QTcpSocket* socket) {
+      const bool was_refused = socket->property("refused").toBool();
+      // The first request is refused, and each later one on the same connection too, although it
+      // runs.
+      if (++requests == 1 || was_refused) Answer(socket, refusal);
+      socket->setProperty("refused", requests == 1 || was_refused);
+      if (requests > 1) Answer(socket, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nran");
+    });
+    const auto client = MakeHttpBackendClient();
+    const Heard refused = Run(*client, RequestTo(server.serverPort()));
+    CHECK(refused.data == "no");
+    const Heard next = Run(*client, RequestTo(server.serverPort()));
+    CHECK(next.ends == 1);
+    CHECK(next.data == "ran");
+  }
+}
+
 TEST_CASE("A connection whose answer came before the whole request isn't used again") {
   const std::string body(8 * 1024 * 1024, 'x');
   class EarlyServer : public QTcpServer {
