A long answer that breaks off midway is cut, not followed by another run's answer

Answers over 256 KB go out as they come. Where such an answer of a repeatable call broke off, the call was sent again and the second answer went out after the first half of the first: one body of two answers.

Cause: for streams it was asked whether something had gone out before a repeat, for other answers not. Evidence: forwarding_test 'A long answer that breaks off after its beginning went out is cut, not followed by another': 2 sends and no cut before.

--- a/src/libs/coordination/forwarding/forward_request.cpp
+++ b/src/libs/coordination/forwarding/forward_request.cpp
@@ -154,7 +154,7 @@
 // often it has run.
 bool ForwardRequest::MayContinueAfterRun() const {
   if (policy_.is_stream) return policy_.is_resumable || (policy_.may_repeat && !is_relaying_);
-  return policy_.may_repeat;
+  return policy_.may_repeat && !is_relaying_;
 }
 
 void ForwardRequest::EndAttempt(Outcome outcome, Instant now) {
