Only an answer that continues a broken stream reaches its caller

Reported by operators of systems like ours: a stream had begun and broke off, and the next server's error stood in the middle of it, or it ended as if it were complete. Errors (3xx to 5xx) were kept out here already. Two other forms got through: an answer with another success status (201, 204, 206) was relayed, or ended the stream as complete where it had no body; and events without a number at the beginning of the next answer went out, though nothing shows that they belong to the stream.

Change: the next answer must have the status that went out, and its bytes go out from its first numbered event on.

Evidence: forwarding_test 'Nothing of an answer that doesn't continue a broken stream reaches its caller', with eleven statuses, failed before with 201 (error text relayed, stream ended as complete); 'A broken stream that is answered with an error only is cut, not ended' passed before too.

Not covered: a server that answers 200 with a whole, empty stream; that is also what a correct server answers that has nothing left to send.

--- a/src/libs/coordination/forwarding/forward_request.cpp
+++ b/src/libs/coordination/forwarding/forward_request.cpp
@@ -7,14 +7,10 @@
 namespace {
 
 constexpr int kFirstServerError = 500;
-constexpr int kFirstSuccess = 200;
-constexpr int kFirstRedirect = 300;
 // A copy is kept for only a few seconds, and each engine that refuses to resume it uses up some of
 // them.
 constexpr int kMaxCopySends = 6;
 
-bool IsSuccess(int status) { return status >= kFirstSuccess && status < kFirstRedirect; }
-
 }  // namespace
 
 ForwardRequest::ForwardRequest(const ForwardPolicy& policy, ForwardHooks hooks)
@@ -60,6 +56,7 @@
   backend_ = backend;
   attempt_ = ++last_attempt_;
   has_head_ = false;
+  must_continue_ = is_relaying_;
   copy_ = copy;
   if (copy) ++copy_sends_;
   ++arrivals_;
@@ -82,10 +79,10 @@
     EndAttempt(Outcome::kNotRun, now);
     return;
   }
-  // An answer that continues an earlier one keeps the status and headers of the first, so a status
-  // other than success can't be passed on once the stream has begun.
+  // An answer that continues an earlier one keeps the status and headers of the first, so no other
+  // status can be passed on once the stream has begun.
   const bool is_failure = head.status >= kFirstServerError || ImpliesNotRun(head.status);
-  const bool breaks_stream = is_relaying_ && !IsSuccess(head.status);
+  const bool breaks_stream = is_relaying_ && head.status != relayed_status_;
   // Such a status would make the caller send the request again. Without the server's confirmation
   // that it hasn't run, it is passed on only if the request may be repeated.
   const bool implies_not_run_unconfirmed = ImpliesNotRun(head.status) && !policy_.may_repeat;
@@ -99,6 +96,7 @@
     return;
   }
   has_head_ = true;
+  status_ = head.status;
   state_ = State::kAnswering;
 }
 
@@ -113,8 +111,12 @@
     EndAttempt(Outcome::kMayHaveRun, now);
     return;
   }
+  // What comes before the event that continues the stream belongs to another answer.
+  if (must_continue_ && !id) return;
+  must_continue_ = false;
   if (!is_relaying_) {
     is_relaying_ = true;
+    relayed_status_ = status_;
     hooks_.relay_head(attempt_);
   }
   if (id) last_event_ = *id;
--- a/src/libs/coordination/forwarding/forward_request.h
+++ b/src/libs/coordination/forwarding/forward_request.h
@@ -184,7 +184,12 @@
   std::optional<RunCopy> copy_;
   int copy_sends_ = 0;
   bool has_head_ = false;
+  int status_ = 0;
   bool is_relaying_ = false;
+  // The status that was passed on.
+  int relayed_status_ = 0;
+  // The attempt in progress is to continue a stream, and none of its events has had a number yet.
+  bool must_continue_ = false;
   std::int64_t last_event_ = 0;
 };
 
--- a/tests/libs/coordination/forwarding/forward_request_test.cpp
+++ b/tests/libs/coordination/forwarding/forward_request_test.cpp
@@ -375,6 +375,65 @@
   }
 }
 
+TEST_CASE("Nothing of an answer that doesn't continue a broken stream reaches its caller") {
+  for (const int status : {201, 204, 206, 301, 400, 404, 421, 429, 500, 502, 503}) {
+    CAPTURE(status);
+    HookRecorder recorder;
+    ForwardPolicy policy = PolicyOf(false, true, true);
+    policy.attempts = 3;
+    ForwardRequest request(policy, recorder.Hooks());
+    request.Start(seconds(1));
+    request.OnHead(1, {200, false, true}, seconds(1));
+    request.OnEvent(1, 1, "a", seconds(1));
+    request.OnFailure(1, CallFailure::kBroken, seconds(1));
+    request.OnHead(2, {status, false, true}, seconds(1));
+    request.OnEvent(2, std::nullopt, "error text", seconds(1));
+    request.OnEvent(2, 2, "error text", seconds(1));
+    request.OnEnd(2, seconds(1));
+    CHECK(recorder.relayed == "a");
+    CHECK(recorder.ended == 0);
+    REQUIRE(recorder.sends.size() == 3);
+    request.OnHead(3, {200, false, true}, seconds(1));
+    request.OnEvent(3, std::nullopt, "error text", seconds(1));
+    request.OnEvent(3, 2, "b", seconds(1));
+    request.OnEvent(3, std::nullopt, ":comment", seconds(1));
+    request.OnEnd(3, seconds(1));
+    CHECK(recorder.relayed == "ab:comment");
+    CHECK(recorder.ended == 1);
+    CHECK(recorder.cuts == 0);
+  }
+}
+
+TEST_CASE(
+    "A long answer that breaks off after its beginning went out is cut, not followed by another") {
+  HookRecorder recorder;
+  ForwardRequest request(PolicyOf(true, false, false), recorder.Hooks());
+  request.Start(seconds(1));
+  request.OnHead(1, {200, false, true}, seconds(1));
+  request.OnEvent(1, std::nullopt, "first half", seconds(1));
+  request.OnEvent(1, std::nullopt, "more", seconds(1));
+  request.OnFailure(1, CallFailure::kBroken, seconds(1));
+  CHECK(recorder.sends.size() == 1);
+  CHECK(recorder.relayed == "first halfmore");
+  CHECK(recorder.cuts == 1);
+}
+
+TEST_CASE("A broken stream that is answered with an error only is cut, not ended") {
+  HookRecorder recorder;
+  ForwardRequest request(PolicyOf(false, true, true), recorder.Hooks());
+  request.Start(seconds(1));
+  request.OnHead(1, {200, false, true}, seconds(1));
+  request.OnEvent(1, 1, "a", seconds(1));
+  request.OnFailure(1, CallFailure::kBroken, seconds(1));
+  request.OnHead(2, {500, false, true}, seconds(1));
+  request.OnEvent(2, std::nullopt, "error text", seconds(1));
+  request.OnEnd(2, seconds(1));
+  CHECK(recorder.relayed == "a");
+  CHECK(recorder.cuts == 1);
+  CHECK(recorder.ended == 0);
+  CHECK(recorder.refusals.empty());
+}
+
 TEST_CASE("A stream that has begun is continued even if its request is condemned meanwhile") {
   HookRecorder recorder;
   ForwardRequest request(PolicyOf(false, true, true), recorder.Hooks());
