A test of streams without length or chunks, whole and ended inside an event

It holds here: a raw server that answers without framing, through a real router: a stream that ends between events is passed on as whole, one that ends inside an event breaks off or, where it may be resumed, goes on at another server.

--- a/tests/process/forwarding/forward_process_test.cpp
+++ b/tests/process/forwarding/forward_process_test.cpp
@@ -311,6 +311,49 @@
   }
 }
 
+TEST_CASE("An unframed stream is whole if it ends between events and broken off inside one") {
+  ForwardBench bench;
+  std::string id;
+  std::string body = "looked";
+  int answers = 0;
+  RawServer unframed([&](QTcpSocket* socket) {
+    ++answers;
+    const std::string head = "HTTP/1.1 200 OK\r\nKumquatcross-Request-Id: " + id +
+                             "\r\nKumquatcross-Server-Stamp: s\r\n\r\n";
+    socket->write(QByteArray::fromStdString(head + body));
+    socket->disconnectFromHost();
+  });
+  const auto announced = bench.caller().Run(
+      bench.control()[0], "PUT", "/instances/raw", {{"Content-Type", "application/json"}},
+      fmt::format(R"({{"service":"desk","zone":"d1","state":"ready","models":[],"seq":1,"born":1,)"
+                  R"("slots":4,"addr":"127.0.0.1:{}"}})",
+                  unframed.serverPort()));
+  REQUIRE(announced->status == 200);
+  CHECK(SpinUntil([&] { return bench.Run(0, "/again/look", &id)->body == "looked"; }));
+  body = StandInServer::StreamFrom(0);
+  const auto whole = bench.Run(0, "/live/stream", &id);
+  CHECK(whole->ended);
+  CHECK(whole->body == body);
+  body.resize(body.size() - 3);
+  const auto broken = bench.Run(0, "/live/stream", &id);
+  CHECK(broken->failure == CallFailure::kBroken);
+  CHECK(body.starts_with(broken->body));
+  // A stream that may be resumed goes on at the other server.
+  for (int i = 0; i < 50; ++i) bench.Run(0, "/again/look", &id);
+  StandInServer framed("s1", "desk", bench.control());
+  CHECK(SpinUntil([&] {
+    bench.Run(0, "/again/look", &id);
+    return !framed.runs().empty();
+  }));
+  answers = 0;
+  CHECK(SpinUntil([&] {
+    const auto resumed = bench.Run(0, "/long/stream", &id);
+    CHECK(resumed->ended);
+    CHECK(resumed->body == StandInServer::StreamFrom(0));
+    return answers > 0;
+  }));
+}
+
 TEST_CASE("Configurations put while each replica in turn is down take effect and reach it later") {
   ForwardBench bench;
   StandInServer server("s1", "desk", bench.control());
