Servers that crash together don't condemn the requests and parts that they all had

What callers would have seen: after all servers of a service crashed at once, every request with the common preamble, and popular calls, were refused as poison_request for ten minutes: nothing was in flight to clear them.

Cause: crashes were counted one by one, also where they have one cause.

Change: three or more crashes that follow each other within 25 ms, and lie within 250 ms, count as one incident for every suspect.

Cases of admission_test that gave all crashes the same moment now give them a second each, with the same expectations.

--- a/src/libs/coordination/admission/culprit_table.cpp
+++ b/src/libs/coordination/admission/culprit_table.cpp
@@ -18,6 +18,14 @@
 constexpr Duration kClearedLifetime = std::chrono::seconds(30);
 // The time of one clearing differs this much between processes, by the delay of messages.
 constexpr Duration kClearingTolerance = std::chrono::milliseconds(250);
+// This many crashes or more are one incident if each follows the one before within kIncidentGap and
+// all lie within kIncidentWindow. Routers notice crashes of one moment some milliseconds apart; a
+// culprit that is sent to two servers at once crashes two.
+constexpr std::size_t kIncidentCrashes = 3;
+constexpr Duration kIncidentGap = std::chrono::milliseconds(25);
+constexpr Duration kIncidentWindow = std::chrono::milliseconds(250);
+// Crashes whose times are kept, the latest ones.
+constexpr std::size_t kMaxCrashTimes = 512;
 
 }  // namespace
 
@@ -35,8 +43,9 @@
   return true;
 }
 
-bool CulpritTable::AddCrashTo(Entry& entry, std::uint64_t crash, Instant lost_at) const {
+bool CulpritTable::AddCrashTo(Entry& entry, std::uint64_t crash, Instant lost_at) {
   if (entry.cleared_at && lost_at <= *entry.cleared_at) return false;
+  LearnCrash(crash, lost_at);
   const auto [known, is_new] = entry.crashes.try_emplace(crash, lost_at);
   // Delays only ever make a crash look later than it was.
   known->second = std::min(known->second, lost_at);
@@ -48,6 +57,19 @@
   return is_new;
 }
 
+void CulpritTable::LearnCrash(std::uint64_t crash, Instant lost_at) {
+  const auto [known, is_new] = crash_times_.try_emplace(crash, lost_at);
+  if (!is_new && known->second <= lost_at) return;
+  known->second = lost_at;
+  if (crash_times_.size() > kMaxCrashTimes) {
+    crash_times_.erase(std::min_element(
+        crash_times_.begin(), crash_times_.end(),
+        [](const auto& left, const auto& right) { return left.second < right.second; }));
+  }
+  // It may make one incident of crashes that were counted apart.
+  if (!incriminated_.empty()) Condemn();
+}
+
 bool CulpritTable::Clear(const std::string& digest, Instant now) {
   const auto found = entries_.find(digest);
   if (found == entries_.end() || found->second.crashes.empty()) return false;
@@ -104,26 +126,62 @@
   }
 }
 
+// Returns the incident of each crash, identified by the first crash of the incident.
+std::map<std::uint64_t, std::uint64_t> CulpritTable::Incidents() const {
+  std::vector<std::pair<Instant, std::uint64_t>> crashes;
+  crashes.reserve(crash_times_.size());
+  for (const auto& [crash, at] : crash_times_) crashes.emplace_back(at, crash);
+  std::sort(crashes.begin(), crashes.end());
+  std::map<std::uint64_t, std::uint64_t> incidents;
+  for (auto first = crashes.begin(); first != crashes.end();) {
+    auto last = std::next(first);
+    while (last != crashes.end() && last->first <= std::prev(last)->first + kIncidentGap &&
+           last->first <= first->first + kIncidentWindow) {
+      ++last;
+    }
+    const bool is_one = static_cast<std::size_t>(last - first) >= kIncidentCrashes;
+    for (auto crash = first; crash != last; ++crash) {
+      incidents[crash->second] = is_one ? first->second : crash->second;
+    }
+    first = last;
+  }
+  return incidents;
+}
+
 void CulpritTable::Condemn() {
   condemned_.clear();
+  const auto incidents = Incidents();
+  const auto incidents_of = [&](const Entry& entry) {
+    std::set<std::uint64_t> found;
+    for (const auto& [crash, lost_at] : entry.crashes) {
+      const auto incident = incidents.find(crash);
+      found.insert(incident != incidents.end() ? incident->second : crash);
+    }
+    return found;
+  };
+  struct Incriminated {
+    const std::string* digest = nullptr;
+    std::size_t needed = 0;
+    std::set<std::uint64_t> incidents;
+  };
   using Rank = std::pair<std::size_t, std::int64_t>;
-  std::map<Rank, std::vector<const std::string*>, std::greater<>> by_rank;
+  std::map<Rank, std::vector<Incriminated>, std::greater<>> by_rank;
   for (const std::string& digest : incriminated_) {
     const Entry& entry = entries_.at(digest);
-    by_rank[{entry.crashes.size(), entry.depth}].push_back(&digest);
+    Incriminated one{&digest, CrashesToCondemn(entry), incidents_of(entry)};
+    by_rank[{one.incidents.size(), entry.depth}].push_back(std::move(one));
   }
   std::set<std::uint64_t> explained;
-  for (const auto& [rank, digests] : by_rank) {
+  for (const auto& [rank, suspects] : by_rank) {
     // Nothing tells suspects of the same rank apart, so none explains the crashes of another.
     std::set<std::uint64_t> newly_explained;
-    for (const std::string* digest : digests) {
-      const Entry& entry = entries_.at(*digest);
+    for (const Incriminated& one : suspects) {
       const auto unexplained = static_cast<std::size_t>(
-          std::count_if(entry.crashes.begin(), entry.crashes.end(),
-                        [&](const auto& crash) { return !explained.contains(crash.first); }));
-      if (unexplained < CrashesToCondemn(entry)) continue;
-      condemned_.insert(*digest);
-      for (const auto& [crash, lost_at] : entry.crashes) newly_explained.insert(crash);
+          std::count_if(one.incidents.begin(), one.incidents.end(),
+                        [&](std::uint64_t incident) { return !explained.contains(incident); }));
+      if (unexplained < one.needed) continue;
+      condemned_.insert(*one.digest);
+      newly_explained.insert(one.incidents.begin(), one.incidents.end());
     }
     explained.merge(newly_explained);
   }
@@ -144,6 +202,8 @@
     if (now - entry->second.changed_at >= lifetime) Remove(entry);
     entry = next;
   }
+  std::erase_if(crash_times_,
+                [&](const auto& crash) { return now - crash.second >= options_.max_age; });
 }
 
 SuspectEntry CulpritTable::ToMessage(const std::string& digest, const Entry& entry,
--- a/src/libs/coordination/admission/culprit_table.h
+++ b/src/libs/coordination/admission/culprit_table.h
@@ -35,6 +35,9 @@
 // request that has them: a culprit crashes each of them. What merely ran beside a culprit, or
 // shares parts with it, is therefore cleared by its next run.
 //
+// Servers that crash together have another cause than a request, such as a loss of power: three or
+// more crashes within a fraction of a second count as one.
+//
 // A crash needs one culprit only. So of the suspects with enough crashes the one with the most is
 // condemned first, of equal ones the most specific, and its crashes no longer count for the others.
 //
@@ -90,7 +93,9 @@
     bool is_shared = false;
   };
 
-  bool AddCrashTo(Entry& entry, std::uint64_t crash, Instant lost_at) const;
+  bool AddCrashTo(Entry& entry, std::uint64_t crash, Instant lost_at);
+  void LearnCrash(std::uint64_t crash, Instant lost_at);
+  std::map<std::uint64_t, std::uint64_t> Incidents() const;
   void OnChanged(const std::string& digest, Instant now);
   std::size_t CrashesToCondemn(const Entry& entry) const;
   void Condemn();
@@ -100,7 +105,9 @@
 
   CulpritTableOptions options_;
   std::map<std::string, Entry> entries_;
-  // Suspects with enough crashes, if these aren't explained by others.
+  // When each crash was first noticed, of all suspects.
+  std::map<std::uint64_t, Instant> crash_times_;
+  // Suspects with enough crashes, if these are neither of one incident nor explained by others.
   std::set<std::string> incriminated_;
   std::set<std::string> condemned_;
 };
--- a/tests/kumquatrouter/crash_fleet_test.cpp
+++ b/tests/kumquatrouter/crash_fleet_test.cpp
@@ -39,7 +39,10 @@
   bool has_prompts = false;
   // Whether the culprit is a part of many prompts instead of one request.
   bool is_part = false;
+  // One in this many requests is the culprit; 0 for none.
   int one_culprit_in = 20;
+  // Whether all servers crash at once now and then, by no request's fault.
+  bool has_power_losses = false;
 
   int max_crashes() const { return is_part ? kMaxPartCrashes : kMaxRequestCrashes; }
 };
@@ -54,6 +57,7 @@
     world_.After(milliseconds(20), [this] { Tick(); });
     world_.After(milliseconds(40), [this] { Relay(); });
     if (options_.has_faults) world_.After(seconds(4), [this] { Fault(); });
+    if (options_.has_power_losses) world_.After(seconds(4), [this] { LosePower(); });
   }
 
   void Run(Duration length) {
@@ -192,13 +196,21 @@
     world_.After(world_.Between(milliseconds(500), seconds(3)), [this] { Fault(); });
   }
 
+  void LosePower() {
+    for (std::size_t i = 0; i < kServers; ++i) {
+      if (servers_[i].is_up) Crash(i);
+    }
+    world_.After(world_.Between(seconds(4), seconds(7)), [this] { LosePower(); });
+  }
+
   bool IsInTouch(const Router& router) const {
     const bool is_cut = router.is_cut[0];
     return !is_cut && world_.now() - router.disturbed_at >= kContactTime;
   }
 
   void Arrive() {
-    const bool is_culprit = world_.OneIn(static_cast<std::uint64_t>(options_.one_culprit_in));
+    const bool is_culprit = options_.one_culprit_in != 0 &&
+                            world_.OneIn(static_cast<std::uint64_t>(options_.one_culprit_in));
     if (!is_culprit) ++sound;
     const std::string number = std::to_string(++arrivals_);
     Request request;
@@ -305,7 +317,7 @@
     fleet.Run(seconds(30));
     CHECK(fleet.crashes >= 3);
     CHECK(fleet.culprits_sent_late <= max_sends);
-    CHECK(fleet.sound_answered >= fleet.sound * 95 / 100);
+    if (!options.has_power_losses) CHECK(fleet.sound_answered >= fleet.sound * 95 / 100);
     sound += fleet.sound;
     condemned += fleet.sound_condemned;
     largest_message = std::max(largest_message, fleet.largest_message);
@@ -330,6 +342,10 @@
   CheckFleets({.has_faults = true, .has_prompts = true}, kMaxSends);
 }
 
+TEST_CASE("Servers that all crash at once, again and again, condemn no request and no part") {
+  CheckFleets({.has_prompts = true, .one_culprit_in = 0, .has_power_losses = true}, 0);
+}
+
 TEST_CASE("Prompts with a part that crashed five engines stop reaching them, others are served") {
   CheckFleets({.has_prompts = true, .is_part = true}, 0);
 }
--- a/tests/libs/coordination/admission/culprit_table_test.cpp
+++ b/tests/libs/coordination/admission/culprit_table_test.cpp
@@ -17,10 +17,11 @@
 
 Suspect Request(const std::string& digest) { return {digest, kRequestDepth}; }
 
-// Records that each of the suspects was lost with the crashes of these servers.
+// Records that each of the suspects was lost with the crashes of these servers, a second apart.
 void AddCrashes(CulpritTable& table, const std::vector<Suspect>& suspects, int first, int last) {
   for (int i = first; i <= last; ++i) {
-    for (const Suspect& suspect : suspects) table.AddCrash(suspect, CrashId("s", i), kNow, kNow);
+    const Instant at = kNow + seconds(i);
+    for (const Suspect& suspect : suspects) table.AddCrash(suspect, CrashId("s", i), at, at);
   }
 }
 
@@ -28,41 +29,40 @@
   CulpritTable table;
   for (int i = 0; i < 3; ++i) table.AddCrash(Request("r"), CrashId("s1", 1), kNow, kNow);
   CHECK_FALSE(table.IsCondemned("r"));
-  CHECK(table.AddCrash(Request("r"), CrashId("s1", 2), kNow, kNow));
+  CHECK(table.AddCrash(Request("r"), CrashId("s1", 2), kNow + seconds(1), kNow + seconds(1)));
   CHECK_FALSE(table.IsCondemned("r"));
-  CHECK(table.AddCrash(Request("r"), CrashId("s2", 1), kNow, kNow));
+  CHECK(table.AddCrash(Request("r"), CrashId("s2", 1), kNow + seconds(2), kNow + seconds(2)));
   CHECK(table.IsCondemned("r"));
   CHECK_FALSE(table.IsCondemned("other"));
 }
 
 TEST_CASE("A request that a server survived is cleared; older crashes that are heard of late too") {
   CulpritTable table;
-  for (int i = 0; i < 3; ++i) table.AddCrash(Request("r"), CrashId("s", i), kNow, kNow);
+  AddCrashes(table, {Request("r")}, 0, 2);
   REQUIRE(table.IsCondemned("r"));
-  CHECK(table.Clear("r", kNow + seconds(1)));
+  CHECK(table.Clear("r", kNow + seconds(5)));
   CHECK_FALSE(table.IsCondemned("r"));
-  CHECK_FALSE(table.Clear("r", kNow + seconds(1)));
+  CHECK_FALSE(table.Clear("r", kNow + seconds(5)));
   for (int i = 3; i < 6; ++i) {
-    CHECK_FALSE(table.AddCrash(Request("r"), CrashId("s", i), kNow, kNow + seconds(2)));
+    CHECK_FALSE(table.AddCrash(Request("r"), CrashId("s", i), kNow, kNow + seconds(6)));
   }
   CHECK_FALSE(table.IsCondemned("r"));
-  const Instant later = kNow + seconds(3);
-  for (int i = 6; i < 9; ++i) table.AddCrash(Request("r"), CrashId("s", i), later, later);
+  AddCrashes(table, {Request("r")}, 6, 8);
   CHECK(table.IsCondemned("r"));
 }
 
 TEST_CASE("Entries expire, and a full table keeps the suspects with the most crashes") {
   CulpritTable table({.max_entries = 10, .max_age = seconds(60)});
-  for (int i = 0; i < 3; ++i) table.AddCrash(Request("culprit"), CrashId("s", i), kNow, kNow);
+  AddCrashes(table, {Request("culprit")}, 0, 2);
   for (int i = 0; i < 100; ++i)
     table.AddCrash(Request(std::to_string(i)), CrashId("s", 0), kNow, kNow);
   CHECK(table.size() == 10);
   CHECK(table.IsCondemned("culprit"));
-  for (int i = 0; i < 1000; ++i) table.AddCrash(Request("culprit"), CrashId("s", i), kNow, kNow);
+  AddCrashes(table, {Request("culprit")}, 0, 999);
   CHECK(table.EntryOf("culprit", kNow)->crashes.size() <= 16);
-  table.Expire(kNow + seconds(59));
+  table.Expire(kNow + seconds(999 + 59));
   CHECK(table.IsCondemned("culprit"));
-  table.Expire(kNow + seconds(60));
+  table.Expire(kNow + seconds(999 + 60));
   CHECK_FALSE(table.IsCondemned("culprit"));
   CHECK(table.size() == 0);
 }
@@ -105,6 +105,37 @@
   CHECK(table.condemned() == std::set<std::string>{"one", "three", "two"});
 }
 
+TEST_CASE("Servers that crash together condemn nothing, unless what they lost crashes more later") {
+  CulpritTable table;
+  const Suspect preamble{"preamble", 0};
+  const auto lose_all = [&](Instant at) {
+    for (int server = 0; server < 9; ++server) {
+      // Routers notice the crashes milliseconds apart.
+      const Instant lost_at = at + milliseconds(10) * server;
+      const auto crash = CrashId("s" + std::to_string(server), at.count());
+      table.AddCrash(preamble, crash, lost_at, lost_at);
+      table.AddCrash(Request("popular"), crash, lost_at, lost_at);
+    }
+    return table.condemned().size();
+  };
+  CHECK(lose_all(kNow) == 0);
+  CHECK(lose_all(kNow + seconds(10)) == 0);
+  for (int i = 0; i < 2; ++i) {
+    const Instant at = kNow + seconds(20 + i);
+    table.AddCrash(preamble, CrashId("s", i), at, at);
+  }
+  CHECK(table.condemned() == std::set<std::string>{"preamble"});
+}
+
+TEST_CASE("A request that runs on two servers at once is condemned by crashes of both") {
+  CulpritTable table;
+  for (int i = 0; i < 3; ++i) {
+    const Instant at = kNow + milliseconds(400) * (i / 2) + milliseconds(50) * i;
+    table.AddCrash(Request("r"), CrashId("s", i), at, at);
+  }
+  CHECK(table.IsCondemned("r"));
+}
+
 TEST_CASE("A clearing that comes back by another process doesn't clear later crashes") {
   CulpritTable table;
   table.AddCrash(Request("r"), CrashId("s", 0), kNow, kNow);
