Condemned suspects get another chance, after a minute and then after twice as long each time

A suspect was condemned until its entry expired, ten minutes after its last crash, and nothing could clear it meanwhile, as nothing of it is sent. Where that is wrong, sound requests stay refused for all that time.

After a minute without a crash a condemned suspect is on parole: an answer clears it, one more crash condemns it again at once, for two minutes, then four, and its entry expires ten minutes after the last crash. A real culprit costs a few crashes in ten minutes instead of the four of an expired entry.

--- a/src/libs/coordination/admission/culprit_table.cpp
+++ b/src/libs/coordination/admission/culprit_table.cpp
@@ -38,14 +38,14 @@
                             Instant now) {
   Entry& entry = entries_[suspect.digest];
   entry.depth = suspect.depth;
-  if (!AddCrashTo(entry, crash, lost_at)) return false;
+  if (!AddCrashTo(entry, crash, lost_at, now)) return false;
   OnChanged(suspect.digest, now);
   return true;
 }
 
-bool CulpritTable::AddCrashTo(Entry& entry, std::uint64_t crash, Instant lost_at) {
+bool CulpritTable::AddCrashTo(Entry& entry, std::uint64_t crash, Instant lost_at, Instant now) {
   if (entry.cleared_at && lost_at <= *entry.cleared_at) return false;
-  LearnCrash(crash, lost_at);
+  LearnCrash(crash, lost_at, now);
   const auto [known, is_new] = entry.crashes.try_emplace(crash, lost_at);
   // Delays only ever make a crash look later than it was.
   known->second = std::min(known->second, lost_at);
@@ -57,7 +57,7 @@
   return is_new;
 }
 
-void CulpritTable::LearnCrash(std::uint64_t crash, Instant lost_at) {
+void CulpritTable::LearnCrash(std::uint64_t crash, Instant lost_at, Instant now) {
   const auto [known, is_new] = crash_times_.try_emplace(crash, lost_at);
   if (!is_new && known->second <= lost_at) return;
   known->second = lost_at;
@@ -67,7 +67,7 @@
         [](const auto& left, const auto& right) { return left.second < right.second; }));
   }
   // It may make one incident of crashes that were counted apart.
-  if (!incriminated_.empty()) Condemn();
+  if (!incriminated_.empty()) Condemn(now);
 }
 
 bool CulpritTable::Clear(const std::string& digest, Instant now) {
@@ -93,7 +93,7 @@
   }
   for (const CrashSighting& sighting : message.crashes) {
     if (sighting.age >= options_.max_age) continue;
-    changed = AddCrashTo(entry, sighting.crash, now - sighting.age) || changed;
+    changed = AddCrashTo(entry, sighting.crash, now - sighting.age, now) || changed;
   }
   if (changed) {
     OnChanged(digest, now);
@@ -116,13 +116,14 @@
   const bool was_incriminated = incriminated_.contains(digest);
   if (is_incriminated) incriminated_.insert(digest);
   if (!is_incriminated) incriminated_.erase(digest);
-  if (is_incriminated || was_incriminated) Condemn();
+  if (is_incriminated || was_incriminated) Condemn(now);
   while (entries_.size() > options_.max_entries) {
-    Remove(
+    const auto weakest =
         std::min_element(entries_.begin(), entries_.end(), [](const auto& left, const auto& right) {
           return std::pair(left.second.crashes.size(), left.second.changed_at) <
                  std::pair(right.second.crashes.size(), right.second.changed_at);
-        }));
+        });
+    Remove(weakest, now);
   }
 }
 
@@ -148,7 +149,15 @@
   return incidents;
 }
 
-void CulpritTable::Condemn() {
+bool CulpritTable::IsOnParole(const Entry& entry, Instant now) const {
+  Instant last_crash{0};
+  for (const auto& [crash, lost_at] : entry.crashes) last_crash = std::max(last_crash, lost_at);
+  // At most kMaxCrashes are kept, which bounds the shift.
+  const std::size_t doublings = entry.crashes.size() - CrashesToCondemn(entry);
+  return now >= last_crash + options_.parole_after * (std::int64_t{1} << doublings);
+}
+
+void CulpritTable::Condemn(Instant now) {
   condemned_.clear();
   const auto incidents = Incidents();
   const auto incidents_of = [&](const Entry& entry) {
@@ -168,6 +177,7 @@
   std::map<Rank, std::vector<Incriminated>, std::greater<>> by_rank;
   for (const std::string& digest : incriminated_) {
     const Entry& entry = entries_.at(digest);
+    if (IsOnParole(entry, now)) continue;
     Incriminated one{&digest, CrashesToCondemn(entry), incidents_of(entry)};
     by_rank[{one.incidents.size(), entry.depth}].push_back(std::move(one));
   }
@@ -187,10 +197,10 @@
   }
 }
 
-void CulpritTable::Remove(std::map<std::string, Entry>::iterator entry) {
+void CulpritTable::Remove(std::map<std::string, Entry>::iterator entry, Instant now) {
   const bool was_incriminated = incriminated_.erase(entry->first) > 0;
   entries_.erase(entry);
-  if (was_incriminated) Condemn();
+  if (was_incriminated) Condemn(now);
 }
 
 void CulpritTable::Expire(Instant now) {
@@ -199,11 +209,12 @@
     const Duration lifetime = entry->second.crashes.empty()
                                   ? std::min(kClearedLifetime, options_.max_age)
                                   : options_.max_age;
-    if (now - entry->second.changed_at >= lifetime) Remove(entry);
+    if (now - entry->second.changed_at >= lifetime) Remove(entry, now);
     entry = next;
   }
   std::erase_if(crash_times_,
                 [&](const auto& crash) { return now - crash.second >= options_.max_age; });
+  if (!incriminated_.empty()) Condemn(now);
 }
 
 SuspectEntry CulpritTable::ToMessage(const std::string& digest, const Entry& entry,
--- a/src/libs/coordination/admission/culprit_table.h
+++ b/src/libs/coordination/admission/culprit_table.h
@@ -19,6 +19,9 @@
   // Maximum number of suspects. Those with the fewest crashes are evicted first, of these the ones
   // that changed longest ago.
   std::size_t max_entries = 2048;
+  // How long a suspect stays condemned after its last crash. It is then on parole: the next crash
+  // condemns it again, for twice as long each time, and an answer clears it.
+  Duration parole_after = std::chrono::minutes(1);
   // Lifetime of an entry after its last change.
   Duration max_age = std::chrono::minutes(10);
   // A request that was lost with this many crashes, and not cleared since, is condemned; a part of
@@ -78,7 +81,7 @@
   // Returns a hash of the condemned suspects, by which processes notice that they differ.
   std::uint64_t CondemnedHash() const;
 
-  // Removes expired entries.
+  // Removes expired entries and lets suspects out on parole.
   void Expire(Instant now);
 
   static constexpr std::size_t kMaxExchanged = 256;
@@ -93,13 +96,14 @@
     bool is_shared = false;
   };
 
-  bool AddCrashTo(Entry& entry, std::uint64_t crash, Instant lost_at);
-  void LearnCrash(std::uint64_t crash, Instant lost_at);
+  bool AddCrashTo(Entry& entry, std::uint64_t crash, Instant lost_at, Instant now);
+  void LearnCrash(std::uint64_t crash, Instant lost_at, Instant now);
+  bool IsOnParole(const Entry& entry, Instant now) const;
   std::map<std::uint64_t, std::uint64_t> Incidents() const;
   void OnChanged(const std::string& digest, Instant now);
   std::size_t CrashesToCondemn(const Entry& entry) const;
-  void Condemn();
-  void Remove(std::map<std::string, Entry>::iterator entry);
+  void Condemn(Instant now);
+  void Remove(std::map<std::string, Entry>::iterator entry, Instant now);
   void Evict();
   SuspectEntry ToMessage(const std::string& digest, const Entry& entry, Instant now) const;
 
--- a/tests/libs/coordination/admission/culprit_table_test.cpp
+++ b/tests/libs/coordination/admission/culprit_table_test.cpp
@@ -67,6 +67,29 @@
   CHECK(table.size() == 0);
 }
 
+TEST_CASE("A condemned suspect gets another chance after a minute, then after two, then four") {
+  CulpritTable table;
+  AddCrashes(table, {Request("r")}, 0, 2);
+  Instant last_crash = kNow + seconds(2);
+  for (const int minutes : {1, 2, 4}) {
+    const Instant parole = last_crash + std::chrono::minutes(minutes);
+    table.Expire(parole - seconds(1));
+    CHECK(table.IsCondemned("r"));
+    table.Expire(parole);
+    CHECK_FALSE(table.IsCondemned("r"));
+    last_crash = parole + seconds(1);
+    table.AddCrash(Request("r"), CrashId("later", minutes), last_crash, last_crash);
+    CHECK(table.IsCondemned("r"));
+  }
+  // An innocent one is cleared by its first answer.
+  const Instant answered = last_crash + std::chrono::minutes(8);
+  table.Expire(answered);
+  CHECK(table.Clear("r", answered));
+  const Instant now = answered + seconds(1);
+  table.AddCrash(Request("r"), CrashId("last", 1), now, now);
+  CHECK_FALSE(table.IsCondemned("r"));
+}
+
 TEST_CASE("A part of prompts is condemned by four crashes, whatever requests it comes with") {
   CulpritTable table;
   const Suspect part{"part", 1};
