An error answer doesn't clear a suspect

What callers would have seen: a request that crashes its servers went on being sent where some of them answered it with an error in between, without running it, as faulty servers do while their health check is good. Each such answer cleared the request.

Only a success shows that a server survived running it; on the own interface a status under 400.

The tests' fixture now waits 50 ms between the requests that are to crash servers: three crashes within 25 ms of each other count as one since, and 'Routers and replicas that restart' sent them within 2 ms.

--- a/src/kumquatrouter/forwarding/forward_exchange.cpp
+++ b/src/kumquatrouter/forwarding/forward_exchange.cpp
@@ -452,7 +452,8 @@
     OnCallFailed(number, CallFailure::kBroken, "The answer ended in the middle of an event.");
     return;
   }
-  if (!attempt_->is_event_stream) OnAnswerBegun();
+  // An error may be answered without running the request.
+  if (!attempt_->is_event_stream && IsSuccess(attempt_->status)) OnAnswerBegun();
   decisions_->OnEnd(number, Now());
 }
 
--- a/src/kumquatrouter/service_exchange.cpp
+++ b/src/kumquatrouter/service_exchange.cpp
@@ -25,6 +25,7 @@
 constexpr Duration kFinishPatience = std::chrono::seconds(60);
 constexpr Duration kHedgeAfter = std::chrono::seconds(1);
 constexpr std::int64_t kTokensOfCall = 0;
+constexpr int kFirstError = 400;
 constexpr std::size_t kMaxAnswerBytes = 16 * 1024 * 1024;
 
 std::string ContentDigest(const HttpRequest& request) {
@@ -230,7 +231,9 @@
     const auto attempt = exchange->TakeAttempt(attempt_id);
     if (!attempt) return;
     CrashWatch& watch = exchange->services_.crashes->watch();
-    if (watch.has_suspects()) watch.OnAnswerBegun(exchange->Suspects());
+    // An error may be answered without running the call.
+    const bool has_run = attempt->answer.status < kFirstError;
+    if (has_run && watch.has_suspects()) watch.OnAnswerBegun(exchange->Suspects());
     exchange->Execute(
         exchange->decisions_->OnAnswer(attempt_id, attempt->answer, exchange->services_.clock()));
   };
--- a/tests/process/forwarding/crash_bench.h
+++ b/tests/process/forwarding/crash_bench.h
@@ -20,6 +20,7 @@
 class CrashBench : public ForwardBench {
  public:
   static constexpr std::size_t kServers = 4;
+  static constexpr std::chrono::milliseconds kTimeBetweenSends{50};
 
   CrashBench() {
     for (std::size_t i = 0; i < kServers; ++i) {
@@ -40,6 +41,8 @@
     }
   }
 
+  StandInServer& server(std::size_t index) { return *servers_[index]; }
+
   int Crashes() const {
     return std::accumulate(servers_.begin(), servers_.end(), 0,
                            [](int sum, const auto& server) { return sum + server->crashes(); });
@@ -50,6 +53,8 @@
     int next = 0;
     CHECK(SpinUntil([&] {
       if (Crashes() < crashes) Send(next++ % kRouters, path, body);
+      // Crashes of one moment would count as one.
+      Wait(kTimeBetweenSends);
       return Crashes() >= crashes;
     }));
   }
--- a/tests/process/forwarding/forward_crash_test.cpp
+++ b/tests/process/forwarding/forward_crash_test.cpp
@@ -22,6 +22,25 @@
   CHECK(bench.Send(0, "/again/look", "sound") == 200);
 }
 
+TEST_CASE("Errors that servers answer without running a request don't clear it") {
+  CrashBench bench;
+  bench.CrashOnBody("crash");
+  const auto set_mode = [&](StandInServer::Mode mode) {
+    for (std::size_t i = 0; i < CrashBench::kServers; ++i) bench.server(i).SetMode(mode);
+  };
+  constexpr int kRounds = 8;
+  for (int round = 0; round < kRounds; ++round) {
+    bench.Send(round % 2, "/once/book", "crash");
+    set_mode(StandInServer::Mode::kFails);
+    // All servers are up again, and answer the request with an error.
+    CrashBench::Wait(2 * StandInServer::kDownTime);
+    for (int i = 0; i < 4; ++i) bench.Send(i % 2, "/once/book", "crash");
+    set_mode(StandInServer::Mode::kServes);
+  }
+  CHECK(bench.Crashes() >= 3);
+  CHECK(bench.Crashes() <= 3 + kMaxSendsAfterContactTime);
+}
+
 TEST_CASE(
     "Routers and replicas that restart one after the other still refuse a condemned request") {
   CrashBench bench;
--- a/tests/process/forwarding/stand_in_server.cpp
+++ b/tests/process/forwarding/stand_in_server.cpp
@@ -126,6 +126,7 @@
   }
   // Requests without an id are state queries and orders of control, which it doesn't support.
   if (request.Header("Kumquatcross-Request-Id").empty()) return responder->Send(404, {}, "");
+  if (mode_ == Mode::kFails) return responder->Send(500, Head(request), "failed");
   runs_.push_back(request);
   if (Crashes(request)) return Crash();
   if (mode_ == Mode::kLosesAnswers) return responder->Abort();
--- a/tests/process/forwarding/stand_in_server.h
+++ b/tests/process/forwarding/stand_in_server.h
@@ -24,6 +24,8 @@
     kBreaksStreams,
     // Accepts streamed requests and never answers them, as if they were queued.
     kHoldsStreams,
+    // Answers every request with status 500, without running it.
+    kFails,
     // Answers every request, including those of control, with an endless stream of bytes.
     kFloods,
   };
