A verdict is made without entries whose crashes a message has just cleared

Since the parole a verdict counts an entry's crashes beyond those that it takes. While a message with a clearing and a later crash was merged, the verdict was made between the two, with an entry that had lost its crashes and was still listed.

No caller could see it: the verdict was made again at the end of the merge.

--- a/src/libs/coordination/admission/culprit_table.cpp
+++ b/src/libs/coordination/admission/culprit_table.cpp
@@ -177,7 +177,9 @@
   std::map<Rank, std::vector<Incriminated>, std::greater<>> by_rank;
   for (const std::string& digest : incriminated_) {
     const Entry& entry = entries_.at(digest);
-    if (IsOnParole(entry, now)) continue;
+    // While a message is merged, an entry may already have lost the crashes that incriminated it.
+    const bool was_cleared = entry.crashes.size() < CrashesToCondemn(entry);
+    if (was_cleared || IsOnParole(entry, now)) continue;
     Incriminated one{&digest, CrashesToCondemn(entry), incidents_of(entry)};
     by_rank[{one.incidents.size(), entry.depth}].push_back(std::move(one));
   }
--- a/tests/libs/coordination/admission/culprit_table_test.cpp
+++ b/tests/libs/coordination/admission/culprit_table_test.cpp
@@ -90,6 +90,17 @@
   CHECK_FALSE(table.IsCondemned("r"));
 }
 
+TEST_CASE(
+    "A message that clears a condemned request and tells of a later crash leaves it a suspect") {
+  CulpritTable table;
+  AddCrashes(table, {Request("r")}, 0, 2);
+  const Instant now = kNow + seconds(20);
+  const SuspectEntry message{Request("r"), {{CrashId("s", 9), seconds(5)}}, seconds(10)};
+  CHECK(table.Merge(message, now));
+  CHECK_FALSE(table.IsCondemned("r"));
+  CHECK(table.EntryOf("r", now)->crashes.size() == 1);
+}
+
 TEST_CASE("A part of prompts is condemned by four crashes, whatever requests it comes with") {
   CulpritTable table;
   const Suspect part{"part", 1};
