A chat that lost a run with every engine goes on at one that has come back

Hypotheses, before any change: (1) the chat waited for a slot that a lost lease kept taken; (2) it may go nowhere, as it has a strike from each engine; (3) the router didn't know the engines' new incarnations. 2 is it: the wait ended after 10.0 s, max_wait_for_backend, which a suspect with any engine left to ask for a slot never reaches; (3) is out, since other chats ran on the new incarnations in that time.

Cause: a strike keeps a suspect off the backend server by its id, for the ten minutes of the entry, also off later incarnations. With four deaths to condemn a request that made progress, and three engines, it is neither condemned nor placed.

Change: if a suspect has a strike from every engine that is up, it may be tried on each of them again. So that a request which kills the same engine each time is still stopped, any four deaths condemn, also of one id; two different engines still condemn what never made progress.

Evidence: 'A chat that lost a run with each of the three engines goes on at one of them' (real routers and engines, three engines killed in turn under one chat) ended with stream_interrupted on the code before; it passes now. 'A request with a strike from every engine may run on them again, up to four deaths' for the table.

--- a/src/kumquatrouter/chat_exchange.cpp
+++ b/src/kumquatrouter/chat_exchange.cpp
@@ -127,8 +127,9 @@
 StreamRequestHooks ChatExchange::DecisionHooks() {
   StreamRequestHooks hooks;
   hooks.choose_backend = [this](std::span<const BackendChoice> avoid) {
-    const auto may_use = [this](const std::string& backend_id) {
-      return services_.strikes->MayPlace(digest_, backend_id);
+    const auto engines = services_.engines->EnginesFor(demand_.model);
+    const auto may_use = [&](const std::string& backend_id) {
+      return services_.strikes->MayPlace(digest_, backend_id, engines);
     };
     auto backend = services_.engines->Choose(demand_, avoid, may_use);
     is_choice_isolated_ = services_.strikes->StandingOf(digest_) == RequestStanding::kSuspect;
@@ -163,11 +164,7 @@
 // A suspect asks each engine's owner for the slot, and takes the first that it gets.
 bool ChatExchange::MayWaitForPlace() {
   if (services_.strikes->StandingOf(digest_) != RequestStanding::kSuspect) return false;
-  bool may_wait = false;
-  for (const std::string& engine : services_.engines->EnginesFor(demand_.model)) {
-    may_wait = services_.strikes->RequestSlot(digest_, engine) || may_wait;
-  }
-  return may_wait;
+  return services_.strikes->RequestSlots(digest_, services_.engines->EnginesFor(demand_.model));
 }
 
 bool ChatExchange::IsDead(const BackendChoice& backend) const {
--- a/src/kumquatrouter/strike_exchange.cpp
+++ b/src/kumquatrouter/strike_exchange.cpp
@@ -95,18 +95,24 @@
   return hooks;
 }
 
-bool StrikeExchange::MayPlace(const std::string& digest, const std::string& backend_id) const {
+bool StrikeExchange::MayPlace(const std::string& digest, const std::string& backend_id,
+                              std::span<const std::string> backend_ids) const {
   const Instant now = clock_();
-  if (!table_.MayPlace(digest, backend_id, now)) return false;
+  if (!table_.MayPlace(digest, backend_id, now, backend_ids)) return false;
   const bool is_suspect = table_.StandingOf(digest, now) == RequestStanding::kSuspect;
   return !is_suspect || slots_.Holds(digest, backend_id, now);
 }
 
-bool StrikeExchange::RequestSlot(const std::string& digest, const std::string& backend_id) {
+bool StrikeExchange::RequestSlots(const std::string& digest,
+                                  std::span<const std::string> backend_ids) {
   const Instant now = clock_();
-  if (table_.HasStrikeOn(digest, backend_id, now)) return false;
-  slots_.Request(digest, backend_id, now);
-  return true;
+  bool has_any = false;
+  for (const std::string& backend_id : backend_ids) {
+    if (!table_.MayTry(digest, backend_id, backend_ids, now)) continue;
+    slots_.Request(digest, backend_id, now);
+    has_any = true;
+  }
+  return has_any;
 }
 
 void StrikeExchange::AddStrike(const std::string& digest, std::string_view request_id,
--- a/src/kumquatrouter/strike_exchange.h
+++ b/src/kumquatrouter/strike_exchange.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -30,11 +31,14 @@
     return table_.StandingOf(digest, clock_());
   }
 
-  // Whether the request may go to the backend server now. A suspect needs the slot for suspects.
-  bool MayPlace(const std::string& digest, const std::string& backend_id) const;
+  // Whether the request may go to the backend server now, one of those that are up and could run
+  // it. A suspect needs the slot for suspects.
+  bool MayPlace(const std::string& digest, const std::string& backend_id,
+                std::span<const std::string> backend_ids) const;
 
-  // Asks for the slot of a backend server that a suspect may go to; false when it may never.
-  bool RequestSlot(const std::string& digest, const std::string& backend_id);
+  // Asks for the slots of those of these backend servers that a suspect may be tried on. Returns
+  // false if there are none.
+  bool RequestSlots(const std::string& digest, std::span<const std::string> backend_ids);
 
   // The request has ended, in whichever way.
   void Abandon(const std::string& digest) { slots_.Abandon(digest); }
--- a/src/libs/coordination/admission/strike_table.cpp
+++ b/src/libs/coordination/admission/strike_table.cpp
@@ -8,10 +8,10 @@
 namespace {
 
 // A request that never made progress is condemned after the deaths of this many backend servers.
-constexpr std::size_t kDeathsWithoutProgress = 2;
-// The same for a request that made progress, which may kill backend servers later in its run. An
-// innocent request rarely loses this many backend servers.
-constexpr std::size_t kDeathsWithProgress = 4;
+constexpr std::size_t kBackendsWithoutProgress = 2;
+// Any request is condemned after this many deaths, as it may kill backend servers later in its run,
+// or the same one each time. An innocent request rarely sees as many.
+constexpr std::size_t kDeathsToCondemn = 4;
 
 bool HasStrikeFrom(const std::vector<Strike>& strikes, const std::string& backend_id) {
   return std::any_of(strikes.begin(), strikes.end(),
@@ -45,16 +45,17 @@
   const Entry* entry = Find(digest, now);
   if (entry == nullptr || entry->strikes.empty()) return RequestStanding::kClean;
   std::set<std::string_view> dead_backends;
+  std::set<std::pair<std::string_view, std::int64_t>> deaths;
   bool was_isolated = false;
   bool made_progress = false;
   for (const Strike& strike : entry->strikes) {
     dead_backends.insert(strike.backend_id);
+    deaths.emplace(strike.backend_id, strike.incarnation);
     was_isolated = was_isolated || strike.is_isolated;
     made_progress = made_progress || strike.made_progress;
   }
-  const std::size_t deaths_to_condemn =
-      made_progress ? kDeathsWithProgress : kDeathsWithoutProgress;
-  const bool is_condemned = was_isolated && dead_backends.size() >= deaths_to_condemn;
+  const bool kills_at_start = !made_progress && dead_backends.size() >= kBackendsWithoutProgress;
+  const bool is_condemned = was_isolated && (kills_at_start || deaths.size() >= kDeathsToCondemn);
   return is_condemned ? RequestStanding::kCondemned : RequestStanding::kSuspect;
 }
 
@@ -72,19 +73,23 @@
   Merge({digest, {}, known->cleared + 1, Duration(0)}, now);
 }
 
-bool StrikeTable::MayPlace(const std::string& digest, const std::string& backend_id,
-                           Instant now) const {
+bool StrikeTable::MayTry(const std::string& digest, const std::string& backend_id,
+                         std::span<const std::string> backend_ids, Instant now) const {
+  const Entry* entry = Find(digest, now);
+  if (entry == nullptr || !HasStrikeFrom(entry->strikes, backend_id)) return true;
+  return !backend_ids.empty() &&
+         std::all_of(backend_ids.begin(), backend_ids.end(), [&](const std::string& other) {
+           return HasStrikeFrom(entry->strikes, other);
+         });
+}
+
+bool StrikeTable::MayPlace(const std::string& digest, const std::string& backend_id, Instant now,
+                           std::span<const std::string> backend_ids) const {
   const RequestStanding standing = StandingOf(digest, now);
   if (standing == RequestStanding::kClean) return true;
   if (standing == RequestStanding::kCondemned) return false;
   if (owns_backend_ && !owns_backend_(backend_id)) return false;
-  return !HasStrikeOn(digest, backend_id, now) && IsFreeOfSuspects(backend_id, now);
-}
-
-bool StrikeTable::HasStrikeOn(const std::string& digest, const std::string& backend_id,
-                              Instant now) const {
-  const Entry* entry = Find(digest, now);
-  return entry && HasStrikeFrom(entry->strikes, backend_id);
+  return MayTry(digest, backend_id, backend_ids, now) && IsFreeOfSuspects(backend_id, now);
 }
 
 bool StrikeTable::IsFreeOfSuspects(const std::string& backend_id, Instant now) const {
--- a/src/libs/coordination/admission/strike_table.h
+++ b/src/libs/coordination/admission/strike_table.h
@@ -66,8 +66,9 @@
   // at the same time.
   kSuspect,
   // It is refused for as long as its entry lives. Two different backend servers died while it ran
-  // and it never received a part of its answer, or four died if it received a part on any of them.
-  // In both cases it was already a suspect on at least one of them; otherwise innocent requests
+  // and it never received a part of its answer, or there were four deaths, also of incarnations of
+  // the same backend server. In both cases it was already a suspect at one of them at least;
+  // otherwise innocent requests
   // that ran beside a poison request, or on engines that died for another reason, would be
   // condemned. The limit depends on progress because a poison request has the same effect on every
   // engine: one that received tokens from an engine that died later is not of the kind that kills
@@ -97,13 +98,17 @@
   // Clears the strikes of the request, as a complete answer shows that it kills no backend server.
   void OnSuccess(const std::string& digest, Instant now);
 
-  // Returns whether the request has a strike from the backend server.
-  bool HasStrikeOn(const std::string& digest, const std::string& backend_id, Instant now) const;
+  // Returns whether the request may be tried on the backend server, one of those that are up and
+  // could run it. It may where it has no strike, and if it has one from each of them, on any of
+  // them again: otherwise it would never run where a few backend servers died one after the other.
+  bool MayTry(const std::string& digest, const std::string& backend_id,
+              std::span<const std::string> backend_ids, Instant now) const;
 
   // Returns whether the request may be placed on the backend server. A clean request always may, a
   // condemned one never. A suspect may if this router owns the placement of suspects there, no
-  // other suspect runs there, and the suspect has no strike from that backend server.
-  bool MayPlace(const std::string& digest, const std::string& backend_id, Instant now) const;
+  // other suspect runs there, and MayTry() allows it.
+  bool MayPlace(const std::string& digest, const std::string& backend_id, Instant now,
+                std::span<const std::string> backend_ids = {}) const;
 
   // Returns whether all requests that this router runs on the backend server are clean.
   bool IsFreeOfSuspects(const std::string& backend_id, Instant now) const;
--- a/tests/libs/coordination/admission/strike_table_test.cpp
+++ b/tests/libs/coordination/admission/strike_table_test.cpp
@@ -278,6 +278,20 @@
   CHECK(StrikeFromLostRuns("engine-2", 1, runs) == Strike{"engine-2", 1, false, false});
 }
 
+TEST_CASE("A request with a strike from every engine may run on them again, up to four deaths") {
+  const Instant now = seconds(1);
+  const std::vector<std::string> engines = {"engine-1", "engine-2", "engine-3"};
+  StrikeTable table;
+  table.AddStrike("innocent", {"engine-1", 1, false, true}, now);
+  table.AddStrike("innocent", {"engine-2", 1, true, true}, now);
+  CHECK_FALSE(table.MayPlace("innocent", "engine-1", now, engines));
+  CHECK(table.MayPlace("innocent", "engine-3", now, engines));
+  table.AddStrike("innocent", {"engine-3", 1, true, true}, now);
+  for (const std::string& engine : engines) CHECK(table.MayPlace("innocent", engine, now, engines));
+  CHECK(table.AddStrike("innocent", {"engine-1", 2, true, true}, now) ==
+        RequestStanding::kCondemned);
+}
+
 TEST_CASE("Each of several poison requests kills at most two engines") {
   int deaths = 0;
   std::size_t poison = 0;
--- a/tests/process/router/router_poison_test.cpp
+++ b/tests/process/router/router_poison_test.cpp
@@ -1,5 +1,7 @@
 // A request that crashes each engine that runs it.
 #include <algorithm>
+#include <optional>
+#include <set>
 
 #include "process/router/system_bench.h"
 
@@ -102,5 +104,26 @@
   }
 }
 
+TEST_CASE("A chat that lost a run with each of the three engines goes on at one of them") {
+  SystemBenchOptions options;
+  options.token_interval_ms = 50;
+  SystemBench bench(options);
+  const auto chat = bench.StartChat(0, "unlucky");
+  std::set<int> killed;
+  std::size_t tokens = 0;
+  while (killed.size() < SystemBench::kEngines) {
+    REQUIRE(SpinUntil([&] { return SystemBench::TextOf(*chat).size() > tokens; }));
+    tokens = SystemBench::TextOf(*chat).size();
+    const std::optional<int> engine = bench.RunningEngine();
+    if (!engine || !killed.insert(*engine).second) continue;
+    bench.engine(*engine).program->Kill();
+    bench.engine(*engine).program->Start();
+  }
+  CHECK(SpinUntil([&] { return chat->done(); }));
+  CAPTURE(chat->body);
+  CHECK(chat->done_marker());
+  CHECK(SystemBench::TextOf(*chat) == SystemBench::ChatText("unlucky"));
+}
+
 }  // namespace
 }  // namespace kumquat
--- a/tests/process/router/system_bench.cpp
+++ b/tests/process/router/system_bench.cpp
@@ -190,6 +190,15 @@
   return runs;
 }
 
+std::optional<int> SystemBench::RunningEngine() {
+  for (int i = 0; i < kEngines; ++i) {
+    const QJsonObject stats = caller_.GetJson(engines_[i].endpoint, "/stats");
+    const int ended = stats["completed"].toInt() + stats["cancelled"].toInt();
+    if (stats["runs"].toInt() > ended) return i;
+  }
+  return std::nullopt;
+}
+
 int SystemBench::EngineStat(const char* name) {
   int sum = 0;
   for (const BenchBackend& engine : engines_) {
--- a/tests/process/router/system_bench.h
+++ b/tests/process/router/system_bench.h
@@ -72,6 +72,9 @@
   // Returns the sum of this statistic over the engines that answer.
   int EngineStat(const char* name);
 
+  // Returns the first engine that runs a chat; nullopt if none does.
+  std::optional<int> RunningEngine();
+
   // Returns what the routers' logs tell of the request with this id.
   std::string Explain(const std::string& id) const;
 
