Another SIGTERM doesn't end a process that is draining

What callers saw: connections closed without an answer, and streams cut, by a router that had been told twice to stop.

Cause: the handler gave SIGTERM back its default effect at the first one. It was documented so ('a second signal ends it at once'), but a supervisor that repeats SIGTERM asks for nothing new, and a graceful shutdown cuts off no request.

Change: another SIGTERM has no effect, and the hook runs once. A second SIGINT, which comes from someone at a terminal, still ends the process at once.

Evidence: the test of SIGTERM sends it twice now: the streams after the second were empty before, and are whole now.

--- a/src/libs/transport/process_signals.cpp
+++ b/src/libs/transport/process_signals.cpp
@@ -18,8 +18,8 @@
   const int saved_errno = errno;
   const char byte = signal == SIGHUP ? 'r' : 't';
   [[maybe_unused]] const auto written = write(signal_sockets[0], &byte, sizeof(byte));
-  // The next one to end the process has its default effect.
-  if (signal != SIGHUP) std::signal(signal, SIG_DFL);
+  // Someone at a terminal who doesn't want to wait interrupts it again.
+  if (signal == SIGINT) std::signal(SIGINT, SIG_DFL);
   errno = saved_errno;
 }
 
@@ -29,12 +29,14 @@
                                std::function<void()> on_reload) {
   if (socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, signal_sockets.data()) != 0) return;
   notifier_ = std::make_unique<QSocketNotifier>(signal_sockets[1], QSocketNotifier::Read);
-  QObject::connect(notifier_.get(), &QSocketNotifier::activated, notifier_.get(),
-                   [on_terminate = std::move(on_terminate), on_reload = std::move(on_reload)] {
-                     char byte = 0;
-                     if (read(signal_sockets[1], &byte, sizeof(byte)) != sizeof(byte)) return;
-                     (byte == 'r' ? on_reload : on_terminate)();
-                   });
+  QObject::connect(
+      notifier_.get(), &QSocketNotifier::activated, notifier_.get(),
+      [this, on_terminate = std::move(on_terminate), on_reload = std::move(on_reload)] {
+        char byte = 0;
+        if (read(signal_sockets[1], &byte, sizeof(byte)) != sizeof(byte)) return;
+        if (byte == 'r') return on_reload();
+        if (!std::exchange(is_terminating_, true)) on_terminate();
+      });
   std::signal(SIGTERM, OnSignal);
   std::signal(SIGINT, OnSignal);
   std::signal(SIGHUP, OnSignal);
--- a/src/libs/transport/process_signals.h
+++ b/src/libs/transport/process_signals.h
@@ -7,8 +7,8 @@
 
 namespace kumquat {
 
-// Runs the hooks in the event loop: at the first SIGTERM or SIGINT, a second one of which ends the
-// process at once, and at each SIGHUP. One object a process.
+// Runs the hooks in the event loop: at the first SIGTERM or SIGINT, and at each SIGHUP. A second
+// SIGINT ends the process at once; another SIGTERM has no effect. One object a process.
 class ProcessSignals {
  public:
   ProcessSignals(std::function<void()> on_terminate, std::function<void()> on_reload);
@@ -18,6 +18,7 @@
 
  private:
   std::unique_ptr<QSocketNotifier> notifier_;
+  bool is_terminating_ = false;
 };
 
 }  // namespace kumquat
--- a/tests/process/forwarding/forward_process_test.cpp
+++ b/tests/process/forwarding/forward_process_test.cpp
@@ -377,7 +377,8 @@
 }
 
 TEST_CASE(
-    "After SIGTERM a router still serves for 1500 ms, cuts no stream and exits with status 0") {
+    "After SIGTERM, and another one, a router still serves for 1500 ms, cuts no stream and exits "
+    "with status 0") {
   ForwardBench bench;
   StandInServer server("s1", "desk", bench.control());
   bench.WaitForStatus(0, "/again/look", 200);
@@ -389,7 +390,7 @@
     std::string id;
     const auto call = bench.Run(0, "/live/stream", &id);
     CHECK(call->body == StandInServer::StreamFrom(0));
-    ++served;
+    if (++served == 1) bench.router(0).Signal(SIGTERM);
   }
   CHECK(served > 0);
   CHECK(SpinUntil([&] { return !bench.router(0).running(); }));
