A router logs a verdict that it was told once all entries of the message are merged

Cause: the line was written after each entry. Change: it is written after the last, against the verdicts before the message. No decision changes; crash_fleet_test passes as before.

--- a/src/kumquatrouter/crash_watch.cpp
+++ b/src/kumquatrouter/crash_watch.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "utils/log.h"
@@ -124,12 +125,15 @@
 
 std::optional<SuspectNews> CrashWatch::Receive(const SuspectNews& news) {
   const Instant now = hooks_.clock();
+  const std::set<std::string> condemned_before = table_.condemned();
   for (const SuspectEntry& entry : news.entries) {
-    const std::string& digest = entry.suspect.digest;
-    const bool was_condemned = table_.IsCondemned(digest);
     if (!table_.Merge(entry, now)) continue;
-    LogNewlyCondemned(digest, was_condemned);
-    if (hooks_.relays_news) changed_at_[digest] = now;
+    if (hooks_.relays_news) changed_at_[entry.suspect.digest] = now;
+  }
+  // One entry may explain the crashes of another, so that the verdict stands after the last.
+  for (const SuspectEntry& entry : news.entries) {
+    const std::string& digest = entry.suspect.digest;
+    LogNewlyCondemned(digest, condemned_before.contains(digest));
   }
   const bool lacks_some = news.is_summary && news.condemned_hash != table_.CondemnedHash();
   if (!lacks_some) return std::nullopt;
