--- a/tests/process/forwarding/forward_bench.cpp
+++ b/tests/process/forwarding/forward_bench.cpp
@@ -29,6 +29,7 @@
 }  // namespace
 
 ForwardBench::ForwardBench() {
+  folder_.setAutoRemove(!qEnvironmentVariableIsSet("KUMQUAT_KEEP_LOGS"));
   StartReplicas();
   StartRouters();
   PutConfiguration(1);
@@ -79,7 +80,7 @@
   }
 }
 
-void ForwardBench::PutConfiguration(int version, const std::string& extra_path) {
+QJsonObject ForwardBench::Configuration(int version, const std::string& extra_path) {
   QJsonArray routes{RouteTo("desk", "/once/", "non_idempotent", false),
                     RouteTo("desk", "/again/", "idempotent", false),
                     RouteTo("desk", "/live/", "streaming", false),
@@ -88,12 +89,20 @@
   const QJsonObject service{{"name", "desk"}, {"healthPath", "/healthz"}, {"maxConns", 100}};
   const QJsonObject tenant{
       {"name", "clerks"}, {"apiKeys", QJsonArray{kKey}}, {"priority", 1}, {"isolated", false}};
-  SendUntilAcknowledged("PUT", "/config",
-                        {{"version", version},
-                         {"routes", routes},
-                         {"services", QJsonArray{service}},
-                         {"tenants", QJsonArray{tenant}},
-                         {"limits", QJsonObject{{"maxBodyBytes", 100'000}}}});
+  return {{"version", version},
+          {"routes", routes},
+          {"services", QJsonArray{service}},
+          {"tenants", QJsonArray{tenant}},
+          {"limits", QJsonObject{{"maxBodyBytes", 100'000}}}};
+}
+
+void ForwardBench::PutConfiguration(int version, const std::string& extra_path) {
+  SendUntilAcknowledged("PUT", "/config", Configuration(version, extra_path));
+}
+
+std::unique_ptr<TestCall> ForwardBench::StartConfiguration(int replica, int version) {
+  return caller_.Start(control_[replica], "PUT", "/config", {{"Content-Type", "application/json"}},
+                       ToJsonText(Configuration(version, {})));
 }
 
 void ForwardBench::PutWeightsVersion(const std::string& model, int version) {
--- a/tests/process/forwarding/forward_bench.h
+++ b/tests/process/forwarding/forward_bench.h
@@ -39,6 +39,9 @@
   // streams can; `extra_path` is one more route that may be repeated.
   void PutConfiguration(int version, const std::string& extra_path = {});
 
+  // Sends a configuration of this version to one replica and returns without waiting.
+  std::unique_ptr<TestCall> StartConfiguration(int replica, int version);
+
   // Announces a new weights version of the model, retrying until a replica acknowledges it.
   void PutWeightsVersion(const std::string& model, int version);
 
@@ -54,6 +57,7 @@
   TestCaller& caller() { return caller_; }
 
  private:
+  static QJsonObject Configuration(int version, const std::string& extra_path);
   void SendUntilAcknowledged(const std::string& method, const std::string& path,
                              const QJsonObject& body);
   void StartReplicas();
--- a/tests/process/forwarding/stand_in_server.cpp
+++ b/tests/process/forwarding/stand_in_server.cpp
@@ -128,7 +128,17 @@
   if (request.Header("Kumquatcross-Request-Id").empty()) return responder->Send(404, {}, "");
   if (mode_ == Mode::kFails) return responder->Send(500, Head(request), "failed");
   runs_.push_back(request);
-  if (Crashes(request)) return Crash();
+  if (answer_delay_.count() == 0) return Begin(request, responder);
+  QTimer::singleShot(answer_delay_, &announce_timer_, [this, request, responder, born = born_] {
+    if (server_ && born == born_) Begin(request, responder);
+  });
+}
+
+void StandInServer::Begin(const HttpRequest& request, const Responder& responder) {
+  if (Crashes(request)) {
+    crashed_by_.emplace_back(request.Header("Kumquatcross-Request-Id"));
+    return Crash();
+  }
   if (mode_ == Mode::kLosesAnswers) return responder->Abort();
   const bool is_stream = request.path.ends_with("/stream");
   if (is_stream && mode_ == Mode::kHoldsStreams) return open_responders_.push_back(responder);
--- a/tests/process/forwarding/stand_in_server.h
+++ b/tests/process/forwarding/stand_in_server.h
@@ -4,6 +4,7 @@
 
 #include <QJsonArray>
 #include <QTimer>
+#include <chrono>
 #include <memory>
 #include <string>
 #include <vector>
@@ -46,8 +47,18 @@
   // The same for each request whose prompt has this part, other than as its last one.
   void CrashOnPart(std::string part) { crash_part_ = std::move(part); }
 
+  // From now on the server takes this long to answer a request, or to be crashed by one.
+  void AnswerAfter(std::chrono::milliseconds delay) { answer_delay_ = delay; }
+
+  // Crashes the server through no request's fault.
+  void Crash();
+
+  bool is_up() const { return server_ != nullptr; }
   int crashes() const { return crashes_; }
 
+  // Returns the ids of the requests that crashed the server.
+  const std::vector<std::string>& crashed_by() const { return crashed_by_; }
+
   // Announces itself as leaving from now on; returns once control has acknowledged it.
   void Leave();
 
@@ -69,7 +80,7 @@
   void Stream(const HttpRequest& request, const Responder& responder);
   void Flood(const HttpRequest& request, const Responder& responder);
   bool Crashes(const HttpRequest& request) const;
-  void Crash();
+  void Begin(const HttpRequest& request, const Responder& responder);
   void Listen();
   std::unique_ptr<TestCall> Announce();
 
@@ -82,6 +93,8 @@
   std::string crash_body_;
   std::string crash_part_;
   int crashes_ = 0;
+  std::chrono::milliseconds answer_delay_{0};
+  std::vector<std::string> crashed_by_;
   bool is_leaving_ = false;
   Mode mode_ = Mode::kServes;
   QJsonArray models_;
--- a/tests/process/router/router_storm_test.cpp
+++ b/tests/process/router/router_storm_test.cpp
@@ -5,6 +5,7 @@
 #include <set>
 
 #include "process/router/system_bench.h"
+#include "seed.h"
 
 namespace kumquat {
 namespace {
@@ -35,7 +36,7 @@
 
 class Storm {
  public:
-  explicit Storm(SystemBench& bench) : bench_(bench), generator_(kSeed) {}
+  explicit Storm(SystemBench& bench) : bench_(bench), generator_(TestSeed(kSeed)) {}
 
   // Keeps chats and bookings in progress, and does a fault after every few ends.
   void Run(int chats, int bookings, int ends_per_fault) {
--- a/tests/process/test_program.h
+++ b/tests/process/test_program.h
@@ -79,6 +79,11 @@
     return process_.exitStatus() == QProcess::NormalExit ? process_.exitCode() : -1;
   }
 
+  // Returns the signal that ended a program which was killed or crashed; 0 if it exited.
+  int end_signal() const {
+    return process_.exitStatus() == QProcess::CrashExit ? process_.exitCode() : 0;
+  }
+
  private:
   std::string name_;
   std::string settings_;
