A service call that backs off after an error answer isn't hedged meanwhile

Cause: an answer of 500 or above scheduled the next attempt and left the hedge of the first one set, which a lost connection resets. The hedge then started an attempt while the call backed off; its answer is dropped in that phase, and the attempt after the back-off came on top.

Change: one function begins the back-off for both, and resets the hedge.

Evidence: 'A call that backs off after an error answer isn't hedged, and keeps to its attempts' counts 2 attempts for 1 and 3 for 2 on the code before, passes now.

--- a/src/libs/coordination/requests/service_call.cpp
+++ b/src/libs/coordination/requests/service_call.cpp
@@ -110,9 +110,7 @@
     avoid_.push_back(attempt->backend);
     const std::optional<Duration> backoff = hooks_.try_retry(attempts_ - 1, now, options_.deadline);
     if (backoff) {
-      phase_ = Phase::kBackingOff;
-      retry_at_ = now + *backoff;
-      commands.push_back(WakeAt{*retry_at_});
+      BackOff(now + *backoff, &commands);
       return commands;
     }
   }
@@ -251,10 +249,7 @@
     backoff = hooks_.try_retry(attempts_ - 1, now, options_.deadline);
   }
   if (backoff) {
-    phase_ = Phase::kBackingOff;
-    hedge_at_.reset();
-    retry_at_ = now + *backoff;
-    commands->push_back(WakeAt{*retry_at_});
+    BackOff(now + *backoff, commands);
   } else if (may_have_run_) {
     FinishMayHaveRun(commands);
   } else {
@@ -262,6 +257,14 @@
   }
 }
 
+// Waits for the next attempt, which replaces the hedge of the one that failed.
+void ServiceCall::BackOff(Instant until, ServiceCommands* commands) {
+  phase_ = Phase::kBackingOff;
+  hedge_at_.reset();
+  retry_at_ = until;
+  commands->push_back(WakeAt{until});
+}
+
 void ServiceCall::OnDeadline(ServiceCommands* commands) {
   if (may_have_run_ || !running_.empty()) {
     FinishMayHaveRun(commands);
--- a/src/libs/coordination/requests/service_call.h
+++ b/src/libs/coordination/requests/service_call.h
@@ -173,6 +173,7 @@
   void StartHedge(Instant now, ServiceCommands* commands);
   void OnNonRepeatableFailed(CallFailure failure, Instant now, ServiceCommands* commands);
   void RetryRepeatable(Instant now, ServiceCommands* commands);
+  void BackOff(Instant until, ServiceCommands* commands);
   void OnDeadline(ServiceCommands* commands);
   // Each of these ends the call: cancels running attempts, finishes or releases the claim if there
   // is one, and answers the caller unless it has disconnected.
--- a/tests/libs/coordination/requests/service_call_test.cpp
+++ b/tests/libs/coordination/requests/service_call_test.cpp
@@ -398,4 +398,39 @@
   CHECK(lost.attempts() == 1);
 }
 
+TEST_CASE("A call that backs off after an error answer isn't hedged, and keeps to its attempts") {
+  ServiceCallOptions options;
+  options.request_id = "q1";
+  options.deadline = seconds(10);
+  options.repeatable = true;
+  options.max_attempts = 3;
+  options.hedge_after = milliseconds(300);
+  int servers = 0;
+  const ServiceCallHooks hooks{
+      [&](std::span<const BackendChoice>) {
+        return BackendChoice{"s" + std::to_string(++servers), 1};
+      },
+      [] { return false; },
+      [](int, Instant, Instant) { return std::optional<Duration>(milliseconds(200)); }};
+  ServiceCall call(options, hooks);
+  const RecordedAnswer error{500, "", "failed"};
+  const Instant start = seconds(1);
+  call.Start(start);
+  call.OnAnswer("q1-1", error, start + milliseconds(200));
+  // The hedge of the first attempt would be due, the next attempt isn't yet.
+  call.OnWake(start + milliseconds(300));
+  CHECK(call.attempts() == 1);
+  call.OnWake(start + milliseconds(400));
+  CHECK(call.attempts() == 2);
+  call.OnAnswer("q1-2", error, start + milliseconds(500));
+  call.OnWake(start + milliseconds(700));
+  const ServiceCommands commands = call.OnAnswer("q1-3", {200, "", "whole"}, start + seconds(1));
+  CHECK(call.attempts() == 3);
+  const bool is_answered = std::any_of(commands.begin(), commands.end(), [](const auto& command) {
+    const auto* answer = std::get_if<service_command::Answer>(&command);
+    return answer != nullptr && answer->answer.body == "whole";
+  });
+  CHECK(is_answered);
+}
+
 }  // namespace kumquat
