A culprit that crashes its server inside or right after the first event is found too

What callers saw: the rule names parts that crash 'each runner that begins to write an answer'.

Cause: the first byte of a stream cleared its suspects, and a run that was lost after it counted for nothing. So such a culprit cleared itself at each crash. The same for plain calls: a loss after the head counted for nothing.

Change: an answer shows that its server survived with its second event, or its end. A loss before that counts once its crash is proven, also of a stream that goes on elsewhere after one event; a run that goes on elsewhere still clears nothing. A stream that broke off before its second event isn't continued if the request is condemned: it is cut.

The test 'A stream that has begun is continued even if its request is condemned meanwhile' took one event for begun; its successor holds both sides, two events and one.

--- a/src/kumquatrouter/forwarding/forward_exchange.cpp
+++ b/src/kumquatrouter/forwarding/forward_exchange.cpp
@@ -401,8 +401,11 @@
   attempt_->events.Feed(data, [&](const RawEvent& event) {
     if (!event.id) attempt_->bytes_without_id += event.bytes.size();
     if (attempt_->bytes_without_id > kMaxBytesWithoutId) return false;
+    const bool was_past_beginning = decisions_->is_past_beginning();
     decisions_->OnEvent(number, event.id, event.bytes, Now());
-    return !is_done_ && attempt_ && attempt_->number == number;
+    if (is_done_ || !attempt_ || attempt_->number != number) return false;
+    if (!was_past_beginning && decisions_->is_past_beginning()) OnBeginningSurvived();
+    return true;
   });
   if (is_done_ || !attempt_ || attempt_->number != number) return;
   if (attempt_->events.overflowed() || attempt_->bytes_without_id > kMaxBytesWithoutId) {
@@ -422,20 +425,12 @@
 }
 
 // A run that goes on elsewhere doesn't begin there, which is when it would crash its server.
-void ForwardExchange::OnAnswerBegun() {
+void ForwardExchange::OnBeginningSurvived() {
   if (attempt_->continues_run || !services_.crashes->has_suspects()) return;
   services_.crashes->OnAnswerBegun(Suspects());
 }
 
-// Returns whether the attempt in progress shows that its server survived beginning to answer. The
-// head of a stream doesn't, as engines send it before the run begins.
-bool ForwardExchange::HasAnswerBegun() const {
-  if (attempt_->is_event_stream) return attempt_->has_stream_data;
-  return attempt_->status != 0;
-}
-
 void ForwardExchange::OnFirstEvent() {
-  OnAnswerBegun();
   if (attempt_->prompt_choice) services_.placement->FirstEvent(attempt_->dispatch, Now());
   // The run began after the engine was ordered to load weights, and would delay the loading until
   // the run ends.
@@ -452,8 +447,10 @@
     OnCallFailed(number, CallFailure::kBroken, "The answer ended in the middle of an event.");
     return;
   }
-  // An error may be answered without running the request.
-  if (!attempt_->is_event_stream && IsSuccess(attempt_->status)) OnAnswerBegun();
+  // An error, or nothing, may be answered without running the request.
+  const bool has_run =
+      attempt_->is_event_stream ? attempt_->has_stream_data : IsSuccess(attempt_->status);
+  if (has_run) OnBeginningSurvived();
   decisions_->OnEnd(number, Now());
 }
 
@@ -478,7 +475,7 @@
     BackendPool::OnFailure(*backend, failure, Now());
   }
   const bool may_have_crashed =
-      failure != CallFailure::kNotSent && !attempt_->continues_run && !HasAnswerBegun();
+      failure != CallFailure::kNotSent && !decisions_->is_past_beginning();
   if (may_have_crashed) {
     services_.crashes->OnRunLost(attempt_->backend, {request_.id, Suspects(), Now()});
   }
--- a/src/kumquatrouter/forwarding/forward_exchange.h
+++ b/src/kumquatrouter/forwarding/forward_exchange.h
@@ -106,8 +106,7 @@
   void Send(const SendCommand& command);
   void LogSent(const SendCommand& command) const;
   void OnFirstEvent();
-  void OnAnswerBegun();
-  bool HasAnswerBegun() const;
+  void OnBeginningSurvived();
   // Cancels the request if more than this many bytes of its answer are still unread by the caller.
   void AbortIfCallerTooSlow(std::int64_t max_pending_bytes);
   std::string RouteLabel() const;
--- a/src/libs/coordination/forwarding/forward_request.cpp
+++ b/src/libs/coordination/forwarding/forward_request.cpp
@@ -29,11 +29,10 @@
   if (state_ == State::kWaiting) TrySend(now);
 }
 
-// A request of which an answer has begun crashes no server by beginning.
-bool ForwardRequest::IsCondemned() const { return !is_relaying_ && hooks_.is_condemned(); }
+bool ForwardRequest::IsCondemned() const { return !is_past_beginning() && hooks_.is_condemned(); }
 
 void ForwardRequest::TrySend(Instant now) {
-  if (IsCondemned()) return Refuse(ErrorKind::kPoisonRequest);
+  if (IsCondemned()) return GiveUp(ErrorKind::kPoisonRequest, ErrorKind::kPoisonRequest);
   std::optional<BackendChoice> backend = hooks_.choose(avoid_);
   // If no other server is left, one that failed before is tried again, but only if the request may
   // have run already. A request that surely hasn't run waits or is refused instead.
@@ -119,7 +118,10 @@
     relayed_status_ = status_;
     hooks_.relay_head(attempt_);
   }
-  if (id) last_event_ = *id;
+  if (id) {
+    last_event_ = *id;
+    ++events_relayed_;
+  }
   hooks_.relay_event(event);
 }
 
@@ -209,14 +211,14 @@
   attempt_ = 0;
 }
 
-void ForwardRequest::GiveUp(ErrorKind kind_if_run) {
+void ForwardRequest::GiveUp(ErrorKind kind_if_run, ErrorKind kind_if_not_run) {
   if (is_relaying_) {
     state_ = State::kDone;
     attempt_ = 0;
     hooks_.cut();
     return;
   }
-  Refuse(runs_ > 0 ? kind_if_run : ErrorKind::kNoBackendServer);
+  Refuse(runs_ > 0 ? kind_if_run : kind_if_not_run);
 }
 
 void ForwardRequest::Refuse(ErrorKind kind) {
--- a/src/libs/coordination/forwarding/forward_request.h
+++ b/src/libs/coordination/forwarding/forward_request.h
@@ -81,7 +81,8 @@
 struct ForwardHooks {
   // Chooses a backend server that is not in `avoid`; nullopt when none can take the request now.
   std::function<std::optional<BackendChoice>(std::span<const BackendChoice> avoid)> choose;
-  // Returns whether the request is known to crash the backend servers that begin to answer it.
+  // Returns whether the request is known to crash the backend servers that begin to answer it. Not
+  // asked about a request that is past its beginning.
   std::function<bool()> is_condemned;
   // Takes one repeat from the budget; false when the budget is used up.
   std::function<bool()> try_repeat;
@@ -149,6 +150,10 @@
   // Returns the number of the last event that was passed on or that the caller had from the start.
   std::int64_t last_event() const { return last_event_; }
   bool is_relaying() const { return is_relaying_; }
+
+  // Returns whether enough of a stream was passed on to show that its beginning crashes no server.
+  // One event doesn't, as a server may still write it while it crashes.
+  bool is_past_beginning() const { return events_relayed_ >= kEventsPastBeginning; }
   // Returns whether the request may still be sent again if the attempt in progress fails.
   bool MayRepeatAfterLoss() const { return MayContinueAfterRun() && runs_ + 1 < policy_.attempts; }
 
@@ -162,9 +167,11 @@
   bool MayContinueAfterRun() const;
   bool MayRestart() const;
   void Send(const BackendChoice& backend, const std::optional<RunCopy>& copy);
+  static constexpr std::int64_t kEventsPastBeginning = 2;
+
   bool IsCondemned() const;
   bool ResumeOnOtherEngine();
-  void GiveUp(ErrorKind kind_if_run);
+  void GiveUp(ErrorKind kind_if_run, ErrorKind kind_if_not_run = ErrorKind::kNoBackendServer);
   void Refuse(ErrorKind kind);
 
   ForwardPolicy policy_;
@@ -186,6 +193,8 @@
   bool has_head_ = false;
   int status_ = 0;
   bool is_relaying_ = false;
+  // Events with a number that were passed on.
+  std::int64_t events_relayed_ = 0;
   // The status that was passed on.
   int relayed_status_ = 0;
   // The attempt in progress is to continue a stream, and none of its events has had a number yet.
--- a/tests/libs/coordination/forwarding/forward_request_test.cpp
+++ b/tests/libs/coordination/forwarding/forward_request_test.cpp
@@ -434,16 +434,23 @@
   CHECK(recorder.refusals.empty());
 }
 
-TEST_CASE("A stream that has begun is continued even if its request is condemned meanwhile") {
-  HookRecorder recorder;
-  ForwardRequest request(PolicyOf(false, true, true), recorder.Hooks());
-  request.Start(seconds(1));
-  request.OnHead(1, {200, false, true}, seconds(1));
-  request.OnEvent(1, 1, "a", seconds(1));
-  recorder.is_condemned = true;
-  request.OnFailure(1, CallFailure::kBroken, seconds(1));
-  CHECK(recorder.sends.size() == 2);
-  CHECK(recorder.refusals.empty());
+TEST_CASE(
+    "A stream past its second event is continued even if its request is condemned meanwhile, one "
+    "before it is cut") {
+  for (const int events : {1, 2}) {
+    CAPTURE(events);
+    HookRecorder recorder;
+    ForwardRequest request(PolicyOf(false, true, true), recorder.Hooks());
+    request.Start(seconds(1));
+    request.OnHead(1, {200, false, true}, seconds(1));
+    for (int id = 1; id <= events; ++id) request.OnEvent(1, id, "a", seconds(1));
+    recorder.is_condemned = true;
+    request.OnFailure(1, CallFailure::kBroken, seconds(1));
+    const bool is_past_beginning = events == 2;
+    CHECK(recorder.sends.size() == (is_past_beginning ? 2 : 1));
+    CHECK(recorder.cuts == (is_past_beginning ? 0 : 1));
+    CHECK(recorder.refusals.empty());
+  }
 }
 
 TEST_CASE("A request without a server waits, then is refused as not run with a retry-after time") {
--- a/tests/process/forwarding/crash_bench.h
+++ b/tests/process/forwarding/crash_bench.h
@@ -41,6 +41,10 @@
     }
   }
 
+  void SetCrashMoment(StandInServer::CrashMoment moment) {
+    for (const auto& server : servers_) server->SetCrashMoment(moment);
+  }
+
   StandInServer& server(std::size_t index) { return *servers_[index]; }
 
   int Crashes() const {
--- a/tests/process/forwarding/forward_crash_part_test.cpp
+++ b/tests/process/forwarding/forward_crash_part_test.cpp
@@ -15,10 +15,12 @@
           {"Kumquatcross-Prompt-Prefix", fmt::format("aa:40,{}:30,{:x}:30", shared_part, number)}};
 }
 
-TEST_CASE(
-    "Prompts with a part that crashed five engines stop reaching engines; others are served") {
+// Sends prompts with a deadly part beside sound ones, until enough engines have crashed and
+// afterwards.
+void CheckDeadlyPart(StandInServer::CrashMoment moment) {
   CrashBench bench;
   bench.CrashOnPart("lm", "dead");
+  bench.SetCrashMoment(moment);
   int number = 0;
   const auto send = [&](const std::string& part) {
     ++number;
@@ -44,5 +46,15 @@
   CHECK(sound_served >= kRounds * 9 / 10);
 }
 
+TEST_CASE(
+    "Prompts with a part that crashed five engines stop reaching engines; others are served") {
+  CheckDeadlyPart(StandInServer::CrashMoment::kBeforeAnswer);
+}
+
+TEST_CASE("The same where the engines crash while they write the first event, or right after it") {
+  CheckDeadlyPart(StandInServer::CrashMoment::kInsideFirstEvent);
+  CheckDeadlyPart(StandInServer::CrashMoment::kAfterFirstEvent);
+}
+
 }  // namespace
 }  // namespace kumquat
--- a/tests/process/forwarding/stand_in_server.cpp
+++ b/tests/process/forwarding/stand_in_server.cpp
@@ -12,11 +12,17 @@
 
 constexpr std::chrono::milliseconds kAnnounceInterval{300};
 constexpr int kEventsBeforeBreak = 2;
+// Written events are sent within this time, before their connection is closed.
+constexpr std::chrono::milliseconds kTimeToSend{50};
 constexpr std::chrono::milliseconds kFloodInterval{5};
 constexpr qint64 kFloodBytes = 1024 * 1024;
 const std::string kFlood(kFloodBytes, '\n');
 constexpr qint64 kStartedAtMillis = 1'790'000'000'000;
 
+int LastEventId(const HttpRequest& request) {
+  return std::atoi(std::string(request.Header("Last-Event-Id")).c_str());
+}
+
 std::string Event(int id) { return fmt::format("id: {}\ndata: piece {}\n\n", id, id); }
 
 }  // namespace
@@ -56,6 +62,20 @@
   return !crash_part_.empty() && shared.find(crash_part_) != std::string::npos;
 }
 
+void StandInServer::CrashInAnswer(const HttpRequest& request, const Responder& responder) {
+  if (crash_moment_ == CrashMoment::kBeforeAnswer) return Crash();
+  HttpHeaders head = Head(request);
+  head.emplace_back("Content-Type", "text/event-stream");
+  responder->StartStream(200, head);
+  const std::string event = Event(LastEventId(request) + 1);
+  const bool is_whole = crash_moment_ == CrashMoment::kAfterFirstEvent;
+  responder->Write(is_whole ? event : event.substr(0, event.size() / 2));
+  open_responders_.push_back(responder);
+  QTimer::singleShot(kTimeToSend, &announce_timer_, [this, born = born_] {
+    if (server_ && born == born_) Crash();
+  });
+}
+
 void StandInServer::Crash() {
   ++crashes_;
   announce_timer_.stop();
@@ -137,7 +157,7 @@
 void StandInServer::Begin(const HttpRequest& request, const Responder& responder) {
   if (Crashes(request)) {
     crashed_by_.emplace_back(request.Header("Kumquatcross-Request-Id"));
-    return Crash();
+    return CrashInAnswer(request, responder);
   }
   if (mode_ == Mode::kLosesAnswers) return responder->Abort();
   const bool is_stream = request.path.ends_with("/stream");
@@ -150,11 +170,10 @@
   HttpHeaders head = Head(request);
   head.emplace_back("Content-Type", "text/event-stream");
   responder->StartStream(200, head);
-  const int after = std::atoi(std::string(request.Header("Last-Event-Id")).c_str());
+  const int after = LastEventId(request);
   if (mode_ == Mode::kBreaksStreams) {
     for (int id = after + 1; id <= after + kEventsBeforeBreak; ++id) responder->Write(Event(id));
-    // Gives the written events time to be sent before the connection is closed.
-    QTimer::singleShot(std::chrono::milliseconds(50), [responder] { responder->Abort(); });
+    QTimer::singleShot(kTimeToSend, [responder] { responder->Abort(); });
     return;
   }
   responder->Write(StreamFrom(after));
--- a/tests/process/forwarding/stand_in_server.h
+++ b/tests/process/forwarding/stand_in_server.h
@@ -47,6 +47,10 @@
   // The same for each request whose prompt has this part, other than as its last one.
   void CrashOnPart(std::string part) { crash_part_ = std::move(part); }
 
+  // How much of a stream's answer is written before a request crashes the server.
+  enum class CrashMoment { kBeforeAnswer, kInsideFirstEvent, kAfterFirstEvent };
+  void SetCrashMoment(CrashMoment moment) { crash_moment_ = moment; }
+
   // From now on the server takes this long to answer a request, or to be crashed by one.
   void AnswerAfter(std::chrono::milliseconds delay) { answer_delay_ = delay; }
 
@@ -81,6 +85,7 @@
   void Flood(const HttpRequest& request, const Responder& responder);
   bool Crashes(const HttpRequest& request) const;
   void Begin(const HttpRequest& request, const Responder& responder);
+  void CrashInAnswer(const HttpRequest& request, const Responder& responder);
   void Listen();
   std::unique_ptr<TestCall> Announce();
 
@@ -95,6 +100,7 @@
   int crashes_ = 0;
   std::chrono::milliseconds answer_delay_{0};
   std::vector<std::string> crashed_by_;
+  CrashMoment crash_moment_ = CrashMoment::kBeforeAnswer;
   bool is_leaving_ = false;
   Mode mode_ = Mode::kServes;
   QJsonArray models_;
