Each run that is lost before its second event counts, also one that goes on with a stream

A culprit that crashes after its first event crashes up to three servers for each request, as the stream is continued elsewhere; only the first of these counted, so that a rare culprit could reach six servers later than contactMs after its fifth crash.

Change: the events of the attempt are counted instead of those of the whole request. Whether a stream may be continued though it is condemned still goes by the whole request.

--- a/src/kumquatrouter/forwarding/forward_exchange.cpp
+++ b/src/kumquatrouter/forwarding/forward_exchange.cpp
@@ -401,11 +401,9 @@
   attempt_->events.Feed(data, [&](const RawEvent& event) {
     if (!event.id) attempt_->bytes_without_id += event.bytes.size();
     if (attempt_->bytes_without_id > kMaxBytesWithoutId) return false;
-    const bool was_past_beginning = decisions_->is_past_beginning();
+    if (event.id && ++attempt_->event_count == kEventsPastBeginning) OnBeginningSurvived();
     decisions_->OnEvent(number, event.id, event.bytes, Now());
-    if (is_done_ || !attempt_ || attempt_->number != number) return false;
-    if (!was_past_beginning && decisions_->is_past_beginning()) OnBeginningSurvived();
-    return true;
+    return !is_done_ && attempt_ && attempt_->number == number;
   });
   if (is_done_ || !attempt_ || attempt_->number != number) return;
   if (attempt_->events.overflowed() || attempt_->bytes_without_id > kMaxBytesWithoutId) {
@@ -475,7 +473,7 @@
     BackendPool::OnFailure(*backend, failure, Now());
   }
   const bool may_have_crashed =
-      failure != CallFailure::kNotSent && !decisions_->is_past_beginning();
+      failure != CallFailure::kNotSent && attempt_->event_count < kEventsPastBeginning;
   if (may_have_crashed) {
     services_.crashes->OnRunLost(attempt_->backend, {request_.id, Suspects(), Now()});
   }
--- a/src/kumquatrouter/forwarding/forward_exchange.h
+++ b/src/kumquatrouter/forwarding/forward_exchange.h
@@ -70,6 +70,8 @@
     DispatchId dispatch = 0;
     // Whether any data of a streamed answer has arrived, even if no event is complete yet.
     bool has_stream_data = false;
+    // Events with a number that have come.
+    std::int64_t event_count = 0;
     // The attempt goes on with a run that had begun before.
     bool continues_run = false;
     std::unique_ptr<BackendCall> call;
--- a/src/libs/coordination/forwarding/forward_request.h
+++ b/src/libs/coordination/forwarding/forward_request.h
@@ -108,6 +108,10 @@
   std::function<std::optional<Duration>()> retry_after;
 };
 
+// Events of a stream which show that its beginning crashes no server. One doesn't, as a server may
+// still write it while it crashes.
+inline constexpr std::int64_t kEventsPastBeginning = 2;
+
 // Calls about attempts that are no longer in progress are ignored, and all calls are once done() is
 // true. Exactly one of relay_end, relay_whole, refuse and cut ends the request, unless the caller
 // disconnects first.
@@ -152,7 +156,6 @@
   bool is_relaying() const { return is_relaying_; }
 
   // Returns whether enough of a stream was passed on to show that its beginning crashes no server.
-  // One event doesn't, as a server may still write it while it crashes.
   bool is_past_beginning() const { return events_relayed_ >= kEventsPastBeginning; }
   // Returns whether the request may still be sent again if the attempt in progress fails.
   bool MayRepeatAfterLoss() const { return MayContinueAfterRun() && runs_ + 1 < policy_.attempts; }
@@ -167,8 +170,6 @@
   bool MayContinueAfterRun() const;
   bool MayRestart() const;
   void Send(const BackendChoice& backend, const std::optional<RunCopy>& copy);
-  static constexpr std::int64_t kEventsPastBeginning = 2;
-
   bool IsCondemned() const;
   bool ResumeOnOtherEngine();
   void GiveUp(ErrorKind kind_if_run, ErrorKind kind_if_not_run = ErrorKind::kNoBackendServer);
