Own interface: a piece of prompts that crashes engines after their first token is condemned too

Change: an answer is past its beginning with its second event, or its end.

Evidence: 'The same where the engines crash after they have written a token' (stand-in engines that do so, three routers) went on crashing engines until its time was up on the code before, passes now.

--- a/src/fakes/engine/engine_server.cpp
+++ b/src/fakes/engine/engine_server.cpp
@@ -4,8 +4,10 @@
 
 #include <QCoreApplication>
 #include <QJsonArray>
+#include <QTimer>
 #include <QUrlQuery>
 #include <algorithm>
+#include <chrono>
 #include <memory>
 #include <random>
 #include <utility>
@@ -16,7 +18,11 @@
 namespace kumquat {
 namespace {
 
+// A prompt with this text crashes the engine when it begins the answer, one with the other text
+// when it has written a token.
 constexpr std::string_view kCrashText = "please-crash";
+constexpr std::string_view kLateCrashText = "please-write-and-crash";
+constexpr std::chrono::milliseconds kTimeToSend{20};
 constexpr std::chrono::milliseconds kLeavePollInterval{20};
 
 Random SeededRandom(std::int64_t seed) {
@@ -143,6 +149,7 @@
     stream.request = std::move(*engine_request);
     stream.hash = AnswerHash(json->value(QLatin1String("messages")).toArray());
     stream.crashes = request.body.find(kCrashText) != std::string::npos;
+    stream.crashes_late = request.body.find(kLateCrashText) != std::string::npos;
     stream.responder = responder;
     StartStream(std::move(stream));
   }
@@ -188,6 +195,7 @@
   if (!event.is_end) {
     message.text = AnswerToken(stream.hash, event.offset);
     stream.responder->Write(ServerSentEvent(ToJsonText(message)));
+    if (stream.crashes_late) QTimer::singleShot(kTimeToSend, [] { _exit(1); });
     return;
   }
   message.finish_reason = stream.answer_tokens < settings_.answer_tokens ? "length" : "stop";
--- a/src/fakes/engine/engine_server.h
+++ b/src/fakes/engine/engine_server.h
@@ -54,6 +54,7 @@
     std::string hash;
     std::int64_t answer_tokens = 0;
     bool crashes = false;
+    bool crashes_late = false;
     std::shared_ptr<HttpResponder> responder;
   };
 
--- a/src/kumquatrouter/chat_exchange.cpp
+++ b/src/kumquatrouter/chat_exchange.cpp
@@ -33,6 +33,9 @@
 constexpr std::chrono::milliseconds kErrorFlushTime{500};
 // Pieces of one prompt that are watched for crashes, from its beginning.
 constexpr std::size_t kMaxPartSuspects = 32;
+// Tokens that show that the beginning of an answer crashes no engine. One doesn't, as an engine may
+// still write it while it crashes.
+constexpr std::int64_t kTokensPastBeginning = 2;
 
 // Strong hash of the organisation and the whole request, by which routers know it again.
 std::string DigestOf(const std::string& organisation, const QJsonObject& body) {
@@ -158,7 +161,8 @@
 bool ChatExchange::IsCondemned() {
   if (services_.strikes->StandingOf(digest_) == RequestStanding::kCondemned) return true;
   const CrashWatch& watch = services_.crashes->watch();
-  return tokens_sent_ == 0 && watch.has_condemned() && watch.IsCondemned(PartSuspects());
+  const bool is_past_beginning = tokens_sent_ >= kTokensPastBeginning;
+  return !is_past_beginning && watch.has_condemned() && watch.IsCondemned(PartSuspects());
 }
 
 // A suspect asks each engine's owner for the slot, and takes the first that it gets.
@@ -196,6 +200,7 @@
   attempt_.emplace();
   attempt_->id = command.attempt_id;
   attempt_->backend = command.backend;
+  attempt_->continues_run = command.resume_offset > 0;
   // An attempt on the same backend server again follows no choice.
   attempt_->is_isolated = std::exchange(is_choice_isolated_, false);
   attempt_->dispatch = services_.engines->Dispatched(demand_, command.backend);
@@ -315,7 +320,7 @@
     if (!IsCurrent(attempt_id)) return;
     if (text == "[DONE]") continue;
     const auto event = ParseEngineEvent(text);
-    if (event && !std::exchange(attempt_->made_progress, true)) OnAnswerBegun();
+    if (event && ++attempt_->event_count == kTokensPastBeginning) OnBeginningSurvived();
     const Instant now = services_.clock();
     Execute(event ? decisions_->OnEvent(attempt_id, *event, now)
                   : decisions_->OnMalformedEvent(attempt_id, now));
@@ -344,19 +349,20 @@
 }
 
 // A run that goes on elsewhere doesn't begin there, which is when it would crash its engine.
-void ChatExchange::OnAnswerBegun() {
+void ChatExchange::OnBeginningSurvived() {
   CrashWatch& watch = services_.crashes->watch();
-  if (tokens_sent_ == 0 && watch.has_suspects()) watch.OnAnswerBegun(PartSuspects());
+  if (attempt_->continues_run || !watch.has_suspects()) return;
+  watch.OnAnswerBegun(PartSuspects());
 }
 
 // A strike on this backend server may follow later; how the run was lost counts then.
 void ChatExchange::NoteLoss() {
-  if (tokens_sent_ == 0 && !attempt_->made_progress) {
+  if (attempt_->event_count < kTokensPastBeginning) {
     services_.crashes->watch().OnRunLost(attempt_->backend,
                                          {start_.request_id, PartSuspects(), services_.clock()});
   }
   losses_.push_back({attempt_->backend.backend_id, attempt_->backend.incarnation,
-                     attempt_->is_isolated, attempt_->made_progress});
+                     attempt_->is_isolated, attempt_->event_count > 0});
 }
 
 void ChatExchange::Execute(const stream_command::CancelAttempt& command) {
@@ -439,6 +445,7 @@
   services_.metrics->Observe("kumquat_recomputed_tokens", MetricLabels(),
                              static_cast<double>(usage.prompt_tokens - usage.cached_tokens));
   ticket_.Settle(usage.prompt_tokens + tokens_sent_);
+  if (attempt_) OnBeginningSurvived();
   EndAttempt(true, usage.cached_tokens);
   Finish("complete");
 }
--- a/src/kumquatrouter/chat_exchange.h
+++ b/src/kumquatrouter/chat_exchange.h
@@ -30,8 +30,10 @@
   bool is_isolated = false;
   // The request went out; before that a suspect's engine is asked for a life sign.
   bool is_sent = false;
-  // It has sent something of the answer.
-  bool made_progress = false;
+  // Events of the answer that have come.
+  std::int64_t event_count = 0;
+  // It goes on with a run that had begun before.
+  bool continues_run = false;
 };
 
 // Everything that decides is in StreamRequest; this class carries its commands out.
@@ -79,7 +81,7 @@
   void OnData(const std::string& attempt_id, std::string_view data);
   void OnCallFailed(const std::string& attempt_id, CallFailure failure);
   void NoteLoss();
-  void OnAnswerBegun();
+  void OnBeginningSurvived();
   void OnCallerGone();
   void EndAttempt(bool whole, std::int64_t cached_tokens);
   void StartAnswer();
--- a/tests/process/router/router_poison_test.cpp
+++ b/tests/process/router/router_poison_test.cpp
@@ -74,11 +74,13 @@
   }));
 }
 
-TEST_CASE(
-    "Chats with a part that crashed four engines are refused by every router, others served") {
-  SystemBench bench;
+// Sends chats with a part that crashes engines, by this text, until every router refuses them.
+void CheckDeadlyPart(const std::string& crash_text) {
+  SystemBenchOptions options;
+  options.token_interval_ms = 50;
+  SystemBench bench(options);
   // Longer than the pieces in which engines cache prompts.
-  const std::string part = "please-crash" + std::string(12'000, 'x');
+  const std::string part = crash_text + std::string(12'000, 'x');
   const std::string sound_part(12'000, 'y');
   int crashes = 0;
   int next = 0;
@@ -104,6 +106,15 @@
   }
 }
 
+TEST_CASE(
+    "Chats with a part that crashed four engines are refused by every router, others served") {
+  CheckDeadlyPart("please-crash");
+}
+
+TEST_CASE("The same where the engines crash after they have written a token") {
+  CheckDeadlyPart("please-write-and-crash");
+}
+
 TEST_CASE("A chat that lost a run with each of the three engines goes on at one of them") {
   SystemBenchOptions options;
   options.token_interval_ms = 50;
