Own interface: a plain service call that crashes servers inside the answer is condemned too

The same cause as for streams: a loss after the head of the answer counted for nothing, so that a call whose server crashes while it writes the answer went on being sent.

Change: a loss before the whole answer counts once its crash is proven; only a whole success clears. OnBeginningSurvived is the name on all paths now, as an answer that has begun shows nothing yet.

--- a/src/fakes/service/booking_server.cpp
+++ b/src/fakes/service/booking_server.cpp
@@ -4,6 +4,8 @@
 
 #include <QCoreApplication>
 #include <QJsonObject>
+#include <QTimer>
+#include <chrono>
 #include <utility>
 
 #include "protocol/json_fields.h"
@@ -12,8 +14,11 @@
 namespace {
 
 constexpr std::chrono::milliseconds kLeavePollInterval{20};
-// A request with this text in its query ends the process at once.
+// A request with this text in its query ends the process at once, one with the other text after a
+// part of the answer.
 constexpr std::string_view kCrashText = "please-crash";
+constexpr std::string_view kLateCrashText = "please-write-and-crash";
+constexpr std::chrono::milliseconds kTimeToSend{20};
 
 const HttpHeaders& JsonHeaders() {
   static const HttpHeaders headers = {{"Content-Type", "application/json"}};
@@ -58,6 +63,12 @@
 
 void BookingServer::Handle(const HttpRequest& request, const Responder& responder) {
   if (request.query.find(kCrashText) != std::string::npos) _exit(1);
+  if (request.query.find(kLateCrashText) != std::string::npos) {
+    responder->StartStream(200, JsonHeaders());
+    responder->Write("{");
+    QTimer::singleShot(kTimeToSend, [responder] { _exit(1); });
+    return;
+  }
   if (request.method == "POST" && request.path == "/book") {
     Book(request, responder);
   } else if (request.method == "GET" && request.path == "/slots") {
--- a/src/kumquatrouter/chat_exchange.cpp
+++ b/src/kumquatrouter/chat_exchange.cpp
@@ -352,7 +352,7 @@
 void ChatExchange::OnBeginningSurvived() {
   CrashWatch& watch = services_.crashes->watch();
   if (attempt_->continues_run || !watch.has_suspects()) return;
-  watch.OnAnswerBegun(PartSuspects());
+  watch.OnBeginningSurvived(PartSuspects());
 }
 
 // A strike on this backend server may follow later; how the run was lost counts then.
--- a/src/kumquatrouter/crash_watch.h
+++ b/src/kumquatrouter/crash_watch.h
@@ -39,14 +39,14 @@
   bool IsCondemned(std::span<const Suspect> suspects) const;
   bool has_condemned() const { return !table_.condemned().empty(); }
 
-  // Returns whether OnAnswerBegun() may have an effect.
+  // Returns whether OnBeginningSurvived() may have an effect.
   bool has_suspects() const { return table_.has_suspects(); }
 
-  // A run was lost before its answer had begun.
+  // A run was lost before its answer was past the beginning.
   void OnRunLost(const BackendChoice& backend, LostRun run);
 
-  // A backend server survived the beginning of a run.
-  void OnAnswerBegun(std::span<const Suspect> suspects);
+  // A backend server survived the beginning of an answer.
+  void OnBeginningSurvived(std::span<const Suspect> suspects);
 
   // What became known of a backend server.
   void OnRefused(const BackendChoice& backend);
--- a/src/kumquatrouter/forwarding/forward_exchange.cpp
+++ b/src/kumquatrouter/forwarding/forward_exchange.cpp
@@ -425,7 +425,7 @@
 // A run that goes on elsewhere doesn't begin there, which is when it would crash its server.
 void ForwardExchange::OnBeginningSurvived() {
   if (attempt_->continues_run || !services_.crashes->has_suspects()) return;
-  services_.crashes->OnAnswerBegun(Suspects());
+  services_.crashes->OnBeginningSurvived(Suspects());
 }
 
 void ForwardExchange::OnFirstEvent() {
--- a/src/kumquatrouter/service_exchange.cpp
+++ b/src/kumquatrouter/service_exchange.cpp
@@ -233,7 +233,7 @@
     CrashWatch& watch = exchange->services_.crashes->watch();
     // An error may be answered without running the call.
     const bool has_run = attempt->answer.status < kFirstError;
-    if (has_run && watch.has_suspects()) watch.OnAnswerBegun(exchange->Suspects());
+    if (has_run && watch.has_suspects()) watch.OnBeginningSurvived(exchange->Suspects());
     exchange->Execute(
         exchange->decisions_->OnAnswer(attempt_id, attempt->answer, exchange->services_.clock()));
   };
@@ -251,18 +251,12 @@
     services_.membership->ConnectionFailed(backend.backend_id, backend.incarnation, false);
   } else {
     services_.membership->ProbeBackend(backend.backend_id);
-    NoteLoss(*attempt);
+    services_.crashes->watch().OnRunLost(backend,
+                                         {start_.request_id, Suspects(), services_.clock()});
   }
   Execute(decisions_->OnFailure(attempt_id, failure, services_.clock()));
 }
 
-// A server that has begun to answer was not crashed by beginning.
-void ServiceExchange::NoteLoss(const Attempt& attempt) {
-  if (attempt.answer.status != 0) return;
-  services_.crashes->watch().OnRunLost(attempt.backend,
-                                       {start_.request_id, Suspects(), services_.clock()});
-}
-
 std::optional<ServiceExchange::Attempt> ServiceExchange::TakeAttempt(
     const std::string& attempt_id) {
   const auto entry = attempts_.find(attempt_id);
--- a/src/kumquatrouter/service_exchange.h
+++ b/src/kumquatrouter/service_exchange.h
@@ -48,7 +48,6 @@
 
   ServiceCallOptions OptionsFor() const;
   bool IsCondemned();
-  void NoteLoss(const Attempt& attempt);
   const std::vector<Suspect>& Suspects();
   BackendCallRequest CallFor(const service_command::StartAttempt& command) const;
   BackendCallHooks HooksFor(const std::string& attempt_id);
--- a/src/libs/coordination/admission/culprit_table.h
+++ b/src/libs/coordination/admission/culprit_table.h
@@ -35,9 +35,9 @@
 std::uint64_t CrashId(std::string_view backend_id, std::int64_t incarnation);
 
 // A request and the shared parts of its prompt become suspects when a backend server crashes before
-// it has begun to answer the request, and are cleared when any backend server begins to answer a
-// request that has them: a culprit crashes each of them. What merely ran beside a culprit, or
-// shares parts with it, is therefore cleared by its next run.
+// it is past the beginning of the answer, and are cleared when any backend server gets that far
+// with a request that has them: a culprit crashes each of them. What merely ran beside a culprit,
+// or shares parts with it, is therefore cleared by its next run.
 //
 // Servers that crash together have another cause than a request, such as a loss of power: three or
 // more crashes within a fraction of a second count as one.
@@ -58,8 +58,8 @@
   // changed the table.
   bool AddCrash(const Suspect& suspect, std::uint64_t crash, Instant lost_at, Instant now);
 
-  // Records that a backend server survived beginning to answer the suspect. Returns whether it was
-  // one until now.
+  // Records that a backend server survived the beginning of an answer to the suspect. Returns
+  // whether it was one until now.
   bool Clear(const std::string& digest, Instant now);
 
   // Merges an entry of another process. Returns whether it changed the table.
--- a/tests/kumquatrouter/crash_fleet_test.cpp
+++ b/tests/kumquatrouter/crash_fleet_test.cpp
@@ -277,7 +277,7 @@
     }
     execution.has_begun = true;
     OnRouter(execution.router, Delay(), [suspects = execution.request.suspects](CrashWatch& watch) {
-      watch.OnAnswerBegun(suspects);
+      watch.OnBeginningSurvived(suspects);
     });
     world_.After(milliseconds(300), [this, index, incarnation, id] {
       Server& ending = servers_[index];
--- a/tests/process/router/router_poison_test.cpp
+++ b/tests/process/router/router_poison_test.cpp
@@ -42,13 +42,13 @@
   }
 }
 
-TEST_CASE(
-    "A call that crashed three plain services is refused by every router, others are served") {
+// Sends a call that crashes plain services, by this text, until every router refuses it.
+void CheckDeadlyCall(const std::string& crash_text) {
   SystemBench bench;
   int crashes = 0;
   int next = 0;
   const auto call_once = [&](int router) {
-    const auto call = bench.StartCrashingCall(router);
+    const auto call = bench.StartCrashingCall(router, crash_text);
     CHECK(SpinUntil([&] { return call->done(); }));
     crashes += bench.RestartCrashed();
     return call->status;
@@ -74,6 +74,15 @@
   }));
 }
 
+TEST_CASE(
+    "A call that crashed three plain services is refused by every router, others are served") {
+  CheckDeadlyCall("please-crash");
+}
+
+TEST_CASE("The same where the services crash after a part of the answer") {
+  CheckDeadlyCall("please-write-and-crash");
+}
+
 // Sends chats with a part that crashes engines, by this text, until every router refuses them.
 void CheckDeadlyPart(const std::string& crash_text) {
   SystemBenchOptions options;
@@ -111,7 +120,7 @@
   CheckDeadlyPart("please-crash");
 }
 
-TEST_CASE("The same where the engines crash after they have written a token") {
+TEST_CASE("The same chats where the engines crash after they have written a token") {
   CheckDeadlyPart("please-write-and-crash");
 }
 
--- a/tests/process/router/system_bench.cpp
+++ b/tests/process/router/system_bench.cpp
@@ -43,6 +43,7 @@
 }
 
 SystemBench::SystemBench(SystemBenchOptions options) : options_(std::move(options)) {
+  folder_.setAutoRemove(!qEnvironmentVariableIsSet("KUMQUAT_KEEP_LOGS"));
   StartRouters();
   StartEngines();
   StartServices();
@@ -147,8 +148,9 @@
                        WithKey({{"Idempotency-Key", key}}), R"({"bay":1})");
 }
 
-std::unique_ptr<TestCall> SystemBench::StartCrashingCall(int router) {
-  return caller_.Start(routers_[router], "GET", "/services/bookings/slots?please-crash",
+std::unique_ptr<TestCall> SystemBench::StartCrashingCall(int router,
+                                                         const std::string& crash_text) {
+  return caller_.Start(routers_[router], "GET", "/services/bookings/slots?" + crash_text,
                        WithKey({}));
 }
 
--- a/tests/process/router/system_bench.h
+++ b/tests/process/router/system_bench.h
@@ -54,8 +54,9 @@
                                       const HttpHeaders& more = {});
   std::unique_ptr<TestCall> StartBooking(int router, const std::string& key);
 
-  // Starts a call to the plain service that may be repeated and crashes each server that runs it.
-  std::unique_ptr<TestCall> StartCrashingCall(int router);
+  // Starts a call to the plain service that may be repeated and by this text crashes each server
+  // that runs it.
+  std::unique_ptr<TestCall> StartCrashingCall(int router, const std::string& crash_text);
 
   // Returns the whole text of the answer to this chat.
   static std::string ChatText(const std::string& text);
