--- a/bench/decision_cost/main.cpp
+++ b/bench/decision_cost/main.cpp
@@ -15,6 +15,7 @@
 #include <string_view>
 #include <vector>
 
+#include "coordination/admission/culprit_table.h"
 #include "coordination/placement/placement.h"
 #include "protocol/engine_messages.h"
 #include "state/index/prefix_index.h"
@@ -213,6 +214,39 @@
              "waiting load of one engine, CBOR", load_cbor.toCbor().size());
 }
 
+// A crash that took `kLostSuspects` suspects with it, in a full table with this many condemned.
+void MeasureCulprits(int condemned) {
+  constexpr int kLostSuspects = 128;
+  constexpr int kCrashesToCondemn = 3;
+  CulpritTableOptions options;
+  CulpritTable table(options);
+  Instant now = std::chrono::seconds(1);
+  std::int64_t crash = 0;
+  const auto lose = [&](const std::string& digest) {
+    now += std::chrono::milliseconds(100);
+    table.AddCrash({digest, kRequestDepth}, CrashId("server", ++crash), now, now);
+  };
+  for (std::size_t i = 0; i < options.max_entries; ++i) lose("bystander" + std::to_string(i));
+  for (int i = 0; i < condemned; ++i) {
+    for (int j = 0; j < kCrashesToCondemn; ++j) lose("culprit" + std::to_string(i));
+  }
+  const auto lose_together = [&](const std::function<std::string(int)>& digest_of) {
+    return MedianUs(kLostSuspects, [&] {
+      ++crash;
+      now += std::chrono::seconds(1);
+      for (int i = 0; i < kLostSuspects; ++i) {
+        table.AddCrash({digest_of(i), kRequestDepth}, CrashId("server", crash), now, now);
+      }
+    });
+  };
+  const double bystander_us = lose_together(
+      [&](int i) { return "lost" + std::to_string(crash) + "-" + std::to_string(i); });
+  const std::size_t before = table.condemned().size();
+  const double culprit_us =
+      lose_together([&](int i) { return "culprit" + std::to_string(i % std::max(1, condemned)); });
+  fmt::print("{:>9} {:>14.1f} {:>14.1f}\n", before, bystander_us, culprit_us);
+}
+
 void Main() {
   fmt::print("One decision: lookup, choice and notes\n{:>9} {:>9} {:>14} {:>14}\n", "backends",
              "entries", "decision us", "lookup us");
@@ -225,6 +259,9 @@
   for (const std::size_t pieces : {4, 16, 64}) MeasureIdentity(pieces);
   fmt::print("\nOwner of a segment\n{:>9} {:>14}\n", "routers", "owner us");
   for (const std::size_t routers : {7, 35, 350}) MeasureOwner(routers);
+  fmt::print("\nA suspect lost with a crash, full table\n{:>9} {:>14} {:>14}\n", "condemned",
+             "bystander us", "culprit us");
+  for (const int condemned : {0, 10, 100}) MeasureCulprits(condemned);
   MeasureMessages();
 }
 
