An unrelated crash before doesn't blame a part that a deadly request comes with

What callers would see: sound requests refused, as a part that they share was condemned instead of the request that crashes servers.

Cause: where a request and a part have enough crashes with the same one, the one with more crashes came first. A part that had also been lost with an unrelated crash, and not been answered since, so came before the request that it only accompanied. And what took the place of a condemned suspect had to have a crash after the verdict, which a run that had begun before the verdict can give to both.

Change: the most specific comes first; a suspect is replaced only by one with a later crash than its own last. A part that really is the culprit replaces the request with its next crash.

--- a/src/libs/coordination/admission/culprit_table.cpp
+++ b/src/libs/coordination/admission/culprit_table.cpp
@@ -157,8 +157,7 @@
 }
 
 // Returns the suspects with enough incidents, those that had enough first come first. Of those that
-// had enough with the same incident, the one with most incidents comes first, then the most
-// specific.
+// had enough with the same incident, the most specific comes first, then the one with most.
 std::vector<CulpritTable::Accused> CulpritTable::AccusedSuspects(Instant now) const {
   const auto incident_of_crash = Incidents();
   const auto incident_of = [&](std::uint64_t crash) {
@@ -194,8 +193,8 @@
   }
   std::sort(all.begin(), all.end(), [](const Accused& left, const Accused& right) {
     if (left.enough_since != right.enough_since) return left.enough_since < right.enough_since;
-    return std::pair(left.incidents.size(), left.depth) >
-           std::pair(right.incidents.size(), right.depth);
+    return std::pair(left.depth, left.incidents.size()) >
+           std::pair(right.depth, right.incidents.size());
   });
   return all;
 }
@@ -210,14 +209,9 @@
                       [&](const Incident& incident) { return !explained.contains(incident); });
     return static_cast<std::size_t>(unexplained) >= one.needed;
   };
-  const auto condemn = [&](const Accused& one) {
-    condemned_.insert(*one.digest);
-    return one.incidents;
-  };
-  // What was lost in each incident of `one`, and in later ones without it, explains all of them.
+  // What was lost in each incident of `one`, and in a later one without it, explains all of them.
   const auto explains = [](const Accused& other, const Accused& one) {
-    return other.incidents.size() > one.incidents.size() &&
-           *other.incidents.rbegin() > one.enough_since &&
+    return *other.incidents.rbegin() > *one.incidents.rbegin() &&
            std::includes(other.incidents.begin(), other.incidents.end(), one.incidents.begin(),
                          one.incidents.end());
   };
@@ -231,7 +225,9 @@
       const auto better = std::find_if(one, all.end(), [&](const Accused& other) {
         return explains(other, *one) && has_enough_unexplained(other);
       });
-      newly_explained.merge(condemn(better == all.end() ? *one : *better));
+      const Accused& culprit = better == all.end() ? *one : *better;
+      condemned_.insert(*culprit.digest);
+      newly_explained.insert(culprit.incidents.begin(), culprit.incidents.end());
     }
     explained.merge(newly_explained);
   }
--- a/src/libs/coordination/admission/culprit_table.h
+++ b/src/libs/coordination/admission/culprit_table.h
@@ -43,9 +43,9 @@
 // more crashes within a fraction of a second count as one.
 //
 // A crash needs one culprit only. So the suspect that had enough crashes first is condemned, of
-// several the one with the most, of equal ones the most specific, and its crashes no longer count
+// several the most specific, of equal ones the one with the most, and its crashes no longer count
 // for the others. A later culprit therefore doesn't undo a verdict by crashes that both were lost
-// with. Only a suspect that was lost with each of these crashes, and with later ones without the
+// with. Only a suspect that was lost with each of these crashes, and with a later one without the
 // first, is condemned in its place.
 //
 // Merging the entries of other processes gives the same crashes in any order and when repeated, as
--- a/tests/libs/coordination/admission/culprit_table_test.cpp
+++ b/tests/libs/coordination/admission/culprit_table_test.cpp
@@ -157,6 +157,16 @@
   CHECK(table.condemned() == std::set<std::string>{"book"});
 }
 
+TEST_CASE("An unrelated crash before doesn't blame the part that a deadly request comes with") {
+  CulpritTable table;
+  AddCrashes(table, {{"book", 1}}, 0, 0);
+  AddCrashes(table, {{"book", 1}, Request("deadly")}, 1, 3);
+  CHECK(table.condemned() == std::set<std::string>{"deadly"});
+  // One more of its runs had begun before the verdict.
+  AddCrashes(table, {{"book", 1}, Request("deadly")}, 4, 4);
+  CHECK(table.condemned() == std::set<std::string>{"deadly"});
+}
+
 TEST_CASE("Servers that crash together condemn nothing, unless what they lost crashes more later") {
   CulpritTable table;
   const Suspect preamble{"preamble", 0};
