--- a/tests/process/forwarding/forward_soak_test.cpp
+++ b/tests/process/forwarding/forward_soak_test.cpp
@@ -280,7 +280,8 @@
         ++runs[std::string(run.Header("Kumquatcross-Request-Id"))];
       }
     }
-    for (const auto& [id, count] : runs) {
+    for (const auto& [run_id, count] : runs) {
+      const std::string& id = run_id;
       CAPTURE(id);
       const auto sent = sent_by_.find(id);
       if (sent != sent_by_.end() && sent->second.first == CallKind::kOnce) CHECK(count == 1);
