A test of answers that a server cuts inside their head, with and without a length

Report of another operator: a runner stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole. The existing test of cuts at any byte didn't allow answers without a length, which is how the router calls backend servers: there the end of the connection may be the end of the answer.

The new test cuts two heads (with a Content-Length, and without any) at every offset while such answers are allowed. It passes on the code as it is: the client ends an answer with its connection only after the whole head. So the report can't happen on this path; no code changed.

--- a/tests/libs/transport/backend_client_test.cpp
+++ b/tests/libs/transport/backend_client_test.cpp
@@ -208,6 +208,29 @@
   }
 }
 
+// A server that stops inside the head must not be taken for one whose answer has no length.
+TEST_CASE("An answer that is cut inside its head never reaches the caller") {
+  constexpr std::string_view kEndOfHead = "\r\n\r\n";
+  for (const std::string answer : {"HTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length: 5\r\n\r\nhello",
+                                   "HTTP/1.1 200 OK\r\nX-A: b\r\nX-C: d\r\n\r\nhello"}) {
+    const std::size_t head = answer.find(kEndOfHead) + kEndOfHead.size();
+    for (std::size_t cut = 0; cut < head; ++cut) {
+      CAPTURE(cut);
+      RawServer server([&](QTcpSocket* socket) {
+        Answer(socket, answer.substr(0, cut));
+        socket->flush();
+        CloseWith(socket, Closing::kFin);
+      });
+      BackendCallRequest request = RequestTo(server.serverPort());
+      request.takes_unframed_answer = true;
+      const Heard heard = Run(*MakeHttpBackendClient(), request);
+      CHECK(heard.failure == CallFailure::kBroken);
+      CHECK(heard.ends == 0);
+      CHECK(heard.data.empty());
+    }
+  }
+}
+
 constexpr std::string_view kStrayAnswer =
     "HTTP/1.1 200 OK\r\nX-Id: 0\r\nContent-Length: 1\r\n\r\ns";
 
