A planned stop answers what it can't finish, and takes on no call that may be lost

Report of another operator: in a planned stop, requests that came late in the grace were taken and cut at its end without an answer, among them calls that may not be repeated.

Cause: while draining, a router took every request until the load balancer had noticed, whatever time it might take, and at the end of the grace it quit with connections open. Requests that were still running got a closed connection instead of an answer.

Change: DrainWindow decides. A once-only call is taken on only if its time-out ends within the grace; else it is refused as not run, to come back at once (0 to 100 ms) at another router. Other requests are taken until the load balancer has noticed, as before, and after that only if they are sure to fit. Shortly before the end each request in progress gets its final answer: 503 if it hasn't run, 502 if it may have run; a stream that has begun is cut, which its framing shows.

--- a/src/kumquatrouter/forwarding/forward_exchange.cpp
+++ b/src/kumquatrouter/forwarding/forward_exchange.cpp
@@ -71,6 +71,11 @@
     if (exchange) exchange->decisions_->OnDeadline(exchange->Now());
   });
   deadline_timer_.start(std::chrono::ceil<std::chrono::milliseconds>(deadline_ - received_));
+  if (services_.drain &&
+      !services_.drain->TakesOn(received_, deadline_ - received_, IsOnceOnly())) {
+    Refuse({ErrorKind::kDraining, services_.admission->RetryAfterElsewhere()});
+    return;
+  }
   services_.budget->OnRequest(service_->name);
   decisions_.emplace(Policy(), Hooks());
   decisions_->Start(received_);
@@ -96,6 +101,10 @@
   return true;
 }
 
+bool ForwardExchange::IsOnceOnly() const {
+  return !route_->is_stream && route_->repeat_rule != RepeatRule::kRepeatable;
+}
+
 const std::vector<Suspect>& ForwardExchange::Suspects() {
   if (!suspects_) suspects_ = SuspectsOf(request_, organisation_ ? organisation_->name : "");
   return *suspects_;
@@ -595,6 +604,11 @@
   if (decisions_ && !is_done_) decisions_->OnCapacityFree(Now());
 }
 
+void ForwardExchange::EndForShutdown() {
+  const auto self = shared_from_this();
+  if (decisions_ && !is_done_) decisions_->OnShutdown();
+}
+
 void ForwardExchange::OnCallerGone() {
   if (is_done_) return;
   const auto self = shared_from_this();
--- a/src/kumquatrouter/forwarding/forward_exchange.h
+++ b/src/kumquatrouter/forwarding/forward_exchange.h
@@ -35,6 +35,9 @@
   // Only valid after Start() has found the route.
   std::int64_t Rank() const;
 
+  // The process is about to end: answers the caller at once, or cuts a stream that has begun.
+  void EndForShutdown();
+
   Instant received() const { return received_; }
 
   bool is_waiting() const { return decisions_ && decisions_->is_waiting(); }
@@ -96,6 +99,8 @@
   // Finds the route, organisation and service of the request. Refuses the request and returns false
   // if there is no routing table, no route, or no valid key where one is needed.
   bool ResolveRoute();
+  // Returns whether the request may not be sent again once it may have run.
+  bool IsOnceOnly() const;
   const std::vector<Suspect>& Suspects();
   bool IsCondemned();
   ForwardPolicy Policy() const;
--- a/src/kumquatrouter/forwarding/forward_server.cpp
+++ b/src/kumquatrouter/forwarding/forward_server.cpp
@@ -30,11 +30,6 @@
 constexpr std::chrono::milliseconds kProbeCooldown{300};
 constexpr Duration kMaxLoadReportInterval = std::chrono::milliseconds(700);
 constexpr std::chrono::milliseconds kDrainPollInterval{20};
-// The load balancer checks readiness every second and stops sending requests after two failed
-// checks. Requests that arrive until then are still accepted.
-constexpr Duration kBalancerDetectionTime = std::chrono::milliseconds(2300);
-// The part of the grace period that is reserved for the exit of the process itself.
-constexpr Duration kExitMargin = std::chrono::milliseconds(400);
 // Request bodies may take the process's memory limit divided by this.
 constexpr std::int64_t kBodyMemoryDivisor = 6;
 constexpr std::int64_t kMegabyte = 1024 * 1024;
@@ -186,7 +181,7 @@
 }
 
 void ForwardServer::HandleReady(const HttpRequest& /*request*/, const Responder& responder) const {
-  const bool is_ready = services_.routes && !is_draining_;
+  const bool is_ready = services_.routes && !services_.drain;
   responder->Send(is_ready ? 200 : 503, {}, is_ready ? "ready\n" : "not ready\n");
 }
 
@@ -352,24 +347,31 @@
 }
 
 void ForwardServer::Drain(std::function<void()> on_drained) {
-  if (is_draining_) return;
+  if (services_.drain) return;
   LogEvent(LogLevel::kInfo, "router_draining", {{"requests", exchanges_.size()}});
-  is_draining_ = true;
-  drain_began_ = services_.clock();
+  services_.drain.emplace(services_.clock(), settings_.grace);
   on_drained_ = std::move(on_drained);
   server_->CloseAfterAnswers();
   drain_timer_.start(kDrainPollInterval);
 }
 
+// Requests that arrive while the load balancer is unaware of the stop are still accepted.
 void ForwardServer::CheckDrained() {
-  const Duration passed = services_.clock() - drain_began_;
-  if (passed < std::min(kBalancerDetectionTime, settings_.grace / 2)) return;
+  const Instant now = services_.clock();
+  const DrainWindow& drain = *services_.drain;
+  if (drain.IsBalancerUnaware(now)) return;
   if (server_->port() != 0) server_->StopListening();
-  const bool is_over = passed > settings_.grace - kExitMargin;
-  if (server_->open_requests() > 0 && !is_over) return;
+  if (now >= drain.answers_due() && !exchanges_.empty()) EndExchangesForShutdown();
+  if (server_->open_requests() > 0 && now < drain.ends()) return;
   drain_timer_.stop();
   LogEvent(LogLevel::kInfo, "router_drained", {{"requests_cut", server_->open_requests()}});
   if (on_drained_) std::exchange(on_drained_, nullptr)();
 }
 
+void ForwardServer::EndExchangesForShutdown() {
+  LogEvent(LogLevel::kWarning, "requests_ended_for_shutdown", {{"requests", exchanges_.size()}});
+  const auto exchanges = exchanges_;
+  for (const auto& exchange : exchanges) exchange->EndForShutdown();
+}
+
 }  // namespace kumquat
--- a/src/kumquatrouter/forwarding/forward_server.h
+++ b/src/kumquatrouter/forwarding/forward_server.h
@@ -62,6 +62,7 @@
   // Removes the backend servers from the pool that control's member table no longer lists.
   void RemoveDepartedBackends();
   void CheckDrained();
+  void EndExchangesForShutdown();
   HttpServerLimits DefaultHttpLimits() const;
 
   ForwardSettings settings_;
@@ -82,9 +83,7 @@
   std::unique_ptr<HttpServer> metrics_server_;
   std::set<std::shared_ptr<ForwardExchange>> exchanges_;
   Instant started_at_{0};
-  Instant drain_began_{0};
   std::function<void()> on_drained_;
-  bool is_draining_ = false;
   Instant load_reported_at_{0};
   QTimer load_timer_;
   QTimer silence_timer_;
--- a/src/kumquatrouter/forwarding/forward_services.h
+++ b/src/kumquatrouter/forwarding/forward_services.h
@@ -2,9 +2,11 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "coordination/forwarding/backend_pool.h"
+#include "coordination/forwarding/drain_window.h"
 #include "coordination/forwarding/forward_admission.h"
 #include "coordination/forwarding/live_stores.h"
 #include "coordination/forwarding/prompt_placement.h"
@@ -27,6 +29,8 @@
   ForwardCodec codec;
   // Null until a routing table has been received.
   std::shared_ptr<const RouteIndex> routes;
+  // Set from the start of a planned stop.
+  std::optional<DrainWindow> drain;
   NamedWeights weights;
   const WeightsLimit* weights_limit = nullptr;
   bool moves_runs = true;
--- /dev/null
+++ b/src/libs/coordination/forwarding/drain_window.cpp
@@ -0,0 +1,31 @@
+#include "coordination/forwarding/drain_window.h"
+
+#include <algorithm>
+
+namespace kumquat {
+namespace {
+
+// The load balancer checks readiness every second and stops sending requests after two failed
+// checks.
+constexpr Duration kBalancerDetectionTime = std::chrono::milliseconds(2300);
+// The part of the grace period that is reserved for the exit of the process itself.
+constexpr Duration kExitMargin = std::chrono::milliseconds(400);
+// How long the last answers may take to be written to their callers.
+constexpr Duration kAnswerMargin = std::chrono::milliseconds(200);
+
+}  // namespace
+
+bool DrainWindow::IsBalancerUnaware(Instant now) const {
+  return now - began_ < std::min(kBalancerDetectionTime, grace_ / 2);
+}
+
+bool DrainWindow::TakesOn(Instant now, Duration longest, bool once_only) const {
+  if (now + longest <= answers_due()) return true;
+  return !once_only && IsBalancerUnaware(now);
+}
+
+Instant DrainWindow::answers_due() const { return ends() - kAnswerMargin; }
+
+Instant DrainWindow::ends() const { return began_ + std::max(grace_ - kExitMargin, grace_ / 2); }
+
+}  // namespace kumquat
--- a/src/libs/coordination/forwarding/forward_admission.cpp
+++ b/src/libs/coordination/forwarding/forward_admission.cpp
@@ -15,6 +15,9 @@
 // short deadline wait no longer than the upper bound.
 constexpr Duration kMinRetryAfterStart = std::chrono::milliseconds(450);
 constexpr Duration kMaxRetryAfterStart = std::chrono::milliseconds(800);
+// New connections reach other routers; the spread keeps the callers of one router from arriving at
+// the others in step.
+constexpr Duration kMaxRetryAfterElsewhere = std::chrono::milliseconds(100);
 
 }  // namespace
 
@@ -35,6 +38,10 @@
   return DrawBetween(kMinRetryAfterStart, kMaxRetryAfterStart);
 }
 
+Duration ForwardAdmission::RetryAfterElsewhere() const {
+  return DrawBetween(Duration(0), kMaxRetryAfterElsewhere);
+}
+
 Duration ForwardAdmission::DrawBetween(Duration lowest, Duration highest) const {
   const auto steps = static_cast<std::uint64_t>((highest - lowest).count()) + 1;
   return lowest + Duration(static_cast<std::int64_t>(random_() % steps));
--- a/src/libs/coordination/forwarding/forward_admission.h
+++ b/src/libs/coordination/forwarding/forward_admission.h
@@ -36,6 +36,10 @@
   // started and doesn't know the configuration yet.
   Duration RetryAfterStart() const;
 
+  // Returns after what delay, drawn at random, a caller should retry when this router shuts down
+  // and others can serve the request.
+  Duration RetryAfterElsewhere() const;
+
  private:
   // Returns a random duration between the bounds, both included.
   Duration DrawBetween(Duration lowest, Duration highest) const;
--- a/src/libs/coordination/forwarding/forward_request.cpp
+++ b/src/libs/coordination/forwarding/forward_request.cpp
@@ -196,14 +196,23 @@
 
 void ForwardRequest::OnDeadline(Instant /*now*/) {
   if (state_ == State::kDone) return;
-  const bool is_sent = attempt_ != 0;
-  if (is_sent) {
-    if (!copy_) ++runs_;
-    hooks_.cancel(attempt_);
-  }
+  CancelAttempt();
   GiveUp(ErrorKind::kTimedOut);
 }
 
+void ForwardRequest::OnShutdown() {
+  if (state_ == State::kDone) return;
+  CancelAttempt();
+  GiveUp(ErrorKind::kOutcomeUnknown, ErrorKind::kDraining);
+}
+
+// Ends the attempt in progress, which counts as a run.
+void ForwardRequest::CancelAttempt() {
+  if (attempt_ == 0) return;
+  if (!copy_) ++runs_;
+  hooks_.cancel(attempt_);
+}
+
 void ForwardRequest::OnCallerGone() {
   if (state_ == State::kDone) return;
   if (attempt_ != 0) hooks_.cancel(attempt_);
--- a/src/libs/coordination/forwarding/forward_request.h
+++ b/src/libs/coordination/forwarding/forward_request.h
@@ -143,6 +143,10 @@
   // The caller's deadline or the route's timeout has passed.
   void OnDeadline(Instant now);
 
+  // The process is about to end. The caller gets an answer that says whether the request may have
+  // run; a stream that has begun is cut.
+  void OnShutdown();
+
   void OnCallerGone();
 
   // Returns the attempt that is in progress; 0 when there is none.
@@ -172,6 +176,7 @@
   void Send(const BackendChoice& backend, const std::optional<RunCopy>& copy);
   bool IsCondemned() const;
   bool ResumeOnOtherEngine();
+  void CancelAttempt();
   void GiveUp(ErrorKind kind_if_run, ErrorKind kind_if_not_run = ErrorKind::kNoBackendServer);
   void Refuse(ErrorKind kind);
 
--- a/tests/libs/coordination/forwarding/forward_request_test.cpp
+++ b/tests/libs/coordination/forwarding/forward_request_test.cpp
@@ -544,6 +544,38 @@
   CHECK(recorder.refusals.size() == 1);
 }
 
+TEST_CASE(
+    "At shutdown a request is answered by what may have run; a stream that has begun is cut") {
+  HookRecorder sent;
+  ForwardRequest running(PolicyOf(false, false, false), sent.Hooks());
+  running.Start(seconds(1));
+  running.OnShutdown();
+  REQUIRE(sent.refusals.size() == 1);
+  CHECK(sent.refusals[0].kind == ErrorKind::kOutcomeUnknown);
+  CHECK(running.done());
+
+  HookRecorder relayed;
+  ForwardRequest stream(PolicyOf(false, true, false), relayed.Hooks());
+  stream.Start(seconds(1));
+  stream.OnHead(1, {200, false, true}, seconds(1));
+  stream.OnEvent(1, 1, "a", seconds(1));
+  stream.OnShutdown();
+  CHECK(relayed.cuts == 1);
+  CHECK(relayed.refusals.empty());
+
+  HookRecorder waiting;
+  ForwardHooks hooks = waiting.Hooks();
+  hooks.choose = [](std::span<const BackendChoice>) { return std::nullopt; };
+  ForwardPolicy policy = PolicyOf(true, false, false);
+  policy.queue_until = seconds(10);
+  ForwardRequest queued(policy, hooks);
+  queued.Start(seconds(1));
+  REQUIRE(queued.is_waiting());
+  queued.OnShutdown();
+  REQUIRE(waiting.refusals.size() == 1);
+  CHECK(waiting.refusals[0].kind == ErrorKind::kDraining);
+}
+
 TEST_CASE("A non-repeatable stream is cut off when its copy can't be resumed") {
   HookRecorder recorder;
   recorder.copy = RunCopy{{"keeper", 1}, {}, "id"};
--- a/tests/process/forwarding/forward_bench.cpp
+++ b/tests/process/forwarding/forward_bench.cpp
@@ -33,8 +33,8 @@
   StartReplicas();
   StartRouters();
   PutConfiguration(1);
-  for (const Endpoint& ready : ready_endpoints_) {
-    CHECK(SpinUntil([&] { return caller_.Run(ready, "GET", "/readyz")->status == 200; }));
+  for (int router = 0; router < kRouters; ++router) {
+    CHECK(SpinUntil([&] { return IsReady(router); }));
   }
 }
 
@@ -80,12 +80,12 @@
   }
 }
 
-QJsonObject ForwardBench::Configuration(int version, const std::string& extra_path) {
+QJsonObject ForwardBench::Configuration(int version, const QJsonObject& extra_route) {
   QJsonArray routes{RouteTo("desk", "/once/", "non_idempotent", false),
                     RouteTo("desk", "/again/", "idempotent", false),
                     RouteTo("desk", "/live/", "streaming", false),
                     RouteTo("desk", "/long/", "streaming", true)};
-  if (!extra_path.empty()) routes.append(RouteTo("desk", extra_path, "idempotent", false));
+  if (!extra_route.isEmpty()) routes.append(extra_route);
   const QJsonObject service{{"name", "desk"}, {"healthPath", "/healthz"}, {"maxConns", 100}};
   const QJsonObject tenant{
       {"name", "clerks"}, {"apiKeys", QJsonArray{kKey}}, {"priority", 1}, {"isolated", false}};
@@ -97,7 +97,20 @@
 }
 
 void ForwardBench::PutConfiguration(int version, const std::string& extra_path) {
-  SendUntilAcknowledged("PUT", "/config", Configuration(version, extra_path));
+  const QJsonObject extra_route =
+      extra_path.empty() ? QJsonObject() : RouteTo("desk", extra_path, "idempotent", false);
+  SendUntilAcknowledged("PUT", "/config", Configuration(version, extra_route));
+}
+
+void ForwardBench::PutSlowRoute(int version, const std::string& extra_path,
+                                std::chrono::milliseconds timeout) {
+  QJsonObject route = RouteTo("desk", extra_path, "non_idempotent", false);
+  route["timeoutMs"] = static_cast<qint64>(timeout.count());
+  SendUntilAcknowledged("PUT", "/config", Configuration(version, route));
+}
+
+bool ForwardBench::IsReady(int router) {
+  return caller_.Run(ready_endpoints_[router], "GET", "/readyz")->status == 200;
 }
 
 std::unique_ptr<TestCall> ForwardBench::StartConfiguration(int replica, int version) {
--- a/tests/process/forwarding/forward_bench.h
+++ b/tests/process/forwarding/forward_bench.h
@@ -39,6 +39,12 @@
   // streams can; `extra_path` is one more route that may be repeated.
   void PutConfiguration(int version, const std::string& extra_path = {});
 
+  // The same, where the extra route may run once only and has this timeout.
+  void PutSlowRoute(int version, const std::string& extra_path, std::chrono::milliseconds timeout);
+
+  // Returns whether the router tells the load balancer that it takes requests.
+  bool IsReady(int router);
+
   // Sends a configuration of this version to one replica and returns without waiting.
   std::unique_ptr<TestCall> StartConfiguration(int replica, int version);
 
@@ -57,7 +63,7 @@
   TestCaller& caller() { return caller_; }
 
  private:
-  static QJsonObject Configuration(int version, const std::string& extra_path);
+  static QJsonObject Configuration(int version, const QJsonObject& extra_route);
   void SendUntilAcknowledged(const std::string& method, const std::string& path,
                              const QJsonObject& body);
   void StartReplicas();
