One outbox a replica for cached parts and loads: merged for each router, summed by engine, bounded

Cause: a control replica sent each piece of cache news as a message of its own to every router, and 25 times a second every router's load to every router; up to 8 MB of it waited for each router, in front of configuration and membership.

Change: HintOutbox (coordination/hints). State waits, not messages: a change of cached parts once for all routers, loads summed by engine. A router that tells this replica its load is told first what of the sums is its own. What is withheld is counted (kumquat_hint_*). docs/DECISIONS/hints.md weighs the ways.

--- a/src/kumquatcontrol/control_node.cpp
+++ b/src/kumquatcontrol/control_node.cpp
@@ -81,7 +81,12 @@
              }}),
       suspects_(SteadyClock()),
       rpc_(MakeRpcServer()),
-      backend_client_(MakeHttpBackendClient()) {
+      backend_client_(MakeHttpBackendClient()),
+      hints_(options_.hints,
+             {[this](const std::string& router) { return desk_.WaitingBytes(router); },
+              [this](const std::string& router, std::string_view news) {
+                desk_.SendEncoded(router, news);
+              }}) {
   service_.AddMethods(rpc_.get());
   server_ =
       MakeFrameServer([this](const std::shared_ptr<FrameConnection>& connection, FrameKind kind,
@@ -98,9 +103,9 @@
   if (hooks_.cache_codec) {
     stores_ = std::make_unique<StoreWatch>(*hooks_.cache_codec, backend_client_.get(),
                                            [this] { desk_.PushFleet(); });
-    cache_keeper_ = std::make_unique<CacheKeeper>(
-        *hooks_.cache_codec, backend_client_.get(),
-        [this](const CacheNews& news) { untold_cache_.push_back(news); });
+    cache_keeper_ =
+        std::make_unique<CacheKeeper>(*hooks_.cache_codec, backend_client_.get(),
+                                      [this](const CacheNews& news) { hints_.AddCache(news); });
   }
   flush_.setSingleShot(true);
   restart_.setSingleShot(true);
@@ -178,6 +183,7 @@
   metrics_.Set("kumquat_control_leads", {}, leads ? 1 : 0);
   metrics_.Set("kumquat_routers_linked", {}, static_cast<double>(desk_.LiveRouters().size()));
   suspects_.Measure(&metrics_);
+  MeasureHints();
   if (operator_) operator_->Measure();
   return metrics_.ToPrometheusText();
 }
@@ -328,10 +334,10 @@
     }
     if (message) directory_.Receive(members->from, *message);
   } else if (const auto* load = std::get_if<LoadNews>(&*news)) {
-    ReceivedLoad(*load);
+    for (const RouterLoad& one : load->routers) hints_.AddLoad(one, SteadyClock()());
   } else if (const auto* wanted = std::get_if<CacheWanted>(&*news)) {
     const auto snapshot = cache_keeper_ ? cache_keeper_->Snapshot(wanted->source) : std::nullopt;
-    if (snapshot) desk_.Send(wanted->router, *snapshot);
+    if (snapshot) hints_.SendSnapshot(wanted->router, *snapshot, SteadyClock()());
   } else if (const auto* suspects = std::get_if<SuspectNews>(&*news)) {
     const auto answer = suspects_.Receive(*suspects);
     if (answer) desk_.Send(suspects->router, *answer);
@@ -399,24 +405,25 @@
   cache_keeper_->SetSources(kept);
 }
 
-void ControlNode::ReceivedLoad(const LoadNews& news) {
-  for (const RouterLoad& load : news.routers) {
-    auto& untold = untold_loads_[load.router];
-    untold.router = load.router;
-    untold.engines.insert(untold.engines.end(), load.engines.begin(), load.engines.end());
-  }
-}
-
 // One tick's news go out together: each router is woken once for all of them.
 void ControlNode::TellRouters() {
-  for (const CacheNews& news : std::exchange(untold_cache_, {})) desk_.SendAll(news);
   if (const auto suspects = suspects_.TakeNews()) desk_.SendAll(*suspects);
-  if (untold_loads_.empty()) return;
-  LoadNews news;
-  for (auto& [router, load] : std::exchange(untold_loads_, {})) {
-    news.routers.push_back(std::move(load));
-  }
-  desk_.SendAll(news);
+  hints_.Flush(desk_.LiveRouters(), SteadyClock()());
+}
+
+void ControlNode::MeasureHints() {
+  const HintCounts& now = hints_.counts();
+  const auto count = [this](std::string_view name, std::int64_t total, std::int64_t before) {
+    metrics_.Count(name, {}, static_cast<std::uint64_t>(total - before));
+  };
+  count("kumquat_hint_messages_total", now.messages, measured_hints_.messages);
+  count("kumquat_hint_bytes_total", now.bytes, measured_hints_.bytes);
+  count("kumquat_hint_links_full_total", now.links_full, measured_hints_.links_full);
+  count("kumquat_hint_allowance_used_up_total", now.allowance_used_up,
+        measured_hints_.allowance_used_up);
+  count("kumquat_hint_changes_dropped_total", now.dropped, measured_hints_.dropped);
+  metrics_.Set("kumquat_hint_kept_bytes", {}, static_cast<double>(hints_.kept_bytes()));
+  measured_hints_ = now;
 }
 
 std::vector<std::string> ControlNode::OtherReplicas() const {
--- a/src/kumquatcontrol/control_node.h
+++ b/src/kumquatcontrol/control_node.h
@@ -13,6 +13,7 @@
 
 #include "cache_keeper.h"
 #include "control_api.h"
+#include "coordination/hints/hint_outbox.h"
 #include "coordination/log/replicated_log.h"
 #include "coordination/membership/backend_directory.h"
 #include "coordination/orders/named_weights.h"
@@ -51,6 +52,7 @@
   // Engines refuse orders under an older fencing number than they have seen.
   bool engines_check_fences = false;
   WeightsRolloutOptions rollout;
+  HintLimits hints;
 
   bool is_open() const { return !seeds.empty(); }
   std::string log_name() const { return is_open() ? listen.ToString() : instance; }
@@ -115,8 +117,8 @@
   void ForEachEngine(const std::function<void(const MemberRecord& record)>& visit) const;
   void WatchStores(const Document& routing);
   void ShareCacheSources();
-  void ReceivedLoad(const LoadNews& news);
   void TellRouters();
+  void MeasureHints();
 
   ControlNodeOptions options_;
   Hooks hooks_;
@@ -138,10 +140,9 @@
   std::unique_ptr<StoreWatch> stores_;
   std::unique_ptr<CacheKeeper> cache_keeper_;
   std::vector<Endpoint> store_endpoints_;
-  // What routers told of their load since it was last passed on, by router.
-  std::map<std::string, RouterLoad> untold_loads_;
-  // What was read of cached parts since then.
-  std::vector<CacheNews> untold_cache_;
+  HintOutbox hints_;
+  // How much of the outbox's counts the metrics have.
+  HintCounts measured_hints_;
   // A leader and its term.
   struct Leadership {
     std::string name;
--- a/src/kumquatcontrol/main.cpp
+++ b/src/kumquatcontrol/main.cpp
@@ -84,6 +84,10 @@
       "engines_check_fences", &node.engines_check_fences,
       "Whether engines of the users' platform refuse an order under an older fencing number; "
       "then a new leader doesn't wait for the lease of one that is dead.");
+  reader->Add("hint_messages_per_second", &node.hints.messages_per_second, {10, 1'000'000},
+              "Messages a second, to all routers together, about cached parts and loads.");
+  reader->Add("hint_bytes_per_second", &node.hints.bytes_per_second, {10'000, 1'000'000'000},
+              "Bytes a second of these messages.");
   reader->Add("order_message_life_ms", &node.service.orders.max_message_lifetime, {500, 60'000},
               "Longest time from sending an order to its last possible effect.");
   reader->Add("snapshot_entries", &settings->snapshot_entries, {10, 1'000'000},
--- a/src/kumquatcontrol/router_desk.cpp
+++ b/src/kumquatcontrol/router_desk.cpp
@@ -80,6 +80,11 @@
   for (const auto& [name, router] : routers_) router.connection->Send(FrameKind::kNews, encoded);
 }
 
+std::int64_t RouterDesk::WaitingBytes(const std::string& router) const {
+  const auto found = routers_.find(router);
+  return found != routers_.end() ? found->second.connection->waiting_bytes() : 0;
+}
+
 std::vector<std::string> RouterDesk::LiveRouters() {
   DropSilent();
   std::vector<std::string> names;
--- a/src/kumquatcontrol/router_desk.h
+++ b/src/kumquatcontrol/router_desk.h
@@ -51,6 +51,9 @@
   // Sends to all routers that greeted lately.
   void SendAll(const ControlNews& news);
 
+  // Returns the bytes that wait on the router's link; 0 when it isn't linked.
+  std::int64_t WaitingBytes(const std::string& router) const;
+
   // Returns the names of the routers that greeted lately, after dropping the others.
   std::vector<std::string> LiveRouters();
 
--- a/src/kumquatrouter/forwarding/control_feed.cpp
+++ b/src/kumquatrouter/forwarding/control_feed.cpp
@@ -15,6 +15,16 @@
 // nothing.
 constexpr Duration kForgetReplicaAfter = std::chrono::seconds(30);
 
+// Removes this router's own part from sums of loads.
+void Subtract(const std::map<std::string, EngineLoad>& own_loads, std::vector<EngineLoad>* sums) {
+  for (EngineLoad& sum : *sums) {
+    const auto own = own_loads.find(sum.engine);
+    if (own == own_loads.end() || own->second.incarnation != sum.incarnation) continue;
+    sum.tokens = std::max<std::int64_t>(0, sum.tokens - own->second.tokens);
+    sum.held_tokens = std::max<std::int64_t>(0, sum.held_tokens - own->second.held_tokens);
+  }
+}
+
 }  // namespace
 
 ControlFeed::ControlFeed(ControlFeedOptions options, ControlFeedHooks hooks)
@@ -139,9 +149,11 @@
 
 void ControlFeed::Receive(const Endpoint& /*replica*/, const CacheWanted& /*news*/) {}
 
-void ControlFeed::Receive(const Endpoint& /*replica*/, const LoadNews& news) {
+void ControlFeed::Receive(const Endpoint& replica, const LoadNews& news) {
   for (const RouterLoad& load : news.routers) {
-    if (load.router != options_.router) hooks_.on_load(load);
+    if (load.router != options_.router) continue;
+    auto& own_loads = replicas_[replica].own_loads.emplace();
+    for (const EngineLoad& engine : load.engines) own_loads[engine.engine] = engine;
   }
 }
 
@@ -150,6 +162,14 @@
   if (answer) replicas_[replica].link->Send(FrameKind::kNews, Encode(*answer));
 }
 
+void ControlFeed::Receive(const Endpoint& replica, const HintNews& news) {
+  for (const CacheNews& cache : news.cache) Receive(replica, cache);
+  const auto own_loads = std::exchange(replicas_[replica].own_loads, std::nullopt);
+  RouterLoad others{replica.ToString(), news.loads};
+  if (own_loads) Subtract(*own_loads, &others.engines);
+  hooks_.on_load(others, news.routers - (own_loads ? 1 : 0));
+}
+
 void ControlFeed::ReportSuspects(const SuspectNews& news) {
   const std::string encoded = Encode(news);
   for (const auto& [endpoint, replica] : replicas_) {
--- a/src/kumquatrouter/forwarding/control_feed.h
+++ b/src/kumquatrouter/forwarding/control_feed.h
@@ -42,7 +42,9 @@
   // Returns false if the update can't be applied and the whole contents of its source have to be
   // requested.
   std::function<bool(const CacheNews& news)> on_cache;
-  std::function<void(const RouterLoad& load)> on_load;
+  // Called with what other routers have sent to engines, summed over the `routers` routers that
+  // tell one replica their loads.
+  std::function<void(const RouterLoad& load, std::int64_t routers)> on_load;
   // Returns the summary that is sent to each replica when a link comes up, and every second.
   std::function<SuspectNews()> suspect_summary;
   // Returns what to answer the replica; nullopt for nothing.
@@ -90,6 +92,7 @@
   void Receive(const Endpoint& replica, const CacheWanted& news);
   void Receive(const Endpoint& replica, const LoadNews& news);
   void Receive(const Endpoint& replica, const SuspectNews& news);
+  void Receive(const Endpoint& replica, const HintNews& news);
   FrameLink* LoadRelayLink();
   void DropUnknownReplicas();
 
@@ -101,6 +104,9 @@
     std::unique_ptr<FrameLink> link;
     // When it was last named by a replica or the seeds, or last sent a message itself.
     Instant last_seen_at{0};
+    // What the replica's next sums of loads contain of this router's own, by engine; nullopt if
+    // this router's loads go to another replica.
+    std::optional<std::map<std::string, EngineLoad>> own_loads;
   };
   std::map<Endpoint, Replica> replicas_;
   QTimer hello_timer_;
--- a/src/kumquatrouter/forwarding/forward_server.cpp
+++ b/src/kumquatrouter/forwarding/forward_server.cpp
@@ -64,7 +64,7 @@
              },
              [this](const EngineNews& news) { OnEngines(news); },
              [this](const CacheNews& news) { return cache_parts_.Apply(news); },
-             [this](const RouterLoad& load) { OnPeerLoad(load); },
+             [this](const RouterLoad& load, std::int64_t routers) { OnPeerLoads(load, routers); },
              [this] { return crash_watch_.Summary(); },
              [this](const SuspectNews& news) { return crash_watch_.Receive(news); }}),
       loop_watch_(kSilenceCheckInterval, kLateTimerThreshold) {
@@ -318,14 +318,14 @@
   for (const auto& exchange : exchanges) exchange->OnBackendUnreachable(backend, kSilenceThreshold);
 }
 
-void ForwardServer::OnPeerLoad(const RouterLoad& load) {
+void ForwardServer::OnPeerLoads(const RouterLoad& load, std::int64_t routers) {
   std::vector<SentLoad> loads;
   loads.reserve(load.engines.size());
   for (const EngineLoad& engine : load.engines) {
     loads.push_back(
         {engine.engine, engine.incarnation, engine.tokens, engine.tokens, engine.held_tokens});
   }
-  placement_.PeerSent(load.router, loads, services_.clock());
+  placement_.PeersSent(load.router, routers, loads, services_.clock());
 }
 
 void ForwardServer::ReportLoad() {
--- a/src/kumquatrouter/forwarding/forward_server.h
+++ b/src/kumquatrouter/forwarding/forward_server.h
@@ -49,7 +49,7 @@
   void OnDocument(const Document& document);
   void OnMember(const MemberRecord& record);
   void OnEngines(const EngineNews& news);
-  void OnPeerLoad(const RouterLoad& load);
+  void OnPeerLoads(const RouterLoad& load, std::int64_t routers);
   void ReportLoad();
   void MoveAwayFrom(const BackendChoice& backend);
   void CheckSilentBackends();
--- a/src/libs/coordination/forwarding/prompt_placement.h
+++ b/src/libs/coordination/forwarding/prompt_placement.h
@@ -120,9 +120,10 @@
   // Returns what to report to the other routers now (PlacementPolicy::TakeSentLoads). Must be
   // reported even if it is empty.
   std::vector<SentLoad> TakeSentLoads(Instant now) { return policy_.TakeSentLoads(now); }
-  // Applies a report of the loads that another router has sent to engines.
-  void PeerSent(std::string_view router, std::span<const SentLoad> loads, Instant now) {
-    policy_.PeerSent(router, loads, now);
+  // Applies a report of the loads that a group of other routers has sent to engines.
+  void PeersSent(std::string_view group, std::int64_t routers, std::span<const SentLoad> loads,
+                 Instant now) {
+    policy_.PeersSent(group, routers, loads, now);
   }
   // Sets the number of routers that share the engines.
   void SetRouters(std::int64_t routers) { policy_.SetRouters(routers); }
--- a/src/libs/coordination/placement/placement.cpp
+++ b/src/libs/coordination/placement/placement.cpp
@@ -176,9 +176,9 @@
   return tracker_->TakeSentLoads(now);
 }
 
-void PlacementPolicy::PeerSent(std::string_view router, std::span<const SentLoad> loads,
-                               Instant now) {
-  tracker_->PeerSent(router, loads, now);
+void PlacementPolicy::PeersSent(std::string_view group, std::int64_t routers,
+                                std::span<const SentLoad> loads, Instant now) {
+  tracker_->PeersSent(group, routers, loads, now);
 }
 
 void PlacementPolicy::RemoveEngine(std::string_view backend_id) {
--- a/src/libs/coordination/placement/placement.h
+++ b/src/libs/coordination/placement/placement.h
@@ -140,7 +140,13 @@
   std::vector<SentLoad> TakeSentLoads(Instant now);
 
   // Another router sent the result of its TakeSentLoads().
-  void PeerSent(std::string_view router, std::span<const SentLoad> loads, Instant now);
+  void PeerSent(std::string_view router, std::span<const SentLoad> loads, Instant now) {
+    PeersSent(router, 1, loads, now);
+  }
+
+  // The same for a group of `routers` other routers, whose loads are summed.
+  void PeersSent(std::string_view group, std::int64_t routers, std::span<const SentLoad> loads,
+                 Instant now);
 
   // Removes an engine that will not come back.
   void RemoveEngine(std::string_view backend_id);
--- a/src/libs/coordination/placement/placement_tracker.cpp
+++ b/src/libs/coordination/placement/placement_tracker.cpp
@@ -152,11 +152,12 @@
   return loads;
 }
 
-void PlacementTracker::PeerSent(std::string_view router, std::span<const SentLoad> loads,
-                                Instant now) {
-  auto found = peers_.find(router);
-  if (found == peers_.end()) found = peers_.emplace(router, Peer{}).first;
+void PlacementTracker::PeersSent(std::string_view group, std::int64_t routers,
+                                 std::span<const SentLoad> loads, Instant now) {
+  auto found = peers_.find(group);
+  if (found == peers_.end()) found = peers_.emplace(group, Peer{}).first;
   Peer& peer = found->second;
+  peer.routers = routers;
   if (!peer.IsActive(now)) peer.loads.clear();
   peer.received_at = now;
   for (const SentLoad& load : loads) {
@@ -177,8 +178,10 @@
 // Returns the share of the other routers whose load is unknown and has to be estimated.
 double PlacementTracker::UnknownRouterShare(Instant now) const {
   if (routers_ <= 1) return 0;
-  const auto active = std::count_if(peers_.begin(), peers_.end(),
-                                    [&](const auto& entry) { return entry.second.IsActive(now); });
+  std::int64_t active = 0;
+  for (const auto& [group, peer] : peers_) {
+    if (peer.IsActive(now)) active += peer.routers;
+  }
   return std::max(0.0, 1 - static_cast<double>(active) / static_cast<double>(routers_ - 1));
 }
 
--- a/src/libs/coordination/placement/placement_tracker.h
+++ b/src/libs/coordination/placement/placement_tracker.h
@@ -43,7 +43,8 @@
   void RemoveEngine(std::string_view backend_id);
 
   std::vector<SentLoad> TakeSentLoads(Instant now);
-  void PeerSent(std::string_view router, std::span<const SentLoad> loads, Instant now);
+  void PeersSent(std::string_view group, std::int64_t routers, std::span<const SentLoad> loads,
+                 Instant now);
 
  private:
   // One of this router's own dispatches, kept until a report was measured after its end.
@@ -91,8 +92,9 @@
     Instant received_at{};
   };
 
-  // Another router, with the loads that it last sent.
+  // Other routers, one or a group, with the loads that they last sent.
   struct Peer {
+    std::int64_t routers = 1;
     Instant received_at{};
     ByName<PeerLoad> loads;
 
--- a/src/libs/protocol/control_news.cpp
+++ b/src/libs/protocol/control_news.cpp
@@ -173,16 +173,30 @@
   return items.size() == 2;
 }
 
+QCborValue ToCbor(const std::vector<EngineLoad>& loads) {
+  QCborArray engines;
+  for (const EngineLoad& load : loads) {
+    engines.append(QCborArray{Bytes(load.engine), static_cast<qint64>(load.incarnation),
+                              static_cast<qint64>(load.tokens),
+                              static_cast<qint64>(load.held_tokens)});
+  }
+  return engines;
+}
+
+std::vector<EngineLoad> EngineLoadsFrom(const QCborValue& value) {
+  std::vector<EngineLoad> loads;
+  for (const QCborValue item : value.toArray()) {
+    const QCborArray load = item.toArray();
+    loads.push_back({ToText(load.at(0)), load.at(1).toInteger(), load.at(2).toInteger(),
+                     load.at(3).toInteger()});
+  }
+  return loads;
+}
+
 QCborValue ToCbor(const LoadNews& news) {
   QCborArray routers;
   for (const RouterLoad& router : news.routers) {
-    QCborArray engines;
-    for (const EngineLoad& load : router.engines) {
-      engines.append(QCborArray{Bytes(load.engine), static_cast<qint64>(load.incarnation),
-                                static_cast<qint64>(load.tokens),
-                                static_cast<qint64>(load.held_tokens)});
-    }
-    routers.append(QCborArray{Bytes(router.router), engines});
+    routers.append(QCborArray{Bytes(router.router), ToCbor(router.engines)});
   }
   return QCborArray{routers};
 }
@@ -190,13 +204,7 @@
 bool FromCbor(const QCborArray& items, LoadNews* news) {
   for (const QCborValue item : items.at(0).toArray()) {
     const QCborArray fields = item.toArray();
-    RouterLoad& router = news->routers.emplace_back();
-    router.router = ToText(fields.at(0));
-    for (const QCborValue load_item : fields.at(1).toArray()) {
-      const QCborArray load = load_item.toArray();
-      router.engines.push_back({ToText(load.at(0)), load.at(1).toInteger(), load.at(2).toInteger(),
-                                load.at(3).toInteger()});
-    }
+    news->routers.push_back({ToText(fields.at(0)), EngineLoadsFrom(fields.at(1))});
   }
   return items.size() == 1;
 }
@@ -258,6 +266,21 @@
   return true;
 }
 
+QCborValue ToCbor(const HintNews& news) {
+  QCborArray cache;
+  for (const CacheNews& one : news.cache) cache.append(ToCbor(one));
+  return QCborArray{cache, ToCbor(news.loads), static_cast<qint64>(news.routers)};
+}
+
+bool FromCbor(const QCborArray& items, HintNews* news) {
+  for (const QCborValue item : items.at(0).toArray()) {
+    if (!FromCbor(item.toArray(), &news->cache.emplace_back())) return false;
+  }
+  news->loads = EngineLoadsFrom(items.at(1));
+  news->routers = items.at(2).toInteger();
+  return items.size() == 3;
+}
+
 // Reads the alternative with this number, which is its place in the variant.
 template <std::size_t Index = 0>
 bool AlternativeFromCbor(qint64 number, const QCborArray& items, ControlNews* news) {
--- a/src/libs/protocol/control_news.h
+++ b/src/libs/protocol/control_news.h
@@ -131,7 +131,7 @@
   bool operator==(const RouterLoad&) const = default;
 };
 
-// A router tells one replica its own load, and each replica tells all routers what it was told.
+// A router tells one replica its own load, and the replica tells it what it has of it.
 struct LoadNews {
   std::vector<RouterLoad> routers;
 
@@ -151,9 +151,22 @@
   bool operator==(const SuspectNews&) const = default;
 };
 
+// What changed since a replica's last message of this kind: of cached parts, at most one piece of
+// news a source, unless some between are missing; of loads, one sum an engine.
+struct HintNews {
+  std::vector<CacheNews> cache;
+  // What the routers that tell this replica their loads have sent to an engine, the receiver
+  // included. LoadNews, sent before this message, tells the receiver what of it is its own.
+  std::vector<EngineLoad> loads;
+  // How many routers these sums cover.
+  std::int64_t routers = 0;
+
+  bool operator==(const HintNews&) const = default;
+};
+
 // New alternatives are added at the end, as their index identifies them in messages.
 using ControlNews = std::variant<RouterHello, DocumentNews, MemberNews, FleetNews, EngineNews,
-                                 CacheNews, CacheWanted, LoadNews, SuspectNews>;
+                                 CacheNews, CacheWanted, LoadNews, SuspectNews, HintNews>;
 
 std::string Encode(const ControlNews& news);
 
--- a/src/libs/transport/frame_link.h
+++ b/src/libs/transport/frame_link.h
@@ -50,6 +50,9 @@
  public:
   virtual ~FrameConnection() = default;
   virtual void Send(FrameKind kind, std::string_view payload) = 0;
+
+  // Returns the bytes of frames that the system hasn't taken yet; 0 when the connection is closed.
+  virtual std::int64_t waiting_bytes() const = 0;
 };
 
 // Accepts connections from other processes.
--- a/src/libs/transport/frame_server.cpp
+++ b/src/libs/transport/frame_server.cpp
@@ -22,6 +22,11 @@
     if (open && !open->Send(kind, payload)) on_refused(open);
   }
 
+  std::int64_t waiting_bytes() const override {
+    const auto open = socket.lock();
+    return open ? open->waiting_bytes() : 0;
+  }
+
   // Gone when the connection is closed, and with the server.
   std::weak_ptr<FrameSocket> socket;
   std::function<void(const std::shared_ptr<FrameSocket>& socket)> on_refused;
--- a/src/libs/transport/frame_socket.h
+++ b/src/libs/transport/frame_socket.h
@@ -42,6 +42,9 @@
   // Returns whether the peer has sent a whole frame.
   bool heard() const { return heard_; }
 
+  // Returns the bytes that the system hasn't taken yet.
+  std::int64_t waiting_bytes() const { return closed_ ? 0 : socket_->bytesToWrite(); }
+
   std::int64_t bytes_transferred() const { return bytes_transferred_; }
 
  private:
--- a/tests/kumquatcontrol/router_desk_test.cpp
+++ b/tests/kumquatcontrol/router_desk_test.cpp
@@ -14,6 +14,8 @@
  public:
   void Send(FrameKind /*kind*/, std::string_view payload) override { sent.emplace_back(payload); }
 
+  std::int64_t waiting_bytes() const override { return 0; }
+
   std::vector<std::string> sent;
 };
 
--- a/tests/libs/protocol/control_news_test.cpp
+++ b/tests/libs/protocol/control_news_test.cpp
@@ -33,6 +33,10 @@
   suspects.condemned_hash = 0xfedcba9876543210;
   suspects.entries = {{{std::string("\0digest", 7), 2}, {{1, Duration(5)}, {9, Duration(7)}}, {}},
                       {{"cleared", kRequestDepth}, {}, std::chrono::milliseconds(3)}};
+  HintNews hints;
+  hints.cache = {cache, cache};
+  hints.loads = {{"e1", 4, 9000, 20'000}, {"e2", 1, 0, 0}};
+  hints.routers = 59;
   return {hello,
           DocumentNews{{{"routing", 7, std::string("\0bytes", 6)}}},
           MemberNews{"c1", "{}"},
@@ -41,7 +45,8 @@
           cache,
           CacheWanted{"r1", "e1"},
           loads,
-          suspects};
+          suspects,
+          hints};
 }
 
 TEST_CASE("News survive their encoding") {
