Changed backend servers are told to routers at a bounded pace, merged

Cause: each replica told each changed backend server to every router in a message of its own. 245 servers that start, or engines that load weights one after the other, cost servers x routers messages a replica, in front of everything else.

Change: MemberFlood. A single change goes out at once, as before; beyond member_messages_per_second (2,000, over all routers) changes wait for some 100 ms and go out in one message for each router. Digest exchanges with one router and gossip among replicas are as before.

Virtual-time test: 250 servers that start within a second cost 300 routers under 4,000 messages in 4 s instead of 75,000, and every change is told within 250 ms; a single change at once. The test is of the new class; the old code had none to test.

--- a/src/kumquatcontrol/control_node.cpp
+++ b/src/kumquatcontrol/control_node.cpp
@@ -82,6 +82,10 @@
       suspects_(SteadyClock()),
       rpc_(MakeRpcServer()),
       backend_client_(MakeHttpBackendClient()),
+      member_flood_(options_.member_messages_per_second,
+                    [this](std::span<const std::string> routers, const GossipMessage& message) {
+                      SendToRouters(routers, EncodeGossip(message));
+                    }),
       hints_(options_.hints,
              {[this](const std::string& router) { return desk_.WaitingBytes(router); },
               [this](const std::string& router, std::string_view news) {
@@ -408,7 +412,9 @@
 // One tick's news go out together: each router is woken once for all of them.
 void ControlNode::TellRouters() {
   if (const auto suspects = suspects_.TakeNews()) desk_.SendAll(*suspects);
-  hints_.Flush(desk_.LiveRouters(), SteadyClock()());
+  const std::vector<std::string> routers = desk_.LiveRouters();
+  member_flood_.Flush(routers, SteadyClock()());
+  hints_.Flush(routers, SteadyClock()());
 }
 
 void ControlNode::MeasureHints() {
@@ -445,15 +451,30 @@
   directory_.SetNeighbours(std::move(neighbours));
 }
 
+// What changed goes to all neighbours; to routers at a bounded pace, as they are many.
 void ControlNode::SendGossip(std::span<const std::string> to, const GossipMessage& message) {
-  const std::string news = Encode(MemberNews{options_.log_name(), ToJsonText(ToJson(message))});
+  std::vector<std::string> routers;
+  std::vector<std::string> replicas;
   for (const std::string& process : to) {
     if (process.starts_with(kRouterPrefix)) {
-      desk_.SendEncoded(process.substr(kRouterPrefix.size()), news);
+      routers.push_back(process.substr(kRouterPrefix.size()));
     } else {
-      links_.Send(process, FrameKind::kNews, news);
+      replicas.push_back(process);
     }
   }
+  const bool is_flood = routers.size() > 1;
+  if (is_flood) member_flood_.Add(message.records, routers, SteadyClock()());
+  const std::string news = EncodeGossip(message);
+  for (const std::string& replica : replicas) links_.Send(replica, FrameKind::kNews, news);
+  if (!is_flood) SendToRouters(routers, news);
+}
+
+void ControlNode::SendToRouters(std::span<const std::string> routers, std::string_view news) {
+  for (const std::string& router : routers) desk_.SendEncoded(router, news);
+}
+
+std::string ControlNode::EncodeGossip(const GossipMessage& message) const {
+  return Encode(MemberNews{options_.log_name(), ToJsonText(ToJson(message))});
 }
 
 void ControlNode::AnnounceRevision(std::int64_t revision) {
--- a/src/kumquatcontrol/control_node.h
+++ b/src/kumquatcontrol/control_node.h
@@ -19,6 +19,7 @@
 #include "coordination/orders/named_weights.h"
 #include "engine_codec.h"
 #include "engine_operator.h"
+#include "member_flood.h"
 #include "protocol/control_news.h"
 #include "replica_links.h"
 #include "router_desk.h"
@@ -53,6 +54,8 @@
   bool engines_check_fences = false;
   WeightsRolloutOptions rollout;
   HintLimits hints;
+  // Messages a second, to all routers together, about changed backend servers.
+  std::int64_t member_messages_per_second = 2000;
 
   bool is_open() const { return !seeds.empty(); }
   std::string log_name() const { return is_open() ? listen.ToString() : instance; }
@@ -106,6 +109,8 @@
   std::vector<std::string> OtherReplicas() const;
   void UpdateNeighbours();
   void SendGossip(std::span<const std::string> to, const GossipMessage& message);
+  void SendToRouters(std::span<const std::string> routers, std::string_view news);
+  std::string EncodeGossip(const GossipMessage& message) const;
   void AnnounceRevision(std::int64_t revision);
   void SendOrder(const Announcement& engine, const EngineOrder& order);
   void OrderEnded(std::int64_t fencing_number, std::string_view outcome);
@@ -140,6 +145,7 @@
   std::unique_ptr<StoreWatch> stores_;
   std::unique_ptr<CacheKeeper> cache_keeper_;
   std::vector<Endpoint> store_endpoints_;
+  MemberFlood member_flood_;
   HintOutbox hints_;
   // How much of the outbox's counts the metrics have.
   HintCounts measured_hints_;
--- a/src/kumquatcontrol/main.cpp
+++ b/src/kumquatcontrol/main.cpp
@@ -84,6 +84,8 @@
       "engines_check_fences", &node.engines_check_fences,
       "Whether engines of the users' platform refuse an order under an older fencing number; "
       "then a new leader doesn't wait for the lease of one that is dead.");
+  reader->Add("member_messages_per_second", &node.member_messages_per_second, {10, 1'000'000},
+              "Messages a second, to all routers together, about changed backend servers.");
   reader->Add("hint_messages_per_second", &node.hints.messages_per_second, {10, 1'000'000},
               "Messages a second, to all routers together, about cached parts and loads.");
   reader->Add("hint_bytes_per_second", &node.hints.bytes_per_second, {10'000, 1'000'000'000},
