Routers say which parts they place by, and are told of those only; new ones get the whole state

Cause: most parts that engines report are a request's own and are never used for placing, but each was told to every router.

A replica passes on changes of wanted parts (WantedParts), joined on by the sources' numbers so that receivers see no gap; parts that become wanted are told at once. A router that is new, or lags behind the kept changes, gets the whole state in one message instead of asking source by source. A replica that keeps many sources reads each less often (400 reads a second in all).

--- a/src/kumquatcontrol/cache_keeper.cpp
+++ b/src/kumquatcontrol/cache_keeper.cpp
@@ -15,6 +15,8 @@
 // Between the end of one read and the next one: events of this long are told together.
 constexpr std::chrono::milliseconds kReadPause{120};
 constexpr std::chrono::milliseconds kFailedReadPause{600};
+// A replica that keeps many sources reads each of them less often.
+constexpr std::int64_t kMaxReadsPerSecond = 400;
 
 }  // namespace
 
@@ -43,6 +45,11 @@
   }
 }
 
+std::chrono::milliseconds CacheKeeper::ReadPause() const {
+  const auto sources = static_cast<std::int64_t>(kept_.size());
+  return std::max(kReadPause, std::chrono::milliseconds(1000 * sources / kMaxReadsPerSecond));
+}
+
 void CacheKeeper::Read(const std::string& source) {
   Kept& kept = kept_.at(source);
   const std::int64_t number = ++last_number_;
@@ -64,7 +71,7 @@
   if (found == kept_.end() || found->second.number != number) return;
   Kept& kept = found->second;
   const bool tells = events && events->epoch != 0;
-  kept.timer->start(tells ? kReadPause : kFailedReadPause);
+  kept.timer->start(tells ? ReadPause() : kFailedReadPause);
   if (!tells) return;
   if (std::exchange(kept.wants_list, false)) {
     TakeList(source, &kept, *events);
@@ -137,4 +144,25 @@
   return news;
 }
 
+std::vector<CacheNews> CacheKeeper::Snapshots() const {
+  std::vector<CacheNews> snapshots;
+  for (const auto& [source, kept] : kept_) {
+    if (auto snapshot = Snapshot(source)) snapshots.push_back(std::move(*snapshot));
+  }
+  return snapshots;
+}
+
+std::vector<CacheNews> CacheKeeper::HoldersOf(std::span<const std::uint64_t> keys) const {
+  std::vector<CacheNews> holders;
+  for (const auto& [source, kept] : kept_) {
+    CacheNews news{source, kept.epoch, kept.next, kept.next, false, {}};
+    for (const std::uint64_t key : keys) {
+      const auto held = kept.held.find(key);
+      if (held != kept.held.end()) news.changes.push_back({key, held->second});
+    }
+    if (!news.changes.empty()) holders.push_back(std::move(news));
+  }
+  return holders;
+}
+
 }  // namespace kumquat
--- a/src/kumquatcontrol/cache_keeper.h
+++ b/src/kumquatcontrol/cache_keeper.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -55,6 +56,12 @@
   // Returns all that is known of the source; nothing when this replica doesn't keep it.
   std::optional<CacheNews> Snapshot(const std::string& source) const;
 
+  // Returns the same of all sources that this replica keeps.
+  std::vector<CacheNews> Snapshots() const;
+
+  // Returns which sources hold which of these parts, as of the last event of each.
+  std::vector<CacheNews> HoldersOf(std::span<const std::uint64_t> keys) const;
+
  private:
   struct Kept {
     Endpoint endpoint;
@@ -70,6 +77,7 @@
     std::unique_ptr<QTimer> timer;
   };
 
+  std::chrono::milliseconds ReadPause() const;
   void Read(const std::string& source);
   void Answered(const std::string& source, std::int64_t number,
                 const std::optional<PartEvents>& events);
--- a/src/kumquatcontrol/control_node.cpp
+++ b/src/kumquatcontrol/control_node.cpp
@@ -90,7 +90,8 @@
              {[this](const std::string& router) { return desk_.WaitingBytes(router); },
               [this](const std::string& router, std::string_view news) {
                 desk_.SendEncoded(router, news);
-              }}) {
+              },
+              [this] { return WholeCache(); }}) {
   service_.AddMethods(rpc_.get());
   server_ =
       MakeFrameServer([this](const std::shared_ptr<FrameConnection>& connection, FrameKind kind,
@@ -109,7 +110,7 @@
                                            [this] { desk_.PushFleet(); });
     cache_keeper_ =
         std::make_unique<CacheKeeper>(*hooks_.cache_codec, backend_client_.get(),
-                                      [this](const CacheNews& news) { hints_.AddCache(news); });
+                                      [this](const CacheNews& news) { PublishCache(news); });
   }
   flush_.setSingleShot(true);
   restart_.setSingleShot(true);
@@ -340,8 +341,11 @@
   } else if (const auto* load = std::get_if<LoadNews>(&*news)) {
     for (const RouterLoad& one : load->routers) hints_.AddLoad(one, SteadyClock()());
   } else if (const auto* wanted = std::get_if<CacheWanted>(&*news)) {
-    const auto snapshot = cache_keeper_ ? cache_keeper_->Snapshot(wanted->source) : std::nullopt;
+    auto snapshot = cache_keeper_ ? cache_keeper_->Snapshot(wanted->source) : std::nullopt;
+    if (snapshot) snapshot = wanted_parts_.Pass(std::move(*snapshot));
     if (snapshot) hints_.SendSnapshot(wanted->router, *snapshot, SteadyClock()());
+  } else if (const auto* parts = std::get_if<PartsWanted>(&*news)) {
+    OnPartsWanted(*parts);
   } else if (const auto* suspects = std::get_if<SuspectNews>(&*news)) {
     const auto answer = suspects_.Receive(*suspects);
     if (answer) desk_.Send(suspects->router, *answer);
@@ -417,6 +421,25 @@
   hints_.Flush(routers, SteadyClock()());
 }
 
+void ControlNode::PublishCache(const CacheNews& news) {
+  if (auto wanted = wanted_parts_.Pass(news)) hints_.AddCache(std::move(*wanted));
+}
+
+void ControlNode::OnPartsWanted(const PartsWanted& wanted) {
+  const auto added = wanted_parts_.Note(wanted.keys, SteadyClock()());
+  if (added.empty() || !cache_keeper_) return;
+  for (const CacheNews& holder : cache_keeper_->HoldersOf(added)) PublishCache(holder);
+}
+
+std::vector<CacheNews> ControlNode::WholeCache() {
+  std::vector<CacheNews> whole;
+  if (!cache_keeper_) return whole;
+  for (CacheNews& snapshot : cache_keeper_->Snapshots()) {
+    if (auto wanted = wanted_parts_.Pass(std::move(snapshot))) whole.push_back(std::move(*wanted));
+  }
+  return whole;
+}
+
 void ControlNode::MeasureHints() {
   const HintCounts& now = hints_.counts();
   const auto count = [this](std::string_view name, std::int64_t total, std::int64_t before) {
@@ -428,6 +451,7 @@
   count("kumquat_hint_allowance_used_up_total", now.allowance_used_up,
         measured_hints_.allowance_used_up);
   count("kumquat_hint_changes_dropped_total", now.dropped, measured_hints_.dropped);
+  metrics_.Set("kumquat_parts_wanted", {}, static_cast<double>(wanted_parts_.size()));
   metrics_.Set("kumquat_hint_kept_bytes", {}, static_cast<double>(hints_.kept_bytes()));
   measured_hints_ = now;
 }
--- a/src/kumquatcontrol/control_node.h
+++ b/src/kumquatcontrol/control_node.h
@@ -14,6 +14,7 @@
 #include "cache_keeper.h"
 #include "control_api.h"
 #include "coordination/hints/hint_outbox.h"
+#include "coordination/hints/wanted_parts.h"
 #include "coordination/log/replicated_log.h"
 #include "coordination/membership/backend_directory.h"
 #include "coordination/orders/named_weights.h"
@@ -123,6 +124,12 @@
   void WatchStores(const Document& routing);
   void ShareCacheSources();
   void TellRouters();
+  // Tells routers of the changes of wanted parts.
+  void PublishCache(const CacheNews& news);
+  // A router wants these parts; what is known of those that nobody wanted before is told to all.
+  void OnPartsWanted(const PartsWanted& wanted);
+  // Returns the wanted parts of all sources that this replica keeps.
+  std::vector<CacheNews> WholeCache();
   void MeasureHints();
 
   ControlNodeOptions options_;
@@ -146,6 +153,7 @@
   std::unique_ptr<CacheKeeper> cache_keeper_;
   std::vector<Endpoint> store_endpoints_;
   MemberFlood member_flood_;
+  WantedParts wanted_parts_;
   HintOutbox hints_;
   // How much of the outbox's counts the metrics have.
   HintCounts measured_hints_;
--- a/src/kumquatrouter/forwarding/control_feed.cpp
+++ b/src/kumquatrouter/forwarding/control_feed.cpp
@@ -170,7 +170,15 @@
   hooks_.on_load(others, news.routers - (own_loads ? 1 : 0));
 }
 
-void ControlFeed::ReportSuspects(const SuspectNews& news) {
+void ControlFeed::Receive(const Endpoint& /*replica*/, const PartsWanted& /*news*/) {}
+
+void ControlFeed::ReportInterest(const std::vector<std::uint64_t>& keys) {
+  SendToAll(PartsWanted{keys});
+}
+
+void ControlFeed::ReportSuspects(const SuspectNews& news) { SendToAll(news); }
+
+void ControlFeed::SendToAll(const ControlNews& news) {
   const std::string encoded = Encode(news);
   for (const auto& [endpoint, replica] : replicas_) {
     if (replica.link->connected()) replica.link->Send(FrameKind::kNews, encoded);
--- a/src/kumquatrouter/forwarding/control_feed.h
+++ b/src/kumquatrouter/forwarding/control_feed.h
@@ -72,6 +72,9 @@
   // Dropped if no replica is connected.
   void ReportLoad(const std::vector<EngineLoad>& engines);
 
+  // Reports to all connected replicas the keys of parts that requests are placed by.
+  void ReportInterest(const std::vector<std::uint64_t>& keys);
+
   // Reports suspects to all connected replicas, which pass them on to the other routers.
   void ReportSuspects(const SuspectNews& news);
 
@@ -93,6 +96,8 @@
   void Receive(const Endpoint& replica, const LoadNews& news);
   void Receive(const Endpoint& replica, const SuspectNews& news);
   void Receive(const Endpoint& replica, const HintNews& news);
+  void Receive(const Endpoint& replica, const PartsWanted& news);
+  void SendToAll(const ControlNews& news);
   FrameLink* LoadRelayLink();
   void DropUnknownReplicas();
 
--- a/src/kumquatrouter/forwarding/forward_server.cpp
+++ b/src/kumquatrouter/forwarding/forward_server.cpp
@@ -331,6 +331,8 @@
 void ForwardServer::ReportLoad() {
   crash_watch_.ReportChanges();
   const Instant now = services_.clock();
+  const std::vector<std::uint64_t> keys = placement_.TakeInterest();
+  if (!keys.empty()) feed_.ReportInterest(keys);
   std::vector<EngineLoad> engines;
   for (const SentLoad& load : placement_.TakeSentLoads(now)) {
     engines.push_back({load.backend_id, load.incarnation, load.tokens, load.held_tokens});
--- a/src/libs/coordination/forwarding/part_index.cpp
+++ b/src/libs/coordination/forwarding/part_index.cpp
@@ -15,8 +15,9 @@
   Source& source = sources_[news.source];
   const bool is_new_epoch = news.epoch != source.epoch;
   const bool is_whole = news.is_snapshot || news.from == 0;
-  // Another replica may have reported these events already.
-  if (!is_new_epoch && news.next <= source.next) return true;
+  // Another replica may have reported these events already. Parts that became wanted are reported
+  // as of the last event, without a new one.
+  if (!is_new_epoch && news.next < source.next) return true;
   if (!is_whole && (is_new_epoch || news.from > source.next)) return false;
   if (is_whole) {
     source.held.clear();
--- a/src/libs/coordination/forwarding/prompt_placement.cpp
+++ b/src/libs/coordination/forwarding/prompt_placement.cpp
@@ -112,6 +112,9 @@
 PromptChoice PromptPlacement::Choose(const Prompt& prompt, const PromptContext& setting,
                                      std::span<PooledBackend* const> backends, Instant now) {
   const HoldingsByVersion by_version = FindHoldings(prompt, setting, backends, now);
+  for (const auto& [version, holdings] : by_version) {
+    for (const KeyedPart& part : holdings.parts) interest_.Use(part.key, now);
+  }
   std::vector<Candidate> candidates;
   candidates.reserve(backends.size());
   for (const PooledBackend* backend : backends) {
--- a/src/libs/coordination/forwarding/prompt_placement.h
+++ b/src/libs/coordination/forwarding/prompt_placement.h
@@ -20,6 +20,7 @@
 
 #include "coordination/forwarding/backend_pool.h"
 #include "coordination/forwarding/part_index.h"
+#include "coordination/hints/wanted_parts.h"
 #include "coordination/orders/named_weights.h"
 #include "coordination/placement/placement.h"
 #include "utils/hooks.h"
@@ -114,6 +115,10 @@
   // Records that the request is sent as chosen. Returns the id for FirstEvent and Ended.
   DispatchId Sent(const PromptChoice& choice, Instant now);
 
+  // Returns the keys of parts that requests are placed by and that the replicas have to be told
+  // now.
+  std::vector<std::uint64_t> TakeInterest() { return interest_.Take(); }
+
   void FirstEvent(DispatchId dispatch, Instant now) { policy_.FirstToken(dispatch, now); }
   void Ended(DispatchId dispatch, Instant now) { policy_.Finished(dispatch, now); }
 
@@ -149,6 +154,7 @@
   PromptPlacementOptions options_;
   const NamedWeights* named_weights_;
   PartIndex* index_;
+  PartInterest interest_;
   PlacementPolicy policy_;
   // When the shared parts of a prompt were last saved, by SaveKey.
   std::unordered_map<std::uint64_t, Instant> saved_at_;
--- a/src/libs/coordination/hints/hint_outbox.cpp
+++ b/src/libs/coordination/hints/hint_outbox.cpp
@@ -11,6 +11,8 @@
 constexpr Duration kLoadLifetime = std::chrono::milliseconds(1500);
 // Allowance that wasn't used is kept for this long.
 constexpr Duration kBurst = std::chrono::milliseconds(100);
+// The number of a router that has been told nothing.
+constexpr std::int64_t kNothing = -1;
 constexpr std::int64_t kBytesPerChange = 12;
 constexpr std::int64_t kBytesPerNews = 48;
 
@@ -60,6 +62,7 @@
   changes_.push_back({++last_number_, std::move(news)});
   while (kept_bytes_ > limits_.max_kept_bytes && changes_.size() > 1) {
     kept_bytes_ -= SizeOf(changes_.front().news);
+    dropped_number_ = changes_.front().number;
     changes_.pop_front();
     ++counts_.dropped;
   }
@@ -91,6 +94,7 @@
   std::map<std::int64_t, std::string> encoded_since;
   for (const std::string& router : order) {
     std::int64_t& told = told_.at(router);
+    if (told < dropped_number_) told = kNothing;
     if (told == last_number_) continue;
     if (!messages_.has_any() || !bytes_.has_any()) {
       ++counts_.allowance_used_up;
@@ -140,7 +144,7 @@
   std::map<std::string, std::int64_t> told;
   for (const std::string& router : routers) {
     const auto known = told_.find(router);
-    told[router] = known != told_.end() ? known->second : last_number_;
+    told[router] = known != told_.end() ? known->second : kNothing;
   }
   told_ = std::move(told);
 }
@@ -185,7 +189,11 @@
 
 HintNews HintOutbox::NewsSince(std::int64_t number) const {
   HintNews news;
-  AddCacheSince(number, &news);
+  if (number == kNothing) {
+    news.cache = hooks_.whole();
+  } else {
+    AddCacheSince(number, &news);
+  }
   AddLoadsSince(number, &news);
   return news;
 }
--- a/src/libs/coordination/hints/hint_outbox.h
+++ b/src/libs/coordination/hints/hint_outbox.h
@@ -28,7 +28,7 @@
   // A router whose link holds more unsent bytes than this gets no hints until it has read them.
   std::int64_t max_waiting_bytes = 64 * 1024;
   // Bytes of changes of cached parts that are kept for routers that lag behind. One that lags
-  // further asks for the whole contents of the sources whose changes it missed.
+  // further is told the whole contents of all sources.
   std::int64_t max_kept_bytes = 2 * 1024 * 1024;
 };
 
@@ -36,6 +36,8 @@
   // Returns the unsent bytes on the router's link.
   std::function<std::int64_t(const std::string& router)> waiting_bytes;
   std::function<void(const std::string& router, std::string_view encoded)> send;
+  // Returns the whole contents of all sources.
+  std::function<std::vector<CacheNews>()> whole;
 };
 
 // What the outbox did since its start.
@@ -61,7 +63,8 @@
   void AddLoad(const RouterLoad& load, Instant now);
 
   // Tells the routers what they haven't been told, in turn, as far as the limits allow. A router
-  // that wasn't among `routers` before is told what changes from now on.
+  // that wasn't among `routers` before, or lags behind the changes that are kept, is told the whole
+  // state.
   void Flush(const std::vector<std::string>& routers, Instant now);
 
   // Sends the whole contents of a source that a router asked for. Returns false when the limits
@@ -118,6 +121,8 @@
   // The number of the newest change.
   std::int64_t last_number_ = 0;
   std::deque<Change> changes_;
+  // The number of the newest change that was dropped before all routers had been told.
+  std::int64_t dropped_number_ = 0;
   std::int64_t kept_bytes_ = 0;
   std::map<std::string, Engine> engines_;
   std::map<std::string, Sender> senders_;
--- a/src/libs/protocol/control_news.cpp
+++ b/src/libs/protocol/control_news.cpp
@@ -281,6 +281,26 @@
   return items.size() == 3;
 }
 
+// Keys stand in one byte string, the lowest byte first.
+QCborValue ToCbor(const PartsWanted& wanted) {
+  QByteArray bytes(static_cast<qsizetype>(wanted.keys.size() * sizeof(quint64)), Qt::Uninitialized);
+  char* out = bytes.data();
+  for (const std::uint64_t key : wanted.keys) {
+    qToLittleEndian(static_cast<quint64>(key), out);
+    out += sizeof(quint64);
+  }
+  return QCborArray{bytes};
+}
+
+bool FromCbor(const QCborArray& items, PartsWanted* wanted) {
+  const QByteArray bytes = items.at(0).toByteArray();
+  constexpr auto kKeyBytes = static_cast<qsizetype>(sizeof(quint64));
+  for (qsizetype at = 0; at + kKeyBytes <= bytes.size(); at += kKeyBytes) {
+    wanted->keys.push_back(qFromLittleEndian<quint64>(bytes.constData() + at));
+  }
+  return items.size() == 1 && items.at(0).isByteArray() && bytes.size() % kKeyBytes == 0;
+}
+
 // Reads the alternative with this number, which is its place in the variant.
 template <std::size_t Index = 0>
 bool AlternativeFromCbor(qint64 number, const QCborArray& items, ControlNews* news) {
--- a/src/libs/protocol/control_news.h
+++ b/src/libs/protocol/control_news.h
@@ -164,9 +164,19 @@
   bool operator==(const HintNews&) const = default;
 };
 
+// A router tells all replicas by which parts of prompts it places requests; it is told of those
+// only.
+struct PartsWanted {
+  // Their keys, as PartKey gives them.
+  std::vector<std::uint64_t> keys;
+
+  bool operator==(const PartsWanted&) const = default;
+};
+
 // New alternatives are added at the end, as their index identifies them in messages.
-using ControlNews = std::variant<RouterHello, DocumentNews, MemberNews, FleetNews, EngineNews,
-                                 CacheNews, CacheWanted, LoadNews, SuspectNews, HintNews>;
+using ControlNews =
+    std::variant<RouterHello, DocumentNews, MemberNews, FleetNews, EngineNews, CacheNews,
+                 CacheWanted, LoadNews, SuspectNews, HintNews, PartsWanted>;
 
 std::string Encode(const ControlNews& news);
 
--- a/tests/libs/coordination/hints/hint_outbox_test.cpp
+++ b/tests/libs/coordination/hints/hint_outbox_test.cpp
@@ -28,9 +28,11 @@
       : outbox(limits, {[this](const std::string& router) { return waiting[router]; },
                         [this](const std::string& router, std::string_view encoded) {
                           Deliver(router, encoded);
-                        }}) {
+                        },
+                        [this] { return whole; }}) {
     for (int i = 0; i < routers; ++i) names.push_back(fmt::format("r{:03}", i));
     Flush();
+    messages.clear();
   }
 
   void Flush() {
@@ -65,6 +67,8 @@
   std::map<std::string, std::int64_t> covered;
   std::map<std::string, std::int64_t> messages;
   std::map<std::string, Instant> told_at;
+  // The whole contents of all sources.
+  std::vector<CacheNews> whole;
   // Whether what is sent is decoded and applied, or only counted.
   bool applies = true;
   Instant now{seconds(1)};
@@ -200,13 +204,28 @@
   CHECK(fleet.outbox.counts().links_full > 0);
   CHECK(fleet.outbox.counts().dropped > 0);
   fleet.Unblock("r003");
+  fleet.whole = {source.Snapshot()};
   fleet.Flush();
-  CHECK(fleet.wanted["r003"].contains("e1"));
-  CHECK(fleet.outbox.SendSnapshot("r003", source.Snapshot(), fleet.now));
   CHECK(fleet.index["r003"].size() == source.held.size());
   CHECK(fleet.index["r000"].size() == source.held.size());
 }
 
+TEST_CASE("A router that is new is told the whole state, and changes from then on") {
+  Fleet fleet(2, {});
+  std::mt19937_64 random(1);
+  Source source("e1");
+  fleet.outbox.AddCache(source.Change(random, 40));
+  fleet.Flush();
+  fleet.names.emplace_back("r999");
+  fleet.whole = {source.Snapshot()};
+  fleet.Flush();
+  CHECK(fleet.index["r999"].size() == source.held.size());
+  fleet.outbox.AddCache(source.Change(random, 40));
+  fleet.Flush();
+  CHECK(fleet.index["r999"].size() == source.held.size());
+  CHECK(fleet.wanted["r999"].empty());
+}
+
 TEST_CASE("No router is left out when the allowance is too small for all") {
   HintLimits limits;
   limits.messages_per_second = 100;
@@ -214,7 +233,10 @@
   std::mt19937_64 random(1);
   Source source("e1");
   const Instant end = fleet.now + seconds(10);
-  for (; fleet.now < end; fleet.Flush()) fleet.outbox.AddCache(source.Change(random, 1));
+  for (; fleet.now < end; fleet.Flush()) {
+    fleet.outbox.AddCache(source.Change(random, 1));
+    fleet.whole = {source.Snapshot()};
+  }
   std::int64_t all = 0;
   for (const std::string& router : fleet.names) {
     CHECK(fleet.messages[router] >= 18);
--- a/tests/libs/protocol/control_news_test.cpp
+++ b/tests/libs/protocol/control_news_test.cpp
@@ -46,7 +46,8 @@
           CacheWanted{"r1", "e1"},
           loads,
           suspects,
-          hints};
+          hints,
+          PartsWanted{{1, 0xfedcba9876543210}}};
 }
 
 TEST_CASE("News survive their encoding") {
