--- a/tests/process/forwarding/forward_process_test.cpp
+++ b/tests/process/forwarding/forward_process_test.cpp
@@ -354,6 +354,30 @@
   }));
 }
 
+TEST_CASE(
+    "A slow but sound stream is whole; one that sends a byte now and then ends at the time-out") {
+  constexpr std::chrono::milliseconds kTimeout{5000};
+  constexpr std::chrono::milliseconds kMargin{500};
+  ForwardBench bench;
+  StandInServer server("s1", "desk", bench.control());
+  bench.WaitForStatus(0, "/again/look", 200);
+  for (const std::string path : {"/live/stream", "/long/stream"}) {
+    CAPTURE(path);
+    std::string id;
+    server.SetMode(StandInServer::Mode::kStreamsSlowly);
+    const auto slow = bench.Run(0, path, &id);
+    CHECK(slow->ended);
+    CHECK(slow->body == StandInServer::StreamFrom(0));
+    server.SetMode(StandInServer::Mode::kDribbles);
+    QElapsedTimer elapsed_timer;
+    elapsed_timer.start();
+    const auto stalled = bench.Run(0, path, &id);
+    CHECK(elapsed_timer.elapsed() < (kTimeout + kMargin).count());
+    CHECK_FALSE(stalled->ended);
+    CHECK(StandInServer::StreamFrom(0).starts_with(stalled->body));
+  }
+}
+
 TEST_CASE("Configurations put while each replica in turn is down take effect and reach it later") {
   ForwardBench bench;
   StandInServer server("s1", "desk", bench.control());
--- a/tests/process/forwarding/stand_in_server.cpp
+++ b/tests/process/forwarding/stand_in_server.cpp
@@ -10,6 +10,9 @@
 namespace kumquat {
 namespace {
 
+// Far more than a route's time-out lasts for.
+constexpr std::size_t kDribbledBytes = 1000;
+
 constexpr std::chrono::milliseconds kAnnounceInterval{300};
 constexpr int kEventsBeforeBreak = 2;
 // Written events are sent within this time, before their connection is closed.
@@ -176,8 +179,27 @@
     QTimer::singleShot(kTimeToSend, [responder] { responder->Abort(); });
     return;
   }
+  if (mode_ == Mode::kStreamsSlowly) {
+    std::vector<std::string> events;
+    for (int id = after + 1; id <= kEvents; ++id) events.push_back(Event(id));
+    return WriteSlowly(std::move(events), kSlowPause, responder);
+  }
+  if (mode_ == Mode::kDribbles) {
+    responder->Write(Event(after + 1));
+    return WriteSlowly(std::vector<std::string>(kDribbledBytes, ":"), kBytePause, responder);
+  }
   responder->Write(StreamFrom(after));
   responder->End();
 }
 
+void StandInServer::WriteSlowly(std::vector<std::string> pieces, std::chrono::milliseconds pause,
+                                const Responder& responder) {
+  if (pieces.empty()) return responder->End();
+  QTimer::singleShot(pause, &announce_timer_, [this, pieces, pause, responder]() mutable {
+    responder->Write(pieces.front());
+    pieces.erase(pieces.begin());
+    WriteSlowly(std::move(pieces), pause, responder);
+  });
+}
+
 }  // namespace kumquat
--- a/tests/process/forwarding/stand_in_server.h
+++ b/tests/process/forwarding/stand_in_server.h
@@ -23,6 +23,10 @@
     kLosesAnswers,
     // Closes the connection of each stream after two events.
     kBreaksStreams,
+    // Writes an event of each stream, pauses for kSlowPause, and so on to the end.
+    kStreamsSlowly,
+    // Writes the first event of each stream and then a byte of the next one each kBytePause.
+    kDribbles,
     // Accepts streamed requests and never answers them, as if they were queued.
     kHoldsStreams,
     // Answers every request with status 500, without running it.
@@ -72,6 +76,8 @@
 
   static constexpr int kEvents = 6;
   static constexpr std::chrono::milliseconds kDownTime{400};
+  static constexpr std::chrono::milliseconds kSlowPause{700};
+  static constexpr std::chrono::milliseconds kBytePause{100};
 
   // Returns the complete body of a stream that starts after this event; 0 starts at the beginning.
   static std::string StreamFrom(int event);
@@ -82,6 +88,9 @@
   void Handle(const HttpRequest& request, const Responder& responder);
   HttpHeaders Head(const HttpRequest& request) const;
   void Stream(const HttpRequest& request, const Responder& responder);
+  // Writes the pieces with a pause before each, and then ends the answer.
+  void WriteSlowly(std::vector<std::string> pieces, std::chrono::milliseconds pause,
+                   const Responder& responder);
   void Flood(const HttpRequest& request, const Responder& responder);
   bool Crashes(const HttpRequest& request) const;
   void Begin(const HttpRequest& request, const Responder& responder);
