Tables of backend servers are compared by parts, and only the parts that differ are exchanged

While anything changes digests differ most of the time, each replica compares with somebody twice a second and each router with five replicas every second; a link that broke begins so too.

Change: a mismatch sends the digests of 64 parts of the table (by hash of the id); the other side answers with its records in the parts that differ and asks for the sender's. Whole tables are still answered to processes of older versions that ask for them.

--- a/src/libs/coordination/membership/gossip.cpp
+++ b/src/libs/coordination/membership/gossip.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <set>
 
 #include "protocol/json_fields.h"
 
@@ -10,6 +11,26 @@
 namespace {
 
 constexpr std::size_t kMaxRecords = 10'000;
+constexpr int kHexadecimal = 16;
+
+// Reads the digests of a table's parts. Anything but one for each part counts as none.
+std::vector<std::uint64_t> BucketsFrom(const QJsonArray& json) {
+  std::vector<std::uint64_t> buckets;
+  if (json.size() != static_cast<qsizetype>(kMemberBuckets)) return buckets;
+  for (const QJsonValue digest : json) {
+    buckets.push_back(digest.toString().toULongLong(nullptr, kHexadecimal));
+  }
+  return buckets;
+}
+
+std::vector<std::size_t> WantedBucketsFrom(const QJsonArray& json) {
+  std::vector<std::size_t> wanted;
+  for (const QJsonValue item : json) {
+    const auto bucket = static_cast<std::size_t>(item.toInt(-1));
+    if (bucket < kMemberBuckets && wanted.size() < kMemberBuckets) wanted.push_back(bucket);
+  }
+  return wanted;
+}
 
 std::uint64_t RingPosition(std::string_view name) { return XXH3_64bits(name.data(), name.size()); }
 
@@ -18,13 +39,23 @@
 QJsonObject ToJson(const GossipMessage& message) {
   QJsonArray records;
   for (const MemberRecord& record : message.records) records.append(ToJson(record));
-  return {{"records", records},
-          {"digest", QString::number(message.digest, 16)},
-          {"wants_all", message.wants_all}};
+  QJsonArray buckets;
+  for (const std::uint64_t digest : message.buckets) {
+    buckets.append(QString::number(digest, kHexadecimal));
+  }
+  QJsonArray wanted_buckets;
+  for (const std::size_t bucket : message.wanted_buckets) {
+    wanted_buckets.append(static_cast<qint64>(bucket));
+  }
+  QJsonObject json{{"records", records},
+                   {"digest", QString::number(message.digest, kHexadecimal)},
+                   {"wants_all", message.wants_all}};
+  if (!buckets.isEmpty()) json["buckets"] = buckets;
+  if (!wanted_buckets.isEmpty()) json["wanted_buckets"] = wanted_buckets;
+  return json;
 }
 
 std::optional<GossipMessage> ParseGossipMessage(const QJsonObject& json, std::string* reason) {
-  constexpr int kHexadecimal = 16;
   GossipMessage message;
   std::string digest;
   JsonFields fields(json);
@@ -39,6 +70,8 @@
     }
   }
   message.digest = ToQString(digest).toULongLong(nullptr, kHexadecimal);
+  message.buckets = BucketsFrom(json["buckets"].toArray());
+  message.wanted_buckets = WantedBucketsFrom(json["wanted_buckets"].toArray());
   if (fields.ok()) return message;
   *reason = fields.last_reason();
   return std::nullopt;
@@ -89,6 +122,8 @@
   }
   if (!changed.empty()) Flood(changed, from);
   if (message.wants_all) SendTable(from);
+  SendBuckets(from, DifferingBuckets(message.buckets), true);
+  SendBuckets(from, message.wanted_buckets, false);
   if (message.digest != 0 && message.digest != table_->digest()) SyncWith(from);
   if (!on_changed_) return;
   for (const MemberRecord& record : changed) on_changed_(record);
@@ -103,9 +138,33 @@
 
 void Gossip::SyncWith(const std::string& router) {
   GossipMessage message;
-  message.wants_all = true;
+  message.buckets = table_->BucketDigests();
+  SendTo(router, message);
+}
+
+std::vector<std::size_t> Gossip::DifferingBuckets(std::span<const std::uint64_t> digests) const {
+  std::vector<std::size_t> differing;
+  if (digests.empty()) return differing;
+  const std::vector<std::uint64_t> own = table_->BucketDigests();
+  for (std::size_t bucket = 0; bucket < own.size(); ++bucket) {
+    if (own[bucket] != digests[bucket]) differing.push_back(bucket);
+  }
+  return differing;
+}
+
+void Gossip::SendBuckets(const std::string& router, std::span<const std::size_t> buckets,
+                         bool wants_them) {
+  if (buckets.empty()) return;
+  const std::set<std::size_t> chosen(buckets.begin(), buckets.end());
+  GossipMessage message;
+  table_->ForEach([&](const Member& member) {
+    if (chosen.contains(MemberTable::BucketOf(member.record.id))) {
+      message.records.push_back(member.record);
+    }
+  });
+  if (wants_them) message.wanted_buckets.assign(chosen.begin(), chosen.end());
+  records_sent_ += static_cast<std::int64_t>(message.records.size());
   SendTo(router, message);
-  SendTable(router);
 }
 
 void Gossip::Flood(std::span<const MemberRecord> records, const std::string& except) {
--- a/src/libs/coordination/membership/gossip.h
+++ b/src/libs/coordination/membership/gossip.h
@@ -21,8 +21,13 @@
   // Digest of the sender's table; 0 if the message carries none or the table is empty, and the
   // receiver then compares nothing.
   std::uint64_t digest = 0;
-  // Whether the receiver should reply with its whole table.
+  // Whether the receiver should reply with its whole table. Processes of older versions ask so.
   bool wants_all = false;
+  // Digests of the parts of the sender's table; empty if the message carries none. The receiver
+  // replies with what it has in the parts that differ, and asks for the sender's.
+  std::vector<std::uint64_t> buckets = {};
+  // Parts of the receiver's table that the sender asks for.
+  std::vector<std::size_t> wanted_buckets = {};
 
   bool operator==(const GossipMessage&) const = default;
 };
@@ -68,8 +73,8 @@
   // Sends the digest of the table to a random neighbour. Must be called at a fixed interval.
   void Tick();
 
-  // Requests the whole table of a neighbour and sends it this one; called after a link came up or
-  // when digests differ.
+  // Compares the parts of the tables with a neighbour's and exchanges those that differ; called
+  // after a link came up or when digests differ.
   void SyncWith(const std::string& router);
 
   // Returns how many records have been sent so far, counted once per receiver.
@@ -79,6 +84,10 @@
   void Flood(std::span<const MemberRecord> records, const std::string& except);
   void SendTo(const std::string& router, const GossipMessage& message);
   void SendTable(const std::string& router);
+  // Sends what the table has in these parts, and asks for the router's if `wants_them`.
+  void SendBuckets(const std::string& router, std::span<const std::size_t> buckets,
+                   bool wants_them);
+  std::vector<std::size_t> DifferingBuckets(std::span<const std::uint64_t> digests) const;
 
   std::string self_;
   MemberTable* table_;
--- a/src/libs/coordination/membership/member_table.cpp
+++ b/src/libs/coordination/membership/member_table.cpp
@@ -138,16 +138,28 @@
 std::uint64_t MemberTable::digest() const {
   if (digest_) return *digest_;
   std::uint64_t digest = 0;
-  for (const auto& [id, member] : members_) {
-    const auto [hash, is_missing] = hashes_.try_emplace(id);
-    if (is_missing) {
-      const std::string text = id + ToJsonText(ToJson(WithoutVolatileFields(member.record)));
-      hash->second = XXH3_64bits(text.data(), text.size());
-    }
-    digest ^= hash->second;
-  }
+  for (const auto& [id, member] : members_) digest ^= HashOf(id, member);
   digest_ = digest;
   return digest;
 }
 
+std::uint64_t MemberTable::HashOf(const std::string& id, const Member& member) const {
+  const auto [hash, is_missing] = hashes_.try_emplace(id);
+  if (is_missing) {
+    const std::string text = id + ToJsonText(ToJson(WithoutVolatileFields(member.record)));
+    hash->second = XXH3_64bits(text.data(), text.size());
+  }
+  return hash->second;
+}
+
+std::vector<std::uint64_t> MemberTable::BucketDigests() const {
+  std::vector<std::uint64_t> digests(kMemberBuckets);
+  for (const auto& [id, member] : members_) digests[BucketOf(id)] ^= HashOf(id, member);
+  return digests;
+}
+
+std::size_t MemberTable::BucketOf(std::string_view id) {
+  return XXH3_64bits(id.data(), id.size()) % kMemberBuckets;
+}
+
 }  // namespace kumquat
--- a/src/libs/coordination/membership/member_table.h
+++ b/src/libs/coordination/membership/member_table.h
@@ -36,6 +36,9 @@
   Instant retry_at{0};
 };
 
+// Processes that know each other's tables divide them alike.
+inline constexpr std::size_t kMemberBuckets = 64;
+
 // Merges member records. The result doesn't depend on the order of arrival. A record that isn't
 // newer never clears `down`, and only a newer incarnation clears `leaving`.
 class MemberTable {
@@ -72,9 +75,17 @@
   // Returns a hash of what others need to know. Tables that agree on it have equal digests.
   std::uint64_t digest() const;
 
+  // Returns such a hash for each of kMemberBuckets parts of the table, so that two tables that
+  // differ find out where.
+  std::vector<std::uint64_t> BucketDigests() const;
+
+  // Returns the part of the table, below kMemberBuckets, in which all tables have this member.
+  static std::size_t BucketOf(std::string_view id);
+
   std::size_t size() const { return members_.size(); }
 
  private:
+  std::uint64_t HashOf(const std::string& id, const Member& member) const;
   // Drops the cached hash of the member and the cached digest.
   void InvalidateDigest(std::string_view id);
 
--- a/tests/libs/coordination/hints/hint_outbox_test.cpp
+++ b/tests/libs/coordination/hints/hint_outbox_test.cpp
@@ -255,7 +255,9 @@
   fleet.Block("r007");
   std::mt19937_64 random(1);
   std::vector<Source> engines;
-  for (int i = 0; i < 48; ++i) engines.emplace_back(fmt::format("engine{:03}", i));
+  constexpr int kEngines = 48;
+  engines.reserve(kEngines);
+  for (int i = 0; i < kEngines; ++i) engines.emplace_back(fmt::format("engine{:03}", i));
   constexpr int kSeconds = 60;
   const Instant begin = fleet.now;
   Duration longest(0);
--- a/tests/libs/coordination/membership/gossip_test.cpp
+++ b/tests/libs/coordination/membership/gossip_test.cpp
@@ -36,6 +36,8 @@
     nodes_.at("router-" + std::to_string(router)).gossip->Learn(record, Instant(0));
   }
 
+  void Lose(int percent) { loss_percent_ = percent; }
+
   void Deliver() {
     while (!queue_.empty()) {
       const Delivery delivery = queue_.front();
@@ -126,6 +128,36 @@
   CHECK(group.records_sent() <= static_cast<std::int64_t>(kRouters * kNeighbours));
 }
 
+TEST_CASE("A lost change of one of 1,000 servers is repaired without sending the tables") {
+  RouterGroup group(2, 1, 0);
+  for (int id = 0; id < 1000; ++id) group.Learn(0, Engine(id, 1, 0));
+  group.Deliver();
+  REQUIRE(group.digests().size() == 1);
+  const std::int64_t before = group.records_sent();
+  group.Lose(100);
+  group.Learn(0, Engine(7, 2, 0));
+  group.Deliver();
+  REQUIRE(group.digests().size() == 2);
+  group.RunWithoutLoss(1);
+  CHECK(group.digests().size() == 1);
+  CHECK(group.records_sent() - before <= 100);
+}
+
+TEST_CASE("Gossip survives its encoding, and odd parts of it ask for nothing") {
+  GossipMessage message;
+  message.buckets.assign(kMemberBuckets, 0xfedcba9876543210);
+  message.wanted_buckets = {0, 63};
+  std::string reason;
+  CHECK(ParseGossipMessage(ToJson(message), &reason) == message);
+  QJsonObject json = ToJson(message);
+  json["buckets"] = QJsonArray{"1", "2"};
+  json["wanted_buckets"] = QJsonArray{64, -1, "x", 1.5e300};
+  const auto parsed = ParseGossipMessage(json, &reason);
+  REQUIRE(parsed);
+  CHECK(parsed->buckets.empty());
+  CHECK(parsed->wanted_buckets.empty());
+}
+
 TEST_CASE("A malformed record doesn't keep the other records of its message from being merged") {
   MemberRecord good;
   good.id = "s1";
