A replica answers a router's gossip under the name by which it knows routers

Cause: a replica keeps routers among its neighbours as router/NAME, but took a router's messages as from NAME, so that an answer to one went to no process.

Change: the sender's name gets the prefix where it is a linked router.

forward_process_test, 'A restarted router refuses...', fails before (the router never knows its server) and passes now.

--- a/src/kumquatcontrol/control_node.cpp
+++ b/src/kumquatcontrol/control_node.cpp
@@ -337,7 +337,9 @@
     if (!reason.empty()) {
       LogEvent(LogLevel::kWarning, "gossip_dropped", {{"from", members->from}, {"reason", reason}});
     }
-    if (message) directory_.Receive(members->from, *message);
+    // Answers go to a name that tells routers from replicas.
+    const std::string prefix(desk_.IsLinked(members->from) ? kRouterPrefix : "");
+    if (message) directory_.Receive(prefix + members->from, *message);
   } else if (const auto* load = std::get_if<LoadNews>(&*news)) {
     for (const RouterLoad& one : load->routers) hints_.AddLoad(one, SteadyClock()());
   } else if (const auto* wanted = std::get_if<CacheWanted>(&*news)) {
--- a/src/kumquatcontrol/router_desk.h
+++ b/src/kumquatcontrol/router_desk.h
@@ -51,6 +51,8 @@
   // Sends to all routers that greeted lately.
   void SendAll(const ControlNews& news);
 
+  bool IsLinked(const std::string& router) const { return routers_.contains(router); }
+
   // Returns the bytes that wait on the router's link; 0 when it isn't linked.
   std::int64_t WaitingBytes(const std::string& router) const;
 
