A router that restarts or links anew is told the whole state of hints

Change: the desk says when a router starts anew or comes on another connection, and the outbox forgets what it was told.

Tests: the desk says so at the first greeting, after a restart and on another connection; a router that was forgotten is told the whole state. Written with the change; on the code before they don't compile.

--- a/src/kumquatcontrol/control_node.cpp
+++ b/src/kumquatcontrol/control_node.cpp
@@ -66,6 +66,7 @@
              [this](const std::string& router) {
                directory_.SyncWith(std::string(kRouterPrefix) + router);
              },
+             [this](const std::string& router) { hints_.Forget(router); },
              [this] {
                std::vector<std::string> replicas = OtherReplicas();
                replicas.push_back(options_.listen.ToString());
--- a/src/kumquatcontrol/router_desk.cpp
+++ b/src/kumquatcontrol/router_desk.cpp
@@ -25,6 +25,7 @@
     LogEvent(LogLevel::kInfo, "router_linked",
              {{"router", hello.router}, {"incarnation", hello.incarnation}});
   }
+  if (is_new_run || router.connection != connection) hooks_.on_linked(hello.router);
   router.connection = connection;
   router.hello = hello;
   router.heard_at = hooks_.clock();
--- a/src/kumquatcontrol/router_desk.h
+++ b/src/kumquatcontrol/router_desk.h
@@ -23,6 +23,8 @@
   std::function<std::uint64_t()> members_digest;
   // Tells a router all that is known of backend servers, and asks for what it knows.
   std::function<void(const std::string& router)> exchange_members;
+  // A router started anew or came on another connection; what it was sent before may be lost.
+  std::function<void(const std::string& router)> on_linked;
   // Returns the addresses of the control replicas.
   std::function<std::vector<std::string>()> replicas;
   // Returns which stores are alive, by address.
--- a/src/libs/coordination/hints/hint_outbox.h
+++ b/src/libs/coordination/hints/hint_outbox.h
@@ -67,6 +67,9 @@
   // state.
   void Flush(const std::vector<std::string>& routers, Instant now);
 
+  // The router started anew or came on another connection, so that what it was told may be lost.
+  void Forget(const std::string& router) { told_.erase(router); }
+
   // Sends the whole contents of a source that a router asked for. Returns false when the limits
   // don't allow it now; the router asks again with the source's next change.
   bool SendSnapshot(const std::string& router, const CacheNews& snapshot, Instant now);
--- a/tests/kumquatcontrol/router_desk_test.cpp
+++ b/tests/kumquatcontrol/router_desk_test.cpp
@@ -25,6 +25,7 @@
       : desk_({[this] { return now; }, [] { return std::vector<const Document*>(); },
                [this] { return digest; },
                [this](const std::string& router) { exchanged.push_back(router); },
+               [this](const std::string& router) { linked.push_back(router); },
                [] { return std::vector<std::string>(); },
                [] { return std::map<std::string, bool>(); }}) {}
 
@@ -39,6 +40,7 @@
   Instant now = std::chrono::hours(1);
   std::uint64_t digest = 5;
   std::vector<std::string> exchanged;
+  std::vector<std::string> linked;
   std::map<std::string, std::shared_ptr<Link>> links;
   RouterDesk& desk() { return desk_; }
 
@@ -66,6 +68,19 @@
   CHECK(desk.exchanged.size() == 4);
 }
 
+TEST_CASE(
+    "A router is linked anew by its first greeting, after a restart and on another connection") {
+  Desk desk;
+  desk.Greet("r1", 5);
+  desk.Greet("r1", 5);
+  CHECK(desk.linked.size() == 1);
+  desk.Greet("r1", 5, 2);
+  CHECK(desk.linked.size() == 2);
+  desk.links["r1"] = nullptr;
+  desk.Greet("r1", 5, 2);
+  CHECK(desk.linked == std::vector<std::string>(3, "r1"));
+}
+
 TEST_CASE("News for all go to the routers that greeted lately") {
   Desk desk;
   desk.Greet("r1", 5);
--- a/tests/libs/coordination/hints/hint_outbox_test.cpp
+++ b/tests/libs/coordination/hints/hint_outbox_test.cpp
@@ -224,6 +224,12 @@
   fleet.Flush();
   CHECK(fleet.index["r999"].size() == source.held.size());
   CHECK(fleet.wanted["r999"].empty());
+  // The same router, with nothing left of what it was told.
+  fleet.index["r999"] = PartIndex();
+  fleet.outbox.Forget("r999");
+  fleet.whole = {source.Snapshot()};
+  fleet.Flush();
+  CHECK(fleet.index["r999"].size() == source.held.size());
 }
 
 TEST_CASE("No router is left out when the allowance is too small for all") {
