--- a/review/tools/fleet.h
+++ b/review/tools/fleet.h
@@ -195,6 +195,17 @@
     }
     return false;
   }
+  // Changes the settings file of a router: the same seeds in another order.
+  void ReorderSeeds(int i) {
+    const int host = 11 + i;
+    std::string text = RouterSettings(hosts_, host, i % 3);
+    const std::string first = "\"" + hosts_.Ip(1) + ":";
+    const std::string second = "\"" + hosts_.Ip(2) + ":";
+    text.replace(text.find(first), first.size(), "\"#:");
+    text.replace(text.find(second), second.size(), first);
+    text.replace(text.find("\"#:"), 3, second);
+    WriteFile(Path("front-", host, ".toml"), text);
+  }
   void End() {
     for (auto& one : routers_) one->End();
     for (auto& one : controls_) one->End();
