--- a/review/tools/fleet.h
+++ b/review/tools/fleet.h
@@ -60,6 +60,13 @@
  public:
   using Handler = std::function<void(Connection& connection)>;
   ~Server() { Stop(); }
+  // The process is gone: nobody listens, and every connection ends.
+  void Crash() {
+    Stop();
+    const std::lock_guard lock(mutex_);
+    for (const int descriptor : open_) shutdown(descriptor, SHUT_RDWR);
+  }
+  bool stopped() const { return stopped_; }
   bool Start(const Address& address, Handler handler) {
     listener_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const int one = 1;
@@ -75,9 +82,16 @@
         if (descriptor < 0) continue;
         const int no_delay = 1;
         setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &no_delay, sizeof(no_delay));
+        {
+          const std::lock_guard lock(mutex_);
+          open_.push_back(descriptor);
+        }
         std::thread([this, descriptor] {
           Connection connection(descriptor);
           handler_(connection);
+          const std::lock_guard lock(mutex_);
+          std::erase(open_, descriptor);
+          connection.Close();
         }).detach();
       }
     });
@@ -93,6 +107,8 @@
  private:
   int listener_ = -1;
   std::atomic<bool> stopped_ = false;
+  std::mutex mutex_;
+  std::vector<int> open_;
   Handler handler_;
   std::thread thread_;
 };
@@ -254,6 +270,8 @@
     stopped_ = true;
     if (thread_.joinable()) thread_.join();
   }
+  // No more heartbeats: the runner has crashed.
+  void Halt() { stopped_ = true; }
   void SetVersion(int version) { name_.model_version = version; }
   const RunnerName& name() const { return name_; }
 
