--- a/review/tools/hot_card.cpp
+++ b/review/tools/hot_card.cpp
@@ -14,6 +14,7 @@
 constexpr int kGapMs = 60;    // between two crashes
 constexpr int kDownMs = 3000; // srv_crash, for_s = 3
 constexpr int kContactMs = 3000;
+constexpr int kPauseMs = 1750;  // 24 reads in some 2 s: the 12.7 a second of the class
 
 const std::string kConfiguration =
     R"({"version":1,"routes":[{"name":"r-1","hostname":"jepu9.example","pathPrefix":"/kafi81/",)"
@@ -135,7 +136,7 @@
   int number = 0;
   for (int i = 0; i < 5; ++i) {
     round(++number, false);
-    SleepMs(500);
+    SleepMs(kPauseMs);
   }
   std::thread crashes([&] {
     if (!trouble) return;
@@ -156,9 +157,9 @@
   crashes.join();
   // Well after the last start.
   SleepMs(2 * kContactMs);
-  for (int i = 0; i < 20; ++i) {
+  for (int i = 0; i < 15; ++i) {
     round(++number, true);
-    SleepMs(500);
+    SleepMs(kPauseMs);
   }
   for (Runner& runner : runners) runner.beats->Stop();
   for (const auto& [status, count] : answers) {
