--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for source in review/tools/*.cpp; do
-  name=$(basename "$source" .cpp)
+for source in review/tools/*.cc; do
+  name=$(basename "$source" .cc)
   "${CXX:-g++}" -std=c++20 -O1 -Wall -Wextra -pthread -o "target/review/$name" "$source"
 done
--- a/review/tools/early_cut.cpp
+++ b/review/tools/early_cut.cc
@@ -2,19 +2,19 @@
 // A router cuts streams before the caller's deadline and the route's timeout.
 #include <algorithm>
 
-#include "fleet.h"
+#include "fleet.hh"
 
 using namespace standin;
 
 namespace {
 
 constexpr int kRouters = 7;
-constexpr int kSignalled = 2;       // hup: share 0.3 at the most
+constexpr int kSignalled = 2;  // hup: share 0.3 at the most
 constexpr int kRequestsEach = 20;
-constexpr int kConfigMs = 2000;     // bounds.configMs
-constexpr double kTimeoutS = 15;    // the route's timeoutMs, and the caller's deadline
-constexpr double kAnswerS = 14.6;   // from the start of a run to its last event
-constexpr double kMarginS = 0.1;    // for what clients can see
+constexpr int kConfigMs = 2000;    // bounds.configMs
+constexpr double kTimeoutS = 15;   // the route's timeoutMs, and the caller's deadline
+constexpr double kAnswerS = 14.6;  // from the start of a run to its last event
+constexpr double kMarginS = 0.1;   // for what clients can see
 
 const std::string kConfiguration =
     R"({"version":1,"routes":[{"name":"r-1","hostname":"hulo84.example","pathPrefix":"/xapu221/",)"
@@ -63,18 +63,20 @@
           const std::string body = R"({"bootEpoch":7,"next":1,"lost":false,"events":[]})";
           SleepMs(std::atoi(request.Field("wait-ms").c_str()));
           if (!connection.Write("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
-                                "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-                                body)) {
+                                "Content-Length: " +
+                                std::to_string(body.size()) + "\r\n\r\n" + body)) {
             return;
           }
           continue;
         }
         const double begun = Seconds();
         Record::Get().Line("runner %s runs %s", runner.c_str(), id.c_str());
-        connection.Write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-                         "Kumquatcross-Request-Id: " + id + "\r\nKumquatcross-Server-Stamp: " +
-                         runner + "." + id + "\r\nKumquatcross-Weight-Versions: 1\r\n"
-                         "Transfer-Encoding: chunked\r\n\r\n");
+        connection.Write(
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+            "Kumquatcross-Request-Id: " +
+            id + "\r\nKumquatcross-Server-Stamp: " + runner + "." + id +
+            "\r\nKumquatcross-Weight-Versions: 1\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n");
         int event = 0;
         while (Seconds() - begun < kAnswerS) {
           const std::string piece =
@@ -126,7 +128,8 @@
       SleepMs(100 + i * (kConfigMs - 400) / (kSignalled * kRequestsEach));
       Result result;
       result.id = "9c41d07be2a3" + std::to_string(1000 + i);
-      const auto until = Clock::now() + std::chrono::milliseconds(static_cast<int>(kTimeoutS * 1000) + 2000);
+      const auto until =
+          Clock::now() + std::chrono::milliseconds(static_cast<int>(kTimeoutS * 1000) + 2000);
       const int descriptor = Dial(fleet.front(i % kSignalled), until);
       if (descriptor < 0) return;
       const std::string fields = "Kumquatcross-Request-Id: " + result.id +
@@ -150,8 +153,7 @@
       const std::lock_guard lock(mutex);
       results.push_back(result);
       Record::Get().Line("client: %s: %d, %s after %.3f s", result.id.c_str(), result.status,
-                         result.whole ? "whole" : "ended without a complete answer",
-                         result.lasted);
+                         result.whole ? "whole" : "ended without a complete answer", result.lasted);
     });
   }
   for (std::thread& one : clients) one.join();
@@ -167,9 +169,10 @@
       if (!result.whole && result.status == 200 && in_time && at_work) ++cut;
     }
   }
-  Record::Get().Line("%zu requests within %d ms after %.3f s: %d whole, %d cut over %.0f ms before "
-                     "the deadline and the route's timeout, their runners at work",
-                     results.size(), kConfigMs, signalled_at, whole, cut, kMarginS * 1000);
+  Record::Get().Line(
+      "%zu requests within %d ms after %.3f s: %d whole, %d cut over %.0f ms before "
+      "the deadline and the route's timeout, their runners at work",
+      results.size(), kConfigMs, signalled_at, whole, cut, kMarginS * 1000);
   const bool ran = whole + cut >= kRequestsEach;
   // LOST judges cuts around planned work: here a SIGHUP of the machine.
   const bool broken = trouble && cut > 0;
--- a/review/tools/fleet.h
+++ b/review/tools/fleet.hh
@@ -4,7 +4,7 @@
 
 #include <memory>
 
-#include "standin.h"
+#include "standin.hh"
 
 namespace standin {
 
@@ -22,8 +22,7 @@
     }
     *request = ParseHead(buffer_.substr(0, end));
     buffer_.erase(0, end + 4);
-    const std::size_t size =
-        std::strtoul(request->Field("content-length").c_str(), nullptr, 10);
+    const std::size_t size = std::strtoul(request->Field("content-length").c_str(), nullptr, 10);
     while (buffer_.size() < size) {
       if (ReadMore(descriptor_, &buffer_, never) <= 0) return false;
     }
@@ -145,8 +144,7 @@
   Fleet(std::string programs, std::string folder, int controls, int routers)
       : programs_(std::move(programs)), folder_(std::move(folder)), hosts_(FreeHosts()) {
     for (int i = 1; i <= controls; ++i) {
-      WriteFile(Path("core-", i, ".toml"),
-                ControlSettings(hosts_, i, true, Path("data-", i, "")));
+      WriteFile(Path("core-", i, ".toml"), ControlSettings(hosts_, i, true, Path("data-", i, "")));
       controls_.push_back(Make("kumquat-control", "core-", i));
     }
     for (int i = 1; i <= routers; ++i) {
--- a/review/tools/hot_card.cpp
+++ b/review/tools/hot_card.cc
@@ -1,6 +1,6 @@
 // Many clerks read one job card at the same moment, and the three runners of the service crash one
 // after the other meanwhile. Later, with all runners back, the card must still be served.
-#include "fleet.h"
+#include "fleet.hh"
 
 using namespace standin;
 
@@ -8,11 +8,11 @@
 
 constexpr int kRunners = 3;
 constexpr int kRouters = 3;
-constexpr int kHot = 8;       // clients of the one card: a third of the class, hot_key at 0.35
-constexpr int kCold = 16;     // clients of other cards
-constexpr int kWorkMs = 200;  // the longest of jobcard-read is 220
-constexpr int kGapMs = 60;    // between two crashes
-constexpr int kDownMs = 3000; // srv_crash, for_s = 3
+constexpr int kHot = 8;        // clients of the one card: a third of the class, hot_key at 0.35
+constexpr int kCold = 16;      // clients of other cards
+constexpr int kWorkMs = 200;   // the longest of jobcard-read is 220
+constexpr int kGapMs = 60;     // between two crashes
+constexpr int kDownMs = 3000;  // srv_crash, for_s = 3
 constexpr int kContactMs = 3000;
 constexpr int kPauseMs = 1750;  // 24 reads in some 2 s: the 12.7 a second of the class
 
@@ -103,7 +103,8 @@
     for (int i = 0; i < kHot + kCold; ++i) {
       clients.emplace_back([&, i] {
         const std::string id = "9c" + std::to_string(100000 + number * 100 + i);
-        const std::string card = i < kHot ? "card-1" : "card-" + std::to_string(1000 + number * 100 + i);
+        const std::string card =
+            i < kHot ? "card-1" : "card-" + std::to_string(1000 + number * 100 + i);
         const auto until = Clock::now() + std::chrono::milliseconds(2500);
         Answer answer;
         const int descriptor = Dial(fleet.front(i % kRouters), until);
@@ -112,8 +113,8 @@
           const std::string fields = "Kumquatcross-Request-Id: " + id +
                                      "\r\nKumquatcross-Deadline-Ms: 2500\r\n"
                                      "Api-Key: ctnfzs989anu6wsjnban\r\n";
-          if (SendAll(descriptor, RequestBytes("GET", "/kafi81/" + card, "jepu9.example", fields, ""),
-                      until)) {
+          if (SendAll(descriptor,
+                      RequestBytes("GET", "/kafi81/" + card, "jepu9.example", fields, ""), until)) {
             answer = ReadAnswer(descriptor, &buffer, until);
           }
           close(descriptor);
@@ -124,8 +125,8 @@
         ++sent;
         ++answers[status];
         if (is_late && status == 200) ++served_late;
-        const bool is_denial = status >= 300 && status < 500 && status != 408 && status != 421 &&
-                               status != 429;
+        const bool is_denial =
+            status >= 300 && status < 500 && status != 408 && status != 421 && status != 429;
         if (is_denial && is_own) ++denied;
         Record::Get().Line("client: %s, %s: %d%s", id.c_str(), card.c_str(), status,
                            is_denial && is_own ? ", of the system's own" : "");
--- a/review/tools/late_bytes.cpp
+++ b/review/tools/late_bytes.cc
@@ -1,6 +1,6 @@
 // A faulty runner sends additional bytes after a complete answer, so late that they come at the
 // point where the next answer on the connection is expected. The bytes belong to no request.
-#include "fleet.h"
+#include "fleet.hh"
 
 using namespace standin;
 
@@ -68,8 +68,10 @@
           Record::Get().Line("runner %s: additional bytes, late, while %s waits", runner.c_str(),
                              id.c_str());
           const std::string junk = "the job card of somebody else";
-          connection.Write("HTTP/1.1 400 Bad Request\r\nContent-Type: text/plain\r\n"
-                           "Content-Length: " + std::to_string(junk.size()) + "\r\n\r\n" + junk);
+          connection.Write(
+              "HTTP/1.1 400 Bad Request\r\nContent-Type: text/plain\r\n"
+              "Content-Length: " +
+              std::to_string(junk.size()) + "\r\n\r\n" + junk);
         }
         SleepMs(5);
         const std::string body = "job card of " + id;
@@ -78,8 +80,8 @@
           runs[id].push_back({runner, 200, body});
         }
         Record::Get().Line("runner %s runs %s: 200", runner.c_str(), id.c_str());
-        if (!connection.Write("HTTP/1.1 200 OK\r\n" + echo + "Kumquatcross-Server-Stamp: " + runner +
-                              "." + id + "\r\nKeep-Alive: timeout=5\r\nContent-Length: " +
+        if (!connection.Write("HTTP/1.1 200 OK\r\n" + echo + "Kumquatcross-Server-Stamp: " +
+                              runner + "." + id + "\r\nKeep-Alive: timeout=5\r\nContent-Length: " +
                               std::to_string(body.size()) + "\r\n\r\n" + body)) {
           return;
         }
--- a/review/tools/many_changes.cpp
+++ b/review/tools/many_changes.cc
@@ -3,17 +3,17 @@
 // memory and starts it again after a short delay. The operator sends hundreds of changes.
 #include <set>
 
-#include "standin.h"
+#include "standin.hh"
 
 using namespace standin;
 
 namespace {
 
 constexpr int kReplicas = 5;
-constexpr double kMemoryMb = 256;   // limits.memoryMb of a core machine
-constexpr int kFirstRoutes = 12;    // four routes in use, eight idle ones
-constexpr int kBigConfig = 370;     // routes of one big_config, the largest dose of the site file
-constexpr int kContactMs = 3000;    // bounds.contactMs
+constexpr double kMemoryMb = 256;  // limits.memoryMb of a core machine
+constexpr int kFirstRoutes = 12;   // four routes in use, eight idle ones
+constexpr int kBigConfig = 370;    // routes of one big_config, the largest dose of the site file
+constexpr int kContactMs = 3000;   // bounds.contactMs
 
 std::string Route(int number, int revision) {
   const std::string n = std::to_string(number);
@@ -32,9 +32,9 @@
           R"("maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[)";
   for (int i = 0; i < 8; ++i) {
     const std::string n = std::to_string(i);
-    text += (i ? "," : "") + (R"({"name":"sese88)" + n + R"(","apiKeys":["ctnfzs989anu6wsjnba)" +
-                              n + R"(","fqasnmgkcuyj8pjbvk9)" + n +
-                              R"("],"priority":1,"isolated":false})");
+    text +=
+        (i ? "," : "") + (R"({"name":"sese88)" + n + R"(","apiKeys":["ctnfzs989anu6wsjnba)" + n +
+                          R"(","fqasnmgkcuyj8pjbvk9)" + n + R"("],"priority":1,"isolated":false})");
   }
   return text + "]}";
 }
@@ -165,7 +165,8 @@
     });
   }
   for (std::thread& one : operators) one.join();
-  Record::Get().Line("changes sent up to version %d, acknowledged up to %d", version.load(), acknowledged.load());
+  Record::Get().Line("changes sent up to version %d, acknowledged up to %d", version.load(),
+                     acknowledged.load());
   // The read at the end, again and again for well over contactMs, at every replica.
   int newest = 0;
   const double read_until = Seconds() + 3 * kContactMs / 1000.0;
@@ -192,7 +193,8 @@
   }
   const bool fault = thrice * 2 >= kReplicas;
   const bool lost = newest < acknowledged;
-  Record::Get().Line("newest configuration read back: %d, acknowledged: %d", newest, acknowledged.load());
+  Record::Get().Line("newest configuration read back: %d, acknowledged: %d", newest,
+                     acknowledged.load());
   Record::Get().Line("%s", fault || lost ? "BROKEN" : "HELD");
   return fault || lost ? 1 : 0;
 }
--- a/review/tools/model_runner.h
+++ b/review/tools/model_runner.hh
@@ -4,7 +4,7 @@
 
 #include <set>
 
-#include "fleet.h"
+#include "fleet.hh"
 
 namespace standin {
 
@@ -71,8 +71,9 @@
       } else if (line.starts_with("GET /report ")) {
         std::ostringstream body;
         body << "{\"stage\":\"both\",\"models\":[{\"name\":\"" << model_
-             << "\",\"version\":" << version_ << ",\"adapters\":[]}],\"busy\":false,\"seq\":"
-             << orders_ << ",\"queued\":0,\"running\":0,\"kvUsed\":0,\"kvTotal\":100000,"
+             << "\",\"version\":" << version_
+             << ",\"adapters\":[]}],\"busy\":false,\"seq\":" << orders_
+             << ",\"queued\":0,\"running\":0,\"kvUsed\":0,\"kvTotal\":100000,"
              << "\"handles\":0}";
         if (!connection.Write(Reply(200, "Content-Type: application/json\r\n", body.str()))) return;
       } else if (line.starts_with("GET /kv-events")) {
@@ -88,8 +89,9 @@
   // Holds the call until there are events, for Wait-Ms at most.
   bool Events(Connection& connection, const Message& request) {
     const auto at = request.first_line.find("since=");
-    const std::size_t since =
-        at == std::string::npos ? 0 : std::strtoul(request.first_line.c_str() + at + 6, nullptr, 10);
+    const std::size_t since = at == std::string::npos
+                                  ? 0
+                                  : std::strtoul(request.first_line.c_str() + at + 6, nullptr, 10);
     const int wait_ms = std::atoi(request.Field("wait-ms").c_str());
     const double until = Seconds() + wait_ms / 1000.0;
     while (true) {
@@ -135,9 +137,10 @@
         const auto found = cached.find(name);
         if (leading && found != cached.end()) {
           uses_.push_back({id_, id, tenant, name, found->second});
-          Record::Get().Line("runner %s: %s of tenant %s uses cached part %s, made by %s of tenant %s",
-                             id_.c_str(), id.c_str(), tenant.c_str(), name.c_str(),
-                             found->second.request.c_str(), found->second.tenant.c_str());
+          Record::Get().Line(
+              "runner %s: %s of tenant %s uses cached part %s, made by %s of tenant %s",
+              id_.c_str(), id.c_str(), tenant.c_str(), name.c_str(), found->second.request.c_str(),
+              found->second.tenant.c_str());
           continue;
         }
         leading = false;
--- a/review/tools/standin.h
+++ b/review/tools/standin.hh
@@ -122,8 +122,7 @@
 inline bool SendAll(int descriptor, const std::string& bytes, Clock::time_point until) {
   std::size_t sent = 0;
   while (sent < bytes.size()) {
-    const ssize_t count =
-        send(descriptor, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+    const ssize_t count = send(descriptor, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
     if (count > 0) {
       sent += static_cast<std::size_t>(count);
     } else if (errno == EAGAIN || errno == EINTR) {
@@ -220,7 +219,8 @@
       if (size == 0) break;
     }
   } else {
-    const std::size_t size = std::strtoul(answer.message.Field("content-length").c_str(), nullptr, 10);
+    const std::size_t size =
+        std::strtoul(answer.message.Field("content-length").c_str(), nullptr, 10);
     while (buffer->size() < size) {
       if (ReadMore(descriptor, buffer, until) <= 0) return answer;
     }
--- a/review/tools/wall_change.cpp
+++ b/review/tools/wall_change.cc
@@ -1,7 +1,7 @@
 // The operator isolates a tenant by a new version of the configuration. Before that the tenant's
 // requests made cached parts; after it another tenant's request with the same part must not use
 // them.
-#include "model_runner.h"
+#include "model_runner.hh"
 
 using namespace standin;
 
@@ -22,7 +22,9 @@
          R"("pinMs":4000.0,"holdMs":2000.0,"handle_s":5.0,"models":[{"name":"daka510000"}]}}],)"
          R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,)"
          R"("idleTimeoutMs":15000},"tenants":[{"name":"owner","apiKeys":["key-of-owner-1"],)"
-         R"("priority":1,"isolated":)" + isolated + R"(},{"name":"other",)"
+         R"("priority":1,"isolated":)" +
+         isolated +
+         R"(},{"name":"other",)"
          R"("apiKeys":["key-of-other-1"],"priority":1,"isolated":false}]})";
 }
 
@@ -56,8 +58,8 @@
     const std::string fields = "Kumquatcross-Request-Id: " + id +
                                "\r\nKumquatcross-Model: daka510000\r\n"
                                "Kumquatcross-Token-Count: 810,80\r\n"
-                               "Kumquatcross-Prompt-Prefix: " + kPart + ",9" +
-                               std::to_string(1000 + number) + ":10\r\n" +
+                               "Kumquatcross-Prompt-Prefix: " +
+                               kPart + ",9" + std::to_string(1000 + number) + ":10\r\n" +
                                "Kumquatcross-Deadline-Ms: 5000\r\nApi-Key: key-of-" + tenant +
                                "-1\r\n";
     std::string buffer;
