--- a/review/tools/standin.hh
+++ b/review/tools/standin.hh
@@ -8,6 +8,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -269,6 +270,8 @@
   void Start() {
     pid_ = fork();
     if (pid_ == 0) {
+      // It ends with whoever started it, also when that is killed.
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
       const int out = open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
       dup2(out, 1);
       dup2(out, 2);
