--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -6,7 +6,7 @@
 cd "$here/../.."
 work=$(mktemp -d) || exit 2
 trap 'rm -rf "$work"' EXIT
-"target/review/wall_change" "target/bin" "$work" "$here/record.txt" "${TROUBLE:-1}"
+"target/review/early_cut" "target/bin" "$work" "$here/record.txt" "${TROUBLE:-1}"
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
