No request is ended before its deadline: timers that end something look at the clock

Cause: ForwardExchange's deadline timer was a QTimer of the default, coarse type, which may fire 5% early, and its slot ended the request without a look at the clock. On the own interface the same cause had another effect: a chat or a service call that was woken early found its deadline not yet reached, did nothing and was never woken again.

Evidence: a route with a timeout of 4 s and a server that doesn't answer, no signal and no change: 19 of 40 requests ended after 3,800 to 3,980 ms.

Change: DeadlineTimer is precise and runs its hook only once the owner's clock has reached the moment; RunAt is built the same way. Why it works: the clock decides, the timer only wakes.

--- a/src/kumquatctl/control_client.cpp
+++ b/src/kumquatctl/control_client.cpp
@@ -30,8 +30,8 @@
 
 void ControlClient::Wait(Duration duration) {
   QEventLoop loop;
-  QTimer::singleShot(std::chrono::ceil<std::chrono::milliseconds>(duration), &loop,
-                     &QEventLoop::quit);
+  QTimer::singleShot(std::chrono::ceil<std::chrono::milliseconds>(duration), Qt::PreciseTimer,
+                     &loop, &QEventLoop::quit);
   loop.exec();
 }
 
--- a/src/kumquatrouter/chat_exchange.cpp
+++ b/src/kumquatrouter/chat_exchange.cpp
@@ -17,6 +17,7 @@
 #include "protocol/json_fields.h"
 #include "router_settings.h"
 #include "strike_exchange.h"
+#include "utils/deadline_timer.h"
 #include "utils/durations.h"
 #include "utils/histogram.h"
 #include "utils/log.h"
@@ -466,7 +467,7 @@
 void ChatExchange::Execute(const stream_command::Refuse& command) { Refuse(command.error); }
 
 void ChatExchange::Execute(const stream_command::WakeAt& command) {
-  RunAt(command.moment, services_.clock(), [weak = weak_from_this()] {
+  RunAt(command.moment, services_.clock, [weak = weak_from_this()] {
     const auto exchange = weak.lock();
     if (!exchange || exchange->is_done_) return;
     exchange->Execute(exchange->decisions_->OnWake(exchange->services_.clock()));
--- a/src/kumquatrouter/exchange.cpp
+++ b/src/kumquatrouter/exchange.cpp
@@ -1,11 +1,11 @@
 #include "exchange.h"
 
-#include <QTimer>
 #include <algorithm>
 #include <utility>
 
 #include "control_client.h"
 #include "transport/backend_client.h"
+#include "utils/deadline_timer.h"
 #include "utils/log.h"
 
 namespace kumquat {
@@ -50,7 +50,7 @@
     on_refused(LimitExceeded(answer.after));
     return;
   }
-  RunAt(now + kShareRetryInterval, now,
+  RunAt(now + kShareRetryInterval, services_.clock,
         [this, alive = std::weak_ptr<bool>(is_alive_), give_up_at,
          acquired = std::move(on_acquired), refused = std::move(on_refused)] {
           if (!alive.expired()) Acquire(give_up_at, acquired, refused);
@@ -70,9 +70,4 @@
   responder.Send(AnswerFor(error.kind).http_status, headers, ErrorBody(error));
 }
 
-void RunAt(Instant moment, Instant now, std::function<void()> hook) {
-  const Duration wait = std::max(Duration(0), moment - now);
-  QTimer::singleShot(std::chrono::ceil<std::chrono::milliseconds>(wait), std::move(hook));
-}
-
 }  // namespace kumquat
--- a/src/kumquatrouter/exchange.h
+++ b/src/kumquatrouter/exchange.h
@@ -57,7 +57,4 @@
 // Sends an error as a whole answer, with its Retry-After.
 void SendError(HttpResponder& responder, const std::string& request_id, const Error& error);
 
-// Runs the hook at this moment of the clock, unless the owner is gone by then.
-void RunAt(Instant moment, Instant now, std::function<void()> hook);
-
 }  // namespace kumquat
--- a/src/kumquatrouter/forwarding/forward_exchange.cpp
+++ b/src/kumquatrouter/forwarding/forward_exchange.cpp
@@ -52,9 +52,8 @@
       request_(std::move(request)),
       responder_(std::move(responder)),
       routes_(services.routes),
-      received_(services.clock()) {
-  deadline_timer_.setSingleShot(true);
-}
+      received_(services.clock()),
+      deadline_timer_(services.clock) {}
 
 ForwardExchange::~ForwardExchange() = default;
 
@@ -66,11 +65,11 @@
   });
   if (!ResolveRoute()) return;
   deadline_ = received_ + std::min(route_->timeout, request_.time_left.value_or(route_->timeout));
-  QObject::connect(&deadline_timer_, &QTimer::timeout, &deadline_timer_, [weak = weak_from_this()] {
+  deadline_timer_.OnReached([weak = weak_from_this()] {
     const auto exchange = weak.lock();
     if (exchange) exchange->decisions_->OnDeadline(exchange->Now());
   });
-  deadline_timer_.start(std::chrono::ceil<std::chrono::milliseconds>(deadline_ - received_));
+  deadline_timer_.StartAt(deadline_);
   if (services_.drain &&
       !services_.drain->TakesOn(received_, deadline_ - received_, IsOnceOnly())) {
     Refuse({ErrorKind::kDraining, services_.admission->RetryAfterElsewhere()});
@@ -620,7 +619,7 @@
   if (is_done_) return;
   is_done_ = true;
   EndAttempt();
-  deadline_timer_.stop();
+  deadline_timer_.Stop();
   services_.metrics->Count("kumquat_forwarded_total",
                            fmt::format("{},outcome=\"{}\"", RouteLabel(), outcome));
   services_.metrics->Observe("kumquat_forward_seconds", RouteLabel(), Seconds(Now() - received_));
--- a/src/kumquatrouter/forwarding/forward_exchange.h
+++ b/src/kumquatrouter/forwarding/forward_exchange.h
@@ -2,7 +2,6 @@
 // with its caller and the backend servers.
 #pragma once
 
-#include <QTimer>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -15,6 +14,7 @@
 #include "protocol/suspect_entry.h"
 #include "transport/event_splitter.h"
 #include "transport/http_server.h"
+#include "utils/deadline_timer.h"
 
 namespace kumquat {
 
@@ -164,7 +164,7 @@
   std::int64_t run_weights_ = 0;
   // The engine that kept a copy of the run of the last ended attempt.
   std::optional<BackendChoice> last_backup_;
-  QTimer deadline_timer_;
+  DeadlineTimer deadline_timer_;
   bool is_head_relayed_ = false;
   bool is_done_ = false;
   std::function<void()> on_done_;
--- a/src/kumquatrouter/router.cpp
+++ b/src/kumquatrouter/router.cpp
@@ -15,6 +15,7 @@
 #include "protocol/json_fields.h"
 #include "router_settings.h"
 #include "service_exchange.h"
+#include "utils/deadline_timer.h"
 #include "utils/log.h"
 #include "utils/wall_clock.h"
 
@@ -329,8 +330,7 @@
 bool Router::IsStarting() const { return clock_() - started_at_ < kStartupGrace; }
 
 void Router::HandleAgain(const SharedRequest& request, ExchangeStart start) {
-  const Instant now = clock_();
-  RunAt(now + kStartupRetry, now,
+  RunAt(clock_() + kStartupRetry, clock_,
         [this, request, start = std::move(start)] { HandleCaller(request, start); });
 }
 
--- a/src/kumquatrouter/service_exchange.cpp
+++ b/src/kumquatrouter/service_exchange.cpp
@@ -14,6 +14,7 @@
 #include "membership_service.h"
 #include "protocol/control_messages.h"
 #include "router_settings.h"
+#include "utils/deadline_timer.h"
 #include "utils/durations.h"
 #include "utils/histogram.h"
 #include "utils/log.h"
@@ -177,7 +178,7 @@
 }
 
 void ServiceExchange::Execute(const service_command::WakeAt& command) {
-  RunAt(command.moment, services_.clock(), [weak = weak_from_this()] {
+  RunAt(command.moment, services_.clock, [weak = weak_from_this()] {
     const auto exchange = weak.lock();
     if (exchange) exchange->Execute(exchange->decisions_->OnWake(exchange->services_.clock()));
   });
--- a/src/libs/transport/backend_client.cpp
+++ b/src/libs/transport/backend_client.cpp
@@ -12,6 +12,7 @@
 #include "transport/connection_pool.h"
 #include "transport/http_parser.h"
 #include "transport/tcp_stream.h"
+#include "utils/deadline_timer.h"
 #include "utils/log.h"
 
 namespace kumquat {
@@ -73,14 +74,13 @@
         hooks_(std::move(hooks)),
         pool_(std::move(pool)),
         clock_(std::move(clock)),
-        parser_(std::in_place, request_.method == "HEAD") {
-    timer_.setSingleShot(true);
-  }
+        parser_(std::in_place, request_.method == "HEAD"),
+        timer_(clock_) {}
 
   void Start() {
     started_at_ = clock_();
     const auto weak = weak_from_this();
-    QObject::connect(&timer_, &QTimer::timeout, &timer_, [weak] {
+    timer_.OnReached([weak] {
       if (const auto call = weak.lock()) call->HandleTimer();
     });
     if (!request_.new_connection) stream_ = pool_->Take(request_.endpoint);
@@ -98,7 +98,7 @@
   void Cancel() {
     ended_ = true;
     hooks_ = {};
-    timer_.stop();
+    timer_.Stop();
     stream_.reset();
   }
 
@@ -128,7 +128,7 @@
     stream_->Write(head + request_.body);
     request_.body.clear();
     last_progress_ = clock_();
-    StartTimer(PhaseLimit());
+    StartTimer();
   }
 
   Duration PhaseLimit() const {
@@ -142,19 +142,17 @@
       Fail(CallFailure::kSilent, "The answer took too long.");
       return;
     }
-    const Duration left = last_progress_ + PhaseLimit() - now;
-    if (left > Duration(0)) {
-      StartTimer(left);
+    if (now < last_progress_ + PhaseLimit()) {
+      StartTimer();
     } else {
       Fail(CallFailure::kSilent, "The server was silent for too long.");
     }
   }
 
-  void StartTimer(Duration timeout) {
-    if (request_.max_time) {
-      timeout = std::clamp(started_at_ + *request_.max_time - clock_(), Duration(0), timeout);
-    }
-    timer_.start(std::chrono::ceil<std::chrono::milliseconds>(timeout));
+  void StartTimer() {
+    const Instant silence_ends = last_progress_ + PhaseLimit();
+    const auto& max_time = request_.max_time;
+    timer_.StartAt(max_time ? std::min(started_at_ + *max_time, silence_ends) : silence_ends);
   }
 
   void HandleData(std::string_view bytes) {
@@ -249,7 +247,7 @@
 
   void FinishWhole() {
     ended_ = true;
-    timer_.stop();
+    timer_.Stop();
     // An answer that came before the whole request was sent leaves the server waiting for the rest.
     // A faulty server may write a refusal once more, as the answer to a later request that it runs.
     const bool reusable = !ImpliesNotRun(parser_->status()) && stream_ && stream_->connected() &&
@@ -267,7 +265,7 @@
   void Fail(CallFailure failure, const std::string& reason) {
     const auto self = shared_from_this();
     ended_ = true;
-    timer_.stop();
+    timer_.Stop();
     stream_.reset();
     const auto on_failure = std::exchange(hooks_, {}).on_failure;
     if (on_failure) on_failure(failure, reason);
@@ -278,9 +276,9 @@
   std::shared_ptr<ConnectionPool> pool_;
   Clock clock_;
   std::unique_ptr<TcpStream> stream_;
-  QTimer timer_;
   std::string input_;
   std::optional<ResponseParser> parser_;
+  DeadlineTimer timer_;
   Instant started_at_{0};
   Instant last_progress_{0};
   std::int64_t body_bytes_ = 0;
--- a/src/libs/transport/connect_probe.cpp
+++ b/src/libs/transport/connect_probe.cpp
@@ -5,6 +5,8 @@
 #include <QTimer>
 #include <utility>
 
+#include "utils/deadline_timer.h"
+
 namespace kumquat {
 namespace {
 
@@ -20,10 +22,8 @@
                        const bool refused = error == QAbstractSocket::ConnectionRefusedError;
                        Finish(refused ? ConnectProbeResult::kRefused : ConnectProbeResult::kSilent);
                      });
-    timer_.setSingleShot(true);
-    QObject::connect(&timer_, &QTimer::timeout, &socket_,
-                     [this] { Finish(ConnectProbeResult::kSilent); });
-    timer_.start(std::chrono::ceil<std::chrono::milliseconds>(timeout));
+    timer_.OnReached([this] { Finish(ConnectProbeResult::kSilent); });
+    timer_.StartAfter(timeout);
     socket_.connectToHost(QHostAddress(QString::fromStdString(endpoint.ip)), endpoint.port);
   }
 
@@ -32,7 +32,7 @@
  private:
   void Finish(ConnectProbeResult result) {
     if (!on_result_) return;
-    timer_.stop();
+    timer_.Stop();
     // Deferred, so that the hook may destroy this probe and never runs before the start returns.
     QTimer::singleShot(0, &socket_, [hook = std::exchange(on_result_, nullptr), result] {
       const auto kept = hook;
@@ -42,7 +42,7 @@
 
   std::function<void(ConnectProbeResult)> on_result_;
   QTcpSocket socket_;
-  QTimer timer_;
+  DeadlineTimer timer_;
 };
 
 }  // namespace
--- a/src/libs/transport/rpc_client.cpp
+++ b/src/libs/transport/rpc_client.cpp
@@ -1,9 +1,9 @@
-#include <QTimer>
 #include <map>
 #include <utility>
 
 #include "transport/json_convert.h"
 #include "transport/rpc.h"
+#include "utils/deadline_timer.h"
 #include "utils/log.h"
 
 namespace kumquat {
@@ -28,14 +28,12 @@
             OnResult on_result) override {
     const std::int64_t id = ++last_id_;
     const auto [call, added] = calls_.try_emplace(id, std::move(on_result));
-    auto& timer = call->second.timer;
-    timer.setSingleShot(true);
+    DeadlineTimer& timer = call->second.timer;
     const bool sent = link_->Send(FrameKind::kJsonRpc, Request(id, method, params));
     const RpcFailure failure = sent ? RpcFailure::kTimedOut : RpcFailure::kNotSent;
     const Duration wait = sent ? timeout : Duration(0);
-    QObject::connect(&timer, &QTimer::timeout, &context_,
-                     [this, id, failure] { Finish(id, std::nullopt, failure); });
-    timer.start(std::chrono::ceil<std::chrono::milliseconds>(wait));
+    timer.OnReached([this, id, failure] { Finish(id, std::nullopt, failure); });
+    timer.StartAfter(wait);
   }
 
   bool Send(FrameKind kind, std::string_view payload) override {
@@ -49,7 +47,7 @@
     explicit PendingCall(OnResult hook) : on_result(std::move(hook)) {}
 
     OnResult on_result;
-    QTimer timer;
+    DeadlineTimer timer;
   };
 
   static std::string Request(std::int64_t id, std::string_view method, const QJsonObject& params) {
@@ -89,13 +87,12 @@
 
   // Ends the calls that were sent. The hooks run from the event loop, as the link is changing now.
   void FailAll() {
-    for (auto& [id, call] : calls_) call.timer.start(std::chrono::milliseconds(0));
+    for (auto& [id, call] : calls_) call.timer.StartAfter(Duration(0));
   }
 
   std::function<void(std::string_view)> on_cbor_;
   std::map<std::int64_t, PendingCall> calls_;
   std::int64_t last_id_ = 0;
-  QObject context_;
   std::unique_ptr<FrameLink> link_;
 };
 
--- a/src/libs/transport/tcp_stream.cpp
+++ b/src/libs/transport/tcp_stream.cpp
@@ -56,15 +56,11 @@
       descriptor >= 0 && is_address &&
       (connect(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0 ||
        errno == EINPROGRESS);
-  stream->connect_timer_ = std::make_unique<QTimer>();
-  QTimer* timer = stream->connect_timer_.get();
-  timer->setSingleShot(true);
+  stream->connect_timer_ = std::make_unique<DeadlineTimer>();
   const TcpEnd end = errno == ECONNREFUSED ? TcpEnd::kRefused : TcpEnd::kNotConnected;
-  QObject::connect(timer, &QTimer::timeout, timer, [stream = stream.get(), begun, end] {
-    stream->End(begun ? TcpEnd::kNotConnected : end);
-  });
-  timer->start(begun ? std::chrono::ceil<std::chrono::milliseconds>(options.connect_timeout)
-                     : std::chrono::milliseconds(0));
+  stream->connect_timer_->OnReached(
+      [stream = stream.get(), begun, end] { stream->End(begun ? TcpEnd::kNotConnected : end); });
+  stream->connect_timer_->StartAfter(begun ? options.connect_timeout : Duration(0));
   if (begun) stream->Watch();
   return stream;
 }
@@ -119,7 +115,7 @@
     return;
   }
   state_ = State::kOpen;
-  connect_timer_->stop();
+  connect_timer_->Stop();
   writable_->setEnabled(false);
   readable_->setEnabled(true);
   const auto alive = alive_;
@@ -201,10 +197,7 @@
     (*notifier)->setEnabled(false);
     notifier->release()->deleteLater();
   }
-  if (connect_timer_) {
-    connect_timer_->stop();
-    connect_timer_.release()->deleteLater();
-  }
+  connect_timer_.reset();
   if (descriptor_ >= 0) close(std::exchange(descriptor_, -1));
 }
 
--- a/src/libs/transport/tcp_stream.h
+++ b/src/libs/transport/tcp_stream.h
@@ -6,13 +6,13 @@
 #pragma once
 
 #include <QSocketNotifier>
-#include <QTimer>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
 
+#include "utils/deadline_timer.h"
 #include "utils/endpoint.h"
 #include "utils/hooks.h"
 
@@ -103,7 +103,7 @@
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   std::unique_ptr<QSocketNotifier> readable_;
   std::unique_ptr<QSocketNotifier> writable_;
-  std::unique_ptr<QTimer> connect_timer_;
+  std::unique_ptr<DeadlineTimer> connect_timer_;
 };
 
 }  // namespace kumquat
--- a/src/libs/transport/witnessed_probe.cpp
+++ b/src/libs/transport/witnessed_probe.cpp
@@ -1,8 +1,9 @@
 #include "transport/witnessed_probe.h"
 
-#include <QTimer>
 #include <utility>
 
+#include "utils/deadline_timer.h"
+
 namespace kumquat {
 namespace {
 
@@ -14,8 +15,7 @@
   WitnessedProbe(const WitnessedProbeOptions& options, std::function<void(ProbeVerdict)> on_verdict,
                  ProbeStarter start)
       : options_(options), on_verdict_(std::move(on_verdict)), start_(std::move(start)) {
-    grace_.setSingleShot(true);
-    QObject::connect(&grace_, &QTimer::timeout, &grace_, [this] { Finish(ProbeVerdict::kGone); });
+    grace_.OnReached([this] { Finish(ProbeVerdict::kGone); });
     first_ = start_(options_.suspect, options_.patience, [this](ConnectProbeResult result) {
       if (result == ConnectProbeResult::kSilent && options_.witness) {
         AskWitness();
@@ -38,7 +38,7 @@
     });
     witness_ = start_(*options_.witness, kLongestWait, [this](ConnectProbeResult result) {
       if (result == ConnectProbeResult::kConnected) {
-        grace_.start(std::chrono::ceil<std::chrono::milliseconds>(options_.grace));
+        grace_.StartAfter(options_.grace);
       } else {
         Finish(ProbeVerdict::kUnknown);
       }
@@ -47,7 +47,7 @@
 
   // The hook may destroy this probe.
   void Finish(ProbeVerdict verdict) {
-    grace_.stop();
+    grace_.Stop();
     const auto hook = std::exchange(on_verdict_, nullptr);
     if (hook) hook(verdict);
   }
@@ -55,7 +55,7 @@
   WitnessedProbeOptions options_;
   std::function<void(ProbeVerdict)> on_verdict_;
   ProbeStarter start_;
-  QTimer grace_;
+  DeadlineTimer grace_;
   std::unique_ptr<ConnectProbe> first_;
   std::unique_ptr<ConnectProbe> second_;
   std::unique_ptr<ConnectProbe> witness_;
--- a/tests/process/forwarding/forward_process_test.cpp
+++ b/tests/process/forwarding/forward_process_test.cpp
@@ -424,5 +424,47 @@
   CHECK(bench.router(0).exit_status() == 0);
 }
 
+// A router's deadline timer was a coarse one, which fires up to 5% early.
+TEST_CASE("No request is ended before its route's timeout, and most within 0.5 s after it") {
+  constexpr int kRequests = 40;
+  constexpr std::chrono::milliseconds kTimeout{4000};
+  constexpr std::chrono::milliseconds kLate{500};
+  constexpr std::chrono::milliseconds kPause{26};
+  ForwardBench bench;
+  StandInServer server("s1", "desk", bench.control());
+  bench.WaitForStatus(0, "/again/look", 200);
+  bench.PutSlowRoute(2, "/slow/", kTimeout);
+  bench.WaitForStatus(0, "/slow/", 200);
+  server.AnswerAfter(3 * kTimeout);
+  struct Sent {
+    std::unique_ptr<TestCall> call;
+    QElapsedTimer since;
+    std::optional<qint64> ended_ms;
+  };
+  std::vector<Sent> requests;
+  const auto note_ended = [&requests] {
+    bool all_ended = true;
+    for (Sent& sent : requests) {
+      if (sent.call->done() && !sent.ended_ms) sent.ended_ms = sent.since.elapsed();
+      all_ended = all_ended && sent.ended_ms;
+    }
+    return all_ended;
+  };
+  for (int i = 0; i < kRequests; ++i) {
+    std::string id;
+    requests.emplace_back().since.start();
+    requests.back().call = bench.Start(0, "/slow/", &id, "a booking");
+    SpinUntil([&] { return requests.back().since.elapsed() >= kPause.count(); });
+  }
+  CHECK(SpinUntil(note_ended));
+  int late = 0;
+  for (const Sent& sent : requests) {
+    CHECK(sent.call->status == 504);
+    CHECK(sent.ended_ms.value_or(0) >= kTimeout.count());
+    if (sent.ended_ms.value_or(0) > (kTimeout + kLate).count()) ++late;
+  }
+  CHECK(late <= kRequests / 2);
+}
+
 }  // namespace
 }  // namespace kumquat
