The replicated log is limited by bytes, not by the number of its entries alone

Entries are moved at the start, not copied. New metric kumquat_control_log_bytes. Why it works: memory, disk and the time of a start are bounded by bytes, whatever the size of an entry.

--- a/src/kumquatcontrol/control_node.cpp
+++ b/src/kumquatcontrol/control_node.cpp
@@ -187,6 +187,8 @@
 std::string ControlNode::MetricsText() {
   const bool leads = log_ && log_->role() == LogRole::kLeader;
   metrics_.Set("kumquat_control_leads", {}, leads ? 1 : 0);
+  metrics_.Set("kumquat_control_log_bytes", {},
+               log_ ? static_cast<double>(log_->status().entry_bytes) : 0);
   metrics_.Set("kumquat_routers_linked", {}, static_cast<double>(desk_.LiveRouters().size()));
   suspects_.Measure(&metrics_);
   MeasureHints();
--- a/src/libs/coordination/log/durable_log.cpp
+++ b/src/libs/coordination/log/durable_log.cpp
@@ -16,9 +16,9 @@
     memberships_ = {{base_index_, stored->snapshot->membership}};
     snapshot_ = std::make_shared<const LogSnapshot>(std::move(*stored->snapshot));
   }
-  for (const LogEntry& entry : stored->entries) {
+  for (LogEntry& entry : stored->entries) {
     if (entry.index != last_index() + 1) return Fail("The stored entries have a gap.");
-    if (!AddToMemory(entry)) return Fail("A stored membership entry can't be decoded.");
+    if (!AddToMemory(std::move(entry))) return Fail("A stored membership entry can't be decoded.");
   }
   if (last_term() > vote_.term) vote_ = {last_term(), std::nullopt};
   synced_index_ = last_index();
@@ -50,6 +50,15 @@
   return slice;
 }
 
+std::uint64_t DurableLog::BytesBetween(std::uint64_t after, std::uint64_t last) const {
+  return last > after ? BytesUpTo(last) - BytesUpTo(after) : 0;
+}
+
+std::uint64_t DurableLog::BytesUpTo(std::uint64_t index) const {
+  const std::uint64_t within = std::min(index, last_index());
+  return within > base_index_ ? bytes_up_to_[within - base_index_ - 1] : base_bytes_;
+}
+
 void DurableLog::Append(std::span<const LogEntry> entries) {
   if (entries.empty()) return;
   for (const LogEntry& entry : entries) AddToMemory(entry);
@@ -59,8 +68,8 @@
 
 void DurableLog::TruncateFrom(std::uint64_t index) {
   if (index > last_index()) return;
-  entries_.erase(entries_.begin() + static_cast<std::ptrdiff_t>(index - base_index_ - 1),
-                 entries_.end());
+  entries_.resize(index - base_index_ - 1);
+  bytes_up_to_.resize(entries_.size());
   while (memberships_.back().index >= index) memberships_.pop_back();
   synced_index_ = std::min(synced_index_, index - 1);
   storage_->TruncateFrom(index);
@@ -75,12 +84,16 @@
   return found->membership;
 }
 
-void DurableLog::Compact(LogSnapshot snapshot, std::uint64_t trailing) {
+void DurableLog::Compact(LogSnapshot snapshot, std::uint64_t trailing_entries,
+                         std::uint64_t trailing_bytes) {
   const std::uint64_t index = snapshot.index;
   snapshot_ = std::make_shared<const LogSnapshot>(std::move(snapshot));
   storage_->SaveSnapshot(*snapshot_);
   unsynced_ = true;
-  if (index > base_index_ + trailing) DropBefore(index - trailing);
+  std::uint64_t new_base_index = index > trailing_entries ? index - trailing_entries : 0;
+  new_base_index = std::max(new_base_index, base_index_);
+  while (BytesBetween(new_base_index, index) > trailing_bytes) ++new_base_index;
+  DropBefore(new_base_index);
 }
 
 void DurableLog::Install(LogSnapshot snapshot) {
@@ -93,6 +106,7 @@
     return;
   }
   entries_.clear();
+  bytes_up_to_.clear();
   base_index_ = snapshot_->index;
   base_term_ = snapshot_->term;
   memberships_ = {{base_index_, snapshot_->membership}};
@@ -111,20 +125,23 @@
   return false;
 }
 
-bool DurableLog::AddToMemory(const LogEntry& entry) {
+bool DurableLog::AddToMemory(LogEntry entry) {
   if (entry.kind == EntryKind::kMembership) {
     std::optional<Membership> membership = DecodeMembership(entry.payload);
     if (!membership) return false;
     memberships_.push_back({entry.index, std::move(*membership)});
   }
-  entries_.push_back(entry);
+  bytes_up_to_.push_back(BytesUpTo(last_index()) + entry.payload.size());
+  entries_.push_back(std::move(entry));
   return true;
 }
 
 void DurableLog::DropBefore(std::uint64_t new_base_index) {
   base_term_ = *TermAt(new_base_index);
+  base_bytes_ = BytesUpTo(new_base_index);
   while (base_index_ < new_base_index) {
     entries_.pop_front();
+    bytes_up_to_.pop_front();
     ++base_index_;
   }
   while (memberships_.size() > 1 && memberships_[1].index <= base_index_) {
--- a/src/libs/coordination/log/durable_log.h
+++ b/src/libs/coordination/log/durable_log.h
@@ -42,6 +42,9 @@
   std::vector<LogEntry> Slice(std::uint64_t first, std::uint64_t max_entries,
                               std::uint64_t max_bytes) const;
 
+  // Returns the payload bytes of the entries in memory after `after` and up to `last`.
+  std::uint64_t BytesBetween(std::uint64_t after, std::uint64_t last) const;
+
   // Appends entries, whose indices must follow last_index() without gaps.
   void Append(std::span<const LogEntry> entries);
 
@@ -58,8 +61,8 @@
   std::shared_ptr<const LogSnapshot> snapshot() const { return snapshot_; }
 
   // Replaces the entries up to the snapshot's index, which must be applied, by the snapshot. The
-  // last `trailing` of them stay in memory.
-  void Compact(LogSnapshot snapshot, std::uint64_t trailing);
+  // last of them stay in memory, within both limits.
+  void Compact(LogSnapshot snapshot, std::uint64_t trailing_entries, std::uint64_t trailing_bytes);
 
   // Installs a snapshot from the leader that covers more than what is committed on this replica.
   // The entries after it are kept if the log holds an entry of the snapshot's index and term.
@@ -83,7 +86,9 @@
   };
 
   bool Fail(std::string reason);
-  bool AddToMemory(const LogEntry& entry);
+  bool AddToMemory(LogEntry entry);
+  // Returns the payload bytes of all entries up to this index, counted from an arbitrary start.
+  std::uint64_t BytesUpTo(std::uint64_t index) const;
   void DropBefore(std::uint64_t new_base_index);
 
   LogStorage* storage_;
@@ -92,6 +97,9 @@
   std::uint64_t base_index_ = 0;
   std::uint64_t base_term_ = 0;
   std::deque<LogEntry> entries_;
+  // For each entry, the payload bytes up to its end; the first begins at base_bytes_.
+  std::deque<std::uint64_t> bytes_up_to_;
+  std::uint64_t base_bytes_ = 0;
   std::vector<MembershipAtIndex> memberships_ = {{}};
   std::shared_ptr<const LogSnapshot> snapshot_;
   bool unsynced_ = false;
--- a/src/libs/coordination/log/replica.cpp
+++ b/src/libs/coordination/log/replica.cpp
@@ -1,5 +1,6 @@
 #include "coordination/log/replica.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "utils/log.h"
@@ -142,13 +143,19 @@
   if (role_ == LogRole::kFailed) return;
   const auto last = log_.snapshot();
   const std::uint64_t last_index = last ? last->index : 0;
-  if (applied_index_ - last_index < parts_.options.snapshot_after_entries) return;
+  const LogOptions& options = parts_.options;
+  // A snapshot that is taken for fewer bytes than it has would cost more than the log.
+  const std::uint64_t due_bytes =
+      std::max<std::uint64_t>(options.snapshot_after_bytes, last ? last->state.size() : 0);
+  const bool is_due = applied_index_ - last_index >= options.snapshot_after_entries ||
+                      log_.BytesBetween(last_index, applied_index_) >= due_bytes;
+  if (!is_due) return;
   LogSnapshot snapshot;
   snapshot.index = applied_index_;
   snapshot.term = *log_.TermAt(applied_index_);
   snapshot.membership = log_.MembershipAt(applied_index_);
   snapshot.state = parts_.machine->Snapshot();
-  log_.Compact(std::move(snapshot), parts_.options.trailing_entries);
+  log_.Compact(std::move(snapshot), options.trailing_entries, options.trailing_bytes);
   RequestFlush();
 }
 
@@ -199,6 +206,7 @@
   status.applied_index = applied_index_;
   status.last_index = log_.last_index();
   status.snapshot_index = log_.snapshot() ? log_.snapshot()->index : 0;
+  status.entry_bytes = log_.BytesBetween(log_.base_index(), log_.last_index());
   status.membership = membership();
   for (const auto& [id, peer] : peers_) {
     status.peers.push_back(
--- a/src/libs/coordination/log/replica.h
+++ b/src/libs/coordination/log/replica.h
@@ -123,6 +123,8 @@
   void ReplicateTo(const ReplicaId& id, PeerProgress& peer);
   void SendHeartbeat(const ReplicaId& id, PeerProgress& peer);
   void SendEntries(const ReplicaId& id, PeerProgress& peer);
+  // Returns whether another message of entries may be sent before the replica acknowledges.
+  bool MaySendEntries(const PeerProgress& peer) const;
   void SendChunk(const ReplicaId& id, PeerProgress& peer);
   void AdvanceCommit();
   std::uint64_t HighestReachedByMajority(
--- a/src/libs/coordination/log/replica_leader.cpp
+++ b/src/libs/coordination/log/replica_leader.cpp
@@ -66,6 +66,11 @@
   if (log_.last_index() - commit_index_ >= parts_.options.max_uncommitted_entries) {
     return Reject("Too many commands wait to be committed.");
   }
+  const std::uint64_t uncommitted_bytes = log_.BytesBetween(commit_index_, log_.last_index());
+  if (uncommitted_bytes > 0 &&
+      uncommitted_bytes + command.size() > parts_.options.max_uncommitted_bytes) {
+    return Reject("Too many bytes wait to be committed.");
+  }
   return AppendLocally(EntryKind::kCommand, command);
 }
 
@@ -147,8 +152,7 @@
   }
   if (peer.snapshot && !peer.chunk_in_flight) SendChunk(id, peer);
   bool sent = false;
-  while (!peer.snapshot && !peer.probe_in_flight && peer.next_index <= log_.last_index() &&
-         peer.next_index - peer.match_index <= parts_.options.max_unacknowledged_entries) {
+  while (MaySendEntries(peer)) {
     SendEntries(id, peer);
     sent = true;
   }
@@ -156,6 +160,14 @@
   if (!sent && (round_requested_ || has_new_commit)) SendHeartbeat(id, peer);
 }
 
+bool Replica::MaySendEntries(const PeerProgress& peer) const {
+  if (peer.snapshot || peer.probe_in_flight || peer.next_index > log_.last_index()) return false;
+  const std::uint64_t unacknowledged_bytes =
+      log_.BytesBetween(peer.match_index, peer.next_index - 1);
+  return peer.next_index - peer.match_index <= parts_.options.max_unacknowledged_entries &&
+         unacknowledged_bytes < parts_.options.max_unacknowledged_bytes;
+}
+
 void Replica::SendHeartbeat(const ReplicaId& id, PeerProgress& peer) {
   Append heartbeat;
   heartbeat.round = round_;
--- a/src/libs/coordination/log/replicated_log.h
+++ b/src/libs/coordination/log/replicated_log.h
@@ -73,23 +73,31 @@
   // How long ConfirmLeadership() waits for acknowledgements from a majority.
   Duration confirm_timeout = std::chrono::seconds(2);
 
-  // A snapshot is taken once this many entries have been applied since the last one.
+  // A snapshot is taken once this many entries, or payload bytes, have been applied since the last
+  // one. While the last snapshot is larger than these bytes, as many bytes as it has must have been
+  // applied instead.
   std::uint64_t snapshot_after_entries = 10'000;
+  std::uint64_t snapshot_after_bytes = 8 * 1024 * 1024;
 
   // Applied entries that stay in memory after a snapshot, so that replicas that lag a little get
-  // entries instead of the snapshot.
+  // entries instead of the snapshot; fewer where their payloads have more bytes than this.
   std::uint64_t trailing_entries = 1'000;
+  std::uint64_t trailing_bytes = 2 * 1024 * 1024;
 
-  // Propose() refuses commands while this many entries are uncommitted.
+  // Propose() refuses commands while this many entries are uncommitted, or while the payload bytes
+  // of several would exceed the limit.
   std::uint64_t max_uncommitted_entries = 65'536;
+  std::uint64_t max_uncommitted_bytes = 16 * 1024 * 1024;
 
   // Limits of one Append message. The bytes are those of the payloads; a first entry that is larger
   // is sent alone.
   std::uint64_t max_append_entries = 512;
   std::uint64_t max_append_bytes = 256 * 1024;
 
-  // No more entries are sent to a replica while this many are unacknowledged by it.
+  // No more entries are sent to a replica while this many entries, or payload bytes, are
+  // unacknowledged by it.
   std::uint64_t max_unacknowledged_entries = 4'096;
+  std::uint64_t max_unacknowledged_bytes = 4 * 1024 * 1024;
 
   // State bytes in one InstallSnapshot message.
   std::uint64_t snapshot_chunk_bytes = 256 * 1024;
@@ -113,6 +121,9 @@
   std::uint64_t applied_index = 0;
   std::uint64_t last_index = 0;
   std::uint64_t snapshot_index = 0;
+
+  // Payload bytes of the entries in memory.
+  std::uint64_t entry_bytes = 0;
   Membership membership;
 
   // Filled on the leader only.
--- a/tests/libs/coordination/log/replica_test.cpp
+++ b/tests/libs/coordination/log/replica_test.cpp
@@ -1,5 +1,6 @@
 // Tests one replica with hand-made messages, for cases that random schedules seldom reach.
 #include <algorithm>
+#include <span>
 
 #include "log_cluster.h"
 #include "property.h"
@@ -13,6 +14,23 @@
 const ReplicaId kC{"c", 1};
 const Membership kMembers{{kA, kB, kC}};
 
+// A state machine whose whole state is the last command, as with a document that is replaced.
+class LastCommandMachine : public StateMachine {
+ public:
+  std::string Apply(std::uint64_t /*index*/, std::string_view command) override {
+    last_ = command;
+    return {};
+  }
+  std::string Snapshot() const override { return last_; }
+  bool Restore(std::string_view snapshot) override {
+    last_ = snapshot;
+    return true;
+  }
+
+ private:
+  std::string last_;
+};
+
 // Runs one replica on a disk, by default without a quiet period, and records what it sends.
 class ReplicaHarness {
  public:
@@ -63,11 +81,27 @@
         }));
   }
 
+  // Returns the payload bytes of all entries sent to the replica.
+  std::size_t EntryBytesSentTo(const ReplicaId& to) const {
+    std::size_t bytes = 0;
+    for (const LogMessage& message : sent_) {
+      const auto* append = std::get_if<Append>(&message.body);
+      if (append && message.to == to) bytes += PayloadBytes(append->entries);
+    }
+    return bytes;
+  }
+
+  static std::size_t PayloadBytes(std::span<const LogEntry> entries) {
+    std::size_t bytes = 0;
+    for (const LogEntry& entry : entries) bytes += entry.payload.size();
+    return bytes;
+  }
+
  private:
   std::mt19937_64 random_{1};
   Instant now_{0};
   MemoryLogStorage storage_;
-  RecordingMachine machine_;
+  LastCommandMachine machine_;
   std::vector<LogMessage> sent_;
   std::unique_ptr<ReplicatedLog> log_;
 };
@@ -249,5 +283,86 @@
   }
 }
 
+// A control replica has 256 MB in all. One configuration with 752 routes has some 168 KB, and a day
+// may bring hundreds of them.
+constexpr std::size_t kMegabyte = 1024 * 1024;
+constexpr std::size_t kMaxLogBytes = 32 * kMegabyte;
+constexpr std::size_t kCommandBytes = 168 * 1024;
+constexpr int kCommands = 400;
+
+// The log was compacted by the number of its entries alone, so that control ran out of memory.
+TEST_CASE("A log of hundreds of large commands is compacted before it has 32 MB") {
+  MemoryDisk disk = MemberDisk();
+  {
+    ReplicaHarness replica("a", &disk);
+    MakeLeader(replica);
+    std::size_t most_bytes = 0;
+    for (int i = 0; i < kCommands; ++i) {
+      const auto position = replica.log().Propose(std::string(kCommandBytes, 'c'));
+      REQUIRE(position);
+      replica.log().Flush();
+      replica.Receive(kB, 2, AppendAnswer{true, position->index, 0});
+      replica.log().Flush();
+      most_bytes = std::max(most_bytes, ReplicaHarness::PayloadBytes(disk.durable.entries));
+    }
+    CHECK(replica.log().commit_index() == kCommands + 3);
+    CHECK(most_bytes < kMaxLogBytes);
+  }
+  ReplicaHarness restarted("a", &disk);
+  CHECK(restarted.log().commit_index() > 0);
+}
+
+// What a slow replica hasn't acknowledged waits in the leader's memory.
+TEST_CASE("A replica that stops to acknowledge is sent no more than 8 MB") {
+  MemoryDisk disk = MemberDisk();
+  ReplicaHarness replica("a", &disk);
+  MakeLeader(replica);
+  replica.log().Flush();
+  replica.Receive(kC, 2, AppendAnswer{true, 3, 0});
+  for (int i = 0; i < kCommands; ++i) {
+    const auto position = replica.log().Propose(std::string(kCommandBytes, 'c'));
+    REQUIRE(position);
+    replica.log().Flush();
+    replica.Receive(kB, 2, AppendAnswer{true, position->index, 0});
+    replica.log().Flush();
+  }
+  CHECK(replica.EntryBytesSentTo(kC) > 0);
+  CHECK(replica.EntryBytesSentTo(kC) <= 8 * kMegabyte);
+}
+
+TEST_CASE("A leader that no replica answers takes 32 MB of commands at most, and goes on later") {
+  MemoryDisk disk = MemberDisk();
+  ReplicaHarness replica("a", &disk);
+  MakeLeader(replica);
+  std::uint64_t last_index = 0;
+  std::size_t taken_bytes = 0;
+  bool is_refused = false;
+  for (int i = 0; i < kCommands; ++i) {
+    const auto position = replica.log().Propose(std::string(kCommandBytes, 'c'));
+    is_refused = is_refused || !position;
+    if (!position) continue;
+    last_index = position->index;
+    taken_bytes += kCommandBytes;
+  }
+  CHECK(is_refused);
+  CHECK(taken_bytes > 0);
+  CHECK(taken_bytes < kMaxLogBytes);
+  replica.log().Flush();
+  replica.Receive(kB, 2, AppendAnswer{true, last_index, 0});
+  replica.log().Flush();
+  CHECK(replica.log().commit_index() == last_index);
+  CHECK(replica.log().Propose("command"));
+}
+
+TEST_CASE("A command larger than all limits is taken where nothing else waits") {
+  MemoryDisk disk = MemberDisk();
+  ReplicaHarness replica("a", &disk);
+  MakeLeader(replica);
+  replica.log().Flush();
+  replica.Receive(kB, 2, AppendAnswer{true, 3, 0});
+  replica.log().Flush();
+  CHECK(replica.log().Propose(std::string(2 * kMaxLogBytes, 'c')));
+}
+
 }  // namespace
 }  // namespace kumquat
