--- a/src/kumquatcontrol/control_node.cpp
+++ b/src/kumquatcontrol/control_node.cpp
@@ -421,6 +421,7 @@
 // One tick's news go out together: each router is woken once for all of them.
 void ControlNode::TellRouters() {
   if (const auto suspects = suspects_.TakeNews()) desk_.SendAll(*suspects);
+  desk_.PushUnsentDocuments();
   const std::vector<std::string> routers = desk_.LiveRouters();
   member_flood_.Flush(routers, SteadyClock()());
   hints_.Flush(routers, SteadyClock()());
--- a/src/kumquatcontrol/router_desk.cpp
+++ b/src/kumquatcontrol/router_desk.cpp
@@ -1,5 +1,6 @@
 #include "router_desk.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "utils/log.h"
@@ -12,6 +13,11 @@
 // A digest that differs once may be that of a change on its way; the tables of a large fleet take
 // some 30 KB each way to compare.
 constexpr int kMismatchesToExchange = 2;
+// A router whose link holds more unsent bytes than this gets documents once it has read them, the
+// newest ones then. Hints stop at less.
+constexpr std::int64_t kMaxWaitingBytes = 256 * 1024;
+// Bytes of documents that one push queues, to all routers together.
+constexpr std::int64_t kMaxPushBytes = 16 * 1024 * 1024;
 
 }  // namespace
 
@@ -29,7 +35,7 @@
   router.connection = connection;
   router.hello = hello;
   router.heard_at = hooks_.clock();
-  SendMissingDocuments(&router);
+  SendMissingDocuments(&router, hooks_.documents());
   CompareMembers(&router, is_new_run);
   Send(hello.router, Fleet());
 }
@@ -51,19 +57,47 @@
 
 void RouterDesk::PushFleet() { SendAll(Fleet()); }
 
-void RouterDesk::SendMissingDocuments(Router* router) {
+std::int64_t RouterDesk::SendMissingDocuments(Router* router,
+                                              std::span<const Document* const> documents) {
+  const auto is_missing = [router](const Document* document) {
+    return document->version > router->hello.versions[document->name];
+  };
+  if (std::none_of(documents.begin(), documents.end(), is_missing)) return 0;
+  if (router->connection->waiting_bytes() > kMaxWaitingBytes) {
+    has_unsent_documents_ = true;
+    return 0;
+  }
   DocumentNews news;
-  for (const Document* document : hooks_.documents()) {
-    std::int64_t& known = router->hello.versions[document->name];
-    if (document->version <= known) continue;
-    known = document->version;
+  for (const Document* document : documents) {
+    if (!is_missing(document)) continue;
+    router->hello.versions[document->name] = document->version;
     news.documents.push_back(*document);
   }
-  if (!news.documents.empty()) router->connection->Send(FrameKind::kNews, Encode(news));
+  const std::string encoded = Encode(news);
+  router->connection->Send(FrameKind::kNews, encoded);
+  return static_cast<std::int64_t>(encoded.size());
 }
 
 void RouterDesk::PushDocuments() {
-  for (auto& [name, router] : routers_) SendMissingDocuments(&router);
+  has_unsent_documents_ = false;
+  const std::vector<const Document*> documents = hooks_.documents();
+  std::int64_t room = kMaxPushBytes;
+  // Begins behind the router that was served last, so that all get their turn.
+  auto next = routers_.upper_bound(last_served_);
+  for (std::size_t i = 0; i < routers_.size(); ++i, ++next) {
+    if (next == routers_.end()) next = routers_.begin();
+    if (room <= 0) {
+      has_unsent_documents_ = true;
+      return;
+    }
+    const std::int64_t sent = SendMissingDocuments(&next->second, documents);
+    room -= sent;
+    if (sent > 0) last_served_ = next->first;
+  }
+}
+
+void RouterDesk::PushUnsentDocuments() {
+  if (has_unsent_documents_) PushDocuments();
 }
 
 void RouterDesk::Send(const std::string& router, const ControlNews& news) {
--- a/src/kumquatcontrol/router_desk.h
+++ b/src/kumquatcontrol/router_desk.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -38,9 +39,13 @@
   // A router greeted; it gets what it lacks.
   void Receive(const std::shared_ptr<FrameConnection>& connection, const RouterHello& hello);
 
-  // Sends documents to all routers that lack them.
+  // Sends documents to the routers that lack them, but for routers that haven't read what they were
+  // sent before, and within a limit of bytes.
   void PushDocuments();
 
+  // Goes on where PushDocuments() left something out; call it every few 10 ms.
+  void PushUnsentDocuments();
+
   // Tells all routers which processes there are.
   void PushFleet();
 
@@ -70,13 +75,16 @@
     int mismatches = 0;
   };
 
-  void SendMissingDocuments(Router* router);
+  // Returns the bytes that were queued.
+  std::int64_t SendMissingDocuments(Router* router, std::span<const Document* const> documents);
   void CompareMembers(Router* router, bool is_new_run);
   FleetNews Fleet();
   void DropSilent();
 
   RouterDeskHooks hooks_;
   std::map<std::string, Router> routers_;
+  std::string last_served_;
+  bool has_unsent_documents_ = false;
 };
 
 }  // namespace kumquat
