--- a/src/libs/coordination/log/replica.cpp
+++ b/src/libs/coordination/log/replica.cpp
@@ -11,15 +11,11 @@
 Replica::Replica(ReplicaParts parts) : parts_(std::move(parts)), log_(parts_.storage) {}
 
 bool Replica::Start() {
-  if (!log_.Load()) {
-    last_reason_ = log_.last_reason();
-    return false;
-  }
+  if (!log_.Load()) return FailStart(log_.last_reason());
   self_ = {parts_.name, log_.storage_identity()};
   if (const auto snapshot = log_.snapshot()) {
     if (!parts_.machine->Restore(snapshot->state)) {
-      last_reason_ = "The state machine rejected the stored snapshot.";
-      return false;
+      return FailStart("The state machine rejected the stored snapshot.");
     }
     commit_index_ = snapshot->index;
     applied_index_ = snapshot->index;
@@ -35,6 +31,13 @@
   return true;
 }
 
+// A replica that knows neither its identity nor its entries must not seem to be an empty one.
+bool Replica::FailStart(std::string_view reason) {
+  last_reason_ = reason;
+  SetRole(LogRole::kFailed);
+  return false;
+}
+
 void Replica::Tick() {
   if (role_ == LogRole::kFailed) return;
   if (role_ == LogRole::kLeader) {
--- a/src/libs/coordination/log/replica.h
+++ b/src/libs/coordination/log/replica.h
@@ -84,6 +84,8 @@
   void SetRole(LogRole role);
   void BecomeFollower(std::uint64_t new_term, const std::optional<ReplicaId>& leader);
   void Fail(const std::string& reason);
+  // Stores the reason and returns false.
+  bool FailStart(std::string_view reason);
   void Dispatch(const LogMessage& message);
 
   // replica_election.cpp: campaigns and votes.
--- a/src/libs/coordination/log/replicated_log.h
+++ b/src/libs/coordination/log/replicated_log.h
@@ -145,7 +145,8 @@
   ReplicatedLog& operator=(const ReplicatedLog&) = delete;
 
   // Loads the storage and restores the state machine from the snapshot. Returns false when that
-  // fails; last_reason() says why. Nothing is sent before the first Tick().
+  // fails, and the replica then has failed for good; last_reason() says why. Nothing is sent before
+  // the first Tick().
   bool Start();
 
   // Runs heartbeats, elections and other timed work that is due, then flushes. Must be called every
--- a/tests/libs/coordination/log/replica_test.cpp
+++ b/tests/libs/coordination/log/replica_test.cpp
@@ -157,6 +157,43 @@
 
 // Regression test for a failure of replicated_log_test with seed=1: a founding vote request was
 // delayed until its receiver had restarted with entries.
+// A full disk may keep a replica from starting until it has room.
+class UnreadableStorage : public MemoryLogStorage {
+ public:
+  using MemoryLogStorage::MemoryLogStorage;
+  std::optional<StoredLog> Load() override { return std::nullopt; }
+};
+
+TEST_CASE("A replica that couldn't read its storage neither joins nor answers") {
+  ConfigureLog("test", LogLevel::kError);
+  MemoryDisk disk = MemberDisk();
+  std::mt19937_64 random(1);
+  UnreadableStorage storage(&disk, &random);
+  LastCommandMachine machine;
+  Instant now{0};
+  std::vector<LogMessage> sent;
+  LogOptions options;
+  options.open_membership_voters = 3;
+  const auto log = ReplicatedLog::Builder()
+                       .Name("b")
+                       .MemberNames({"a", "b", "c"})
+                       .Options(options)
+                       .Storage(&storage)
+                       .Machine(&machine)
+                       .Time([&now] { return now; })
+                       .Randomness([&random] { return random(); })
+                       .OnSend([&sent](const LogMessage& message) { sent.push_back(message); })
+                       .Build();
+  CHECK_FALSE(log->Start());
+  CHECK(log->role() == LogRole::kFailed);
+  for (int i = 0; i < 500; ++i) {
+    now += std::chrono::milliseconds(10);
+    log->Receive({kA, {"b", 0}, 1, Join{true}});
+    log->Tick();
+  }
+  CHECK(sent.empty());
+}
+
 TEST_CASE("A replica with entries answers no vote request, founding or not, in its quiet period") {
   MemoryDisk disk = MemberDisk();
   ReplicaHarness replica("b", &disk, std::chrono::seconds(1));
--- a/tests/process/test_program.h
+++ b/tests/process/test_program.h
@@ -3,6 +3,8 @@
 
 #include <doctest/doctest.h>
 
+#include <sys/resource.h>
+
 #include <QCoreApplication>
 #include <QProcess>
 #include <QTcpServer>
@@ -51,6 +53,8 @@
       process_.setProcessChannelMode(QProcess::ForwardedErrorChannel);
       process_.setStandardOutputFile(QString::fromStdString(log_path_), QIODevice::Append);
     }
+    // Inherited by the program: a write past a limit of SetDiskFull() then fails and ends nothing.
+    std::signal(SIGXFSZ, SIG_IGN);
     process_.start(QString::fromStdString(std::string(KUMQUAT_BIN_DIR) + "/" + name_),
                    {QStringLiteral("--config"), QString::fromStdString(path)});
     REQUIRE(process_.waitForStarted());
@@ -63,6 +67,15 @@
 
   void Signal(int number) const { ::kill(static_cast<pid_t>(process_.processId()), number); }
 
+  // While the disk is full, every write of the program to a file fails.
+  void SetDiskFull(bool full) const {
+    rlimit limit{};
+    const auto pid = static_cast<pid_t>(process_.processId());
+    REQUIRE(prlimit(pid, RLIMIT_FSIZE, nullptr, &limit) == 0);
+    limit.rlim_cur = full ? 0 : limit.rlim_max;
+    REQUIRE(prlimit(pid, RLIMIT_FSIZE, &limit, nullptr) == 0);
+  }
+
   // Returns the most memory that the program has held at once, in kilobytes.
   std::int64_t peak_kilobytes() const {
     std::ifstream status("/proc/" + std::to_string(process_.processId()) + "/status");
