What is kept of answers is limited for the process, not for each stream and caller alone

Report tried (operators of a similar system): a faulty runner sent bytes without end, in a head or in a body, until the caller closed; the machine that had called it ran out of memory and the requests of its other clients ended with it (LOST, processes that end by themselves). It can happen here.

What callers would see: with 60 callers at once a router of 88 MB (the smallest machine of the deployments in force) reached 132 MB by events without end, and took 55 MB more by bodies without end for callers that read nothing; the machine ends it with everybody's requests.

Cause: an unfinished event may have 4 MB, and twice that while its buffer grows; a caller that doesn't read 1 MB or 2 MB; an answer whose request is done had no limit. Requests were limited for the process, answers weren't. The same on the own interface (4 MB an event, 16 MB a service's answer, 64 MB a read of an engine's cache events) and at control (8 MB a read of cache events, up to 48 engines a replica).

Change: AnswerMemory counts what is kept of answers over all connections and requests of a process; past the limit (an eighth of a router's memory; 32 MB at control; limits.max_answer_bytes on the own interface) the largest are dropped, one after another. Why it works: usual answers keep next to nothing, so only those without end, or that nobody reads, are hit. Counting costs an addition; sums are taken only once the limit may have been passed.

Tests: forward_memory_test (new, real processes): both cases failed before (118,700 KB and 54,672 KB more than before the flood, 45,056 allowed), pass now. answer_memory_test.cpp (new): the largest first, gathered answers without end, answers that nobody reads. Heads end at 64 KB each, before and now; no process test plays them. Own interface and control: by the shared classes' tests only.

--- a/src/kumquatcontrol/control_node.cpp
+++ b/src/kumquatcontrol/control_node.cpp
@@ -20,6 +20,8 @@
 // What routers tell of their load is passed on this often: sooner than a prompt of usual size is
 // read, so that two routers seldom choose the same engine unawares.
 constexpr std::chrono::milliseconds kLoadInterval{40};
+// Bytes kept of the answers of all engines and stores together; one may have several megabytes.
+constexpr std::int64_t kMaxAnswerBytes = 32 * 1024 * 1024;
 // A replica whose disk failed tries it again after this long; until then it neither votes nor
 // acknowledges.
 constexpr std::chrono::milliseconds kDiskRetryInterval{1000};
@@ -82,7 +84,8 @@
              }}),
       suspects_(SteadyClock()),
       rpc_(MakeRpcServer()),
-      backend_client_(MakeHttpBackendClient()),
+      answer_memory_(kMaxAnswerBytes),
+      backend_client_(MakeHttpBackendClient(&answer_memory_)),
       member_flood_(options_.member_messages_per_second,
                     [this](std::span<const std::string> routers, const GossipMessage& message) {
                       SendToRouters(routers, EncodeGossip(message));
--- a/src/kumquatcontrol/control_node.h
+++ b/src/kumquatcontrol/control_node.h
@@ -147,6 +147,7 @@
   std::unique_ptr<FrameServer> server_;
   std::unique_ptr<LogStorage> storage_;
   std::unique_ptr<ReplicatedLog> log_;
+  AnswerMemory answer_memory_;
   std::unique_ptr<BackendClient> backend_client_;
   std::unique_ptr<EngineOperator> operator_;
   std::unique_ptr<StoreWatch> stores_;
--- a/src/kumquatrouter/chat_exchange.cpp
+++ b/src/kumquatrouter/chat_exchange.cpp
@@ -68,6 +68,8 @@
 
 void ChatExchange::Start(std::function<void()> on_done) {
   on_done_ = std::move(on_done);
+  answer_account_ =
+      services_.answer_memory->Open({[this] { return kept_bytes(); }, [this] { DropAnswer(); }});
   const auto self = shared_from_this();
   start_.responder->OnClosed([weak = weak_from_this()] {
     if (const auto exchange = weak.lock()) exchange->OnCallerGone();
@@ -315,6 +317,7 @@
 
 void ChatExchange::OnData(const std::string& attempt_id, std::string_view data) {
   if (!IsCurrent(attempt_id)) return;
+  answer_account_->Received(static_cast<std::int64_t>(data.size()));
   std::vector<std::string> events;
   attempt_->parser.Feed(data, [&](std::string_view event) { events.emplace_back(event); });
   for (const std::string& text : events) {
@@ -331,6 +334,19 @@
   }
 }
 
+std::int64_t ChatExchange::kept_bytes() const {
+  const std::int64_t unfinished = attempt_ ? attempt_->parser.kept_bytes() : 0;
+  return unfinished + static_cast<std::int64_t>(text_.capacity());
+}
+
+void ChatExchange::DropAnswer() {
+  if (is_done_ || !attempt_) return;
+  const auto self = shared_from_this();
+  // Another attempt would add to the text of a whole answer.
+  if (!text_.empty()) return Refuse({ErrorKind::kBackendServerFailed, "", std::nullopt});
+  Execute(decisions_->OnMalformedEvent(attempt_->id, services_.clock()));
+}
+
 void ChatExchange::OnCallFailed(const std::string& attempt_id, CallFailure failure) {
   if (is_done_) return;
   LogEvent(LogLevel::kInfo, "attempt_failed",
@@ -510,6 +526,7 @@
 void ChatExchange::Finish(std::string_view outcome) {
   if (is_done_) return;
   is_done_ = true;
+  answer_account_.reset();
   services_.strikes->Abandon(digest_);
   services_.metrics->Count("kumquat_requests_total",
                            fmt::format("{},outcome=\"{}\"", MetricLabels(), outcome));
--- a/src/kumquatrouter/chat_exchange.h
+++ b/src/kumquatrouter/chat_exchange.h
@@ -80,6 +80,9 @@
   bool IsDead(const BackendChoice& backend) const;
   void OnData(const std::string& attempt_id, std::string_view data);
   void OnCallFailed(const std::string& attempt_id, CallFailure failure);
+  // Gives up the answer, which takes too much of this process's memory.
+  void DropAnswer();
+  std::int64_t kept_bytes() const;
   void NoteLoss();
   void OnBeginningSurvived();
   void OnCallerGone();
@@ -109,6 +112,8 @@
   bool is_answer_started_ = false;
   bool is_done_ = false;
   std::string text_;
+  // Counts the answer's bytes that aren't passed on yet.
+  std::unique_ptr<AnswerMemory::Account> answer_account_;
   std::int64_t tokens_sent_ = 0;
   Instant running_since_{0};
   Instant last_token_at_{0};
--- a/src/kumquatrouter/forwarding/forward_exchange.cpp
+++ b/src/kumquatrouter/forwarding/forward_exchange.cpp
@@ -75,6 +75,8 @@
     Refuse({ErrorKind::kDraining, services_.admission->RetryAfterElsewhere()});
     return;
   }
+  answer_account_ =
+      services_.answer_memory->Open({[this] { return kept_bytes(); }, [this] { DropAnswer(); }});
   services_.budget->OnRequest(service_->name);
   decisions_.emplace(Policy(), Hooks());
   decisions_->Start(received_);
@@ -398,6 +400,7 @@
 void ForwardExchange::OnData(std::int64_t number, std::string_view data) {
   if (is_done_ || !attempt_ || attempt_->number != number) return;
   attempt_->last_received_at = Now();
+  answer_account_->Received(static_cast<std::int64_t>(data.size()));
   if (!attempt_->is_event_stream) {
     attempt_->body += data;
     if (attempt_->body.size() <= kMaxBufferedAnswer && !is_head_relayed_) return;
@@ -423,6 +426,20 @@
   AbortIfCallerTooSlow(kMaxPendingBytes);
 }
 
+std::int64_t ForwardExchange::kept_bytes() const {
+  if (!attempt_) return 0;
+  return static_cast<std::int64_t>(attempt_->body.capacity()) + attempt_->events.kept_bytes();
+}
+
+void ForwardExchange::DropAnswer() {
+  if (is_done_ || !attempt_) return;
+  const auto self = shared_from_this();
+  // A run that is being moved ends too; its answer would grow on meanwhile.
+  if (attempt_->move) DestroyLater(std::move(attempt_->move));
+  OnCallFailed(attempt_->number, CallFailure::kBroken,
+               "The answers of this process take too much memory.");
+}
+
 void ForwardExchange::AbortIfCallerTooSlow(std::int64_t max_pending_bytes) {
   if (is_done_ || responder_->pending_bytes() <= max_pending_bytes) return;
   LogEvent(LogLevel::kWarning, "slow_caller_cut", {{"request", request_.id}});
@@ -619,6 +636,7 @@
   if (is_done_) return;
   is_done_ = true;
   EndAttempt();
+  answer_account_.reset();
   deadline_timer_.Stop();
   services_.metrics->Count("kumquat_forwarded_total",
                            fmt::format("{},outcome=\"{}\"", RouteLabel(), outcome));
--- a/src/kumquatrouter/forwarding/forward_exchange.h
+++ b/src/kumquatrouter/forwarding/forward_exchange.h
@@ -129,6 +129,9 @@
   BackendCallHooks CallHooks(std::int64_t number);
   void OnHeaders(std::int64_t number, int status, const HttpHeaders& headers);
   void OnData(std::int64_t number, std::string_view data);
+  // Gives up the attempt whose answer takes too much of this process's memory.
+  void DropAnswer();
+  std::int64_t kept_bytes() const;
   void OnAnswerEnd(std::int64_t number);
   void OnCallFailed(std::int64_t number, CallFailure failure, std::string_view reason);
   void EndAttempt();
@@ -164,6 +167,8 @@
   std::int64_t run_weights_ = 0;
   // The engine that kept a copy of the run of the last ended attempt.
   std::optional<BackendChoice> last_backup_;
+  // Counts what has come of the attempt's answer and isn't passed on yet.
+  std::unique_ptr<AnswerMemory::Account> answer_account_;
   DeadlineTimer deadline_timer_;
   bool is_head_relayed_ = false;
   bool is_done_ = false;
--- a/src/kumquatrouter/forwarding/forward_server.cpp
+++ b/src/kumquatrouter/forwarding/forward_server.cpp
@@ -32,6 +32,8 @@
 constexpr std::chrono::milliseconds kDrainPollInterval{20};
 // Request bodies may take the process's memory limit divided by this.
 constexpr std::int64_t kBodyMemoryDivisor = 6;
+// Parts of answers that wait, for the rest or for their callers, may take it divided by this.
+constexpr std::int64_t kAnswerMemoryDivisor = 8;
 constexpr std::int64_t kMegabyte = 1024 * 1024;
 // Applies until a routing table with a limit is known.
 constexpr std::int64_t kDefaultMaxBodyBytes = 4 * kMegabyte;
@@ -40,6 +42,10 @@
 // half second while the engine loads.
 constexpr Duration kLoadingNewsLifetime = std::chrono::milliseconds(1800);
 
+std::int64_t PartOfMemory(std::int64_t memory_mb, std::int64_t divisor) {
+  return std::max(kMegabyte, memory_mb * kMegabyte / divisor);
+}
+
 }  // namespace
 
 ForwardServer::ForwardServer(ForwardSettings settings, ForwardCodec codec, const Clock& clock,
@@ -49,7 +55,8 @@
       budget_(settings_.repeats),
       placement_(PromptPlacementOptions(), &services_.weights, &cache_parts_, random),
       weights_limit_(&services_.weights, settings_.weights_longest_lag),
-      client_(MakeHttpBackendClient()),
+      answer_memory_(PartOfMemory(settings_.memory_mb, kAnswerMemoryDivisor)),
+      client_(MakeHttpBackendClient(&answer_memory_)),
       crash_watch_(settings_.instance, CrashHooks(), &metrics_),
       feed_({settings_.instance, settings_.failure_domain, WallClockMillis(),
              settings_.control_seeds},
@@ -77,6 +84,7 @@
   services_.budget = &budget_;
   services_.placement = &placement_;
   services_.client = client_.get();
+  services_.answer_memory = &answer_memory_;
   services_.metrics = &metrics_;
   services_.weights_limit = &weights_limit_;
   services_.moves_runs = settings_.moves_runs;
@@ -89,6 +97,7 @@
   };
   server_ = HttpServer::Builder()
                 .WithLimits(DefaultHttpLimits())
+                .WithAnswerMemory(&answer_memory_)
                 .WithHandler(handler([this](HttpRequest request, const Responder& responder) {
                   Handle(std::move(request), responder);
                 }))
@@ -130,8 +139,7 @@
 HttpServerLimits ForwardServer::DefaultHttpLimits() const {
   HttpServerLimits limits;
   limits.max_body_bytes = kDefaultMaxBodyBytes;
-  limits.max_buffered_bytes =
-      std::max(kMegabyte, settings_.memory_mb * kMegabyte / kBodyMemoryDivisor);
+  limits.max_buffered_bytes = PartOfMemory(settings_.memory_mb, kBodyMemoryDivisor);
   limits.max_connections = kMaxConnections;
   return limits;
 }
@@ -189,6 +197,8 @@
   metrics_.Set("kumquat_requests_in_progress", {}, static_cast<double>(exchanges_.size()));
   metrics_.Set("kumquat_control_replicas_connected", {},
                static_cast<double>(feed_.connected_replicas()));
+  metrics_.Set("kumquat_answers_dropped_for_memory", {},
+               static_cast<double>(answer_memory_.dropped()));
   crash_watch_.Measure();
   metrics_.Set("kumquat_routing_version", {},
                static_cast<double>(feed_.VersionOf(std::string(kRoutingDocument))));
--- a/src/kumquatrouter/forwarding/forward_server.h
+++ b/src/kumquatrouter/forwarding/forward_server.h
@@ -75,6 +75,7 @@
   PartIndex cache_parts_;
   PromptPlacement placement_;
   WeightsLimit weights_limit_;
+  AnswerMemory answer_memory_;
   std::unique_ptr<BackendClient> client_;
   CrashWatch crash_watch_;
   ControlFeed feed_;
--- a/src/kumquatrouter/forwarding/forward_services.h
+++ b/src/kumquatrouter/forwarding/forward_services.h
@@ -42,6 +42,7 @@
   RepeatBudget* budget = nullptr;
   PromptPlacement* placement = nullptr;
   BackendClient* client = nullptr;
+  AnswerMemory* answer_memory = nullptr;
   Metrics* metrics = nullptr;
 };
 
--- a/src/kumquatrouter/router.cpp
+++ b/src/kumquatrouter/router.cpp
@@ -68,7 +68,8 @@
       started_at_(clock_()),
       incarnation_(WallClockMillis()),
       network_(settings.instance, random_),
-      client_(MakeHttpBackendClient()),
+      answer_memory_(settings.max_answer_bytes),
+      client_(MakeHttpBackendClient(&answer_memory_)),
       control_(settings, incarnation_, clock_, random_),
       membership_(settings, &network_, client_.get(), clock_, random_),
       index_(settings.instance, static_cast<std::size_t>(settings.max_index_entries), &network_,
@@ -88,9 +89,9 @@
       crashes_(settings.instance, &network_, &membership_, &metrics_, clock_),
       cache_follower_(std::make_unique<CacheFollower>(&membership_, &index_, client_.get(), clock_,
                                                       settings.cache_poll_interval)) {
-  services_ = {&settings_, client_.get(), &control_,      &membership_, &engines_,
-               &index_,    &queues_,      &retry_budget_, &strikes_,    &crashes_,
-               &metrics_,  incarnation_,  clock_,         random_};
+  services_ = {&settings_, client_.get(),   &control_,      &membership_, &engines_,
+               &index_,    &queues_,        &retry_budget_, &strikes_,    &crashes_,
+               &metrics_,  &answer_memory_, incarnation_,   clock_,       random_};
   membership_.OnLoadReported([this](const Announcement& engine, Instant measured_at) {
     engines_.LoadReported(engine, measured_at);
     queues_.Drain();
@@ -120,6 +121,7 @@
   limits.max_connections = settings_.max_connections;
   server_ = HttpServer::Builder()
                 .WithLimits(limits)
+                .WithAnswerMemory(&answer_memory_)
                 .WithHandler(
                     [this](HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
                       Handle(std::move(request), responder);
--- a/src/kumquatrouter/router.h
+++ b/src/kumquatrouter/router.h
@@ -75,6 +75,7 @@
   std::int64_t incarnation_;
   Metrics metrics_;
   PeerNetwork network_;
+  AnswerMemory answer_memory_;
   std::unique_ptr<BackendClient> client_;
   ControlClient control_;
   MembershipService membership_;
--- a/src/kumquatrouter/router_services.h
+++ b/src/kumquatrouter/router_services.h
@@ -7,6 +7,7 @@
 
 namespace kumquat {
 
+class AnswerMemory;
 class BackendClient;
 class CrashExchange;
 class ControlClient;
@@ -31,6 +32,7 @@
   StrikeExchange* strikes = nullptr;
   CrashExchange* crashes = nullptr;
   Metrics* metrics = nullptr;
+  AnswerMemory* answer_memory = nullptr;
   std::int64_t router_incarnation = 0;
   Clock clock;
   Random random;
--- a/src/kumquatrouter/router_settings.cpp
+++ b/src/kumquatrouter/router_settings.cpp
@@ -54,6 +54,8 @@
              "Connections of callers and backend servers at once.");
   reader.Add("limits.max_pending_bytes", &s->max_pending_bytes, kPositive,
              "Bytes kept for a caller that reads slowly; past them its request is cancelled.");
+  reader.Add("limits.max_answer_bytes", &s->max_answer_bytes, kPositive,
+             "Bytes kept of all answers; past them the largest are given up.");
   reader.Add("limits.max_queued_requests", &s->max_queued_requests, kPositive,
              "Requests that wait for a backend server.");
   reader.Add("limits.max_index_entries", &s->max_index_entries, kPositive,
--- a/src/kumquatrouter/router_settings.h
+++ b/src/kumquatrouter/router_settings.h
@@ -26,6 +26,7 @@
   std::int64_t max_body_bytes = 16 * 1024 * 1024;
   std::int64_t max_connections = 10'000;
   std::int64_t max_pending_bytes = 1024 * 1024;
+  std::int64_t max_answer_bytes = 32 * 1024 * 1024;
   std::int64_t max_queued_requests = 1'000;
   std::int64_t max_index_entries = 200'000;
 
--- a/src/kumquatrouter/service_exchange.cpp
+++ b/src/kumquatrouter/service_exchange.cpp
@@ -66,6 +66,8 @@
 void ServiceExchange::Start(std::function<void()> on_done) {
   on_done_ = std::move(on_done);
   const auto self = shared_from_this();
+  answer_account_ =
+      services_.answer_memory->Open({[this] { return kept_bytes(); }, [this] { DropAnswers(); }});
   start_.responder->OnClosed([weak = weak_from_this()] {
     const auto exchange = weak.lock();
     if (!exchange || !exchange->decisions_ || exchange->is_answered_) return;
@@ -222,6 +224,7 @@
   hooks.on_data = [weak, attempt_id](std::string_view data) {
     const auto exchange = weak.lock();
     if (!exchange || exchange->attempts_.count(attempt_id) == 0) return;
+    exchange->answer_account_->Received(static_cast<std::int64_t>(data.size()));
     std::string& body = exchange->attempts_[attempt_id].answer.body;
     body += data;
     if (body.size() > kMaxAnswerBytes) exchange->OnCallFailed(attempt_id, CallFailure::kBroken);
@@ -244,6 +247,23 @@
   return hooks;
 }
 
+std::int64_t ServiceExchange::kept_bytes() const {
+  std::int64_t bytes = 0;
+  for (const auto& [id, attempt] : attempts_) {
+    bytes += static_cast<std::int64_t>(attempt.answer.body.capacity());
+  }
+  return bytes;
+}
+
+void ServiceExchange::DropAnswers() {
+  const auto self = shared_from_this();
+  std::vector<std::string> ids;
+  for (const auto& [id, attempt] : attempts_) {
+    if (!attempt.answer.body.empty()) ids.push_back(id);
+  }
+  for (const std::string& id : ids) OnCallFailed(id, CallFailure::kBroken);
+}
+
 void ServiceExchange::OnCallFailed(const std::string& attempt_id, CallFailure failure) {
   const auto attempt = TakeAttempt(attempt_id);
   if (!attempt) return;
--- a/src/kumquatrouter/service_exchange.h
+++ b/src/kumquatrouter/service_exchange.h
@@ -52,6 +52,9 @@
   BackendCallRequest CallFor(const service_command::StartAttempt& command) const;
   BackendCallHooks HooksFor(const std::string& attempt_id);
   void OnCallFailed(const std::string& attempt_id, CallFailure failure);
+  // Gives up all attempts: their answers take too much of this process's memory.
+  void DropAnswers();
+  std::int64_t kept_bytes() const;
   std::optional<Attempt> TakeAttempt(const std::string& attempt_id);
   void Answered(std::string_view outcome);
   void CheckDone();
@@ -66,6 +69,8 @@
   std::optional<std::vector<Suspect>> suspects_;
   std::optional<ServiceCall> decisions_;
   std::map<std::string, Attempt> attempts_;
+  // Counts the bytes of the attempts' answers.
+  std::unique_ptr<AnswerMemory::Account> answer_account_;
   std::function<void()> on_done_;
   bool is_answered_ = false;
 };
--- a/src/libs/transport/backend_client.cpp
+++ b/src/libs/transport/backend_client.cpp
@@ -306,6 +306,10 @@
 
 class HttpBackendClient : public BackendClient {
  public:
+  explicit HttpBackendClient(AnswerMemory* memory) : answer_memory_(memory) {}
+
+  AnswerMemory* answer_memory() override { return answer_memory_; }
+
   std::unique_ptr<BackendCall> Start(BackendCallRequest request, BackendCallHooks hooks) override {
     auto state =
         std::make_shared<CallState>(std::move(request), std::move(hooks), pool_, SteadyClock());
@@ -314,6 +318,7 @@
   }
 
  private:
+  AnswerMemory* answer_memory_;
   std::shared_ptr<ConnectionPool> pool_ = std::make_shared<ConnectionPool>(SteadyClock());
 };
 
@@ -331,19 +336,46 @@
   return "broken";
 }
 
-BackendCallHooks GatherAnswer(std::function<void(int status, std::string_view body)> on_answer) {
+BackendCallHooks GatherAnswer(std::function<void(int status, std::string_view body)> on_answer,
+                              AnswerMemory* memory) {
   struct Answer {
     int status = 0;
     std::string body;
     std::function<void(int status, std::string_view body)> on_answer;
+    std::unique_ptr<AnswerMemory::Account> account;
+
+    // Hands the answer on; does nothing once it was handed on or has failed.
+    void End(int final_status, std::string_view final_body) {
+      const auto hook = std::exchange(on_answer, nullptr);
+      account.reset();
+      if (hook) hook(final_status, final_body);
+    }
   };
   const auto answer = std::make_shared<Answer>();
   answer->on_answer = std::move(on_answer);
+  if (memory) {
+    AnswerMemory::Hooks account_hooks;
+    account_hooks.kept_bytes = [answer = answer.get()] {
+      return static_cast<std::int64_t>(answer->body.capacity());
+    };
+    account_hooks.drop = [weak = std::weak_ptr(answer)] {
+      const auto dropped = weak.lock();
+      if (!dropped) return;
+      dropped->body = {};
+      dropped->End(0, {});
+    };
+    answer->account = memory->Open(std::move(account_hooks));
+  }
   BackendCallHooks hooks;
   hooks.on_headers = [answer](int status, const HttpHeaders&) { answer->status = status; };
-  hooks.on_data = [answer](std::string_view data) { answer->body += data; };
-  hooks.on_end = [answer] { answer->on_answer(answer->status, answer->body); };
-  hooks.on_failure = [answer](CallFailure, std::string_view) { answer->on_answer(0, {}); };
+  hooks.on_data = [answer](std::string_view data) {
+    // What still comes after a drop is of no use.
+    if (!answer->on_answer) return;
+    answer->body += data;
+    if (answer->account) answer->account->Received(static_cast<std::int64_t>(data.size()));
+  };
+  hooks.on_end = [answer] { answer->End(answer->status, answer->body); };
+  hooks.on_failure = [answer](CallFailure, std::string_view) { answer->End(0, {}); };
   return hooks;
 }
 
@@ -352,15 +384,16 @@
     std::function<void(int status, std::string_view body)> on_answer) {
   request.max_time = limits.time;
   request.max_body_bytes = limits.body_bytes;
-  return client.Start(std::move(request), GatherAnswer(std::move(on_answer)));
+  return client.Start(std::move(request),
+                      GatherAnswer(std::move(on_answer), client.answer_memory()));
 }
 
 void DestroyLater(std::unique_ptr<BackendCall> call) {
   QTimer::singleShot(0, [shared = std::shared_ptr<BackendCall>(std::move(call))] {});
 }
 
-std::unique_ptr<BackendClient> MakeHttpBackendClient() {
-  return std::make_unique<Internal::HttpBackendClient>();
+std::unique_ptr<BackendClient> MakeHttpBackendClient(AnswerMemory* memory) {
+  return std::make_unique<Internal::HttpBackendClient>(memory);
 }
 
 }  // namespace kumquat
--- a/src/libs/transport/backend_client.h
+++ b/src/libs/transport/backend_client.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 
+#include "transport/answer_memory.h"
 #include "transport/http_message.h"
 #include "utils/endpoint.h"
 #include "utils/hooks.h"
@@ -83,11 +84,16 @@
   // Sends the request. No hook runs before this returns.
   virtual std::unique_ptr<BackendCall> Start(BackendCallRequest request,
                                              BackendCallHooks hooks) = 0;
+
+  // Returns what counts the answers that StartGathered() keeps; null where nothing does.
+  virtual AnswerMemory* answer_memory() { return nullptr; }
 };
 
 // Returns hooks that gather the whole answer and hand it on once; with status 0 and no body where
 // the call failed.
-BackendCallHooks GatherAnswer(std::function<void(int status, std::string_view body)> on_answer);
+// An answer that `memory`, if there is one, drops counts as failed.
+BackendCallHooks GatherAnswer(std::function<void(int status, std::string_view body)> on_answer,
+                              AnswerMemory* memory = nullptr);
 
 // What a gathered answer may take at most.
 struct GatherLimits {
@@ -103,7 +109,8 @@
 // Destroys a call after the hook that may be running on it has returned.
 void DestroyLater(std::unique_ptr<BackendCall> call);
 
-// Returns the client that keeps connections for later calls.
-std::unique_ptr<BackendClient> MakeHttpBackendClient();
+// Returns the client that keeps connections for later calls. The memory isn't owned and outlives
+// the client and its calls.
+std::unique_ptr<BackendClient> MakeHttpBackendClient(AnswerMemory* memory = nullptr);
 
 }  // namespace kumquat
--- a/src/libs/transport/event_splitter.h
+++ b/src/libs/transport/event_splitter.h
@@ -25,6 +25,9 @@
   // Returns whether an event has begun and is not complete.
   bool mid_event() const { return !buffer_.empty(); }
 
+  // Returns the bytes of memory that the event which isn't complete takes.
+  std::int64_t kept_bytes() const { return static_cast<std::int64_t>(buffer_.capacity()); }
+
   // Returns whether an event grew past the limit of 4 MiB; nothing more is split then.
   bool overflowed() const { return overflowed_; }
 
--- a/src/libs/transport/http_connection.cpp
+++ b/src/libs/transport/http_connection.cpp
@@ -263,6 +263,7 @@
       phase_ == Phase::kWaiting || phase_ == Phase::kStreaming || phase_ == Phase::kFlushing;
   phase_ = Phase::kClosed;
   if (is_open) --shared_->open_requests;
+  answer_account_.reset();
   stream_.reset();
   input_.clear();
   parser_.reset();
@@ -279,6 +280,18 @@
   return number == number_ && phase_ == phase;
 }
 
+void HttpConnection::WriteAnswer(std::string_view bytes) {
+  stream_->Write(bytes);
+  if (!shared_->answer_memory || stream_->pending_bytes() == 0) return;
+  if (!answer_account_) {
+    AnswerMemory::Hooks hooks;
+    hooks.kept_bytes = [this] { return stream_ ? stream_->pending_bytes() : 0; };
+    hooks.drop = [this] { Close(); };
+    answer_account_ = shared_->answer_memory->Open(std::move(hooks));
+  }
+  answer_account_->Received(static_cast<std::int64_t>(bytes.size()));
+}
+
 void HttpConnection::WriteHead(int status, const HttpHeaders& headers, std::string_view framing) {
   std::string head = fmt::format("HTTP/1.1 {} {}\r\n", status, ReasonPhrase(status));
   for (const auto& [name, value] : headers) {
@@ -296,7 +309,7 @@
   keep_alive_ = caller_keeps_alive_ && !shared_->stopping;
   WriteHead(status, headers,
             HasBody(status) ? fmt::format("Content-Length: {}\r\n", body.size()) : std::string());
-  if (HasBody(status) && !is_head_) stream_->Write(body);
+  if (HasBody(status) && !is_head_) WriteAnswer(body);
   FinishAnswer();
 }
 
@@ -317,11 +330,11 @@
 void HttpConnection::Write(std::int64_t number, std::string_view chunk) {
   if (!IsCurrent(number, Phase::kStreaming) || is_head_ || chunk.empty()) return;
   if (framing_ == Framing::kChunks) {
-    stream_->Write(fmt::format("{:x}\r\n{}\r\n", chunk.size(), chunk));
+    WriteAnswer(fmt::format("{:x}\r\n{}\r\n", chunk.size(), chunk));
     return;
   }
   length_left_ -= static_cast<std::int64_t>(chunk.size());
-  stream_->Write(chunk);
+  WriteAnswer(chunk);
 }
 
 void HttpConnection::End(std::int64_t number) {
@@ -349,6 +362,7 @@
 void HttpConnection::HandleFlushed() {
   if (phase_ != Phase::kFlushing || stream_->pending_bytes() > 0) return;
   --shared_->open_requests;
+  answer_account_.reset();
   handed_bytes_ = 0;
   phase_since_ = shared_->clock();
   // A stream's head may have gone out before the server began to stop.
--- a/src/libs/transport/http_connection.h
+++ b/src/libs/transport/http_connection.h
@@ -23,6 +23,8 @@
   HttpServerLimits limits;
   HttpServer::Handler handler;
   HttpServer::LimitBody limit_body;
+  // Null where answers aren't counted.
+  AnswerMemory* answer_memory = nullptr;
   Clock clock;
   // Takes a connection that has ended off the server's list.
   std::function<void(const HttpConnection* connection)> forget;
@@ -89,6 +91,8 @@
   enum class Framing { kLength, kChunks, kUntilClose };
 
   bool IsCurrent(std::int64_t number, Phase phase) const;
+  // Writes a part of an answer, and counts it if the caller doesn't take it at once.
+  void WriteAnswer(std::string_view bytes);
   void HandleData(std::string_view bytes);
   void ParseInput();
   void HandleRequest();
@@ -125,6 +129,8 @@
   Framing framing_ = Framing::kLength;
   std::int64_t length_left_ = 0;
   std::function<void()> closed_hook_;
+  // Open from the first part of an answer that the caller doesn't take at once.
+  std::unique_ptr<AnswerMemory::Account> answer_account_;
 };
 
 }  // namespace kumquat::Internal
--- a/src/libs/transport/http_server.cpp
+++ b/src/libs/transport/http_server.cpp
@@ -133,11 +133,17 @@
   return *this;
 }
 
+HttpServer::Builder& HttpServer::Builder::WithAnswerMemory(AnswerMemory* memory) {
+  answer_memory_ = memory;
+  return *this;
+}
+
 std::unique_ptr<HttpServer> HttpServer::Builder::Build() {
   auto shared = std::make_shared<Internal::HttpServerShared>();
   shared->limits = limits_;
   shared->handler = std::move(handler_);
   shared->limit_body = std::move(limit_body_);
+  shared->answer_memory = answer_memory_;
   shared->clock = SteadyClock();
   return std::unique_ptr<HttpServer>(
       new HttpServer(std::make_unique<Internal::HttpServerImpl>(std::move(shared))));
--- a/src/libs/transport/http_server.h
+++ b/src/libs/transport/http_server.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 
+#include "transport/answer_memory.h"
 #include "transport/http_message.h"
 #include "utils/endpoint.h"
 #include "utils/hooks.h"
@@ -76,12 +77,17 @@
     Builder& WithLimits(const HttpServerLimits& limits);
     Builder& WithHandler(Handler handler);
     Builder& WithLimitBody(LimitBody limit_body);
+
+    // Counts what callers haven't read of their answers; a connection whose answer is dropped is
+    // closed. The memory isn't owned and outlives the server.
+    Builder& WithAnswerMemory(AnswerMemory* memory);
     std::unique_ptr<HttpServer> Build();
 
    private:
     HttpServerLimits limits_;
     Handler handler_;
     LimitBody limit_body_;
+    AnswerMemory* answer_memory_ = nullptr;
   };
 
   ~HttpServer();
--- a/src/libs/transport/sse_parser.h
+++ b/src/libs/transport/sse_parser.h
@@ -17,6 +17,11 @@
   // Returns whether an event has begun and is not complete.
   bool mid_event() const { return !line_.empty() || has_data_; }
 
+  // Returns the bytes of memory that the event which isn't complete takes.
+  std::int64_t kept_bytes() const {
+    return static_cast<std::int64_t>(line_.capacity() + data_.capacity());
+  }
+
   // Returns whether an event grew past the limit of 4 MiB; nothing more is parsed then.
   bool overflowed() const { return overflowed_; }
 
--- a/tests/process/forwarding/forward_bench.cpp
+++ b/tests/process/forwarding/forward_bench.cpp
@@ -70,11 +70,13 @@
     ready_endpoints_[i] = FreeEndpoint();
     const std::string name = fmt::format("r{}", i + 1);
     routers_[i] = std::make_unique<TestProgram>(
-        "kumquat-router", fmt::format("instance = \"{}\"\nfailure_domain = \"d1\"\n"
-                                      "listen = \"{}\"\n[forward]\ncontrol_seeds = [{}]\n"
-                                      "ready_listen = \"{}\"\nweights_longest_lag_ms = {}\n",
-                                      name, listen_endpoints_[i].ToString(), seeds_,
-                                      ready_endpoints_[i].ToString(), kWeightsLongestLag.count()));
+        "kumquat-router",
+        fmt::format("instance = \"{}\"\nfailure_domain = \"d1\"\n"
+                    "listen = \"{}\"\n[forward]\ncontrol_seeds = [{}]\n"
+                    "ready_listen = \"{}\"\nweights_longest_lag_ms = {}\n"
+                    "memory_mb = {}\n",
+                    name, listen_endpoints_[i].ToString(), seeds_, ready_endpoints_[i].ToString(),
+                    kWeightsLongestLag.count(), kRouterMemoryMb));
     routers_[i]->LogTo(LogOf(name));
     routers_[i]->Start();
   }
--- a/tests/process/forwarding/forward_bench.h
+++ b/tests/process/forwarding/forward_bench.h
@@ -21,6 +21,9 @@
   // How long after their replacement weights may still be used for new requests.
   static constexpr std::chrono::milliseconds kWeightsLongestLag{4000};
 
+  // Memory that a router may use: the smallest machine that the users name.
+  static constexpr int kRouterMemoryMb = 88;
+
   // Starts all processes, puts configuration version 1, and waits until each router is ready.
   ForwardBench();
 
@@ -59,6 +62,7 @@
 
   std::vector<Endpoint> control() const { return {control_.begin(), control_.end()}; }
   TestProgram& replica(int index) { return *replicas_[index]; }
+  const Endpoint& router_endpoint(int index) const { return listen_endpoints_[index]; }
   TestProgram& router(int index) { return *routers_[index]; }
   TestCaller& caller() { return caller_; }
 
--- a/tests/process/forwarding/forward_process_test.cpp
+++ b/tests/process/forwarding/forward_process_test.cpp
@@ -8,6 +8,7 @@
 #include <cstdlib>
 
 #include "process/forwarding/forward_bench.h"
+#include "process/small_quarantine.h"
 
 namespace kumquat {
 namespace {
@@ -205,19 +206,6 @@
   CHECK(outdated.runs().size() == before);
 }
 
-// Limits the AddressSanitizer quarantine of the programs that are started during its lifetime.
-// Otherwise up to 256 MB of freed memory count towards their peak.
-class SmallQuarantine {
- public:
-  SmallQuarantine() { qputenv(kVariable, "quarantine_size_mb=1"); }
-  SmallQuarantine(const SmallQuarantine&) = delete;
-  SmallQuarantine& operator=(const SmallQuarantine&) = delete;
-  ~SmallQuarantine() { qunsetenv(kVariable); }
-
- private:
-  static constexpr const char* kVariable = "ASAN_OPTIONS";
-};
-
 TEST_CASE("The memory of routers and replicas stays bounded when a server sends endless answers") {
   const SmallQuarantine quarantine;
   ForwardBench bench;
--- a/tests/process/forwarding/stand_in_server.cpp
+++ b/tests/process/forwarding/stand_in_server.cpp
@@ -20,6 +20,7 @@
 constexpr std::chrono::milliseconds kFloodInterval{5};
 constexpr qint64 kFloodBytes = 1024 * 1024;
 const std::string kFlood(kFloodBytes, '\n');
+const std::string kEventFlood(kFloodBytes, 'x');
 constexpr qint64 kStartedAtMillis = 1'790'000'000'000;
 
 int LastEventId(const HttpRequest& request) {
@@ -41,9 +42,10 @@
                    [this] { announcement_ = Announce(); });
   announce_timer_.start(kAnnounceInterval);
   QObject::connect(&flood_timer_, &QTimer::timeout, &flood_timer_, [this] {
-    if (mode_ != Mode::kFloods) return;
+    if (!is_flooding()) return;
+    const std::string& flood = mode_ == Mode::kFloods ? kFlood : kEventFlood;
     for (const Responder& responder : open_responders_) {
-      if (responder->pending_bytes() < kFloodBytes) responder->Write(kFlood);
+      if (responder->pending_bytes() < kFloodBytes) responder->Write(flood);
     }
   });
   flood_timer_.start(kFloodInterval);
@@ -142,7 +144,7 @@
 }
 
 void StandInServer::Handle(const HttpRequest& request, const Responder& responder) {
-  if (mode_ == Mode::kFloods) return Flood(request, responder);
+  if (is_flooding()) return Flood(request, responder);
   if (request.Header("Kumquatcross-Expect-Instance") != id_) {
     responder->Send(421, Head(request), "");
     return;
--- a/tests/process/forwarding/stand_in_server.h
+++ b/tests/process/forwarding/stand_in_server.h
@@ -33,6 +33,8 @@
     kFails,
     // Answers every request, including those of control, with an endless stream of bytes.
     kFloods,
+    // The same with a single event that never ends.
+    kFloodsEvent,
   };
 
   StandInServer(std::string id, std::string service, std::vector<Endpoint> control);
@@ -85,6 +87,7 @@
  private:
   using Responder = std::shared_ptr<HttpResponder>;
 
+  bool is_flooding() const { return mode_ == Mode::kFloods || mode_ == Mode::kFloodsEvent; }
   void Handle(const HttpRequest& request, const Responder& responder);
   HttpHeaders Head(const HttpRequest& request) const;
   void Stream(const HttpRequest& request, const Responder& responder);
