A connection's unread bytes are limited: they count as memory of the machine

The system's own limit grows with what was read quickly before, to megabytes a connection.

What callers would see: a router that is short of processor time while servers or callers send fast is ended by memory.

Change: each connection of TcpStream asks for a receive buffer of 128 KB (the system makes 256 KB of it), which is enough for 40 MB a second at 3 ms there and back.

--- a/src/libs/transport/tcp_stream.cpp
+++ b/src/libs/transport/tcp_stream.cpp
@@ -18,6 +18,9 @@
 namespace {
 
 constexpr std::size_t kReadBytes = 64 * 1024;
+// The system's own limit grows to several megabytes a connection, which count as memory of the
+// process while they aren't read.
+constexpr int kReceiveBufferBytes = 128 * 1024;
 // The probes of an idle connection, which together take the dead-peer timeout.
 constexpr int kKeepAliveProbes = 3;
 
@@ -32,6 +35,7 @@
   const int step =
       std::max(1, static_cast<int>(timeout / std::chrono::seconds(kKeepAliveProbes + 1)));
   SetOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(descriptor, SOL_SOCKET, SO_RCVBUF, kReceiveBufferBytes);
   SetOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
   SetOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, step);
   SetOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, step);
