--- a/tests/libs/transport/answer_memory_test.cpp
+++ b/tests/libs/transport/answer_memory_test.cpp
@@ -40,8 +40,8 @@
 
 TEST_CASE("Past the limit the largest answers are dropped, and small ones stay") {
   AnswerMemory memory(10 * kMegabyte);
-  std::vector<std::unique_ptr<Keeper>> keepers;
-  for (int i = 0; i < 5; ++i) keepers.push_back(std::make_unique<Keeper>(&memory));
+  std::vector<std::unique_ptr<Keeper>> keepers(5);
+  for (auto& keeper : keepers) keeper = std::make_unique<Keeper>(&memory);
   keepers[0]->Receive(1000);
   keepers[1]->Receive(3 * kMegabyte);
   keepers[2]->Receive(5 * kMegabyte);
@@ -135,14 +135,15 @@
 // The connections of callers that read nothing of whole answers, whose requests are long done.
 TEST_CASE("Answers that their callers don't read are dropped past the limit, and others served") {
   constexpr int kCallers = 30;
-  const std::string answer(4 * kMegabyte, 'x');
+  const std::string long_answer(4 * kMegabyte, 'x');
+  const std::string short_answer = "short";
   AnswerMemory memory(16 * kMegabyte);
   std::int64_t sent = 0;
   const auto server =
       HttpServer::Builder()
           .WithAnswerMemory(&memory)
           .WithHandler([&](const HttpRequest& request, const std::shared_ptr<HttpResponder>& one) {
-            one->Send(200, {}, request.path == "/long" ? std::string_view(answer) : "short");
+            one->Send(200, {}, request.path == "/long" ? long_answer : short_answer);
             ++sent;
           })
           .Build();
--- a/tests/process/forwarding/forward_memory_test.cpp
+++ b/tests/process/forwarding/forward_memory_test.cpp
@@ -105,10 +105,8 @@
 TEST_CASE("Bodies without end, for callers that read nothing, take a bounded part of it") {
   FloodBench flood;
   flood.faulty.SetMode(StandInServer::Mode::kFloodsEvent);
-  std::vector<std::unique_ptr<DeafCaller>> callers;
-  for (int i = 0; i < kCallers; ++i) {
-    callers.push_back(std::make_unique<DeafCaller>(flood.bench, "/again/look"));
-  }
+  std::vector<std::unique_ptr<DeafCaller>> callers(kCallers);
+  for (auto& caller : callers) caller = std::make_unique<DeafCaller>(flood.bench, "/again/look");
   flood.Flood();
   flood.CheckBounded();
 }
