--- a/tests/process/forwarding/forward_memory_test.cpp
+++ b/tests/process/forwarding/forward_memory_test.cpp
@@ -1,4 +1,6 @@
 // The memory of a router while servers send bytes without end to many callers at once.
+#include <fmt/format.h>
+
 #include <QTcpSocket>
 #include <memory>
 #include <vector>
@@ -31,7 +33,9 @@
     REQUIRE(socket_.waitForConnected());
     std::string id;
     std::string request = "POST " + path + " HTTP/1.1\r\nContent-Length: 0\r\n";
-    for (const auto& [name, value] : bench.Headers(&id)) request += name + ": " + value + "\r\n";
+    for (const auto& [name, value] : bench.Headers(&id)) {
+      request += fmt::format("{}: {}\r\n", name, value);
+    }
     socket_.write(QByteArray::fromStdString(request + "\r\n"));
     REQUIRE(socket_.waitForBytesWritten());
   }
