A request that waits after a failed send is woken, not left until its deadline

Cause: only a request that waits on its arrival started the timer that wakes waiting ones. Change: the check of silent servers starts it whenever a request waits.

--- a/src/kumquatrouter/forwarding/forward_server.cpp
+++ b/src/kumquatrouter/forwarding/forward_server.cpp
@@ -282,6 +282,11 @@
   loop_watch_.Beat(services_.clock());
   crash_watch_.ProbeUnproven();
   CancelOutdatedAttempts();
+  const bool anyone_waits =
+      std::any_of(exchanges_.begin(), exchanges_.end(),
+                  [](const auto& exchange) { return exchange->is_waiting(); });
+  // A request may begin to wait at any time, after a send that failed or was taken back.
+  if (anyone_waits && !wake_timer_.isActive()) wake_timer_.start(kWakeInterval);
   if (loop_watch_.WasLate(services_.clock() - kSilenceThreshold)) return;
   std::set<std::string> silent;
   for (const auto& exchange : exchanges_) {
--- a/tests/process/forwarding/forward_process_test.cpp
+++ b/tests/process/forwarding/forward_process_test.cpp
@@ -454,5 +454,19 @@
   CHECK(late <= kRequests / 2);
 }
 
+// The timer that wakes waiting requests was started by new requests only.
+TEST_CASE("A request that waits after its send failed is looked at again before its deadline") {
+  ForwardBench bench;
+  StandInServer server("s1", "desk", bench.control());
+  bench.WaitForStatus(0, "/again/look", 200);
+  server.Crash();
+  QElapsedTimer elapsed_timer;
+  elapsed_timer.start();
+  std::string id;
+  const auto call = bench.Run(0, "/once/book", &id, "a booking");
+  CHECK((call->status == 200 || call->status == 503));
+  CHECK(elapsed_timer.elapsed() < 2000);
+}
+
 }  // namespace
 }  // namespace kumquat
