Logs tell why a request was cut, and what allowed or denied each repeat

ForwardRequest keeps the reason of the last end (EndReason) and names the cause of each send (SendCause). request_done and kumquat_forward_cut_total carry the reason, request_sent and kumquat_forward_sends_total the cause; repeat_decided has the tokens and the count of routers before the decision; routers_counted and signal_received say what changed when. No decision is changed.

--- a/src/kumquatrouter/forwarding/forward_exchange.cpp
+++ b/src/kumquatrouter/forwarding/forward_exchange.cpp
@@ -131,7 +131,7 @@
   ForwardHooks hooks;
   hooks.choose = [this](std::span<const BackendChoice> avoid) { return Choose(avoid); };
   hooks.is_condemned = [this] { return IsCondemned(); };
-  hooks.try_repeat = [this] { return services_.budget->TryRepeat(service_->name); };
+  hooks.try_repeat = [this] { return TryRepeat(); };
   hooks.send = [this](const SendCommand& command) { Send(command); };
   hooks.find_copy = [this] { return TakeCopy(); };
   hooks.choose_to_resume =
@@ -149,6 +149,9 @@
   hooks.relay_whole = [this](std::int64_t /*number*/) { RelayBufferedAnswer(); };
   hooks.refuse = [this](const Refusal& refusal) { Refuse(refusal); };
   hooks.cut = [this] {
+    services_.metrics->Count(
+        "kumquat_forward_cut_total",
+        fmt::format("{},reason=\"{}\"", RouteLabel(), EndReasonName(decisions_->end_reason())));
     responder_->Abort();
     Finish("cut");
   };
@@ -156,6 +159,19 @@
   return hooks;
 }
 
+bool ForwardExchange::TryRepeat() {
+  const double tokens = services_.budget->available(service_->name);
+  const bool is_allowed = services_.budget->TryRepeat(service_->name);
+  LogEvent(LogLevel::kInfo, "repeat_decided",
+           {{"request", request_.id},
+            {"service", service_->name},
+            {"allowed", is_allowed ? "yes" : "no"},
+            {"tokens", tokens},
+            {"routers", services_.budget->routers()},
+            {"reason", EndReasonName(decisions_->end_reason())}});
+  return is_allowed;
+}
+
 std::optional<BackendChoice> ForwardExchange::Choose(std::span<const BackendChoice> avoid) {
   std::vector<PooledBackend*> candidates =
       EnginesFor(services_.pool.Candidates(service_->name, avoid, Now()));
@@ -325,6 +341,9 @@
 void ForwardExchange::LogSent(const SendCommand& command) const {
   services_.metrics->Observe("kumquat_forward_wait_seconds", RouteLabel(),
                              Seconds(Now() - received_));
+  services_.metrics->Count(
+      "kumquat_forward_sends_total",
+      fmt::format("service=\"{}\",cause=\"{}\"", service_->name, SendCauseName(command.cause)));
   const auto replaced = request_.prompt ? services_.weights.TimeSinceReplaced(
                                               request_.prompt->model, run_weights_, Now())
                                         : std::nullopt;
@@ -334,6 +353,7 @@
       LogLevel::kInfo, "request_sent",
       {{"request", request_.id},
        {"attempt", command.attempt},
+       {"cause", SendCauseName(command.cause)},
        {"backend", command.backend.backend_id},
        {"incarnation", command.backend.incarnation},
        {"routing", routes_->table().version},
@@ -645,6 +665,7 @@
            {{"request", request_.id},
             {"route", route_ ? std::string_view{route_->name} : std::string_view{"-"}},
             {"outcome", outcome},
+            {"reason", EndReasonName(decisions_ ? decisions_->end_reason() : EndReason::kNone)},
             {"runs", decisions_ ? decisions_->runs() : 0},
             {"first_event_ms", first_event_at_ ? Milliseconds(*first_event_at_ - received_) : -1},
             {"seconds", Seconds(Now() - received_)}});
--- a/src/kumquatrouter/forwarding/forward_server.cpp
+++ b/src/kumquatrouter/forwarding/forward_server.cpp
@@ -62,10 +62,7 @@
              settings_.control_seeds},
             {clock, random, [this](const Document& document) { OnDocument(document); },
              [this](const MemberRecord& record) { OnMember(record); },
-             [this](std::int64_t routers) {
-               budget_.SetRouters(routers);
-               placement_.SetRouters(routers);
-             },
+             [this](std::int64_t routers) { OnRouterCount(routers); },
              [this](const std::map<std::string, bool>& alive) {
                services_.stores.Update(alive, services_.clock());
              },
@@ -199,6 +196,7 @@
                static_cast<double>(feed_.connected_replicas()));
   metrics_.Set("kumquat_answers_dropped_for_memory", {},
                static_cast<double>(answer_memory_.dropped()));
+  metrics_.Set("kumquat_routers_counted", {}, static_cast<double>(budget_.routers()));
   crash_watch_.Measure();
   metrics_.Set("kumquat_routing_version", {},
                static_cast<double>(feed_.VersionOf(std::string(kRoutingDocument))));
@@ -247,6 +245,15 @@
   crash_watch_.OnIncarnation(record.id, record.incarnation);
 }
 
+void ForwardServer::OnRouterCount(std::int64_t routers) {
+  if (routers != budget_.routers()) {
+    LogEvent(LogLevel::kInfo, "routers_counted",
+             {{"routers", routers}, {"before", budget_.routers()}});
+  }
+  budget_.SetRouters(routers);
+  placement_.SetRouters(routers);
+}
+
 void ForwardServer::OnEngines(const EngineNews& news) {
   for (const EngineNews::Named& named : news.named) {
     services_.weights.Learn(named.model, named.version, services_.clock() - named.age);
--- a/src/kumquatrouter/forwarding/forward_server.h
+++ b/src/kumquatrouter/forwarding/forward_server.h
@@ -48,6 +48,7 @@
   void HandleMetrics(const HttpRequest& request, const Responder& responder);
   void OnDocument(const Document& document);
   void OnMember(const MemberRecord& record);
+  void OnRouterCount(std::int64_t routers);
   void OnEngines(const EngineNews& news);
   void OnPeerLoads(const RouterLoad& load, std::int64_t routers);
   void ReportLoad();
--- a/src/libs/coordination/forwarding/forward_request.cpp
+++ b/src/libs/coordination/forwarding/forward_request.cpp
@@ -11,8 +11,68 @@
 // them.
 constexpr int kMaxCopySends = 6;
 
+EndReason ReasonOf(CallFailure failure) {
+  switch (failure) {
+    case CallFailure::kNotSent:
+      return EndReason::kNotSent;
+    case CallFailure::kSilent:
+      return EndReason::kSilent;
+    case CallFailure::kBroken:
+      break;
+  }
+  return EndReason::kBroken;
+}
+
 }  // namespace
 
+std::string_view SendCauseName(SendCause cause) {
+  switch (cause) {
+    case SendCause::kFirst:
+      return "first";
+    case SendCause::kRetry:
+      return "retry";
+    case SendCause::kMove:
+      return "move";
+    case SendCause::kCopy:
+      return "copy";
+    case SendCause::kCopyElsewhere:
+      return "copy_elsewhere";
+  }
+  return "first";
+}
+
+std::string_view EndReasonName(EndReason reason) {
+  switch (reason) {
+    case EndReason::kNone:
+      return "-";
+    case EndReason::kNotSent:
+      return "not_sent";
+    case EndReason::kBroken:
+      return "broken";
+    case EndReason::kSilent:
+      return "silent";
+    case EndReason::kNotRun:
+      return "not_run";
+    case EndReason::kUnfitHead:
+      return "unfit_head";
+    case EndReason::kEventGap:
+      return "event_gap";
+    case EndReason::kNoBackend:
+      return "no_backend";
+    case EndReason::kNoRepeat:
+      return "no_repeat";
+    case EndReason::kCondemned:
+      return "condemned";
+    case EndReason::kDeadline:
+      return "deadline";
+    case EndReason::kShutdown:
+      return "shutdown";
+    case EndReason::kCallerGone:
+      return "caller_gone";
+  }
+  return "-";
+}
+
 ForwardRequest::ForwardRequest(const ForwardPolicy& policy, ForwardHooks hooks)
     : policy_(policy), hooks_(std::move(hooks)), last_event_(policy.caller_last_event) {}
 
@@ -32,7 +92,9 @@
 bool ForwardRequest::IsCondemned() const { return !is_past_beginning() && hooks_.is_condemned(); }
 
 void ForwardRequest::TrySend(Instant now) {
-  if (IsCondemned()) return GiveUp(ErrorKind::kPoisonRequest, ErrorKind::kPoisonRequest);
+  if (IsCondemned()) {
+    return GiveUp(EndReason::kCondemned, ErrorKind::kPoisonRequest, ErrorKind::kPoisonRequest);
+  }
   std::optional<BackendChoice> backend = hooks_.choose(avoid_);
   // If no other server is left, one that failed before is tried again, but only if the request may
   // have run already. A request that surely hasn't run waits or is refused instead.
@@ -40,17 +102,18 @@
   if (!backend) {
     state_ = State::kWaiting;
     const bool may_wait = now < std::min(policy_.queue_until, policy_.deadline);
-    if (!may_wait) GiveUp(ErrorKind::kBackendServerFailed);
+    if (!may_wait) GiveUp(EndReason::kNoBackend, ErrorKind::kBackendServerFailed);
     return;
   }
   if (arrivals_ > 0 && !std::exchange(repeat_is_budgeted_, false) && !hooks_.try_repeat()) {
-    GiveUp(ErrorKind::kBackendServerFailed);
+    GiveUp(EndReason::kNoRepeat, ErrorKind::kBackendServerFailed);
     return;
   }
-  Send(*backend, std::nullopt);
+  Send(*backend, arrivals_ > 0 ? SendCause::kRetry : SendCause::kFirst, std::nullopt);
 }
 
-void ForwardRequest::Send(const BackendChoice& backend, const std::optional<RunCopy>& copy) {
+void ForwardRequest::Send(const BackendChoice& backend, SendCause cause,
+                          const std::optional<RunCopy>& copy) {
   state_ = State::kSent;
   backend_ = backend;
   attempt_ = ++last_attempt_;
@@ -60,7 +123,7 @@
   if (copy) ++copy_sends_;
   ++arrivals_;
   const auto resume_after = is_relaying_ ? std::optional(last_event_) : std::nullopt;
-  hooks_.send({attempt_, backend_, resume_after, copy});
+  hooks_.send({attempt_, cause, backend_, resume_after, copy});
 }
 
 void ForwardRequest::OnMoved(std::int64_t attempt, const RunCopy& copy, Instant /*now*/) {
@@ -68,14 +131,14 @@
   hooks_.cancel(attempt_);
   // The run counts even if resuming the copy fails.
   if (!copy_) ++runs_;
-  Send(copy.backend, copy);
+  Send(copy.backend, SendCause::kMove, copy);
 }
 
 void ForwardRequest::OnHead(std::int64_t attempt, const AnswerHead& head, Instant now) {
   if (!IsCurrent(attempt)) return;
   if (head.confirms_not_run) {
     hooks_.cancel(attempt_);
-    EndAttempt(Outcome::kNotRun, now);
+    EndAttempt(Outcome::kNotRun, EndReason::kNotRun, now);
     return;
   }
   // An answer that continues an earlier one keeps the status and headers of the first, so no other
@@ -91,7 +154,7 @@
   repeat_is_budgeted_ = repeats;
   if (!head.is_from_backend_server || breaks_stream || repeats || implies_not_run_unconfirmed) {
     hooks_.cancel(attempt_);
-    EndAttempt(Outcome::kMayHaveRun, now);
+    EndAttempt(Outcome::kMayHaveRun, EndReason::kUnfitHead, now);
     return;
   }
   has_head_ = true;
@@ -107,7 +170,7 @@
   const bool has_gap = id && *id != last_event_ + 1;
   if (has_gap) {
     hooks_.cancel(attempt_);
-    EndAttempt(Outcome::kMayHaveRun, now);
+    EndAttempt(Outcome::kMayHaveRun, EndReason::kEventGap, now);
     return;
   }
   // What comes before the event that continues the stream belongs to another answer.
@@ -142,11 +205,11 @@
   if (failure == CallFailure::kNotSent) {
     // The request never arrived, so sending it again needs no repeat from the budget.
     --arrivals_;
-    EndAttempt(Outcome::kNotRun, now);
+    EndAttempt(Outcome::kNotRun, EndReason::kNotSent, now);
     return;
   }
   if (failure == CallFailure::kSilent) hooks_.cancel(attempt_);
-  EndAttempt(Outcome::kMayHaveRun, now);
+  EndAttempt(Outcome::kMayHaveRun, ReasonOf(failure), now);
 }
 
 // Returns whether the request may be run from its beginning, for the first time or again.
@@ -161,8 +224,9 @@
   return policy_.may_repeat && !is_relaying_;
 }
 
-void ForwardRequest::EndAttempt(Outcome outcome, Instant now) {
+void ForwardRequest::EndAttempt(Outcome outcome, EndReason reason, Instant now) {
   attempt_ = 0;
+  end_reason_ = reason;
   avoid_.push_back(backend_);
   const bool has_time = now < policy_.deadline;
   if (outcome == Outcome::kMayHaveRun) {
@@ -170,7 +234,7 @@
     const bool may_resume = has_time && policy_.is_stream && !IsCondemned();
     const auto copy = may_resume ? hooks_.find_copy() : std::nullopt;
     if (copy) {
-      Send(copy->backend, copy);
+      Send(copy->backend, SendCause::kCopy, copy);
       return;
     }
   }
@@ -180,7 +244,7 @@
   } else if (MayRestart()) {
     TrySend(now);
   } else {
-    GiveUp(ErrorKind::kOutcomeUnknown);
+    GiveUp(reason, ErrorKind::kOutcomeUnknown);
   }
 }
 
@@ -190,20 +254,20 @@
   if (!copy_ || copy_sends_ >= kMaxCopySends) return false;
   const auto backend = hooks_.choose_to_resume(avoid_);
   if (!backend || !hooks_.try_repeat()) return false;
-  Send(*backend, RunCopy{*backend, copy_->holder, copy_->handle});
+  Send(*backend, SendCause::kCopyElsewhere, RunCopy{*backend, copy_->holder, copy_->handle});
   return true;
 }
 
 void ForwardRequest::OnDeadline(Instant /*now*/) {
   if (state_ == State::kDone) return;
   CancelAttempt();
-  GiveUp(ErrorKind::kTimedOut);
+  GiveUp(EndReason::kDeadline, ErrorKind::kTimedOut);
 }
 
 void ForwardRequest::OnShutdown() {
   if (state_ == State::kDone) return;
   CancelAttempt();
-  GiveUp(ErrorKind::kOutcomeUnknown, ErrorKind::kDraining);
+  GiveUp(EndReason::kShutdown, ErrorKind::kOutcomeUnknown, ErrorKind::kDraining);
 }
 
 // Ends the attempt in progress, which counts as a run.
@@ -218,9 +282,11 @@
   if (attempt_ != 0) hooks_.cancel(attempt_);
   state_ = State::kDone;
   attempt_ = 0;
+  end_reason_ = EndReason::kCallerGone;
 }
 
-void ForwardRequest::GiveUp(ErrorKind kind_if_run, ErrorKind kind_if_not_run) {
+void ForwardRequest::GiveUp(EndReason reason, ErrorKind kind_if_run, ErrorKind kind_if_not_run) {
+  end_reason_ = reason;
   if (is_relaying_) {
     state_ = State::kDone;
     attempt_ = 0;
--- a/src/libs/coordination/forwarding/forward_request.h
+++ b/src/libs/coordination/forwarding/forward_request.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "coordination/requests/backend_choice.h"
@@ -66,9 +67,47 @@
   std::string handle;
 };
 
+// Why the request is sent.
+enum class SendCause {
+  // It hasn't arrived at any backend server.
+  kFirst,
+  // An earlier attempt failed or was refused; the request starts over, or continues its stream.
+  kRetry,
+  // The run was moved here.
+  kMove,
+  // The run broke off, and the engine that kept a copy of it resumes it.
+  kCopy,
+  // The engine that was to resume the run refused, and another one fetches the copy.
+  kCopyElsewhere,
+};
+
+std::string_view SendCauseName(SendCause cause);
+
+// Why the last attempt ended without a whole answer, or the request was given up.
+enum class EndReason {
+  kNone,
+  kNotSent,
+  kBroken,
+  kSilent,
+  // The backend server states that the request hasn't run.
+  kNotRun,
+  // The answer is a failure, isn't that of the backend server, or doesn't fit to the stream.
+  kUnfitHead,
+  kEventGap,
+  kNoBackend,
+  kNoRepeat,
+  kCondemned,
+  kDeadline,
+  kShutdown,
+  kCallerGone,
+};
+
+std::string_view EndReasonName(EndReason reason);
+
 // One attempt to send the request to a backend server.
 struct SendCommand {
   std::int64_t attempt = 0;
+  SendCause cause = SendCause::kFirst;
   BackendChoice backend;
   // The attempt continues a stream, beginning after the event of this number.
   std::optional<std::int64_t> resume_after;
@@ -158,6 +197,7 @@
   // Returns the number of the last event that was passed on or that the caller had from the start.
   std::int64_t last_event() const { return last_event_; }
   bool is_relaying() const { return is_relaying_; }
+  EndReason end_reason() const { return end_reason_; }
 
   // Returns whether enough of a stream was passed on to show that its beginning crashes no server.
   bool is_past_beginning() const { return events_relayed_ >= kEventsPastBeginning; }
@@ -170,14 +210,15 @@
 
   bool IsCurrent(std::int64_t attempt) const;
   void TrySend(Instant now);
-  void EndAttempt(Outcome outcome, Instant now);
+  void EndAttempt(Outcome outcome, EndReason reason, Instant now);
   bool MayContinueAfterRun() const;
   bool MayRestart() const;
-  void Send(const BackendChoice& backend, const std::optional<RunCopy>& copy);
+  void Send(const BackendChoice& backend, SendCause cause, const std::optional<RunCopy>& copy);
   bool IsCondemned() const;
   bool ResumeOnOtherEngine();
   void CancelAttempt();
-  void GiveUp(ErrorKind kind_if_run, ErrorKind kind_if_not_run = ErrorKind::kNoBackendServer);
+  void GiveUp(EndReason reason, ErrorKind kind_if_run,
+              ErrorKind kind_if_not_run = ErrorKind::kNoBackendServer);
   void Refuse(ErrorKind kind);
 
   ForwardPolicy policy_;
@@ -206,6 +247,7 @@
   // The attempt in progress is to continue a stream, and none of its events has had a number yet.
   bool must_continue_ = false;
   std::int64_t last_event_ = 0;
+  EndReason end_reason_ = EndReason::kNone;
 };
 
 }  // namespace kumquat
--- a/src/libs/coordination/forwarding/repeat_budget.h
+++ b/src/libs/coordination/forwarding/repeat_budget.h
@@ -28,6 +28,7 @@
 
   // Sets the number of routers among which the slack is divided.
   void SetRouters(std::int64_t routers);
+  std::int64_t routers() const { return routers_; }
 
   // A request for the service arrived; adds to its bucket.
   void OnRequest(const std::string& service);
--- a/src/libs/transport/process_signals.cpp
+++ b/src/libs/transport/process_signals.cpp
@@ -8,6 +8,8 @@
 #include <csignal>
 #include <utility>
 
+#include "utils/log.h"
+
 namespace kumquat {
 namespace {
 
@@ -34,7 +36,11 @@
       [this, on_terminate = std::move(on_terminate), on_reload = std::move(on_reload)] {
         char byte = 0;
         if (read(signal_sockets[1], &byte, sizeof(byte)) != sizeof(byte)) return;
-        if (byte == 'r') return on_reload();
+        const bool is_reload = byte == 'r';
+        LogEvent(LogLevel::kInfo, "signal_received",
+                 {{"kind", is_reload ? "reload" : "terminate"},
+                  {"stopping", is_terminating_ ? "yes" : "no"}});
+        if (is_reload) return on_reload();
         if (!std::exchange(is_terminating_, true)) on_terminate();
       });
   std::signal(SIGTERM, OnSignal);
--- a/tests/libs/coordination/forwarding/forward_request_test.cpp
+++ b/tests/libs/coordination/forwarding/forward_request_test.cpp
@@ -589,5 +589,23 @@
   CHECK(recorder.cuts == 1);
 }
 
+TEST_CASE("Each send tells its cause, and a request that is given up tells why") {
+  HookRecorder recorder;
+  recorder.has_others = true;
+  ForwardRequest request(PolicyOf(false, true, false), recorder.Hooks());
+  request.Start(seconds(1));
+  request.OnHead(1, {200, false, true}, seconds(1));
+  request.OnEvent(1, 1, "a", seconds(1));
+  CHECK(request.end_reason() == EndReason::kNone);
+  request.OnMoved(1, {{"full", 1}, {}, "handle"}, seconds(1));
+  request.OnHead(2, {503, true, true}, seconds(1));
+  CHECK(request.end_reason() == EndReason::kNotRun);
+  request.OnShutdown();
+  CHECK(request.end_reason() == EndReason::kShutdown);
+  std::vector<SendCause> causes;
+  for (const SendCommand& send : recorder.sends) causes.push_back(send.cause);
+  CHECK(causes == std::vector{SendCause::kFirst, SendCause::kMove, SendCause::kCopyElsewhere});
+}
+
 }  // namespace
 }  // namespace kumquat
