A stopping router refuses streams that can't be resumed and may outlast the grace

What callers saw: a stream that may run once only, sent within 2.3 s after SIGTERM, was taken on though its deadline lies behind the end of the grace. A long one was cut at 7.4 s of 8 s, and its caller couldn't ask again, as its outcome is unknown.

Cause: whether a request may be sent again was told from the kind of its answer: ForwardExchange::IsOnceOnly() was false for every stream. DrainWindow::TakesOn refuses once-only requests that could outlast the grace, but was never told of these. Route::may_repeat() is the one place that knows (repeatable, or a stream that may be resumed), and is asked now.

Streams that may be resumed are taken on as before, and so are all that are sure to end in time.

--- a/src/kumquatrouter/forwarding/forward_exchange.cpp
+++ b/src/kumquatrouter/forwarding/forward_exchange.cpp
@@ -71,7 +71,7 @@
   });
   deadline_timer_.StartAt(deadline_);
   if (services_.drain &&
-      !services_.drain->TakesOn(received_, deadline_ - received_, IsOnceOnly())) {
+      !services_.drain->TakesOn(received_, deadline_ - received_, !route_->may_repeat())) {
     Refuse({ErrorKind::kDraining, services_.admission->RetryAfterElsewhere()});
     return;
   }
@@ -102,10 +102,6 @@
   return true;
 }
 
-bool ForwardExchange::IsOnceOnly() const {
-  return !route_->is_stream && route_->repeat_rule != RepeatRule::kRepeatable;
-}
-
 const std::vector<Suspect>& ForwardExchange::Suspects() {
   if (!suspects_) suspects_ = SuspectsOf(request_, organisation_ ? organisation_->name : "");
   return *suspects_;
--- a/src/kumquatrouter/forwarding/forward_exchange.h
+++ b/src/kumquatrouter/forwarding/forward_exchange.h
@@ -99,8 +99,6 @@
   // Finds the route, organisation and service of the request. Refuses the request and returns false
   // if there is no routing table, no route, or no valid key where one is needed.
   bool ResolveRoute();
-  // Returns whether the request may not be sent again once it may have run.
-  bool IsOnceOnly() const;
   const std::vector<Suspect>& Suspects();
   bool IsCondemned();
   ForwardPolicy Policy() const;
--- a/tests/process/forwarding/forward_bench.cpp
+++ b/tests/process/forwarding/forward_bench.cpp
@@ -105,8 +105,8 @@
 }
 
 void ForwardBench::PutSlowRoute(int version, const std::string& extra_path,
-                                std::chrono::milliseconds timeout) {
-  QJsonObject route = RouteTo("desk", extra_path, "non_idempotent", false);
+                                std::chrono::milliseconds timeout, const char* kind) {
+  QJsonObject route = RouteTo("desk", extra_path, kind, false);
   route["timeoutMs"] = static_cast<qint64>(timeout.count());
   SendUntilAcknowledged("PUT", "/config", Configuration(version, route));
 }
--- a/tests/process/forwarding/forward_bench.h
+++ b/tests/process/forwarding/forward_bench.h
@@ -42,8 +42,10 @@
   // streams can; `extra_path` is one more route that may be repeated.
   void PutConfiguration(int version, const std::string& extra_path = {});
 
-  // The same, where the extra route may run once only and has this timeout.
-  void PutSlowRoute(int version, const std::string& extra_path, std::chrono::milliseconds timeout);
+  // The same, where the extra route has this timeout and, unless another kind is named, may run
+  // once only.
+  void PutSlowRoute(int version, const std::string& extra_path, std::chrono::milliseconds timeout,
+                    const char* kind = "non_idempotent");
 
   // Returns whether the router tells the load balancer that it takes requests.
   bool IsReady(int router);
--- a/tests/process/forwarding/forward_drain_test.cpp
+++ b/tests/process/forwarding/forward_drain_test.cpp
@@ -65,5 +65,24 @@
   CHECK(bench.Run(0, "/once/book", &id, "a booking")->status == 200);
 }
 
+// Such a stream would be cut at the end of the grace, and its caller couldn't ask again.
+TEST_CASE("A stream that can't be resumed and could outlast the grace is refused as not run") {
+  ForwardBench bench;
+  StandInServer server("s1", "desk", bench.control());
+  bench.PutSlowRoute(2, "/slow/", kSlowTimeout, "streaming");
+  bench.WaitForStatus(0, "/slow/stream", 200);
+  const std::size_t runs = server.runs().size();
+  bench.router(0).Signal(SIGTERM);
+  CHECK(SpinUntil([&] { return !bench.IsReady(0); }));
+  std::string id;
+  const auto call = bench.Run(0, "/slow/stream", &id);
+  CHECK(call->status == 503);
+  CHECK(std::atof(std::string(HeaderValue(call->headers, "Retry-After")).c_str()) < 1);
+  CHECK(server.runs().size() == runs);
+  // Streams that are sure to end in time, and those that can go on at another router, are served.
+  CHECK(bench.Run(0, "/live/stream", &id)->status == 200);
+  CHECK(bench.Run(0, "/long/stream", &id)->status == 200);
+}
+
 }  // namespace
 }  // namespace kumquat
