A stopped router exits: nothing that is put off is left to Qt's end

Callers saw nothing; a router that cut streams at the end of its grace logged router_drained and router_stopped and stayed until SIGKILL, with the connections to runners open.

Cause: the put-off calls of the cut streams (DestroyLater) were still posted when the loop was left in the same turn. ~QCoreApplication destroys posted functions under their list's lock, and ~TcpStream needs it (deleteLater). Change: Application (utils) owns Qt's object in every program, and destroys what is put off, without the lock and without running it, after the loop and again after the program's objects. It works because removePostedEvents() deletes functions once it has released the lock; destroyed and not run, they can't start new work or use what is gone.

--- a/bench/control_edits/main.cpp
+++ b/bench/control_edits/main.cpp
@@ -2,7 +2,6 @@
 // Usage: control_edits ROUTERS EDITS CLAIMS REPLICA..., each replica as "name@ip:port".
 #include <fmt/format.h>
 
-#include <QCoreApplication>
 #include <QEventLoop>
 #include <QTimer>
 #include <algorithm>
@@ -14,6 +13,7 @@
 
 #include "protocol/control_messages.h"
 #include "transport/rpc.h"
+#include "utils/application.h"
 #include "utils/endpoint.h"
 #include "utils/log.h"
 
@@ -142,7 +142,7 @@
 
 int Main(int argc, char** argv) {
   constexpr int kFirstReplica = 4;
-  const QCoreApplication application(argc, argv);
+  const Application application(argc, argv);
   ConfigureLog("bench", LogLevel::kError);
   std::vector<NamedEndpoint> replicas;
   for (int i = kFirstReplica; i < argc; ++i) replicas.push_back(*ParseNamedEndpoint(argv[i]));
--- a/src/fakes/caller/main.cpp
+++ b/src/fakes/caller/main.cpp
@@ -2,12 +2,12 @@
 #include <fmt/format.h>
 #include <gflags/gflags.h>
 
-#include <QCoreApplication>
 #include <algorithm>
 #include <cstdio>
 #include <sstream>
 
 #include "caller.h"
+#include "utils/application.h"
 #include "utils/log.h"
 
 DEFINE_string(routers, "", "The routers, each as ip:port, with commas between them.");
@@ -47,7 +47,7 @@
 int main(int argc, char** argv) {
   gflags::SetUsageMessage("Sends streamed requests through the routers and checks every answer.");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
-  QCoreApplication application(argc, argv);
+  kumquat::Application application(argc, argv);
   kumquat::ConfigureLog("caller", kumquat::LogLevel::kInfo,
                         {.descriptor = kumquat::kStandardError});
   kumquat::CallerOptions options;
@@ -65,9 +65,9 @@
     return 2;
   }
   kumquat::Caller caller(options, kumquat::SteadyClock());
-  caller.Start([&application](const kumquat::CallerReport& report) {
+  caller.Start([](const kumquat::CallerReport& report) {
     Print(report);
-    application.exit(report.complete == report.sent ? 0 : 1);
+    QCoreApplication::exit(report.complete == report.sent ? 0 : 1);
   });
-  return QCoreApplication::exec();
+  return application.Run();
 }
--- a/src/fakes/engine/main.cpp
+++ b/src/fakes/engine/main.cpp
@@ -1,10 +1,9 @@
 // fake-engine: a model engine for tests and the demo.
 #include <fmt/format.h>
 
-#include <QCoreApplication>
-
 #include "engine/engine_server.h"
 #include "transport/process_signals.h"
+#include "utils/application.h"
 #include "utils/program.h"
 
 namespace {
@@ -41,12 +40,12 @@
                                             "A model engine for tests and the demo.", reader);
   if (status) return *status;
   kumquat::ApplyFakeSettings(&settings.fake);
-  const QCoreApplication application(argc, argv);
+  kumquat::Application application(argc, argv);
   kumquat::EngineServer server(settings);
   if (!server.Start()) {
     fmt::print(stderr, "{}\n", server.last_reason());
     return 1;
   }
   const kumquat::ProcessSignals signals([&server] { server.Leave(); }, [] {});
-  return QCoreApplication::exec();
+  return application.Run();
 }
--- a/src/fakes/service/main.cpp
+++ b/src/fakes/service/main.cpp
@@ -1,10 +1,9 @@
 // fake-service: a plain booking service for tests and the demo.
 #include <fmt/format.h>
 
-#include <QCoreApplication>
-
 #include "service/booking_server.h"
 #include "transport/process_signals.h"
+#include "utils/application.h"
 #include "utils/program.h"
 
 int main(int argc, char** argv) {
@@ -17,12 +16,12 @@
                                             "A booking service for tests and the demo.", reader);
   if (status) return *status;
   kumquat::ApplyFakeSettings(&settings.fake);
-  const QCoreApplication application(argc, argv);
+  kumquat::Application application(argc, argv);
   kumquat::BookingServer server(settings);
   if (!server.Start()) {
     fmt::print(stderr, "{}\n", server.last_reason());
     return 1;
   }
   const kumquat::ProcessSignals signals([&server] { server.Leave(); }, [] {});
-  return QCoreApplication::exec();
+  return application.Run();
 }
--- a/src/fakes/weight_store/main.cpp
+++ b/src/fakes/weight_store/main.cpp
@@ -1,12 +1,12 @@
 // fake-weight-store: a rate-limited store of weights for tests and the demo.
 #include <fmt/format.h>
 
-#include <QCoreApplication>
 #include <utility>
 
 #include "common/fake_settings.h"
 #include "transport/http_server.h"
 #include "transport/process_signals.h"
+#include "utils/application.h"
 #include "utils/program.h"
 
 namespace kumquat {
@@ -52,7 +52,7 @@
   }
 }
 
-int Run(const WeightStoreSettings& settings) {
+int Run(Application& application, const WeightStoreSettings& settings) {
   RateLimit limit(settings.requests_per_second, SteadyClock());
   const auto server = HttpServer::Builder()
                           .WithHandler([&](const HttpRequest& request,
@@ -65,7 +65,7 @@
     return 1;
   }
   const ProcessSignals signals([] { QCoreApplication::quit(); }, [] {});
-  return QCoreApplication::exec();
+  return application.Run();
 }
 
 }  // namespace
@@ -82,6 +82,6 @@
                                             "A store of weights for tests and the demo.", reader);
   if (status) return *status;
   kumquat::ApplyFakeSettings(&settings.fake);
-  const QCoreApplication application(argc, argv);
-  return kumquat::Run(settings);
+  kumquat::Application application(argc, argv);
+  return kumquat::Run(application, settings);
 }
--- a/src/kumquatcontrol/main.cpp
+++ b/src/kumquatcontrol/main.cpp
@@ -1,7 +1,6 @@
 // kumquat-control: one replica of the system's durable state, on an instance with a disk.
 #include <fmt/format.h>
 
-#include <QCoreApplication>
 #include <QRandomGenerator>
 #include <memory>
 #include <string>
@@ -15,6 +14,7 @@
 #include "state/storage/log_file_storage.h"
 #include "transport/http_server.h"
 #include "transport/process_signals.h"
+#include "utils/application.h"
 #include "utils/log.h"
 #include "utils/log_settings.h"
 #include "utils/program.h"
@@ -156,7 +156,7 @@
     settings.node.log.startup_quiet_period = Duration(0);
     settings.node.log.first_election_timeout_max = kFirstCampaign;
   }
-  const QCoreApplication application(argc, argv);
+  Application application(argc, argv);
   ControlNode node(settings.node, NodeHooks(settings.data_dir));
   SettingsWatch watch(SettingsPath(), [&node] { ReloadSeeds(node); });
   // Before the log is read, which may take long. All that was acknowledged is synced, so there is
@@ -182,7 +182,7 @@
   LogEvent(
       LogLevel::kInfo, "control_started",
       {{"listen", settings.node.listen.ToString()}, {"failure_domain", settings.failure_domain}});
-  const int status = QCoreApplication::exec();
+  const int status = application.Run();
   LogEvent(LogLevel::kInfo, "control_stopped");
   return status;
 }
--- a/src/kumquatctl/main.cpp
+++ b/src/kumquatctl/main.cpp
@@ -1,7 +1,6 @@
 // kumquatctl: operators edit the two lists and read the status of control.
 #include <fmt/format.h>
 
-#include <QCoreApplication>
 #include <QJsonArray>
 #include <fstream>
 #include <iostream>
@@ -16,6 +15,7 @@
 #include "protocol/control_messages.h"
 #include "protocol/json_fields.h"
 #include "protocol/key_digest.h"
+#include "utils/application.h"
 #include "utils/log.h"
 #include "utils/program.h"
 
@@ -199,7 +199,7 @@
     return kExitUsage;
   }
   ConfigureLog(kName, LogLevel::kError, {.descriptor = kStandardError});
-  const QCoreApplication application(argc, argv);
+  const Application application(argc, argv);
   ControlClient control(settings.control, MachineRandom());
   Command command(settings, &control);
   return RunCommand({argv + 1, argv + argc}, command);
--- a/src/kumquatrouter/main.cpp
+++ b/src/kumquatrouter/main.cpp
@@ -1,5 +1,4 @@
 // kumquat-router: takes callers' requests to backend servers.
-#include <QCoreApplication>
 #include <random>
 
 #include "forwarding/forward_server.h"
@@ -7,6 +6,7 @@
 #include "router.h"
 #include "router_settings.h"
 #include "transport/process_signals.h"
+#include "utils/application.h"
 #include "utils/log.h"
 #include "utils/program.h"
 #include "utils/settings_watch.h"
@@ -19,7 +19,7 @@
 
 // Starts the server, drains it when the process is asked to end, and tells it of changed settings.
 template <typename Server>
-int Run(Server& server, std::function<void()> reload) {
+int Run(Application& application, Server& server, std::function<void()> reload) {
   SettingsWatch settings(SettingsPath(), std::move(reload));
   const ProcessSignals signals([&] { server.Drain([] { QCoreApplication::quit(); }); },
                                [&] { settings.Check(); });
@@ -27,7 +27,7 @@
     LogEvent(LogLevel::kError, "start_failed", {{"reason", server.last_reason()}});
     return kExitNoAddress;
   }
-  const int status = QCoreApplication::exec();
+  const int status = application.Run();
   LogEvent(LogLevel::kInfo, "router_stopped");
   return status;
 }
@@ -53,13 +53,13 @@
   if (exit_status) return *exit_status;
   ApplyLogSettings(settings.instance, settings.log);
 
-  const QCoreApplication application(argc, argv);
+  Application application(argc, argv);
   std::mt19937_64 generator(std::random_device{}());
   const Random random = [&generator] { return generator(); };
   if (settings.forwards()) {
     ForwardServer server(settings.ForForwarding(), platform::MakeForwardCodec(), SteadyClock(),
                          random);
-    return Run(server, [&server] { ReloadSeeds(server); });
+    return Run(application, server, [&server] { ReloadSeeds(server); });
   }
   if (settings.control.empty()) {
     LogEvent(LogLevel::kError, "start_failed",
@@ -67,7 +67,7 @@
     return kExitUsage;
   }
   Router router(settings, SteadyClock(), random);
-  return Run(router, [] { LogEvent(LogLevel::kInfo, "settings_need_restart"); });
+  return Run(application, router, [] { LogEvent(LogLevel::kInfo, "settings_need_restart"); });
 }
 
 }  // namespace
--- a/tests/process/control/control_cluster.cpp
+++ b/tests/process/control/control_cluster.cpp
@@ -94,6 +94,12 @@
   ::kill(static_cast<pid_t>(processes_[replica]->processId()), signal);
 }
 
+int ControlCluster::WaitForExit(int replica) {
+  QProcess& process = *processes_[replica];
+  const bool ended = RunUntil([&] { return process.state() == QProcess::NotRunning; }, kLongest);
+  return ended && process.exitStatus() == QProcess::NormalExit ? process.exitCode() : -1;
+}
+
 void ControlCluster::WipeDisk(int replica) {
   CHECK(QDir(QString::fromStdString(Path(Name(replica)))).removeRecursively());
 }
--- a/tests/process/control/control_cluster.h
+++ b/tests/process/control/control_cluster.h
@@ -34,6 +34,10 @@
   void Start(int replica);
   void Kill(int replica);
   void Signal(int replica, int signal);
+  // Waits for the end of a replica; returns its exit status, and -1 if a signal ended it or none
+  // came.
+  int WaitForExit(int replica);
+
   void WipeDisk(int replica);
 
   // Lets nothing pass between the replica and the others, without closing a connection.
--- a/tests/process/control/control_process_test.cpp
+++ b/tests/process/control/control_process_test.cpp
@@ -85,6 +85,21 @@
   CHECK(cluster.Run({"status"}).output.find("\"role\":\"leader\"") != std::string::npos);
 }
 
+TEST_CASE("Replicas that are stopped under way exit with 0, the leader first, and don't hang") {
+  ControlCluster cluster;
+  REQUIRE(SetAllowances(cluster, 0, 5).exit_status == 0);
+  const int leader = cluster.Leader();
+  for (int i = 0; i < ControlCluster::kReplicas; ++i) {
+    const int replica = (leader + i) % ControlCluster::kReplicas;
+    // A call may be open at the replica.
+    const auto edit = cluster.Begin({"allowances", "get"});
+    cluster.Signal(replica, SIGTERM);
+    CHECK(cluster.WaitForExit(replica) == 0);
+    edit->kill();
+    edit->waitForFinished();
+  }
+}
+
 TEST_CASE("Edits and claims survive kills and freezes of the leader and a lost disk") {
   ControlCluster cluster;
   int revision = 0;
--- a/tests/process/forwarding/forward_bench.cpp
+++ b/tests/process/forwarding/forward_bench.cpp
@@ -111,6 +111,13 @@
   SendUntilAcknowledged("PUT", "/config", Configuration(version, route));
 }
 
+void ForwardBench::PutSlowStreams(int version, const std::string& extra_path,
+                                  std::chrono::milliseconds timeout) {
+  QJsonObject route = RouteTo("desk", extra_path, "streaming", false);
+  route["timeoutMs"] = static_cast<qint64>(timeout.count());
+  SendUntilAcknowledged("PUT", "/config", Configuration(version, route));
+}
+
 bool ForwardBench::IsReady(int router) {
   return caller_.Run(ready_endpoints_[router], "GET", "/readyz")->status == 200;
 }
--- a/tests/process/forwarding/forward_bench.h
+++ b/tests/process/forwarding/forward_bench.h
@@ -47,6 +47,10 @@
   void PutSlowRoute(int version, const std::string& extra_path, std::chrono::milliseconds timeout,
                     const char* kind = "non_idempotent");
 
+  // The same, where the extra route is one of streams that can't be resumed.
+  void PutSlowStreams(int version, const std::string& extra_path,
+                      std::chrono::milliseconds timeout);
+
   // Returns whether the router tells the load balancer that it takes requests.
   bool IsReady(int router);
 
--- a/tests/process/router/router_process_test.cpp
+++ b/tests/process/router/router_process_test.cpp
@@ -32,6 +32,35 @@
   bench.WaitUntilServing(1);
 }
 
+TEST_CASE("A router whose callers leave while it stops exits, and doesn't hang on their calls") {
+  SystemBench bench({20'000, 1, ""});
+  std::vector<std::unique_ptr<TestCall>> calls;
+  calls.reserve(20);
+  for (int i = 0; i < 20; ++i) calls.push_back(bench.StartChat(0, "question"));
+  CHECK(SpinUntil([&] {
+    return std::all_of(calls.begin(), calls.end(),
+                       [](const auto& call) { return call->events.size() > 3; });
+  }));
+  bench.router_program(0).Signal(SIGTERM);
+  calls.clear();
+  CHECK(SpinUntil([&] { return !bench.router_program(0).running(); }));
+  CHECK(bench.router_program(0).exit_status() == 0);
+}
+
+TEST_CASE("Programs of a system in use exit with 0 when they are stopped, and don't hang") {
+  SystemBench bench;
+  const auto call = bench.StartChat(0, "question");
+  CHECK(SpinUntil([&] { return call->done(); }));
+  const auto check_exits = [](TestProgram& program) {
+    program.Signal(SIGTERM);
+    CHECK(SpinUntil([&] { return !program.running(); }));
+    CHECK(program.exit_status() == 0);
+  };
+  for (int i = 0; i < SystemBench::kRouters; ++i) check_exits(bench.router_program(i));
+  for (int i = 0; i < SystemBench::kEngines; ++i) check_exits(*bench.engine(i).program);
+  for (int i = 0; i < SystemBench::kServices; ++i) check_exits(*bench.service(i).program);
+}
+
 TEST_CASE("Bad input gets a clear answer, and a caller that goes away cancels its work") {
   SystemBench bench;
   const auto post = [&](const std::string& target, const HttpHeaders& headers,
