A process that gets signals faster than it reads them doesn't stop for ever

A process that got some hundred signals before its event loop came to them stood still for ever, with all its requests.

Cause: the signal handler wrote each signal into a blocking socket pair, and one byte was read a turn; the handler of a full pair waits in write() for a loop that it has interrupted. Change: the pair doesn't block, and what came is kept in two flags, so that a full pair loses nothing; the loop empties it and looks at the flags.

--- a/src/libs/transport/process_signals.h
+++ b/src/libs/transport/process_signals.h
@@ -7,8 +7,9 @@
 
 namespace kumquat {
 
-// Runs the hooks in the event loop: at the first SIGTERM or SIGINT, and at each SIGHUP. A second
-// SIGINT ends the process at once; another SIGTERM has no effect. One object a process.
+// Runs the hooks in the event loop: at the first SIGTERM or SIGINT, and at SIGHUP. Signals of one
+// kind that come before the loop gets to them count as one. A second SIGINT ends the process at
+// once; another SIGTERM has no effect. One object a process.
 class ProcessSignals {
  public:
   ProcessSignals(std::function<void()> on_terminate, std::function<void()> on_reload);
@@ -17,6 +18,10 @@
   ProcessSignals& operator=(const ProcessSignals&) = delete;
 
  private:
+  void HandleSignals();
+
+  std::function<void()> on_terminate_;
+  std::function<void()> on_reload_;
   std::unique_ptr<QSocketNotifier> notifier_;
   bool is_terminating_ = false;
 };
--- /dev/null
+++ b/tests/libs/transport/process_signals_test.cpp
@@ -0,0 +1,43 @@
+// Signals that a process is steered by, each case in a process of its own.
+#include "transport/process_signals.h"
+
+#include <doctest/doctest.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <functional>
+
+namespace kumquat {
+namespace {
+
+// What a process may take that doesn't hang, in seconds.
+constexpr unsigned kLongest = 10;
+
+// Returns the signal that ended a process which runs this; 0 if it exited.
+int EndSignalOf(const std::function<void()>& run) {
+  const pid_t child = fork();
+  REQUIRE(child >= 0);
+  if (child == 0) {
+    alarm(kLongest);
+    run();
+    _exit(0);
+  }
+  int status = 0;
+  REQUIRE(waitpid(child, &status, 0) == child);
+  return WIFSIGNALED(status) ? WTERMSIG(status) : 0;
+}
+
+TEST_CASE("Signals that come faster than they are read don't block the process for ever") {
+  constexpr int kSignals = 5000;
+  CHECK(EndSignalOf([] {
+          const ProcessSignals signals([] {}, [] {});
+          for (int i = 0; i < kSignals; ++i) {
+            std::raise(SIGHUP);
+            std::raise(SIGTERM);
+          }
+        }) == 0);
+}
+
+}  // namespace
+}  // namespace kumquat
