Each send that may become a repeat takes one from the budget first, also moves and copies

Cause: a run that was moved, or taken up from its copy, was sent without a repeat, on the ground that it counts as the same run. It does only if the engine accepts it; one that is refused there (503, Kumquatcross-Not-Run) counts. The send elsewhere after that drew one, so each moved run had one repeat free, and with an empty bucket all of them. A repeat drawn for a failed answer was also kept beside the send to the run's copy and used by the send after it: one drawn, two made.

Evidence: repeat_fleet_test, 6 routers, ratio 0.2, slack 52, 10 s, 96 requests a second, 60 s, seeds 1 to 5, all windows, repeats over the allowance in the worst window.

Change: a send after the first reserves a repeat before it is made; it is given back if the send didn't arrive, or if an engine goes on with the run. A run is moved only if a repeat can be reserved before it is stopped, while half of the bucket stays for streams that broke; else it stays and is tried again every 50 ms while its engine loads, since the runs moved before give theirs back within milliseconds. A run that came back to its loading engine is moved again with the next news of it (500 ms), not with its first event.

--- a/src/kumquatrouter/forwarding/forward_exchange.cpp
+++ b/src/kumquatrouter/forwarding/forward_exchange.cpp
@@ -127,7 +127,9 @@
   ForwardHooks hooks;
   hooks.choose = [this](std::span<const BackendChoice> avoid) { return Choose(avoid); };
   hooks.is_condemned = [this] { return IsCondemned(); };
-  hooks.try_repeat = [this] { return TryRepeat(); };
+  hooks.try_repeat = [this] { return TryRepeat(false); };
+  hooks.try_optional_repeat = [this] { return TryRepeat(true); };
+  hooks.return_repeat = [this] { services_.budget->ReturnRepeat(service_->name); };
   hooks.send = [this](const SendCommand& command) { Send(command); };
   hooks.find_copy = [this] { return TakeCopy(); };
   hooks.choose_to_resume =
@@ -155,13 +157,17 @@
   return hooks;
 }
 
-bool ForwardExchange::TryRepeat() {
+bool ForwardExchange::TryRepeat(bool is_optional) {
   const double tokens = services_.budget->available(service_->name);
-  const bool is_allowed = services_.budget->TryRepeat(service_->name);
+  const bool is_allowed = is_optional ? services_.budget->TryOptionalRepeat(service_->name)
+                                      : services_.budget->TryRepeat(service_->name);
+  // A move that is denied is tried again and again.
+  if (is_optional && !is_allowed) return false;
   LogEvent(LogLevel::kInfo, "repeat_decided",
            {{"request", request_.id},
             {"service", service_->name},
             {"allowed", is_allowed ? "yes" : "no"},
+            {"optional", is_optional ? "yes" : "no"},
             {"tokens", tokens},
             {"routers", services_.budget->routers()},
             {"reason", EndReasonName(decisions_->end_reason())}});
@@ -472,9 +478,11 @@
 void ForwardExchange::OnFirstEvent() {
   if (attempt_->prompt_choice) services_.placement->FirstEvent(attempt_->dispatch, Now());
   // The run began after the engine was ordered to load weights, and would delay the loading until
-  // the run ends.
+  // the run ends. One that came back to the engine is moved at the next news, not over and over.
   const PooledBackend* backend = services_.pool.Find(attempt_->backend);
-  if (backend && Now() < backend->loading_until) MoveAwayFrom(attempt_->backend);
+  if (backend && Now() < backend->loading_until && !attempt_->continues_run) {
+    MoveAwayFrom(attempt_->backend);
+  }
   services_.metrics->Observe("kumquat_forward_first_event_seconds", RouteLabel(),
                              Seconds(Now() - received_));
   if (!first_event_at_) first_event_at_ = Now();
@@ -541,8 +549,10 @@
                         request_.prompt && decisions_->is_relaying();
   PooledBackend* from = services_.pool.Find(backend);
   PooledBackend* to = can_move && from ? AlternativeEngineFor(*from) : nullptr;
-  if (!to) return;
   const std::int64_t number = attempt_->number;
+  if (!to) return;
+  attempt_->move_was_denied = !decisions_->BeginMove(number);
+  if (attempt_->move_was_denied) return;
   attempt_->move_to = to->choice();
   BackendCallRequest call =
       services_.codec.encode_move({backend, from->endpoint, to->endpoint, request_.id});
@@ -555,6 +565,12 @@
   attempt_->move = StartGathered(*services_.client, std::move(call), kMoveLimits, on_answer);
 }
 
+void ForwardExchange::RetryDeniedMove() {
+  if (is_done_ || !attempt_ || !attempt_->move_was_denied) return;
+  const PooledBackend* backend = services_.pool.Find(attempt_->backend);
+  if (backend && Now() < backend->loading_until) MoveAwayFrom(attempt_->backend);
+}
+
 void ForwardExchange::OnMoveAnswered(std::int64_t number, const MoveAnswer& answer) {
   if (is_done_ || !attempt_ || attempt_->number != number) return;
   DestroyLater(std::move(attempt_->move));
@@ -570,7 +586,10 @@
             {"arrived", answer.has_arrived ? "yes" : "no"}});
   if (!answer.handle.empty() && from && engine_with_run) {
     decisions_->OnMoved(number, {engine_with_run->choice(), from->endpoint, answer.handle}, Now());
-  } else if (failure) {
+    return;
+  }
+  decisions_->OnMoveFailed(number);
+  if (failure) {
     OnCallFailed(number, *failure,
                  "The stream ended while its run was being moved to another engine.");
   }
@@ -585,9 +604,8 @@
 void ForwardExchange::OnBackendUnreachable(const BackendChoice& backend, Duration silence) {
   if (SilentBackend(silence) != backend || attempt_->move) return;
   // The probe may be wrong, so an attempt is only failed if the request can continue elsewhere.
-  const bool may_repeat =
-      decisions_->MayRepeatAfterLoss() && services_.budget->available(service_->name) >= 1;
-  const bool can_continue = may_repeat || attempt_->backup;
+  const bool can_continue = services_.budget->available(service_->name) >= 1 &&
+                            (decisions_->MayRepeatAfterLoss() || attempt_->backup);
   if (can_continue) OnCallFailed(attempt_->number, CallFailure::kSilent, "New connection failed.");
 }
 
--- a/src/kumquatrouter/forwarding/forward_exchange.h
+++ b/src/kumquatrouter/forwarding/forward_exchange.h
@@ -46,6 +46,10 @@
   // weights version. Does nothing if the stream runs elsewhere or can't be moved.
   void MoveAwayFrom(const BackendChoice& backend);
 
+  // Tries again to move a stream that stayed at an engine that is loading, as no repeat could be
+  // spared.
+  void RetryDeniedMove();
+
   // Returns the backend server of the streamed attempt in progress if it has sent nothing for
   // longer than `silence`; nullopt otherwise.
   std::optional<BackendChoice> SilentBackend(Duration silence) const;
@@ -91,6 +95,7 @@
     // The call that moves the run to `move_to`; null while the run isn't being moved.
     std::unique_ptr<BackendCall> move;
     BackendChoice move_to;
+    bool move_was_denied = false;
     // How the attempt failed while it was being moved; handled only if the run can't be continued
     // after the move.
     std::optional<CallFailure> failure_during_move;
@@ -104,7 +109,7 @@
   ForwardPolicy Policy() const;
   ForwardHooks Hooks();
   // Takes a repeat from the budget, and logs what decided it.
-  bool TryRepeat();
+  bool TryRepeat(bool is_optional);
   std::optional<BackendChoice> Choose(std::span<const BackendChoice> avoid);
   std::vector<PooledBackend*> EnginesFor(std::vector<PooledBackend*> candidates) const;
   // Returns whether a request that waits for `expected_wait` at this engine would begin on weights
--- a/src/kumquatrouter/forwarding/forward_server.cpp
+++ b/src/kumquatrouter/forwarding/forward_server.cpp
@@ -258,22 +258,21 @@
   for (const EngineNews::Named& named : news.named) {
     services_.weights.Learn(named.model, named.version, services_.clock() - named.age);
   }
-  std::vector<BackendChoice> started_loading;
+  std::vector<BackendChoice> loading;
   for (const EngineNews::Engine& engine : news.engines) {
     PooledBackend* backend = services_.pool.Find({engine.id, engine.incarnation});
     if (!backend) continue;
-    const bool was_loading = services_.clock() < backend->loading_until;
     backend->loading_until =
         engine.is_loading ? services_.clock() + kLoadingNewsLifetime : Instant(0);
-    if (engine.is_loading && !was_loading) started_loading.push_back(backend->choice());
+    if (engine.is_loading) loading.push_back(backend->choice());
     for (const auto& [model, version] : engine.weights) {
       std::int64_t& known = backend->weights[model];
       known = std::max(known, version);
     }
   }
   // Streams are moved only after all engines are updated, so that none is moved to an engine that
-  // is loading too.
-  for (const BackendChoice& backend : started_loading) MoveAwayFrom(backend);
+  // is loading too. A run that came back is moved again with each news of its engine.
+  for (const BackendChoice& backend : loading) MoveAwayFrom(backend);
 }
 
 void ForwardServer::MoveAwayFrom(const BackendChoice& backend) {
@@ -289,6 +288,7 @@
   loop_watch_.Beat(services_.clock());
   crash_watch_.ProbeUnproven();
   CancelOutdatedAttempts();
+  for (const auto& exchange : exchanges_) exchange->RetryDeniedMove();
   const bool anyone_waits =
       std::any_of(exchanges_.begin(), exchanges_.end(),
                   [](const auto& exchange) { return exchange->is_waiting(); });
--- a/src/libs/coordination/forwarding/forward_request.cpp
+++ b/src/libs/coordination/forwarding/forward_request.cpp
@@ -6,6 +6,7 @@
 namespace kumquat {
 namespace {
 
+constexpr int kFirstRedirect = 300;
 constexpr int kFirstServerError = 500;
 // A copy is kept for only a few seconds, and each engine that refuses to resume it uses up some of
 // them.
@@ -105,7 +106,7 @@
     if (!may_wait) GiveUp(EndReason::kNoBackend, ErrorKind::kBackendServerFailed);
     return;
   }
-  if (arrivals_ > 0 && !std::exchange(repeat_is_budgeted_, false) && !hooks_.try_repeat()) {
+  if (arrivals_ > 0 && !ReserveRepeat()) {
     GiveUp(EndReason::kNoRepeat, ErrorKind::kBackendServerFailed);
     return;
   }
@@ -122,15 +123,44 @@
   copy_ = copy;
   if (copy) ++copy_sends_;
   ++arrivals_;
+  has_used_repeat_ = std::exchange(has_reserved_repeat_, false);
   const auto resume_after = is_relaying_ ? std::optional(last_event_) : std::nullopt;
   hooks_.send({attempt_, cause, backend_, resume_after, copy});
 }
 
+// Reserves the repeat for the next send, unless one is reserved already.
+bool ForwardRequest::ReserveRepeat() {
+  if (!has_reserved_repeat_) has_reserved_repeat_ = hooks_.try_repeat();
+  return has_reserved_repeat_;
+}
+
+void ForwardRequest::ReturnReserved() {
+  if (std::exchange(has_reserved_repeat_, false)) hooks_.return_repeat();
+}
+
+void ForwardRequest::ReturnUsed() {
+  if (std::exchange(has_used_repeat_, false)) hooks_.return_repeat();
+}
+
+bool ForwardRequest::BeginMove(std::int64_t attempt) {
+  if (!IsCurrent(attempt)) return false;
+  if (!has_reserved_repeat_) has_reserved_repeat_ = hooks_.try_optional_repeat();
+  return has_reserved_repeat_;
+}
+
+void ForwardRequest::OnMoveFailed(std::int64_t attempt) {
+  if (IsCurrent(attempt)) ReturnReserved();
+}
+
 void ForwardRequest::OnMoved(std::int64_t attempt, const RunCopy& copy, Instant /*now*/) {
   if (!IsCurrent(attempt)) return;
   hooks_.cancel(attempt_);
   // The run counts even if resuming the copy fails.
   if (!copy_) ++runs_;
+  if (!ReserveRepeat()) {
+    GiveUp(EndReason::kNoRepeat, ErrorKind::kOutcomeUnknown);
+    return;
+  }
   Send(copy.backend, SendCause::kMove, copy);
 }
 
@@ -150,13 +180,14 @@
   const bool implies_not_run_unconfirmed = ImpliesNotRun(head.status) && !policy_.may_repeat;
   // An error answer of the backend server is passed on unless the rules and the repeat budget allow
   // another run.
-  const bool repeats = is_failure && !is_relaying_ && MayRepeatAfterLoss() && hooks_.try_repeat();
-  repeat_is_budgeted_ = repeats;
+  const bool repeats = is_failure && !is_relaying_ && MayRepeatAfterLoss() && ReserveRepeat();
   if (!head.is_from_backend_server || breaks_stream || repeats || implies_not_run_unconfirmed) {
     hooks_.cancel(attempt_);
     EndAttempt(Outcome::kMayHaveRun, EndReason::kUnfitHead, now);
     return;
   }
+  // An engine that goes on with the same run gets no repeat of the request.
+  if (copy_ && head.status < kFirstRedirect) ReturnUsed();
   has_head_ = true;
   status_ = head.status;
   state_ = State::kAnswering;
@@ -190,8 +221,7 @@
 
 void ForwardRequest::OnEnd(std::int64_t attempt, Instant /*now*/) {
   if (!IsCurrent(attempt) || !has_head_) return;
-  state_ = State::kDone;
-  attempt_ = 0;
+  Finish();
   ++runs_;
   if (is_relaying_) {
     hooks_.relay_end();
@@ -203,8 +233,10 @@
 void ForwardRequest::OnFailure(std::int64_t attempt, CallFailure failure, Instant now) {
   if (!IsCurrent(attempt)) return;
   if (failure == CallFailure::kNotSent) {
-    // The request never arrived, so sending it again needs no repeat from the budget.
+    // The request never arrived, so this send was no repeat, nor does it make the next one a
+    // repeat.
     --arrivals_;
+    ReturnUsed();
     EndAttempt(Outcome::kNotRun, EndReason::kNotSent, now);
     return;
   }
@@ -233,7 +265,7 @@
     if (!copy_) ++runs_;
     const bool may_resume = has_time && policy_.is_stream && !IsCondemned();
     const auto copy = may_resume ? hooks_.find_copy() : std::nullopt;
-    if (copy) {
+    if (copy && ReserveRepeat()) {
       Send(copy->backend, SendCause::kCopy, copy);
       return;
     }
@@ -253,7 +285,7 @@
 bool ForwardRequest::ResumeOnOtherEngine() {
   if (!copy_ || copy_sends_ >= kMaxCopySends) return false;
   const auto backend = hooks_.choose_to_resume(avoid_);
-  if (!backend || !hooks_.try_repeat()) return false;
+  if (!backend || !ReserveRepeat()) return false;
   Send(*backend, SendCause::kCopyElsewhere, RunCopy{*backend, copy_->holder, copy_->handle});
   return true;
 }
@@ -280,16 +312,20 @@
 void ForwardRequest::OnCallerGone() {
   if (state_ == State::kDone) return;
   if (attempt_ != 0) hooks_.cancel(attempt_);
+  Finish();
+  end_reason_ = EndReason::kCallerGone;
+}
+
+void ForwardRequest::Finish() {
   state_ = State::kDone;
   attempt_ = 0;
-  end_reason_ = EndReason::kCallerGone;
+  ReturnReserved();
 }
 
 void ForwardRequest::GiveUp(EndReason reason, ErrorKind kind_if_run, ErrorKind kind_if_not_run) {
   end_reason_ = reason;
   if (is_relaying_) {
-    state_ = State::kDone;
-    attempt_ = 0;
+    Finish();
     hooks_.cut();
     return;
   }
@@ -297,8 +333,7 @@
 }
 
 void ForwardRequest::Refuse(ErrorKind kind) {
-  state_ = State::kDone;
-  attempt_ = 0;
+  Finish();
   const bool has_not_run = AnswerFor(kind).ran == Ran::kNo;
   hooks_.refuse({kind, has_not_run ? hooks_.retry_after() : std::nullopt});
 }
--- a/src/libs/coordination/forwarding/forward_request.h
+++ b/src/libs/coordination/forwarding/forward_request.h
@@ -125,6 +125,10 @@
   std::function<bool()> is_condemned;
   // Takes one repeat from the budget; false when the budget is used up.
   std::function<bool()> try_repeat;
+  // The same for a send that may wait; false also while the rest is kept for sends that can't.
+  std::function<bool()> try_optional_repeat;
+  // Gives back a repeat that was taken and not used.
+  std::function<void()> return_repeat;
   std::function<void(const SendCommand& command)> send;
   // Returns the copy that another engine kept of the run that has just broken off; nullopt if there
   // is none.
@@ -175,6 +179,13 @@
 
   void OnFailure(std::int64_t attempt, CallFailure failure, Instant now);
 
+  // Call before the run in progress is stopped to be moved. Reserves the repeat that the send to
+  // the other engine may become; returns false, and the run must stay, when none can be spared.
+  bool BeginMove(std::int64_t attempt);
+
+  // The run wasn't stopped, or can't be continued from its memory.
+  void OnMoveFailed(std::int64_t attempt);
+
   // The run was stopped and its memory moved: `copy` tells which engine resumes it. It still counts
   // as the same run.
   void OnMoved(std::int64_t attempt, const RunCopy& copy, Instant now);
@@ -216,6 +227,10 @@
   void Send(const BackendChoice& backend, SendCause cause, const std::optional<RunCopy>& copy);
   bool IsCondemned() const;
   bool ResumeOnOtherEngine();
+  bool ReserveRepeat();
+  void ReturnReserved();
+  void ReturnUsed();
+  void Finish();
   void CancelAttempt();
   void GiveUp(EndReason reason, ErrorKind kind_if_run,
               ErrorKind kind_if_not_run = ErrorKind::kNoBackendServer);
@@ -232,8 +247,9 @@
   // run there.
   std::int64_t arrivals_ = 0;
   std::int64_t runs_ = 0;
-  // The repeat for the next send has already been taken from the budget.
-  bool repeat_is_budgeted_ = false;
+  // A repeat was taken from the budget for the next send; and one for the attempt in progress.
+  bool has_reserved_repeat_ = false;
+  bool has_used_repeat_ = false;
   // The copy that the attempt in progress resumes; its run is already counted in runs_.
   std::optional<RunCopy> copy_;
   int copy_sends_ = 0;
--- a/src/libs/coordination/forwarding/repeat_budget.cpp
+++ b/src/libs/coordination/forwarding/repeat_budget.cpp
@@ -8,6 +8,8 @@
 // The share of the slack that is divided among the routers. The rest covers routers that don't know
 // yet that another router has joined.
 constexpr double kDividedSlackShare = 0.8;
+// The share of a bucket that sends which may wait leave to others.
+constexpr double kKeptForUrgent = 0.5;
 
 }  // namespace
 
@@ -32,6 +34,17 @@
   return true;
 }
 
+bool RepeatBudget::TryOptionalRepeat(const std::string& service) {
+  const double capacity = BucketCapacity();
+  const double needed = std::min(capacity, 1 + capacity * kKeptForUrgent);
+  return available(service) >= needed && TryRepeat(service);
+}
+
+void RepeatBudget::ReturnRepeat(const std::string& service) {
+  double& tokens = available_[service];
+  tokens = std::min(tokens + 1, BucketCapacity());
+}
+
 double RepeatBudget::available(const std::string& service) const {
   const auto found = available_.find(service);
   return found != available_.end() ? found->second : 0;
--- a/src/libs/coordination/forwarding/repeat_budget.h
+++ b/src/libs/coordination/forwarding/repeat_budget.h
@@ -9,9 +9,9 @@
 namespace kumquat {
 
 // What a service allows over all routers in any time window of a fixed length: up to
-// `ratio` x requests + `slack` repeats. A repeat is a send of a request that may already have
-// reached a backend server. The send that resumes a run from a copy directly after a move or a
-// break isn't counted.
+// `ratio` x requests + `slack` repeats. A repeat is a send that arrives at a backend server after
+// another one of the same request, even if it is refused there. A send that resumes a run from a
+// copy is no repeat if the engine accepts it.
 struct RepeatAllowance {
   double ratio = 0.2;
   double slack = 50;
@@ -36,6 +36,13 @@
   // Takes one repeat for the service; false when none is left.
   bool TryRepeat(const std::string& service);
 
+  // The same for a repeat that may wait: leaves half of the capacity to those that can't, as far as
+  // the bucket isn't full.
+  bool TryOptionalRepeat(const std::string& service);
+
+  // Gives back a repeat that was taken but not used.
+  void ReturnRepeat(const std::string& service);
+
   // Returns how many repeats the service's bucket holds, with fractions.
   double available(const std::string& service) const;
 
--- a/tests/libs/coordination/forwarding/forward_request_test.cpp
+++ b/tests/libs/coordination/forwarding/forward_request_test.cpp
@@ -148,7 +148,9 @@
       return std::nullopt;
     };
     hooks.is_condemned = [] { return false; };
-    hooks.try_repeat = [this] { return budget_-- > 0; };
+    hooks.try_repeat = [this] { return TryRepeat(); };
+    hooks.try_optional_repeat = hooks.try_repeat;
+    hooks.return_repeat = [this] { ++budget_; };
     hooks.find_copy = [this]() -> std::optional<RunCopy> {
       if (!std::exchange(has_copies_, false)) return std::nullopt;
       return RunCopy{{"copy", 1}, {}, "kept"};
@@ -196,6 +198,12 @@
     return hooks;
   }
 
+  bool TryRepeat() {
+    if (budget_ <= 0) return false;
+    --budget_;
+    return true;
+  }
+
   void OnSend(const SendCommand& command) {
     // Two attempts never run at the same time.
     RC_ASSERT(!running_);
@@ -282,6 +290,12 @@
   bool has_others = false;
   std::optional<RunCopy> copy;
 
+  bool TryRepeat() {
+    if (budget <= 0) return false;
+    --budget;
+    return true;
+  }
+
   ForwardHooks Hooks() {
     ForwardHooks hooks;
     hooks.is_condemned = [this] { return is_condemned; };
@@ -289,7 +303,9 @@
       if (!has_server) return std::nullopt;
       return BackendChoice{fmt::format("s{}", avoid.size()), 1};
     };
-    hooks.try_repeat = [this] { return budget-- > 0; };
+    hooks.try_repeat = [this] { return TryRepeat(); };
+    hooks.try_optional_repeat = hooks.try_repeat;
+    hooks.return_repeat = [this] { ++budget; };
     hooks.find_copy = [this] { return std::exchange(copy, std::nullopt); };
     hooks.choose_to_resume =
         [this](std::span<const BackendChoice> avoid) -> std::optional<BackendChoice> {
@@ -530,6 +546,66 @@
   CHECK(recorder.cuts == 1);
 }
 
+TEST_CASE("A send from a copy costs a repeat if it is refused or breaks, none if it goes on") {
+  const RunCopy copy{{"other", 1}, {}, "handle"};
+  for (const bool is_accepted : {true, false}) {
+    CAPTURE(is_accepted);
+    HookRecorder recorder;
+    ForwardRequest request(PolicyOf(false, true, false), recorder.Hooks());
+    request.Start(seconds(1));
+    request.OnHead(1, {200, false, true}, seconds(1));
+    request.OnEvent(1, 1, "a", seconds(1));
+    CHECK(request.BeginMove(1));
+    CHECK(recorder.budget == 9);
+    request.OnMoveFailed(1);
+    CHECK(recorder.budget == 10);
+    CHECK(request.BeginMove(1));
+    request.OnMoved(1, copy, seconds(1));
+    CHECK(recorder.budget == 9);
+    if (is_accepted) request.OnHead(2, {200, false, true}, seconds(1));
+    CHECK(recorder.budget == (is_accepted ? 10 : 9));
+    recorder.copy = copy;
+    request.OnFailure(2, CallFailure::kBroken, seconds(1));
+    CHECK(recorder.budget == (is_accepted ? 9 : 8));
+    request.OnFailure(3, CallFailure::kNotSent, seconds(1));
+    CHECK(request.done());
+    CHECK(recorder.budget == (is_accepted ? 10 : 9));
+  }
+}
+
+TEST_CASE("Without a repeat a run isn't moved, and one that broke isn't sent to its copy") {
+  HookRecorder recorder;
+  recorder.budget = 0;
+  recorder.copy = RunCopy{{"keeper", 1}, {}, "id"};
+  ForwardRequest request(PolicyOf(false, true, false), recorder.Hooks());
+  request.Start(seconds(1));
+  request.OnHead(1, {200, false, true}, seconds(1));
+  request.OnEvent(1, 1, "a", seconds(1));
+  CHECK_FALSE(request.BeginMove(1));
+  request.OnFailure(1, CallFailure::kBroken, seconds(1));
+  CHECK(recorder.sends.size() == 1);
+  CHECK(recorder.cuts == 1);
+}
+
+TEST_CASE("A request that ends in any way keeps no repeat that it reserved") {
+  for (const int end : {0, 1, 2, 3}) {
+    CAPTURE(end);
+    HookRecorder recorder;
+    ForwardRequest request(PolicyOf(false, true, false), recorder.Hooks());
+    request.Start(seconds(1));
+    request.OnHead(1, {200, false, true}, seconds(1));
+    request.OnEvent(1, 1, "a", seconds(1));
+    CHECK(request.BeginMove(1));
+    CHECK(recorder.budget == 9);
+    if (end == 0) request.OnEnd(1, seconds(1));
+    if (end == 1) request.OnDeadline(seconds(1));
+    if (end == 2) request.OnCallerGone();
+    if (end == 3) request.OnFailure(1, CallFailure::kBroken, seconds(1));
+    CHECK(request.done());
+    CHECK(recorder.budget == 10);
+  }
+}
+
 TEST_CASE("A stream that skips the first event the caller lacks is refused, not passed on") {
   HookRecorder recorder;
   ForwardPolicy policy = PolicyOf(false, true, false);
--- a/tests/libs/coordination/forwarding/repeat_budget_test.cpp
+++ b/tests/libs/coordination/forwarding/repeat_budget_test.cpp
@@ -64,6 +64,23 @@
   CHECK(!budget.TryRepeat("b"));
 }
 
+TEST_CASE("Repeats that may wait leave half of the bucket to those that can't, unless it is full") {
+  RepeatBudget budget({0.2, 50});
+  budget.SetRouters(4);
+  for (int i = 0; i < 1000; ++i) budget.OnRequest("a");
+  int optional = 0;
+  while (budget.TryOptionalRepeat("a")) ++optional;
+  CHECK(optional == 5);
+  int urgent = 0;
+  while (budget.TryRepeat("a")) ++urgent;
+  CHECK(urgent == 5);
+  budget.ReturnRepeat("a");
+  CHECK(budget.TryRepeat("a"));
+  budget.SetRouters(40);
+  for (int i = 0; i < 5; ++i) budget.OnRequest("a");
+  CHECK(budget.TryOptionalRepeat("a"));
+}
+
 TEST_CASE("Available repeats are reduced when the number of routers grows") {
   RepeatBudget budget(kAllowance);
   for (int i = 0; i < 1000; ++i) budget.OnRequest("a");
--- /dev/null
+++ b/tests/libs/coordination/forwarding/repeat_fleet_test.cpp
@@ -0,0 +1,399 @@
+// Tests the sum of all routers' repeats, as runners count them, against what a service allows in
+// any window: routers, their requests, engines and control replicas in virtual time.
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "coordination/forwarding/forward_request.h"
+#include "coordination/forwarding/repeat_budget.h"
+
+namespace kumquat {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr RepeatAllowance kAllowance{0.2, 52};
+constexpr Duration kWindow = seconds(10);
+constexpr Duration kTick = milliseconds(10);
+constexpr Duration kDay = seconds(60);
+constexpr int kEngines = 8;
+constexpr std::int64_t kMaxEvents = 60;
+constexpr Duration kEventInterval = milliseconds(100);
+constexpr Duration kMoveTime = milliseconds(30);
+constexpr Duration kLoadingNewsInterval = milliseconds(500);
+constexpr Duration kDeniedMoveInterval = milliseconds(50);
+constexpr std::string_view kService = "s";
+
+// What happens besides requests. The shares are of the sends or events that they concern.
+struct Trouble {
+  int routers = 6;
+  double requests_per_second = 16;
+  bool is_resumable = false;
+  bool may_repeat = false;
+  // Each second, an engine is ordered to load, and the runs that it has are moved.
+  bool has_rollouts = false;
+  double moves_refused = 0;
+  double moves_failed = 0;
+  // Engines keep copies of runs that break off.
+  bool has_copies = false;
+  double copies_refused = 0;
+  double heads_failed = 0;
+  double firsts_refused = 0;
+  double not_sent = 0;
+  double events_broken = 0;
+  bool has_router_restarts = false;
+};
+
+// Arrivals by the rule's count, and by the stricter one in which a run that goes on counts too.
+class Arrivals {
+ public:
+  void OnRequest(Instant now) { requests_.push_back(now); }
+  void OnRepeat(Instant now) { repeats_.push_back(now); }
+  void OnSameRun(Instant now) { same_runs_.push_back(now); }
+
+  std::size_t repeats() const { return repeats_.size(); }
+  std::size_t same_runs() const { return same_runs_.size(); }
+
+  // Returns by how much the repeats of the worst window exceed the allowance; negative if they are
+  // within it.
+  double WorstExcess() const { return WorstExcess(repeats_); }
+  double WorstStrictExcess() const {
+    std::vector<Instant> all = repeats_;
+    all.insert(all.end(), same_runs_.begin(), same_runs_.end());
+    std::sort(all.begin(), all.end());
+    return WorstExcess(all);
+  }
+
+ private:
+  static double Count(const std::vector<Instant>& times, Instant after, Instant until) {
+    return static_cast<double>(std::upper_bound(times.begin(), times.end(), until) -
+                               std::upper_bound(times.begin(), times.end(), after));
+  }
+
+  // All happens at ticks, so windows that end at ticks are all that differ.
+  double WorstExcess(const std::vector<Instant>& repeats) const {
+    double worst = -kAllowance.slack;
+    for (Instant end{0}; end <= kDay + kWindow; end += kTick) {
+      const Instant begin = end - kWindow;
+      const double requests =
+          std::max({Count(requests_, begin, end), Count(requests_, begin - kWindow, begin),
+                    Count(requests_, begin - kWindow / 2, end - kWindow / 2)});
+      const double allowed = kAllowance.ratio * requests + kAllowance.slack;
+      worst = std::max(worst, Count(repeats, begin, end) - allowed);
+    }
+    return worst;
+  }
+
+  std::vector<Instant> requests_;
+  std::vector<Instant> repeats_;
+  std::vector<Instant> same_runs_;
+};
+
+class Fleet {
+ public:
+  Fleet(const Trouble& trouble, std::uint64_t seed) : trouble_(trouble), random_(seed) {
+    for (int i = 0; i < trouble.routers; ++i) StartRouter();
+  }
+
+  void Run() {
+    for (; now_ < kDay; now_ += kTick) {
+      if (trouble_.has_rollouts && IsAt(seconds(1))) OrderLoading();
+      if (IsAt(kLoadingNewsInterval)) MoveRuns(false);
+      if (IsAt(kDeniedMoveInterval)) MoveRuns(true);
+      if (trouble_.has_router_restarts && IsAt(seconds(7))) RestartRouter();
+      for (std::size_t i = 0; i < budgets_.size(); ++i) {
+        const double share = trouble_.requests_per_second * 0.01;
+        if (Happens(share)) StartRequest(i);
+      }
+      // Handling a request can't start others.
+      for (const auto& stream : streams_) Advance(*stream);
+      std::erase_if(streams_, [](const auto& stream) { return stream->request->done(); });
+    }
+  }
+
+  const Arrivals& arrivals() const { return arrivals_; }
+  int complete() const { return complete_; }
+  int cut() const { return cut_; }
+  int moves() const { return moves_; }
+
+ private:
+  struct Stream {
+    std::size_t router = 0;
+    std::unique_ptr<ForwardRequest> request;
+    std::optional<SendCommand> sent;
+    bool has_arrived_before = false;
+    bool has_head = false;
+    bool may_keep_copy = false;
+    std::int64_t events = 0;
+    Instant next_at{0};
+    std::optional<Instant> moved_at;
+    bool move_was_denied = false;
+  };
+
+  bool IsAt(Duration interval) const { return now_ % interval == Duration(0); }
+  bool Happens(double share) {
+    return std::uniform_real_distribution<double>(0, 1)(random_) < share;
+  }
+
+  void StartRouter() { budgets_.push_back(NewBudget()); }
+
+  std::unique_ptr<RepeatBudget> NewBudget() const {
+    auto budget = std::make_unique<RepeatBudget>(kAllowance);
+    budget->SetRouters(trouble_.routers);
+    return budget;
+  }
+
+  void RestartRouter() {
+    const std::size_t router = random_() % budgets_.size();
+    for (const auto& stream : streams_) {
+      if (stream->router == router) stream->request->OnCallerGone();
+    }
+    std::erase_if(streams_, [](const auto& stream) { return stream->request->done(); });
+    budgets_[router] = NewBudget();
+  }
+
+  std::optional<BackendChoice> ChooseEngine(std::span<const BackendChoice> avoid) {
+    const auto first = static_cast<int>(random_() % kEngines);
+    for (int i = 0; i < kEngines; ++i) {
+      const BackendChoice engine{fmt::format("e{}", (first + i) % kEngines), 1};
+      const bool is_avoided = std::find(avoid.begin(), avoid.end(), engine) != avoid.end();
+      if (!is_avoided && !IsLoading(engine.backend_id)) return engine;
+    }
+    return std::nullopt;
+  }
+
+  bool IsLoading(const std::string& engine) const {
+    const auto found = loading_until_.find(engine);
+    return found != loading_until_.end() && now_ < found->second;
+  }
+
+  void OrderLoading() {
+    loading_until_[fmt::format("e{}", random_() % kEngines)] = now_ + seconds(3);
+    MoveRuns(false);
+  }
+
+  void MoveRuns(bool only_denied) {
+    for (const auto& stream : streams_) {
+      const bool can_move = stream->sent && stream->request->is_relaying() && !stream->moved_at &&
+                            IsLoading(stream->sent->backend.backend_id);
+      if (!can_move || (only_denied && !stream->move_was_denied)) continue;
+      stream->move_was_denied = !stream->request->BeginMove(stream->sent->attempt);
+      if (!stream->move_was_denied) stream->moved_at = now_ + kMoveTime;
+    }
+  }
+
+  void StartRequest(std::size_t router) {
+    ForwardPolicy policy;
+    policy.is_stream = true;
+    policy.is_resumable = trouble_.is_resumable;
+    policy.may_repeat = trouble_.may_repeat;
+    policy.attempts = trouble_.is_resumable || trouble_.may_repeat ? 3 : 1;
+    policy.deadline = now_ + seconds(15);
+    policy.queue_until = now_;
+    auto stream = std::make_unique<Stream>();
+    stream->router = router;
+    stream->request = std::make_unique<ForwardRequest>(policy, Hooks(*stream));
+    Stream& started = *stream;
+    streams_.push_back(std::move(stream));
+    arrivals_.OnRequest(now_);
+    budgets_[router]->OnRequest(std::string(kService));
+    started.request->Start(now_);
+  }
+
+  ForwardHooks Hooks(Stream& stream) {
+    const std::string service(kService);
+    RepeatBudget& budget = *budgets_[stream.router];
+    ForwardHooks hooks;
+    hooks.choose = [this](std::span<const BackendChoice> avoid) { return ChooseEngine(avoid); };
+    hooks.choose_to_resume = hooks.choose;
+    hooks.is_condemned = [] { return false; };
+    hooks.try_repeat = [&budget, service] { return budget.TryRepeat(service); };
+    hooks.try_optional_repeat = [&budget, service] { return budget.TryOptionalRepeat(service); };
+    hooks.return_repeat = [&budget, service] { budget.ReturnRepeat(service); };
+    hooks.send = [this, &stream](const SendCommand& command) {
+      stream.sent = command;
+      stream.has_head = false;
+      stream.moved_at.reset();
+      stream.move_was_denied = false;
+      stream.next_at = now_ + kTick;
+    };
+    hooks.find_copy = [this, &stream]() -> std::optional<RunCopy> {
+      const auto engine = ChooseEngine({});
+      if (!trouble_.has_copies || !std::exchange(stream.may_keep_copy, false) || !engine) {
+        return std::nullopt;
+      }
+      return RunCopy{*engine, {}, "kept"};
+    };
+    hooks.cancel = [&stream](std::int64_t) { stream.sent.reset(); };
+    hooks.relay_head = [](std::int64_t) {};
+    hooks.relay_event = [](std::string_view) {};
+    hooks.relay_end = [this] { ++complete_; };
+    hooks.relay_whole = [this](std::int64_t) { ++complete_; };
+    hooks.refuse = [](const Refusal&) {};
+    hooks.cut = [this] { ++cut_; };
+    hooks.retry_after = [] { return std::nullopt; };
+    return hooks;
+  }
+
+  // Counts the arrival of the send in progress; `is_accepted` if the engine goes on with the run.
+  void CountArrival(Stream& stream, bool is_accepted) {
+    if (!std::exchange(stream.has_arrived_before, true)) return;
+    if (stream.sent->copy && is_accepted) {
+      arrivals_.OnSameRun(now_);
+    } else {
+      arrivals_.OnRepeat(now_);
+    }
+  }
+
+  void Advance(Stream& stream) {
+    if (stream.request->done() || !stream.sent) return;
+    const SendCommand sent = *stream.sent;
+    if (stream.moved_at && now_ >= *stream.moved_at) return FinishMove(stream);
+    if (now_ < stream.next_at) return;
+    stream.next_at = now_ + kEventInterval;
+    if (!stream.has_head) return Answer(stream);
+    if (Happens(trouble_.events_broken)) {
+      stream.sent.reset();
+      stream.may_keep_copy = true;
+      return stream.request->OnFailure(sent.attempt, CallFailure::kBroken, now_);
+    }
+    const std::int64_t id = stream.request->last_event() + 1;
+    if (id <= kMaxEvents) return stream.request->OnEvent(sent.attempt, id, "e", now_);
+    stream.sent.reset();
+    stream.request->OnEnd(sent.attempt, now_);
+  }
+
+  void FinishMove(Stream& stream) {
+    const SendCommand sent = *stream.sent;
+    stream.moved_at.reset();
+    const std::array<BackendChoice, 1> avoid = {sent.backend};
+    const auto target = ChooseEngine(avoid);
+    if (!target || Happens(trouble_.moves_failed)) {
+      return stream.request->OnMoveFailed(sent.attempt);
+    }
+    ++moves_;
+    stream.request->OnMoved(sent.attempt, {*target, {}, "moved"}, now_);
+  }
+
+  void Answer(Stream& stream) {
+    const SendCommand sent = *stream.sent;
+    if (Happens(trouble_.not_sent)) {
+      stream.sent.reset();
+      return stream.request->OnFailure(sent.attempt, CallFailure::kNotSent, now_);
+    }
+    const bool is_move = sent.cause == SendCause::kMove || sent.cause == SendCause::kCopyElsewhere;
+    const double refused = is_move     ? trouble_.moves_refused
+                           : sent.copy ? trouble_.copies_refused
+                                       : trouble_.firsts_refused;
+    if (Happens(refused)) {
+      CountArrival(stream, false);
+      return stream.request->OnHead(sent.attempt, {503, true, true}, now_);
+    }
+    const bool fails = !sent.copy && Happens(trouble_.heads_failed);
+    CountArrival(stream, !fails);
+    stream.may_keep_copy = fails;
+    stream.has_head = true;
+    stream.request->OnHead(sent.attempt, {fails ? 500 : 200, false, true}, now_);
+  }
+
+  Trouble trouble_;
+  std::mt19937_64 random_;
+  Instant now_{0};
+  std::vector<std::unique_ptr<RepeatBudget>> budgets_;
+  std::vector<std::unique_ptr<Stream>> streams_;
+  std::map<std::string, Instant> loading_until_;
+  Arrivals arrivals_;
+  int complete_ = 0;
+  int cut_ = 0;
+  int moves_ = 0;
+};
+
+constexpr int kSeeds = 5;
+
+void CheckFleet(const std::string& name, const Trouble& trouble) {
+  double worst = -kAllowance.slack;
+  double worst_strict = worst;
+  std::size_t repeats = 0;
+  std::size_t same_runs = 0;
+  int cut = 0;
+  int moves = 0;
+  int complete = 0;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    Fleet fleet(trouble, seed);
+    fleet.Run();
+    worst = std::max(worst, fleet.arrivals().WorstExcess());
+    worst_strict = std::max(worst_strict, fleet.arrivals().WorstStrictExcess());
+    repeats += fleet.arrivals().repeats();
+    same_runs += fleet.arrivals().same_runs();
+    cut += fleet.cut();
+    moves += fleet.moves();
+    complete += fleet.complete();
+    CAPTURE(name);
+    CAPTURE(seed);
+    CHECK(fleet.arrivals().WorstExcess() <= 0);
+  }
+  MESSAGE(fmt::format(
+      "{}: worst window {:+.1f} of the allowance ({:+.1f} if runs that go on count), {} repeats, "
+      "{} continued, {} moves, {} cut, {} complete",
+      name, worst, worst_strict, repeats, same_runs, moves, cut, complete));
+  CHECK(complete > 0);
+}
+
+TEST_CASE("Moved runs that engines refuse stay within the repeats of all routers") {
+  for (const double refused : {0.02, 0.3, 1.0}) {
+    Trouble trouble;
+    trouble.has_rollouts = true;
+    trouble.moves_refused = refused;
+    trouble.moves_failed = 0.1;
+    CheckFleet(fmt::format("moves, {} refused", refused), trouble);
+  }
+}
+
+TEST_CASE("Copies of broken runs that engines refuse stay within the repeats of all routers") {
+  Trouble trouble;
+  trouble.has_copies = true;
+  trouble.events_broken = 0.02;
+  trouble.copies_refused = 1.0;
+  trouble.moves_refused = 1.0;
+  CheckFleet("copies refused", trouble);
+}
+
+TEST_CASE("A repeat that is drawn for a failed answer isn't used for its copy's successor too") {
+  Trouble trouble;
+  trouble.may_repeat = true;
+  trouble.has_copies = true;
+  trouble.heads_failed = 0.5;
+  trouble.copies_refused = 1.0;
+  trouble.moves_refused = 1.0;
+  CheckFleet("failed heads, copies refused", trouble);
+}
+
+TEST_CASE("All causes of repeats together stay within the allowance") {
+  Trouble trouble;
+  trouble.is_resumable = true;
+  trouble.has_rollouts = true;
+  trouble.has_copies = true;
+  trouble.moves_refused = 0.3;
+  trouble.moves_failed = 0.1;
+  trouble.copies_refused = 0.5;
+  trouble.heads_failed = 0.05;
+  trouble.firsts_refused = 0.05;
+  trouble.not_sent = 0.05;
+  trouble.events_broken = 0.01;
+  trouble.has_router_restarts = true;
+  CheckFleet("all causes", trouble);
+}
+
+}  // namespace
+}  // namespace kumquat
