A moved run that no engine takes goes back to the engine that it was moved from

Cause: we stop the run to move it. If the engine that got its memory refuses it, other engines are tried, and with none of them left the request was given up, though the first engine keeps the memory and may take the run up again (PROTOCOL.md, kv-move).

Change: when no other engine takes the run, it is sent once to the engine that it was moved from, unless that one is leaving, has other weights by now or ones too old to begin on, or has refused it already.

Not shown: whether an engine that is about to load admits its own run; PROTOCOL.md says that such a request is admitted first.

--- a/src/kumquatrouter/forwarding/forward_exchange.cpp
+++ b/src/kumquatrouter/forwarding/forward_exchange.cpp
@@ -137,6 +137,7 @@
     const PooledBackend* other = ChooseAlternativeEngine(avoid, run_weights_);
     return other ? std::optional(other->choice()) : std::nullopt;
   };
+  hooks.can_return = [this](const BackendChoice& source) { return CanContinueRun(source); };
   hooks.cancel = [this](std::int64_t /*number*/) { EndAttempt(); };
   hooks.relay_head = [this](std::int64_t /*number*/) { RelayHead(); };
   hooks.relay_event = [this](std::string_view event) { responder_->Write(event); };
@@ -254,17 +255,19 @@
   return ChooseAlternativeEngine(avoid, backend.VersionOf(request_.prompt->model));
 }
 
-// Returns the copy of the last attempt's run, at most once. Returns nullopt if the engine with the
-// copy is unknown, is leaving, or has weights that are too old or, since then, other ones: it would
-// refuse to continue the run.
+// Returns false if the engine that has the run's memory is unknown, is leaving, or has weights that
+// are too old or, since then, other ones: it would refuse to continue the run.
+bool ForwardExchange::CanContinueRun(const BackendChoice& engine) const {
+  const PooledBackend* backend = services_.pool.Find(engine);
+  return backend && !backend->is_leaving && !BeginsTooLate(*backend, Duration(0)) &&
+         backend->VersionOf(request_.prompt->model) == run_weights_;
+}
+
+// Returns the copy of the last attempt's run, at most once; nullopt if it can't be used.
 std::optional<RunCopy> ForwardExchange::TakeCopy() {
-  if (!last_backup_) return std::nullopt;
-  const PooledBackend* backend = services_.pool.Find(*last_backup_);
-  last_backup_.reset();
-  const bool fits = backend && !backend->is_leaving && !BeginsTooLate(*backend, Duration(0)) &&
-                    backend->VersionOf(request_.prompt->model) == run_weights_;
-  if (!fits) return std::nullopt;
-  return RunCopy{backend->choice(), backend->endpoint, request_.id};
+  const auto keeper = std::exchange(last_backup_, std::nullopt);
+  if (!keeper || !CanContinueRun(*keeper)) return std::nullopt;
+  return RunCopy{*keeper, services_.pool.Find(*keeper)->endpoint, request_.id};
 }
 
 ForwardCall ForwardExchange::CallTo(const PooledBackend& backend,
