Signals are taken from the first line of main to the exit

A router or replica that got SIGHUP, SIGTERM or SIGINT while it started was ended by the signal (SIGHUP killed it); one that got a second SIGTERM, a SIGHUP or a first SIGINT after its event loop had ended exited by the signal and not with 0.

Cause: the handlers were set once the objects were built, and reset to the default by ~ProcessSignals. Change: ProcessSignals::Take() comes first in main of both programs and the fakes that are stopped by signals; what comes waits in a flag for the event loop, and the handlers stay to the end. The second SIGINT still ends a process at once. kumquatctl and fake-caller keep the default actions, as an operator interrupts them.

The program's command line is held open in these tests, so that a signal surely comes before the objects are built.

What remains: from the start of the process to the first line of main signals have their default action.

--- a/src/fakes/engine/main.cpp
+++ b/src/fakes/engine/main.cpp
@@ -33,6 +33,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  kumquat::ProcessSignals::Take();
   kumquat::EngineServerSettings settings;
   kumquat::SettingsReader reader;
   AddSettings(reader, &settings);
--- a/src/fakes/service/main.cpp
+++ b/src/fakes/service/main.cpp
@@ -7,6 +7,7 @@
 #include "utils/program.h"
 
 int main(int argc, char** argv) {
+  kumquat::ProcessSignals::Take();
   kumquat::BookingServerSettings settings;
   kumquat::SettingsReader reader;
   AddFakeSettings(reader, &settings.fake);
--- a/src/fakes/weight_store/main.cpp
+++ b/src/fakes/weight_store/main.cpp
@@ -72,6 +72,7 @@
 }  // namespace kumquat
 
 int main(int argc, char** argv) {
+  kumquat::ProcessSignals::Take();
   kumquat::WeightStoreSettings settings;
   kumquat::SettingsReader reader;
   AddFakeSettings(reader, &settings.fake);
--- a/src/kumquatcontrol/main.cpp
+++ b/src/kumquatcontrol/main.cpp
@@ -159,8 +159,7 @@
   Application application(argc, argv);
   ControlNode node(settings.node, NodeHooks(settings.data_dir));
   SettingsWatch watch(SettingsPath(), [&node] { ReloadSeeds(node); });
-  // Before the log is read, which may take long. All that was acknowledged is synced, so there is
-  // nothing to wait for at the end.
+  // All that was acknowledged is synced, so there is nothing to wait for at the end.
   const ProcessSignals signals([] { QCoreApplication::quit(); }, [&watch] { watch.Check(); });
   if (!node.Start()) {
     fmt::print(stderr, "{}: {}\n", kName, node.last_reason());
@@ -190,4 +189,7 @@
 }  // namespace
 }  // namespace kumquat
 
-int main(int argc, char** argv) { return kumquat::Main(argc, argv); }
+int main(int argc, char** argv) {
+  kumquat::ProcessSignals::Take();
+  return kumquat::Main(argc, argv);
+}
--- a/src/kumquatrouter/main.cpp
+++ b/src/kumquatrouter/main.cpp
@@ -73,4 +73,7 @@
 }  // namespace
 }  // namespace kumquat
 
-int main(int argc, char** argv) { return kumquat::Main(argc, argv); }
+int main(int argc, char** argv) {
+  kumquat::ProcessSignals::Take();
+  return kumquat::Main(argc, argv);
+}
--- a/src/libs/transport/process_signals.cpp
+++ b/src/libs/transport/process_signals.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 // The handler may only use what is safe in a signal: it notes what came, and writes a byte into a
-// socket pair to wake the event loop, unless the pair is full and does so anyway.
+// socket pair to wake the event loop. A full pair wakes it as well.
 std::array<int, 2> signal_sockets = {-1, -1};
 std::atomic<bool> terminate_came = false;
 std::atomic<bool> reload_came = false;
@@ -38,13 +38,10 @@
 
 }  // namespace
 
-ProcessSignals::ProcessSignals(std::function<void()> on_terminate, std::function<void()> on_reload)
-    : on_terminate_(std::move(on_terminate)), on_reload_(std::move(on_reload)) {
+void ProcessSignals::Take() {
+  if (signal_sockets[0] >= 0) return;
   constexpr int kType = SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK;
   if (socketpair(AF_UNIX, kType, 0, signal_sockets.data()) != 0) return;
-  notifier_ = std::make_unique<QSocketNotifier>(signal_sockets[1], QSocketNotifier::Read);
-  QObject::connect(notifier_.get(), &QSocketNotifier::activated, notifier_.get(),
-                   [this] { HandleSignals(); });
   std::signal(SIGTERM, OnSignal);
   std::signal(SIGINT, OnSignal);
   std::signal(SIGHUP, OnSignal);
@@ -52,12 +49,13 @@
   std::signal(SIGPIPE, SIG_IGN);
 }
 
-ProcessSignals::~ProcessSignals() {
-  std::signal(SIGTERM, SIG_DFL);
-  std::signal(SIGINT, SIG_DFL);
-  std::signal(SIGHUP, SIG_DFL);
-  close(signal_sockets[0]);
-  close(signal_sockets[1]);
+ProcessSignals::ProcessSignals(std::function<void()> on_terminate, std::function<void()> on_reload)
+    : on_terminate_(std::move(on_terminate)), on_reload_(std::move(on_reload)) {
+  Take();
+  if (signal_sockets[1] < 0) return;
+  notifier_ = std::make_unique<QSocketNotifier>(signal_sockets[1], QSocketNotifier::Read);
+  QObject::connect(notifier_.get(), &QSocketNotifier::activated, notifier_.get(),
+                   [this] { HandleSignals(); });
 }
 
 void ProcessSignals::HandleSignals() {
--- a/src/libs/transport/process_signals.h
+++ b/src/libs/transport/process_signals.h
@@ -12,8 +12,14 @@
 // once; another SIGTERM has no effect. One object a process.
 class ProcessSignals {
  public:
+  // Takes the signals from here to the end of the process, so that none ends it by the signal's
+  // default action, neither while it starts nor in its last moments. What comes before there is an
+  // object with an event loop waits for it. A program calls this first of all; more calls do
+  // nothing.
+  static void Take();
+
+  // Takes the signals if that hasn't been done.
   ProcessSignals(std::function<void()> on_terminate, std::function<void()> on_reload);
-  ~ProcessSignals();
   ProcessSignals(const ProcessSignals&) = delete;
   ProcessSignals& operator=(const ProcessSignals&) = delete;
 
--- a/tests/libs/transport/process_signals_test.cpp
+++ b/tests/libs/transport/process_signals_test.cpp
@@ -39,5 +39,30 @@
         }) == 0);
 }
 
+TEST_CASE("A signal in the last moments of a process doesn't end it") {
+  for (const int number : {SIGTERM, SIGHUP, SIGINT}) {
+    CHECK(EndSignalOf([number] {
+            {
+              const ProcessSignals signals([] {}, [] {});
+            }
+            std::raise(number);
+          }) == 0);
+  }
+}
+
+TEST_CASE("A signal before there is an event loop doesn't end the process") {
+  for (const int number : {SIGTERM, SIGHUP, SIGINT}) {
+    CHECK(EndSignalOf([number] {
+            ProcessSignals::Take();
+            std::raise(number);
+          }) == 0);
+  }
+  CHECK(EndSignalOf([] {
+          ProcessSignals::Take();
+          std::raise(SIGINT);
+          std::raise(SIGINT);
+        }) == SIGINT);
+}
+
 }  // namespace
 }  // namespace kumquat
--- a/tests/process/forwarding/forward_stop_test.cpp
+++ b/tests/process/forwarding/forward_stop_test.cpp
@@ -128,6 +128,23 @@
   }
 }
 
+TEST_CASE("A stopped router that gets signals to its last moment exits with 0, not by one") {
+  LongStreams streams(StandInServer::Mode::kDribbles);
+  streams.Start(kManyCalls);
+  streams.bench.router(0).Signal(SIGTERM);
+  QElapsedTimer elapsed;
+  elapsed.start();
+  // Without a pause at the end, whose moments are short.
+  CHECK(SpinUntil([&] {
+    if (!streams.bench.router(0).running()) return true;
+    streams.bench.router(0).Signal(SIGHUP);
+    streams.bench.router(0).Signal(SIGTERM);
+    return false;
+  }));
+  CHECK(elapsed.elapsed() < kGrace.count());
+  CHECK(streams.bench.router(0).exit_status() == 0);
+}
+
 TEST_CASE("A router that is interrupted twice ends at once, with open streams") {
   LongStreams streams(StandInServer::Mode::kDribbles);
   streams.Start(kManyCalls);
@@ -168,5 +185,38 @@
   }
 }
 
+TEST_CASE("A program that gets SIGHUP while it starts isn't ended by it") {
+  const QTemporaryDir folder;
+  const Endpoint router_listen = FreeEndpoint();
+  const Endpoint replica_listen = FreeEndpoint();
+  TestProgram router("kumquat-router", RouterSettings(router_listen));
+  TestProgram replica("kumquat-control", ReplicaSettings(replica_listen, folder));
+  for (TestProgram* program : {&router, &replica}) {
+    program->StartHeld();
+    program->Signal(SIGHUP);
+    program->Release();
+    CHECK(WaitForListener(program == &router ? router_listen : replica_listen));
+    CHECK(program->running());
+    if (!program->running()) continue;
+    program->Signal(SIGTERM);
+    CheckExits(*program, kGrace);
+  }
+}
+
+TEST_CASE("A program that gets SIGTERM or SIGINT while it starts exits with 0, not by the signal") {
+  const QTemporaryDir folder;
+  for (const int number : {SIGTERM, SIGINT}) {
+    TestProgram router("kumquat-router", RouterSettings(FreeEndpoint()));
+    TestProgram replica("kumquat-control", ReplicaSettings(FreeEndpoint(), folder));
+    for (TestProgram* program : {&router, &replica}) {
+      program->StartHeld();
+      program->Signal(number);
+      program->Release();
+      CheckExits(*program, kGrace);
+      CHECK(program->end_signal() == 0);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace kumquat
--- a/tests/process/test_program.h
+++ b/tests/process/test_program.h
@@ -3,7 +3,10 @@
 
 #include <doctest/doctest.h>
 
+#include <fcntl.h>
 #include <sys/resource.h>
+#include <sys/stat.h>
+#include <unistd.h>
 
 #include <QCoreApplication>
 #include <QProcess>
@@ -12,6 +15,7 @@
 #include <csignal>
 #include <fstream>
 #include <string>
+#include <utility>
 
 #include "libs/transport/raw_peer.h"
 #include "utils/endpoint.h"
@@ -44,22 +48,23 @@
   // Lets the standard output of all later starts go to this file.
   void LogTo(std::string path) { log_path_ = std::move(path); }
 
-  void Start() {
-    const std::string path = folder_.filePath(QStringLiteral("settings.toml")).toStdString();
-    std::ofstream(path) << settings_;
-    if (log_path_.empty()) {
-      process_.setProcessChannelMode(QProcess::ForwardedChannels);
-    } else {
-      process_.setProcessChannelMode(QProcess::ForwardedErrorChannel);
-      process_.setStandardOutputFile(QString::fromStdString(log_path_), QIODevice::Append);
-    }
-    // Inherited by the program: a write past a limit of SetDiskFull() then fails and ends nothing.
-    std::signal(SIGXFSZ, SIG_IGN);
-    process_.start(QString::fromStdString(std::string(KUMQUAT_BIN_DIR) + "/" + name_),
-                   {QStringLiteral("--config"), QString::fromStdString(path)});
-    REQUIRE(process_.waitForStarted());
+  void Start() { Start({}); }
+
+  // Starts the program and stops it in the middle of the reading of its command line; Release()
+  // lets it go on.
+  void StartHeld() {
+    const std::string flags = folder_.filePath(QStringLiteral("flags")).toStdString();
+    REQUIRE(mkfifo(flags.c_str(), 0600) == 0);
+    Start({QStringLiteral("--flagfile=") + QString::fromStdString(flags)});
+    // Opens only once the program has opened it as well, which then waits for its end.
+    REQUIRE(SpinUntil([&] {
+      held_by_ = open(flags.c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC);
+      return held_by_ >= 0;
+    }));
   }
 
+  void Release() { close(std::exchange(held_by_, -1)); }
+
   void Kill() {
     process_.kill();
     process_.waitForFinished();
@@ -98,11 +103,29 @@
   }
 
  private:
+  void Start(const QStringList& more_arguments) {
+    const std::string path = folder_.filePath(QStringLiteral("settings.toml")).toStdString();
+    std::ofstream(path) << settings_;
+    if (log_path_.empty()) {
+      process_.setProcessChannelMode(QProcess::ForwardedChannels);
+    } else {
+      process_.setProcessChannelMode(QProcess::ForwardedErrorChannel);
+      process_.setStandardOutputFile(QString::fromStdString(log_path_), QIODevice::Append);
+    }
+    // Inherited by the program: a write past a limit of SetDiskFull() then fails and ends nothing.
+    std::signal(SIGXFSZ, SIG_IGN);
+    process_.start(
+        QString::fromStdString(std::string(KUMQUAT_BIN_DIR) + "/" + name_),
+        QStringList{QStringLiteral("--config"), QString::fromStdString(path)} + more_arguments);
+    REQUIRE(process_.waitForStarted());
+  }
+
   std::string name_;
   std::string settings_;
   std::string log_path_;
   QTemporaryDir folder_;
   QProcess process_;
+  int held_by_ = -1;
 };
 
 // Waits until something accepts connections there.
