The count of routers that divides the slack falls only once all control replicas agree

Cause: a router took the count of whichever replica spoke last, and 1 before any had. A replica that has just started, or that is cut off from some routers, tells fewer than there are, and each router's share of the slack grows.

Change: RouterCount keeps the largest count told. It falls after all replicas, reached or not, have told less for 15 s without a pause or a lost link; 0 (not known: one repeat for each service beside those that requests add) until most replicas have told it for 3 s. The placement of prompts takes the count last told, as before.

The price: a router that starts while most replicas are away has one repeat at a time, and a fleet that shrinks while a seed is dead keeps its smaller shares. Not mended: if most routers start during a long cut, on the side of most replicas, these count only each other.

--- a/src/kumquatrouter/forwarding/control_feed.cpp
+++ b/src/kumquatrouter/forwarding/control_feed.cpp
@@ -85,6 +85,7 @@
   replica.link->OnConnectedChanged([this, endpoint](bool connected) {
     LogEvent(LogLevel::kInfo, connected ? "control_connected" : "control_lost",
              {{"replica", endpoint.ToString()}});
+    if (!connected) hooks_.on_replica_lost(endpoint.ToString());
     const auto found = replicas_.find(endpoint);
     if (connected && found != replicas_.end()) SendHello(*found->second.link);
   });
@@ -129,11 +130,11 @@
   if (message) directory_.Receive(replica.ToString(), *message);
 }
 
-void ControlFeed::Receive(const Endpoint& /*replica*/, const FleetNews& news) {
+void ControlFeed::Receive(const Endpoint& replica, const FleetNews& news) {
   for (const std::string& address : news.replicas) {
     if (const auto endpoint = ParseEndpoint(address)) LinkTo(*endpoint);
   }
-  hooks_.on_routers(news.routers);
+  hooks_.on_routers(replica.ToString(), news.routers, replicas_.size());
   hooks_.on_stores(news.stores);
 }
 
--- a/src/kumquatrouter/forwarding/control_feed.h
+++ b/src/kumquatrouter/forwarding/control_feed.h
@@ -34,8 +34,10 @@
   // Called with each document whose version is higher than any received before.
   std::function<void(const Document& document)> on_document;
   std::function<void(const MemberRecord& record)> on_member;
-  // Called with the number of routers that control knows.
-  std::function<void(std::int64_t routers)> on_routers;
+  // Called with the number of routers that a replica knows, and with how many replicas there are.
+  std::function<void(const std::string& replica, std::int64_t routers, std::size_t replicas)>
+      on_routers;
+  std::function<void(const std::string& replica)> on_replica_lost;
   // Called with the cache stores that a replica knows, and whether each is alive.
   std::function<void(const std::map<std::string, bool>& alive)> on_stores;
   std::function<void(const EngineNews& news)> on_engines;
--- a/src/kumquatrouter/forwarding/forward_server.cpp
+++ b/src/kumquatrouter/forwarding/forward_server.cpp
@@ -62,7 +62,10 @@
              settings_.control_seeds},
             {clock, random, [this](const Document& document) { OnDocument(document); },
              [this](const MemberRecord& record) { OnMember(record); },
-             [this](std::int64_t routers) { OnRouterCount(routers); },
+             [this](const std::string& replica, std::int64_t routers, std::size_t replicas) {
+               OnRouterCount(replica, routers, replicas);
+             },
+             [this](const std::string& replica) { router_count_.OnLost(replica); },
              [this](const std::map<std::string, bool>& alive) {
                services_.stores.Update(alive, services_.clock());
              },
@@ -245,12 +248,14 @@
   crash_watch_.OnIncarnation(record.id, record.incarnation);
 }
 
-void ForwardServer::OnRouterCount(std::int64_t routers) {
-  if (routers != budget_.routers()) {
+void ForwardServer::OnRouterCount(const std::string& replica, std::int64_t routers,
+                                  std::size_t replicas) {
+  router_count_.OnTold(replica, routers, replicas, services_.clock());
+  if (router_count_.routers() != budget_.routers()) {
     LogEvent(LogLevel::kInfo, "routers_counted",
-             {{"routers", routers}, {"before", budget_.routers()}});
+             {{"routers", router_count_.routers()}, {"before", budget_.routers()}});
   }
-  budget_.SetRouters(routers);
+  budget_.SetRouters(router_count_.routers());
   placement_.SetRouters(routers);
 }
 
--- a/src/kumquatrouter/forwarding/forward_server.h
+++ b/src/kumquatrouter/forwarding/forward_server.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "coordination/forwarding/router_count.h"
 #include "crash_watch.h"
 #include "forwarding/control_feed.h"
 #include "forwarding/forward_exchange.h"
@@ -48,7 +49,7 @@
   void HandleMetrics(const HttpRequest& request, const Responder& responder);
   void OnDocument(const Document& document);
   void OnMember(const MemberRecord& record);
-  void OnRouterCount(std::int64_t routers);
+  void OnRouterCount(const std::string& replica, std::int64_t routers, std::size_t replicas);
   void OnEngines(const EngineNews& news);
   void OnPeerLoads(const RouterLoad& load, std::int64_t routers);
   void ReportLoad();
@@ -70,6 +71,7 @@
   std::string last_reason_;
   Metrics metrics_;
   ForwardAdmission admission_;
+  RouterCount router_count_;
   RepeatBudget budget_;
   ForwardServices services_;
   // Which prompt parts each engine and store is believed to hold; fed by CacheNews from control.
--- a/src/libs/coordination/forwarding/repeat_budget.cpp
+++ b/src/libs/coordination/forwarding/repeat_budget.cpp
@@ -14,10 +14,11 @@
 }  // namespace
 
 void RepeatBudget::SetRouters(std::int64_t routers) {
-  routers_ = std::max<std::int64_t>(1, routers);
+  routers_ = std::max<std::int64_t>(0, routers);
 }
 
 double RepeatBudget::BucketCapacity() const {
+  if (routers_ == 0) return 1;
   return std::max(1.0, allowance_.slack * kDividedSlackShare / static_cast<double>(routers_));
 }
 
--- a/src/libs/coordination/forwarding/repeat_budget.h
+++ b/src/libs/coordination/forwarding/repeat_budget.h
@@ -26,7 +26,8 @@
  public:
   explicit RepeatBudget(const RepeatAllowance& allowance) : allowance_(allowance) {}
 
-  // Sets the number of routers among which the slack is divided.
+  // Sets the number of routers among which the slack is divided; 0 while it isn't known, when each
+  // service has a single repeat beside those that requests add.
   void SetRouters(std::int64_t routers);
   std::int64_t routers() const { return routers_; }
 
@@ -49,7 +50,7 @@
   double BucketCapacity() const;
 
   RepeatAllowance allowance_;
-  std::int64_t routers_ = 1;
+  std::int64_t routers_ = 0;
   std::map<std::string, double> available_;
 };
 
--- a/tests/libs/coordination/forwarding/repeat_budget_test.cpp
+++ b/tests/libs/coordination/forwarding/repeat_budget_test.cpp
@@ -57,6 +57,7 @@
 
 TEST_CASE("A budget starts empty and is separate for each service") {
   RepeatBudget budget(kAllowance);
+  budget.SetRouters(1);
   CHECK(!budget.TryRepeat("a"));
   for (int i = 0; i < 5; ++i) budget.OnRequest("a");
   CHECK(budget.TryRepeat("a"));
@@ -81,8 +82,16 @@
   CHECK(budget.TryOptionalRepeat("a"));
 }
 
+TEST_CASE("A router that doesn't know the others yet has one repeat, not the whole slack") {
+  RepeatBudget budget(kAllowance);
+  for (int i = 0; i < 1000; ++i) budget.OnRequest("a");
+  CHECK(budget.TryRepeat("a"));
+  CHECK(!budget.TryRepeat("a"));
+}
+
 TEST_CASE("Available repeats are reduced when the number of routers grows") {
   RepeatBudget budget(kAllowance);
+  budget.SetRouters(1);
   for (int i = 0; i < 1000; ++i) budget.OnRequest("a");
   budget.SetRouters(100);
   CHECK(budget.TryRepeat("a"));
--- a/tests/libs/coordination/forwarding/repeat_fleet_test.cpp
+++ b/tests/libs/coordination/forwarding/repeat_fleet_test.cpp
@@ -16,6 +16,7 @@
 
 #include "coordination/forwarding/forward_request.h"
 #include "coordination/forwarding/repeat_budget.h"
+#include "coordination/forwarding/router_count.h"
 
 namespace kumquat {
 namespace {
@@ -33,6 +34,8 @@
 constexpr Duration kMoveTime = milliseconds(30);
 constexpr Duration kLoadingNewsInterval = milliseconds(500);
 constexpr Duration kDeniedMoveInterval = milliseconds(50);
+constexpr Duration kOutageInterval = seconds(30);
+constexpr Duration kCalm = seconds(18);
 constexpr std::string_view kService = "s";
 
 // What happens besides requests. The shares are of the sends or events that they concern.
@@ -53,6 +56,31 @@
   double not_sent = 0;
   double events_broken = 0;
   bool has_router_restarts = false;
+  // One control replica after the other, or all at once, restart at this interval; 0 for never.
+  Duration control_restarts{0};
+  bool restarts_all_control = false;
+  // From 5 s on, each two routers reach other replicas than the rest.
+  bool has_cut = false;
+  // All engines answer with failures, for longer than a window, after a calm time.
+  bool has_outages = false;
+
+  bool has_control() const { return has_cut || control_restarts != Duration(0); }
+};
+
+// The routers that a control replica knows, as RouterDesk counts them.
+class Desk {
+ public:
+  // A router greeted; returns the count that it is told.
+  std::int64_t Greet(std::size_t router, Instant now) {
+    heard_at_[router] = now;
+    std::erase_if(heard_at_, [now](const auto& entry) { return now - entry.second > kForgotten; });
+    return static_cast<std::int64_t>(heard_at_.size());
+  }
+  void Restart() { heard_at_.clear(); }
+
+ private:
+  static constexpr Duration kForgotten = milliseconds(3500);
+  std::map<std::size_t, Instant> heard_at_;
 };
 
 // Arrivals by the rule's count, and by the stricter one in which a run that goes on counts too.
@@ -111,6 +139,7 @@
       if (trouble_.has_rollouts && IsAt(seconds(1))) OrderLoading();
       if (IsAt(kLoadingNewsInterval)) MoveRuns(false);
       if (IsAt(kDeniedMoveInterval)) MoveRuns(true);
+      if (trouble_.has_control()) TellRouters();
       if (trouble_.has_router_restarts && IsAt(seconds(7))) RestartRouter();
       for (std::size_t i = 0; i < budgets_.size(); ++i) {
         const double share = trouble_.requests_per_second * 0.01;
@@ -146,11 +175,40 @@
     return std::uniform_real_distribution<double>(0, 1)(random_) < share;
   }
 
-  void StartRouter() { budgets_.push_back(NewBudget()); }
+  void StartRouter() {
+    budgets_.push_back(NewBudget());
+    counts_.emplace_back();
+  }
+
+  // Each router greets each replica once a second, all at other times.
+  void TellRouters() {
+    const Duration restarts = trouble_.control_restarts;
+    if (restarts != Duration(0) && IsAt(restarts)) RestartControl();
+    for (std::size_t router = 0; router < counts_.size(); ++router) {
+      if (!((now_ + router * milliseconds(160)) % seconds(1) == Duration(0))) continue;
+      for (std::size_t i = 0; i < desks_.size(); ++i) {
+        const bool is_cut = trouble_.has_cut && now_ >= seconds(5) && i / 2 != router / 2;
+        if (is_cut || now_ < desk_up_at_[i]) continue;
+        const std::int64_t routers = desks_[i].Greet(router, now_);
+        counts_[router].OnTold(std::to_string(i), routers, desks_.size(), now_);
+        budgets_[router]->SetRouters(counts_[router].routers());
+      }
+    }
+  }
+
+  void RestartControl() {
+    const std::size_t chosen = random_() % desks_.size();
+    for (std::size_t i = 0; i < desks_.size(); ++i) {
+      if (i != chosen && !trouble_.restarts_all_control) continue;
+      desks_[i].Restart();
+      desk_up_at_[i] = now_ + milliseconds(300);
+      for (RouterCount& count : counts_) count.OnLost(std::to_string(i));
+    }
+  }
 
   std::unique_ptr<RepeatBudget> NewBudget() const {
     auto budget = std::make_unique<RepeatBudget>(kAllowance);
-    budget->SetRouters(trouble_.routers);
+    if (!trouble_.has_control()) budget->SetRouters(trouble_.routers);
     return budget;
   }
 
@@ -161,6 +219,7 @@
     }
     std::erase_if(streams_, [](const auto& stream) { return stream->request->done(); });
     budgets_[router] = NewBudget();
+    counts_[router] = RouterCount();
   }
 
   std::optional<BackendChoice> ChooseEngine(std::span<const BackendChoice> avoid) {
@@ -300,7 +359,8 @@
       CountArrival(stream, false);
       return stream.request->OnHead(sent.attempt, {503, true, true}, now_);
     }
-    const bool fails = !sent.copy && Happens(trouble_.heads_failed);
+    const bool is_out = trouble_.has_outages && now_ % kOutageInterval >= kCalm;
+    const bool fails = !sent.copy && (is_out || Happens(trouble_.heads_failed));
     CountArrival(stream, !fails);
     stream.may_keep_copy = fails;
     stream.has_head = true;
@@ -311,6 +371,9 @@
   std::mt19937_64 random_;
   Instant now_{0};
   std::vector<std::unique_ptr<RepeatBudget>> budgets_;
+  std::vector<RouterCount> counts_;
+  std::array<Desk, 5> desks_;
+  std::array<Instant, 5> desk_up_at_{};
   std::vector<std::unique_ptr<Stream>> streams_;
   std::map<std::string, Instant> loading_until_;
   Arrivals arrivals_;
@@ -379,6 +442,33 @@
   CheckFleet("failed heads, copies refused", trouble);
 }
 
+TEST_CASE("Restarts of control replicas don't give routers larger shares of the allowance") {
+  for (const bool restarts_all : {false, true}) {
+    for (const auto interval : {milliseconds(1000), milliseconds(2500), milliseconds(10000)}) {
+      Trouble trouble;
+      trouble.may_repeat = true;
+      trouble.has_outages = true;
+      trouble.control_restarts = interval;
+      trouble.restarts_all_control = restarts_all;
+      trouble.has_router_restarts = true;
+      CheckFleet(fmt::format("control restarts each {} ms, {}", interval.count(),
+                             restarts_all ? "all" : "one"),
+                 trouble);
+    }
+  }
+}
+
+TEST_CASE("Routers that are cut off from each other keep to the allowance") {
+  for (const bool restarts : {false, true}) {
+    Trouble trouble;
+    trouble.may_repeat = true;
+    trouble.has_outages = true;
+    trouble.has_cut = true;
+    if (restarts) trouble.control_restarts = milliseconds(10000);
+    CheckFleet(fmt::format("cut, control {}", restarts ? "restarts" : "runs"), trouble);
+  }
+}
+
 TEST_CASE("All causes of repeats together stay within the allowance") {
   Trouble trouble;
   trouble.is_resumable = true;
@@ -392,6 +482,7 @@
   trouble.not_sent = 0.05;
   trouble.events_broken = 0.01;
   trouble.has_router_restarts = true;
+  trouble.control_restarts = milliseconds(3000);
   CheckFleet("all causes", trouble);
 }
 
