--- a/tests/process/forwarding/forward_bench.cpp
+++ b/tests/process/forwarding/forward_bench.cpp
@@ -9,6 +9,13 @@
 
 constexpr const char* kKey = "clerk-key";
 
+// Returns the endpoints as the elements of a list in a settings file.
+std::string Quoted(const std::vector<Endpoint>& endpoints) {
+  std::string list;
+  for (const Endpoint& endpoint : endpoints) list += fmt::format("\"{}\", ", endpoint.ToString());
+  return list;
+}
+
 QJsonObject RouteTo(const char* service, const std::string& path, const char* kind,
                     bool resumable) {
   return {{"name", ToQString(path)},
@@ -28,12 +35,12 @@
 
 }  // namespace
 
-ForwardBench::ForwardBench() {
+ForwardBench::ForwardBench(int replicas, int routers) {
   folder_.setAutoRemove(!qEnvironmentVariableIsSet("KUMQUAT_KEEP_LOGS"));
-  StartReplicas();
-  StartRouters();
+  StartReplicas(replicas);
+  StartRouters(routers);
   PutConfiguration(1);
-  for (int router = 0; router < kRouters; ++router) {
+  for (int router = 0; router < routers; ++router) {
     CHECK(SpinUntil([&] { return IsReady(router); }));
   }
 }
@@ -43,59 +50,75 @@
 }
 
 // Replicas that find each other by seeds all have to use the same port.
-void ForwardBench::StartReplicas() {
+void ForwardBench::StartReplicas(int replicas) {
   const std::uint16_t port = FreeEndpoint().port;
   const std::uint16_t http_port = FreeEndpoint().port;
-  for (int i = 0; i < kReplicas; ++i) {
+  for (int i = 0; i < replicas; ++i) {
     const std::string ip = fmt::format("127.0.0.{}", i + 1);
-    seeds_ += fmt::format("\"{}:{}\", ", ip, port);
-    control_[i] = {ip, http_port};
+    seeds_.push_back({ip, port});
+    control_.push_back({ip, http_port});
   }
-  for (int i = 0; i < kReplicas; ++i) {
+  for (int i = 0; i < replicas; ++i) {
     const std::string name = fmt::format("c{}", i + 1);
-    replicas_[i] = std::make_unique<TestProgram>(
+    replicas_.push_back(std::make_unique<TestProgram>(
         "kumquat-control",
-        fmt::format("instance = \"{0}\"\nfailure_domain = \"d{1}\"\nlisten = \"{2}:{3}\"\n"
-                    "http_listen = \"{4}\"\nseeds = [{5}]\nfound = true\ndata_dir = \"{6}\"\n",
-                    name, i + 1, control_[i].ip, port, control_[i].ToString(), seeds_,
-                    folder_.filePath(QString::fromStdString(name)).toStdString()));
+        fmt::format("instance = \"{0}\"\nfailure_domain = \"d{1}\"\nlisten = \"{2}\"\n"
+                    "http_listen = \"{3}\"\nseeds = [{4}]\nfound = true\ndata_dir = \"{5}\"\n",
+                    name, i + 1, seeds_[i].ToString(), control_[i].ToString(), Quoted(seeds_),
+                    folder_.filePath(QString::fromStdString(name)).toStdString())));
     replicas_[i]->LogTo(LogOf(name));
     replicas_[i]->Start();
   }
 }
 
-void ForwardBench::StartRouters() {
-  for (int i = 0; i < kRouters; ++i) {
-    listen_endpoints_[i] = FreeEndpoint();
-    ready_endpoints_[i] = FreeEndpoint();
-    const std::string name = fmt::format("r{}", i + 1);
-    routers_[i] = std::make_unique<TestProgram>(
-        "kumquat-router",
-        fmt::format("instance = \"{}\"\nfailure_domain = \"d1\"\n"
-                    "listen = \"{}\"\n[forward]\ncontrol_seeds = [{}]\n"
-                    "ready_listen = \"{}\"\nweights_longest_lag_ms = {}\n"
-                    "memory_mb = {}\n",
-                    name, listen_endpoints_[i].ToString(), seeds_, ready_endpoints_[i].ToString(),
-                    kWeightsLongestLag.count(), kRouterMemoryMb));
-    routers_[i]->LogTo(LogOf(name));
+void ForwardBench::StartRouters(int routers) {
+  for (int i = 0; i < routers; ++i) {
+    listen_endpoints_.push_back(FreeEndpoint());
+    ready_endpoints_.push_back(FreeEndpoint());
+    routers_.push_back(
+        std::make_unique<TestProgram>("kumquat-router", SettingsOf(i, Quoted(seeds_))));
+    routers_[i]->LogTo(LogOf(fmt::format("r{}", i + 1)));
     routers_[i]->Start();
   }
 }
 
-QJsonObject ForwardBench::Configuration(int version, const QJsonObject& extra_route) {
+std::string ForwardBench::SettingsOf(int router, const std::string& seeds) const {
+  return fmt::format(
+      "instance = \"r{}\"\nfailure_domain = \"d1\"\n"
+      "listen = \"{}\"\n[forward]\ncontrol_seeds = [{}]\n"
+      "ready_listen = \"{}\"\nweights_longest_lag_ms = {}\n"
+      "memory_mb = {}\n",
+      router + 1, listen_endpoints_[router].ToString(), seeds, ready_endpoints_[router].ToString(),
+      kWeightsLongestLag.count(), kRouterMemoryMb);
+}
+
+void ForwardBench::WriteSeeds(int router, const std::vector<int>& replicas) {
+  std::vector<Endpoint> seeds;
+  seeds.reserve(replicas.size());
+  for (const int replica : replicas) seeds.push_back(seeds_[replica]);
+  routers_[router]->WriteSettings(SettingsOf(router, Quoted(seeds)));
+}
+
+QJsonObject ForwardBench::Configuration(int version, const QJsonObject& extra_route) const {
   QJsonArray routes{RouteTo("desk", "/once/", "non_idempotent", false),
                     RouteTo("desk", "/again/", "idempotent", false),
                     RouteTo("desk", "/live/", "streaming", false),
                     RouteTo("desk", "/long/", "streaming", true)};
-  if (!extra_route.isEmpty()) routes.append(extra_route);
+  for (const QJsonObject& route : {kept_route_, extra_route}) {
+    if (!route.isEmpty()) routes.append(route);
+  }
   const QJsonObject service{{"name", "desk"}, {"healthPath", "/healthz"}, {"maxConns", 100}};
   const QJsonObject tenant{
       {"name", "clerks"}, {"apiKeys", QJsonArray{kKey}}, {"priority", 1}, {"isolated", false}};
+  QJsonObject limits{{"maxBodyBytes", 100'000}};
+  if (idle_timeout_.count() > 0) {
+    limits["idleTimeoutMs"] = static_cast<qint64>(idle_timeout_.count());
+  }
   return {{"version", version},
           {"routes", routes},
           {"services", QJsonArray{service}},
           {"tenants", QJsonArray{tenant}},
-          {"limits", QJsonObject{{"maxBodyBytes", 100'000}}}};
+          {"limits", limits}};
 }
 
 void ForwardBench::PutConfiguration(int version, const std::string& extra_path) {
@@ -118,10 +141,20 @@
   SendUntilAcknowledged("PUT", "/config", Configuration(version, route));
 }
 
+void ForwardBench::KeepStreamRoute(const std::string& path, std::chrono::milliseconds timeout) {
+  kept_route_ = RouteTo("desk", path, "streaming", false);
+  kept_route_["timeoutMs"] = static_cast<qint64>(timeout.count());
+  kept_route_["attempts"] = 1;
+}
+
 bool ForwardBench::IsReady(int router) {
   return caller_.Run(ready_endpoints_[router], "GET", "/readyz")->status == 200;
 }
 
+std::unique_ptr<TestCall> ForwardBench::StartReadyCheck(int router) {
+  return caller_.Start(ready_endpoints_[router], "GET", "/readyz");
+}
+
 std::unique_ptr<TestCall> ForwardBench::StartConfiguration(int replica, int version) {
   return caller_.Start(control_[replica], "PUT", "/config", {{"Content-Type", "application/json"}},
                        ToJsonText(Configuration(version, {})));
@@ -171,10 +204,10 @@
 
 std::string ForwardBench::Explain(const std::string& id) {
   QStringList logs;
-  for (int i = 0; i < kReplicas; ++i) {
+  for (std::size_t i = 0; i < replicas_.size(); ++i) {
     logs << QString::fromStdString(LogOf(fmt::format("c{}", i + 1)));
   }
-  for (int i = 0; i < kRouters; ++i) {
+  for (std::size_t i = 0; i < routers_.size(); ++i) {
     logs << QString::fromStdString(LogOf(fmt::format("r{}", i + 1)));
   }
   return ExplainRequest(id, logs);
--- a/tests/process/forwarding/forward_bench.h
+++ b/tests/process/forwarding/forward_bench.h
@@ -3,7 +3,6 @@
 #pragma once
 
 #include <QTemporaryDir>
-#include <array>
 #include <memory>
 #include <string>
 #include <vector>
@@ -25,7 +24,8 @@
   static constexpr int kRouterMemoryMb = 88;
 
   // Starts all processes, puts configuration version 1, and waits until each router is ready.
-  ForwardBench();
+  ForwardBench() : ForwardBench(kReplicas, kRouters) {}
+  ForwardBench(int replicas, int routers);
 
   // Returns the headers of a request of the organisation, with a new id that `*id` is set to.
   HttpHeaders Headers(std::string* id);
@@ -51,9 +51,22 @@
   void PutSlowStreams(int version, const std::string& extra_path,
                       std::chrono::milliseconds timeout);
 
+  // From now on each configuration has one more route, whose streams can't be resumed and are sent
+  // to one server only.
+  void KeepStreamRoute(const std::string& path, std::chrono::milliseconds timeout);
+
+  // From now on each configuration closes callers' connections that are idle for this long.
+  void SetIdleTimeout(std::chrono::milliseconds timeout) { idle_timeout_ = timeout; }
+
   // Returns whether the router tells the load balancer that it takes requests.
   bool IsReady(int router);
 
+  // Asks the router whether it takes requests and returns without waiting.
+  std::unique_ptr<TestCall> StartReadyCheck(int router);
+
+  // Names these replicas, in this order, as control seeds in the router's settings file.
+  void WriteSeeds(int router, const std::vector<int>& replicas);
+
   // Sends a configuration of this version to one replica and returns without waiting.
   std::unique_ptr<TestCall> StartConfiguration(int replica, int version);
 
@@ -66,28 +79,32 @@
   // Returns the explanation of the request that kumquatctl prints from the logs of all processes.
   std::string Explain(const std::string& id);
 
-  std::vector<Endpoint> control() const { return {control_.begin(), control_.end()}; }
+  const std::vector<Endpoint>& control() const { return control_; }
   TestProgram& replica(int index) { return *replicas_[index]; }
   const Endpoint& router_endpoint(int index) const { return listen_endpoints_[index]; }
   TestProgram& router(int index) { return *routers_[index]; }
   TestCaller& caller() { return caller_; }
 
  private:
-  static QJsonObject Configuration(int version, const QJsonObject& extra_route);
+  QJsonObject Configuration(int version, const QJsonObject& extra_route) const;
   void SendUntilAcknowledged(const std::string& method, const std::string& path,
                              const QJsonObject& body);
-  void StartReplicas();
-  void StartRouters();
+  void StartReplicas(int replicas);
+  void StartRouters(int routers);
+  std::string SettingsOf(int router, const std::string& seeds) const;
   std::string LogOf(const std::string& name) const;
 
   QTemporaryDir folder_;
   // HTTP addresses of the replicas, for heartbeats and operators' calls.
-  std::array<Endpoint, kReplicas> control_;
-  std::string seeds_;
-  std::array<Endpoint, kRouters> listen_endpoints_;
-  std::array<Endpoint, kRouters> ready_endpoints_;
-  std::array<std::unique_ptr<TestProgram>, kReplicas> replicas_;
-  std::array<std::unique_ptr<TestProgram>, kRouters> routers_;
+  std::vector<Endpoint> control_;
+  // Addresses at which the replicas find each other and are found by routers.
+  std::vector<Endpoint> seeds_;
+  std::vector<Endpoint> listen_endpoints_;
+  std::vector<Endpoint> ready_endpoints_;
+  std::vector<std::unique_ptr<TestProgram>> replicas_;
+  std::vector<std::unique_ptr<TestProgram>> routers_;
+  QJsonObject kept_route_;
+  std::chrono::milliseconds idle_timeout_{0};
   TestCaller caller_;
   int last_id_ = 0;
 };
--- a/tests/process/forwarding/stand_in_server.cpp
+++ b/tests/process/forwarding/stand_in_server.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <cstdlib>
+#include <sstream>
 #include <utility>
 
 #include "process/test_program.h"
@@ -31,6 +32,26 @@
 
 }  // namespace
 
+std::string StandInServer::AskedWork::ToBody() const {
+  return fmt::format("{} {} {}", length.count(), silence.count(), silent_after_event);
+}
+
+StandInServer::AskedWork StandInServer::AskedWork::FromBody(const std::string& body) {
+  std::istringstream text(body);
+  int length = 0;
+  int silence = 0;
+  AskedWork work;
+  text >> length >> silence >> work.silent_after_event;
+  work.length = std::chrono::milliseconds(length);
+  work.silence = std::chrono::milliseconds(silence);
+  return work;
+}
+
+std::chrono::milliseconds StandInServer::AskedWork::DueTime(int event) const {
+  const auto evenly = (length - silence) * event / kEvents;
+  return event > silent_after_event ? evenly + silence : evenly;
+}
+
 StandInServer::StandInServer(std::string id, std::string service, std::vector<Endpoint> control)
     : id_(std::move(id)),
       service_(std::move(service)),
@@ -48,7 +69,15 @@
       if (responder->pending_bytes() < kFloodBytes) responder->Write(flood);
     }
   });
-  flood_timer_.start(kFloodInterval);
+}
+
+void StandInServer::SetMode(Mode mode) {
+  mode_ = mode;
+  if (is_flooding()) {
+    flood_timer_.start(kFloodInterval);
+  } else {
+    flood_timer_.stop();
+  }
 }
 
 void StandInServer::Listen() {
@@ -106,7 +135,7 @@
                          {"addr", ToQString(endpoint_.ToString())},
                          {"zone", "d1"},
                          {"version", "v1"},
-                         {"slots", 4},
+                         {"slots", slots_},
                          {"state", is_leaving_ ? "draining" : "ready"},
                          {"coldLeftMs", 0},
                          {"born", born_},
@@ -131,6 +160,15 @@
   }));
 }
 
+void StandInServer::Exit() {
+  announce_timer_.stop();
+  announcement_.reset();
+  for (const Endpoint& control : control_) {
+    farewells_.push_back(caller_.Start(control, "DELETE", "/instances/" + id_));
+  }
+  server_.reset();
+}
+
 HttpHeaders StandInServer::Head(const HttpRequest& request) const {
   return {{"Kumquatcross-Request-Id", std::string(request.Header("Kumquatcross-Request-Id"))},
           {"Kumquatcross-Server-Stamp", "stamp." + id_}};
@@ -165,6 +203,7 @@
     return CrashInAnswer(request, responder);
   }
   if (mode_ == Mode::kLosesAnswers) return responder->Abort();
+  if (mode_ == Mode::kWorksAsAsked) return WorkAsAsked(request, responder);
   const bool is_stream = request.path.ends_with("/stream");
   if (is_stream && mode_ == Mode::kHoldsStreams) return open_responders_.push_back(responder);
   if (is_stream) return Stream(request, responder);
@@ -194,6 +233,48 @@
   responder->End();
 }
 
+void StandInServer::WorkAsAsked(const HttpRequest& request, const Responder& responder) {
+  const std::string id(request.Header("Kumquatcross-Request-Id"));
+  const AskedWork work = AskedWork::FromBody(request.body);
+  responder->OnClosed([this, id] { EndWork(id, false); });
+  if (request.path.ends_with("/stream")) {
+    if (work.silent_after_event > 0) StartEvents(request, responder);
+    return WriteWhenDue(request, LastEventId(request), responder);
+  }
+  QTimer::singleShot(work.length, Qt::PreciseTimer, &announce_timer_,
+                     [this, id, head = Head(request), body = request.body, responder] {
+                       responder->Send(200, head, "ran " + body);
+                       EndWork(id, true);
+                     });
+}
+
+void StandInServer::StartEvents(const HttpRequest& request, const Responder& responder) const {
+  HttpHeaders head = Head(request);
+  head.emplace_back("Content-Type", "text/event-stream");
+  responder->StartStream(200, head);
+}
+
+void StandInServer::WriteWhenDue(const HttpRequest& request, int event,
+                                 const Responder& responder) {
+  if (event >= kEvents) {
+    responder->End();
+    return EndWork(std::string(request.Header("Kumquatcross-Request-Id")), true);
+  }
+  const AskedWork work = AskedWork::FromBody(request.body);
+  const auto pause = work.DueTime(event + 1) - work.DueTime(event);
+  const auto write = [this, request, work, event, responder] {
+    const bool is_first = event == LastEventId(request);
+    if (is_first && work.silent_after_event == 0) StartEvents(request, responder);
+    responder->Write(Event(event + 1));
+    WriteWhenDue(request, event + 1, responder);
+  };
+  QTimer::singleShot(pause, Qt::PreciseTimer, &announce_timer_, write);
+}
+
+void StandInServer::EndWork(const std::string& id, bool is_whole) const {
+  if (on_work_ended_) on_work_ended_(id, is_whole);
+}
+
 void StandInServer::WriteSlowly(std::vector<std::string> pieces, std::chrono::milliseconds pause,
                                 const Responder& responder) {
   if (pieces.empty()) return responder->End();
--- a/tests/process/forwarding/stand_in_server.h
+++ b/tests/process/forwarding/stand_in_server.h
@@ -5,6 +5,7 @@
 #include <QJsonArray>
 #include <QTimer>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -35,13 +36,29 @@
     kFloods,
     // The same with a single event that never ends.
     kFloodsEvent,
+    // Reads from the body of each request how long to be at work on it, see AskedWork.
+    kWorksAsAsked,
+  };
+
+  // What the body of a request asks for in mode kWorksAsAsked. The events of a stream come at even
+  // intervals, but for one that comes later by the silence. If that is the first one, the answer's
+  // head comes with it.
+  struct AskedWork {
+    std::chrono::milliseconds length{0};
+    std::chrono::milliseconds silence{0};
+    int silent_after_event = 0;
+
+    std::string ToBody() const;
+    static AskedWork FromBody(const std::string& body);
+    // Returns when the event comes, counted from the start of the stream; 0 is the start.
+    std::chrono::milliseconds DueTime(int event) const;
   };
 
   StandInServer(std::string id, std::string service, std::vector<Endpoint> control);
   StandInServer(const StandInServer&) = delete;
   StandInServer& operator=(const StandInServer&) = delete;
 
-  void SetMode(Mode mode) { mode_ = mode; }
+  void SetMode(Mode mode);
 
   // Announces itself as an engine with these weights from the next announcement on.
   void SetWeights(const std::string& model, int version);
@@ -69,9 +86,27 @@
   // Returns the ids of the requests that crashed the server.
   const std::vector<std::string>& crashed_by() const { return crashed_by_; }
 
+  // Sets a hook for the end of each request that is worked on as asked: whether its answer was
+  // written as a whole, or the connection was closed before.
+  using OnWorkEnded = std::function<void(const std::string& id, bool is_whole)>;
+  void SetOnWorkEnded(OnWorkEnded hook) { on_work_ended_ = std::move(hook); }
+
+  void SetSlots(int slots) { slots_ = slots; }
+
   // Announces itself as leaving from now on; returns once control has acknowledged it.
   void Leave();
 
+  // The same without waiting.
+  void StartLeaving() { is_leaving_ = true; }
+
+  // Refuses new connections from now on, while the answers in progress go on.
+  void CloseListener() { server_->StopListening(); }
+
+  std::int64_t open_requests() const { return server_ ? server_->open_requests() : 0; }
+
+  // Ends for good: tells control, announces nothing more and closes all connections.
+  void Exit();
+
   // Returns all requests that were accepted, including those that are never answered.
   const std::vector<HttpRequest>& runs() const { return runs_; }
   const std::string& id() const { return id_; }
@@ -94,6 +129,11 @@
   // Writes the pieces with a pause before each, and then ends the answer.
   void WriteSlowly(std::vector<std::string> pieces, std::chrono::milliseconds pause,
                    const Responder& responder);
+  void WorkAsAsked(const HttpRequest& request, const Responder& responder);
+  void StartEvents(const HttpRequest& request, const Responder& responder) const;
+  // Writes the events of the stream after this one when they are due, and then ends the answer.
+  void WriteWhenDue(const HttpRequest& request, int event, const Responder& responder);
+  void EndWork(const std::string& id, bool is_whole) const;
   void Flood(const HttpRequest& request, const Responder& responder);
   bool Crashes(const HttpRequest& request) const;
   void Begin(const HttpRequest& request, const Responder& responder);
@@ -114,6 +154,8 @@
   std::vector<std::string> crashed_by_;
   CrashMoment crash_moment_ = CrashMoment::kBeforeAnswer;
   bool is_leaving_ = false;
+  int slots_ = 4;
+  OnWorkEnded on_work_ended_;
   Mode mode_ = Mode::kServes;
   QJsonArray models_;
   std::vector<HttpRequest> runs_;
@@ -123,6 +165,7 @@
   std::unique_ptr<HttpServer> server_;
   TestCaller caller_;
   std::unique_ptr<TestCall> announcement_;
+  std::vector<std::unique_ptr<TestCall>> farewells_;
   QTimer announce_timer_;
 };
 
--- a/tests/process/test_program.h
+++ b/tests/process/test_program.h
@@ -48,6 +48,12 @@
   // Lets the standard output of all later starts go to this file.
   void LogTo(std::string path) { log_path_ = std::move(path); }
 
+  // Writes other settings to the program's file, for the running program and all later starts.
+  void WriteSettings(std::string settings) {
+    settings_ = std::move(settings);
+    std::ofstream(SettingsPath()) << settings_;
+  }
+
   void Start() { Start({}); }
 
   // Starts the program and stops it in the middle of the reading of its command line; Release()
@@ -103,8 +109,12 @@
   }
 
  private:
+  std::string SettingsPath() const {
+    return folder_.filePath(QStringLiteral("settings.toml")).toStdString();
+  }
+
   void Start(const QStringList& more_arguments) {
-    const std::string path = folder_.filePath(QStringLiteral("settings.toml")).toStdString();
+    const std::string path = SettingsPath();
     std::ofstream(path) << settings_;
     if (log_path_.empty()) {
       process_.setProcessChannelMode(QProcess::ForwardedChannels);
