--- a/tests/process/forwarding/forward_stop_soak_test.cpp
+++ b/tests/process/forwarding/forward_stop_soak_test.cpp
@@ -262,8 +262,8 @@
     request.done_at = Now();
     request.has_head = call->status != 0;
     request.was_sent = call->failure != CallFailure::kNotSent;
-    caller.is_kept = call->ended && HeaderValue(call->headers, "Connection") != "close";
     const bool is_served = call->ended && call->status == 200;
+    caller.is_kept = is_served && HeaderValue(call->headers, "Connection") != "close";
     // A caller that has failed asks elsewhere.
     if (!is_served) caller.router = -1;
     caller.next_at = Now() + milliseconds((is_served ? 20 : 150) + Pick(200));
