fakes_test: the answer that is cancelled outlasts a stall of the test

The answer took 20 tokens of 5 ms; if the test's process stands still for 100 ms after the first, the whole answer has come before the caller goes away, and nothing is left to cancel.

--- a/tests/process/fakes_test.cpp
+++ b/tests/process/fakes_test.cpp
@@ -20,12 +20,12 @@
 
 // An engine with its callers.
 struct EngineBench {
-  explicit EngineBench(const std::string& more = {})
+  explicit EngineBench(const std::string& more = {}, int answer_tokens = 20)
       : program("fake-engine",
                 "id = \"e1\"\nlisten = \"" + endpoint.ToString() +
-                    "\"\nincarnation = 7\nmodels = \"seat-spec//v1\"\nanswer_tokens = 20\n"
-                    "leave_time_ms = 100\ntoken_interval_ms = 5\n" +
-                    more) {
+                    "\"\nincarnation = 7\nmodels = \"seat-spec//v1\"\nanswer_tokens = " +
+                    std::to_string(answer_tokens) +
+                    "\nleave_time_ms = 100\ntoken_interval_ms = 5\n" + more) {
     program.Start();
     REQUIRE(WaitForListener(endpoint));
   }
@@ -97,7 +97,8 @@
 }
 
 TEST_CASE("An engine cancels the work of a caller that goes away") {
-  EngineBench bench;
+  // Long enough that it isn't over before a busy machine lets the caller go away.
+  EngineBench bench({}, 4000);
   auto call = bench.caller.Start(bench.endpoint, "POST", "/v1/chat/completions", {},
                                  EngineBench::Body(Request()));
   CHECK(SpinUntil([&] { return call->events.size() > 2; }));
