forward_process_test: the crashed server is gone before the request is sent

Its server closes its listener a turn of the loop after Crash(); a request that came in between was accepted and reset, so that it may have run, and 502 is the honest answer. The case is about a send that fails, so it waits now until the server is gone, as the stand-in itself tells.

--- a/tests/process/forwarding/forward_process_test.cpp
+++ b/tests/process/forwarding/forward_process_test.cpp
@@ -460,6 +460,8 @@
   StandInServer server("s1", "desk", bench.control());
   bench.WaitForStatus(0, "/again/look", 200);
   server.Crash();
+  // Until then it accepts connections, and a request that was sent on one may have run.
+  CHECK(SpinUntil([&] { return !server.is_up(); }));
   QElapsedTimer elapsed_timer;
   elapsed_timer.start();
   std::string id;
