--- a/tests/process/forwarding/forward_drain_test.cpp
+++ b/tests/process/forwarding/forward_drain_test.cpp
@@ -84,5 +84,25 @@
   CHECK(bench.Run(0, "/long/stream", &id)->status == 200);
 }
 
+// Its grace ends at the same time, so that what it takes on late would be cut early.
+TEST_CASE("A router that handles its stop late takes on no stream that can't be resumed") {
+  ForwardBench bench;
+  StandInServer server("s1", "desk", bench.control());
+  bench.PutSlowRoute(2, "/slow/", kSlowTimeout, "streaming");
+  bench.WaitForStatus(0, "/slow/stream", 200);
+  const std::size_t runs = server.runs().size();
+  bench.router(0).Signal(SIGSTOP);
+  bench.router(0).Signal(SIGTERM);
+  QElapsedTimer elapsed;
+  elapsed.start();
+  SpinUntil([&] { return elapsed.elapsed() >= 1500; });
+  bench.router(0).Signal(SIGCONT);
+  SpinUntil([&] { return elapsed.elapsed() >= 3200; });
+  std::string id;
+  const auto call = bench.Run(0, "/slow/stream", &id);
+  CHECK((call->status == 503 || call->failure == CallFailure::kNotSent));
+  CHECK(server.runs().size() == runs);
+}
+
 }  // namespace
 }  // namespace kumquat
