A soak of moved runs shows that routers cut sound once-only streams, with and without a stop

What callers saw: streams that may run once only (15 s timeout, one attempt) end with a closed connection some 0.5 to 4 s after they began, with their engine sound, beside new weights.

The stand-in engines load weights when they are ordered to, once their runs have ended, and move runs to each other; what reaches one that has an order is refused as not run.

--- a/tests/process/forwarding/forward_bench.cpp
+++ b/tests/process/forwarding/forward_bench.cpp
@@ -35,7 +35,8 @@
 
 }  // namespace
 
-ForwardBench::ForwardBench(int replicas, int routers) {
+ForwardBench::ForwardBench(int replicas, int routers, std::chrono::milliseconds weights_longest_lag)
+    : weights_longest_lag_(weights_longest_lag) {
   folder_.setAutoRemove(!qEnvironmentVariableIsSet("KUMQUAT_KEEP_LOGS"));
   StartReplicas(replicas);
   StartRouters(routers);
@@ -89,7 +90,7 @@
       "ready_listen = \"{}\"\nweights_longest_lag_ms = {}\n"
       "memory_mb = {}\n",
       router + 1, listen_endpoints_[router].ToString(), seeds, ready_endpoints_[router].ToString(),
-      kWeightsLongestLag.count(), kRouterMemoryMb);
+      weights_longest_lag_.count(), kRouterMemoryMb);
 }
 
 void ForwardBench::WriteSeeds(int router, const std::vector<int>& replicas) {
@@ -107,7 +108,17 @@
   for (const QJsonObject& route : {kept_route_, extra_route}) {
     if (!route.isEmpty()) routes.append(route);
   }
-  const QJsonObject service{{"name", "desk"}, {"healthPath", "/healthz"}, {"maxConns", 100}};
+  QJsonObject service{{"name", "desk"}, {"healthPath", "/healthz"}, {"maxConns", 100}};
+  if (!engine_model_.empty()) {
+    service["engine"] =
+        QJsonObject{{"slots", 64},
+                    {"kvCapacity", 100'000},
+                    {"tokenBytes", 18'432},
+                    {"linkMbps", 370'000.0},
+                    {"moves", true},
+                    {"backups", false},
+                    {"models", QJsonArray{QJsonObject{{"name", ToQString(engine_model_)}}}}};
+  }
   const QJsonObject tenant{
       {"name", "clerks"}, {"apiKeys", QJsonArray{kKey}}, {"priority", 1}, {"isolated", false}};
   QJsonObject limits{{"maxBodyBytes", 100'000}};
@@ -165,6 +176,13 @@
                         {{"model", ToQString(model)}, {"version", version}});
 }
 
+std::unique_ptr<TestCall> ForwardBench::StartWeightsVersion(int replica, const std::string& model,
+                                                            int version) {
+  return caller_.Start(control_[replica], "POST", "/version-put",
+                       {{"Content-Type", "application/json"}},
+                       ToJsonText({{"model", ToQString(model)}, {"version", version}}));
+}
+
 void ForwardBench::SendUntilAcknowledged(const std::string& method, const std::string& path,
                                          const QJsonObject& body) {
   const std::string text = ToJsonText(body);
--- a/tests/process/forwarding/forward_bench.h
+++ b/tests/process/forwarding/forward_bench.h
@@ -25,7 +25,8 @@
 
   // Starts all processes, puts configuration version 1, and waits until each router is ready.
   ForwardBench() : ForwardBench(kReplicas, kRouters) {}
-  ForwardBench(int replicas, int routers);
+  ForwardBench(int replicas, int routers,
+               std::chrono::milliseconds weights_longest_lag = kWeightsLongestLag);
 
   // Returns the headers of a request of the organisation, with a new id that `*id` is set to.
   HttpHeaders Headers(std::string* id);
@@ -55,6 +56,10 @@
   // to one server only.
   void KeepStreamRoute(const std::string& path, std::chrono::milliseconds timeout);
 
+  // From now on each configuration says that the service's servers are engines with this model,
+  // which move runs.
+  void ServeByEngines(const std::string& model) { engine_model_ = model; }
+
   // From now on each configuration closes callers' connections that are idle for this long.
   void SetIdleTimeout(std::chrono::milliseconds timeout) { idle_timeout_ = timeout; }
 
@@ -73,6 +78,9 @@
   // Announces a new weights version of the model, retrying until a replica acknowledges it.
   void PutWeightsVersion(const std::string& model, int version);
 
+  // The same at one replica, without waiting.
+  std::unique_ptr<TestCall> StartWeightsVersion(int replica, const std::string& model, int version);
+
   // Repeats a request through the router until it is answered with this status.
   void WaitForStatus(int router, const std::string& path, int status);
 
@@ -103,6 +111,8 @@
   std::vector<Endpoint> ready_endpoints_;
   std::vector<std::unique_ptr<TestProgram>> replicas_;
   std::vector<std::unique_ptr<TestProgram>> routers_;
+  std::chrono::milliseconds weights_longest_lag_;
+  std::string engine_model_;
   QJsonObject kept_route_;
   std::chrono::milliseconds idle_timeout_{0};
   TestCaller caller_;
--- a/tests/process/forwarding/stand_in_server.cpp
+++ b/tests/process/forwarding/stand_in_server.cpp
@@ -28,6 +28,17 @@
   return std::atoi(std::string(request.Header("Last-Event-Id")).c_str());
 }
 
+// The servers that act as engines, by address; moves go from one to another.
+std::map<Endpoint, StandInServer*>& Engines() {
+  static std::map<Endpoint, StandInServer*> engines;
+  return engines;
+}
+
+void SendJson(const std::shared_ptr<HttpResponder>& responder, int status,
+              const QJsonObject& json = {}) {
+  responder->Send(status, {{"Content-Type", "application/json"}}, ToJsonText(json));
+}
+
 std::string Event(int id) { return fmt::format("id: {}\ndata: piece {}\n\n", id, id); }
 
 }  // namespace
@@ -71,6 +82,8 @@
   });
 }
 
+StandInServer::~StandInServer() { Engines().erase(endpoint_); }
+
 void StandInServer::SetMode(Mode mode) {
   mode_ = mode;
   if (is_flooding()) {
@@ -146,6 +159,11 @@
                        ToJsonText(body));
 }
 
+void StandInServer::ActAsEngine() {
+  is_engine_ = true;
+  Engines()[endpoint_] = this;
+}
+
 void StandInServer::SetWeights(const std::string& model, int version) {
   models_ = {
       QJsonObject{{"name", ToQString(model)}, {"version", version}, {"adapters", QJsonArray()}}};
@@ -169,6 +187,86 @@
   server_.reset();
 }
 
+bool StandInServer::HandleEngineCall(const HttpRequest& request, const Responder& responder) {
+  const QJsonObject json = ParseJsonObject(request.body).value_or(QJsonObject());
+  if (request.path == "/report") {
+    SendJson(responder, 200, Report());
+  } else if (request.path == "/order") {
+    TakeOrder(json, responder);
+  } else if (request.path == "/kv-move") {
+    MoveRun(json, responder);
+  } else if (request.path.starts_with("/kv-handle/")) {
+    SendJson(responder, 200);
+  } else {
+    return false;
+  }
+  return true;
+}
+
+QJsonObject StandInServer::Report() const {
+  return {{"stage", "both"}, {"models", models_}, {"busy", order_.has_value()},
+          {"seq", orders_},  {"queued", 0},       {"running", static_cast<int>(works_.size())},
+          {"kvUsed", 0},     {"kvTotal", 1000},   {"handles", static_cast<int>(copies_.size())}};
+}
+
+void StandInServer::TakeOrder(const QJsonObject& order, const Responder& responder) {
+  if (order_ || order["expected"].toInt() != orders_) return SendJson(responder, 409);
+  ++orders_;
+  order_ = order;
+  SendJson(responder, 202);
+  LoadWhenIdle();
+}
+
+// Runs go on to their end before the weights are loaded.
+void StandInServer::LoadWhenIdle() {
+  if (!order_ || !works_.empty()) return;
+  QTimer::singleShot(kLoadTime, Qt::PreciseTimer, &announce_timer_, [this, number = orders_] {
+    if (!order_ || number != orders_) return;
+    SetWeights((*order_)["model"].toString().toStdString(), (*order_)["version"].toInt());
+    order_.reset();
+    copies_.clear();
+    announcement_ = Announce();
+  });
+}
+
+void StandInServer::MoveRun(const QJsonObject& move, const Responder& responder) {
+  const std::string id = move["id"].toString().toStdString();
+  const auto target = ParseEndpoint(move["to"].toString().toStdString());
+  if (!works_.contains(id)) return SendJson(responder, 404);
+  const bool stops_run = move["last"].toBool();
+  if (stops_run) {
+    ++stopped_runs_;
+    const Responder stream = works_.at(id).responder;
+    works_.erase(id);
+    stream->Abort();
+    LoadWhenIdle();
+  }
+  QTimer::singleShot(kCopyTime, Qt::PreciseTimer, &announce_timer_,
+                     [this, id, target = target.value_or(Endpoint{}), stops_run, responder] {
+                       FinishMove(id, target, stops_run, responder);
+                     });
+}
+
+void StandInServer::FinishMove(const std::string& id, const Endpoint& target, bool stops_run,
+                               const Responder& responder) {
+  const QJsonObject answer{{"handle", ToQString("h-" + id)}};
+  if (stops_run) copies_.insert("h-" + id);
+  const auto engine = Engines().find(target);
+  if (engine == Engines().end() || !engine->second->is_up()) {
+    return SendJson(responder, 503, stops_run ? answer : QJsonObject());
+  }
+  engine->second->copies_.insert("h-" + id);
+  SendJson(responder, 200, answer);
+}
+
+bool StandInServer::TakesCopy(const HttpRequest& request) {
+  const std::string from(request.Header("Kv-From"));
+  const std::string handle = from.substr(from.find('/') + 1);
+  const bool takes = !order_ && copies_.erase(handle) > 0;
+  if (!takes) ++refused_copies_;
+  return takes;
+}
+
 HttpHeaders StandInServer::Head(const HttpRequest& request) const {
   return {{"Kumquatcross-Request-Id", std::string(request.Header("Kumquatcross-Request-Id"))},
           {"Kumquatcross-Server-Stamp", "stamp." + id_}};
@@ -187,10 +285,17 @@
     responder->Send(421, Head(request), "");
     return;
   }
+  if (is_engine_ && HandleEngineCall(request, responder)) return;
   // Requests without an id are state queries and orders of control, which it doesn't support.
   if (request.Header("Kumquatcross-Request-Id").empty()) return responder->Send(404, {}, "");
   if (mode_ == Mode::kFails) return responder->Send(500, Head(request), "failed");
-  runs_.push_back(request);
+  const bool has_copy = !request.Header("Kv-From").empty();
+  if (is_engine_ && (has_copy ? !TakesCopy(request) : order_.has_value())) {
+    HttpHeaders head = Head(request);
+    head.emplace_back("Kumquatcross-Not-Run", "1");
+    return responder->Send(503, head, "loading");
+  }
+  if (!has_copy) runs_.push_back(request);
   if (answer_delay_.count() == 0) return Begin(request, responder);
   QTimer::singleShot(answer_delay_, &announce_timer_, [this, request, responder, born = born_] {
     if (server_ && born == born_) Begin(request, responder);
@@ -237,6 +342,7 @@
   const std::string id(request.Header("Kumquatcross-Request-Id"));
   const AskedWork work = AskedWork::FromBody(request.body);
   responder->OnClosed([this, id] { EndWork(id, false); });
+  if (request.path.ends_with("/stream")) works_[id] = {responder};
   if (request.path.ends_with("/stream")) {
     if (work.silent_after_event > 0) StartEvents(request, responder);
     return WriteWhenDue(request, LastEventId(request), responder);
@@ -263,6 +369,9 @@
   const AskedWork work = AskedWork::FromBody(request.body);
   const auto pause = work.DueTime(event + 1) - work.DueTime(event);
   const auto write = [this, request, work, event, responder] {
+    // The run has ended, or was moved.
+    const auto run = works_.find(std::string(request.Header("Kumquatcross-Request-Id")));
+    if (run == works_.end() || run->second.responder != responder) return;
     const bool is_first = event == LastEventId(request);
     if (is_first && work.silent_after_event == 0) StartEvents(request, responder);
     responder->Write(Event(event + 1));
@@ -271,7 +380,9 @@
   QTimer::singleShot(pause, Qt::PreciseTimer, &announce_timer_, write);
 }
 
-void StandInServer::EndWork(const std::string& id, bool is_whole) const {
+void StandInServer::EndWork(const std::string& id, bool is_whole) {
+  works_.erase(id);
+  LoadWhenIdle();
   if (on_work_ended_) on_work_ended_(id, is_whole);
 }
 
--- a/tests/process/forwarding/stand_in_server.h
+++ b/tests/process/forwarding/stand_in_server.h
@@ -6,7 +6,10 @@
 #include <QTimer>
 #include <chrono>
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -55,6 +58,7 @@
   };
 
   StandInServer(std::string id, std::string service, std::vector<Endpoint> control);
+  ~StandInServer();
   StandInServer(const StandInServer&) = delete;
   StandInServer& operator=(const StandInServer&) = delete;
 
@@ -63,6 +67,19 @@
   // Announces itself as an engine with these weights from the next announcement on.
   void SetWeights(const std::string& model, int version);
 
+  // From now on the server acts as an engine: it answers state queries, loads weights when it is
+  // ordered to, once its runs have ended, and moves runs to other such servers of this process.
+  // Meanwhile it refuses what hasn't begun. Its weights are those that SetWeights() names.
+  void ActAsEngine();
+
+  static constexpr std::chrono::milliseconds kLoadTime{400};
+  static constexpr std::chrono::milliseconds kCopyTime{80};
+
+  // Returns how many runs were stopped to be moved, and how many of the sends of such runs were
+  // refused.
+  int stopped_runs() const { return stopped_runs_; }
+  int refused_copies() const { return refused_copies_; }
+
   // From now on each request with this body crashes the server: it closes all its connections and
   // refuses new ones until it starts again, as a later incarnation, after kDownTime.
   void CrashOnBody(std::string body) { crash_body_ = std::move(body); }
@@ -133,7 +150,22 @@
   void StartEvents(const HttpRequest& request, const Responder& responder) const;
   // Writes the events of the stream after this one when they are due, and then ends the answer.
   void WriteWhenDue(const HttpRequest& request, int event, const Responder& responder);
-  void EndWork(const std::string& id, bool is_whole) const;
+  void EndWork(const std::string& id, bool is_whole);
+  // One run that is worked on as asked.
+  struct Work {
+    Responder responder;
+  };
+
+  // Answers state queries, orders and calls that move runs; false if the request is none of these.
+  bool HandleEngineCall(const HttpRequest& request, const Responder& responder);
+  QJsonObject Report() const;
+  void TakeOrder(const QJsonObject& order, const Responder& responder);
+  void LoadWhenIdle();
+  void MoveRun(const QJsonObject& move, const Responder& responder);
+  void FinishMove(const std::string& id, const Endpoint& target, bool stops_run,
+                  const Responder& responder);
+  // Returns whether the server can go on with the run of this request; a copy can be used once.
+  bool TakesCopy(const HttpRequest& request);
   void Flood(const HttpRequest& request, const Responder& responder);
   bool Crashes(const HttpRequest& request) const;
   void Begin(const HttpRequest& request, const Responder& responder);
@@ -158,6 +190,15 @@
   OnWorkEnded on_work_ended_;
   Mode mode_ = Mode::kServes;
   QJsonArray models_;
+  bool is_engine_ = false;
+  // The order that is carried out, and how many were accepted.
+  std::optional<QJsonObject> order_;
+  int orders_ = 0;
+  std::map<std::string, Work> works_;
+  // Copies of runs that may go on here, or from here.
+  std::set<std::string> copies_;
+  int stopped_runs_ = 0;
+  int refused_copies_ = 0;
   std::vector<HttpRequest> runs_;
   std::vector<Responder> open_responders_;
   QTimer flood_timer_;
