A move reserves the repeats for a refusal and the way on before the run is stopped

What callers saw: a run that their router had stopped to move it was cut (reason=not_run or no_repeat), as the target refused it and no repeat was left for another engine. A router that has just started counts 0 routers and has one repeat at most.

Cause: one repeat was reserved for a move that may need two sends. Now a move begins with two repeats or not at all, so that what follows a refusal isn't denied. A router whose share holds less than two, as one that doesn't know the count of routers, moves nothing: its runs end where they are. Both are returned once the run goes on, as the rule doesn't count that.

A failed try: one reserved repeat, and a debt for the way back.

--- a/src/kumquatrouter/forwarding/forward_exchange.cpp
+++ b/src/kumquatrouter/forwarding/forward_exchange.cpp
@@ -127,8 +127,10 @@
   ForwardHooks hooks;
   hooks.choose = [this](std::span<const BackendChoice> avoid) { return Choose(avoid); };
   hooks.is_condemned = [this] { return IsCondemned(); };
-  hooks.try_repeat = [this] { return TryRepeat(false); };
-  hooks.try_optional_repeat = [this] { return TryRepeat(true); };
+  hooks.try_repeat = [this] { return TryRepeat(); };
+  hooks.try_optional_repeats = [this](int count) {
+    return services_.budget->TryOptionalRepeats(service_->name, count);
+  };
   hooks.return_repeat = [this] { services_.budget->ReturnRepeat(service_->name); };
   hooks.send = [this](const SendCommand& command) { Send(command); };
   hooks.find_copy = [this] { return TakeCopy(); };
@@ -157,17 +159,13 @@
   return hooks;
 }
 
-bool ForwardExchange::TryRepeat(bool is_optional) {
+bool ForwardExchange::TryRepeat() {
   const double tokens = services_.budget->available(service_->name);
-  const bool is_allowed = is_optional ? services_.budget->TryOptionalRepeat(service_->name)
-                                      : services_.budget->TryRepeat(service_->name);
-  // A move that is denied is tried again and again.
-  if (is_optional && !is_allowed) return false;
+  const bool is_allowed = services_.budget->TryRepeat(service_->name);
   LogEvent(LogLevel::kInfo, "repeat_decided",
            {{"request", request_.id},
             {"service", service_->name},
             {"allowed", is_allowed ? "yes" : "no"},
-            {"optional", is_optional ? "yes" : "no"},
             {"tokens", tokens},
             {"routers", services_.budget->routers()},
             {"reason", EndReasonName(decisions_->end_reason())}});
--- a/src/kumquatrouter/forwarding/forward_exchange.h
+++ b/src/kumquatrouter/forwarding/forward_exchange.h
@@ -109,7 +109,7 @@
   ForwardPolicy Policy() const;
   ForwardHooks Hooks();
   // Takes a repeat from the budget, and logs what decided it.
-  bool TryRepeat(bool is_optional);
+  bool TryRepeat();
   std::optional<BackendChoice> Choose(std::span<const BackendChoice> avoid);
   std::vector<PooledBackend*> EnginesFor(std::vector<PooledBackend*> candidates) const;
   // Returns whether a request that waits for `expected_wait` at this engine would begin on weights
--- a/src/libs/coordination/forwarding/forward_request.cpp
+++ b/src/libs/coordination/forwarding/forward_request.cpp
@@ -11,6 +11,8 @@
 // A copy is kept for only a few seconds, and each engine that refuses to resume it uses up some of
 // them.
 constexpr int kMaxCopySends = 6;
+// The sends that a run which is stopped to be moved may need: to the other engine, and back.
+constexpr int kSendsOfMove = 2;
 
 EndReason ReasonOf(CallFailure failure) {
   switch (failure) {
@@ -123,19 +125,20 @@
   copy_ = copy;
   if (copy) ++copy_sends_;
   ++arrivals_;
-  has_used_repeat_ = std::exchange(has_reserved_repeat_, false);
+  has_used_repeat_ = reserved_repeats_ > 0;
+  if (has_used_repeat_) --reserved_repeats_;
   const auto resume_after = is_relaying_ ? std::optional(last_event_) : std::nullopt;
   hooks_.send({attempt_, cause, backend_, resume_after, copy});
 }
 
 // Reserves the repeat for the next send, unless one is reserved already.
 bool ForwardRequest::ReserveRepeat() {
-  if (!has_reserved_repeat_) has_reserved_repeat_ = hooks_.try_repeat();
-  return has_reserved_repeat_;
+  if (reserved_repeats_ == 0 && hooks_.try_repeat()) reserved_repeats_ = 1;
+  return reserved_repeats_ > 0;
 }
 
 void ForwardRequest::ReturnReserved() {
-  if (std::exchange(has_reserved_repeat_, false)) hooks_.return_repeat();
+  for (; reserved_repeats_ > 0; --reserved_repeats_) hooks_.return_repeat();
 }
 
 void ForwardRequest::ReturnUsed() {
@@ -144,8 +147,10 @@
 
 bool ForwardRequest::BeginMove(std::int64_t attempt) {
   if (!IsCurrent(attempt)) return false;
-  if (!has_reserved_repeat_) has_reserved_repeat_ = hooks_.try_optional_repeat();
-  return has_reserved_repeat_;
+  if (reserved_repeats_ == 0 && hooks_.try_optional_repeats(kSendsOfMove)) {
+    reserved_repeats_ = kSendsOfMove;
+  }
+  return reserved_repeats_ >= kSendsOfMove;
 }
 
 void ForwardRequest::OnMoveFailed(std::int64_t attempt) {
@@ -187,7 +192,10 @@
     return;
   }
   // An engine that goes on with the same run gets no repeat of the request.
-  if (copy_ && head.status < kFirstRedirect) ReturnUsed();
+  if (copy_ && head.status < kFirstRedirect) {
+    ReturnUsed();
+    ReturnReserved();
+  }
   has_head_ = true;
   status_ = head.status;
   state_ = State::kAnswering;
--- a/src/libs/coordination/forwarding/forward_request.h
+++ b/src/libs/coordination/forwarding/forward_request.h
@@ -125,8 +125,9 @@
   std::function<bool()> is_condemned;
   // Takes one repeat from the budget; false when the budget is used up.
   std::function<bool()> try_repeat;
-  // The same for a send that may wait; false also while the rest is kept for sends that can't.
-  std::function<bool()> try_optional_repeat;
+  // Takes this many repeats, or none, for sends that may wait; false also while the rest is kept
+  // for sends that can't.
+  std::function<bool(int count)> try_optional_repeats;
   // Gives back a repeat that was taken and not used.
   std::function<void()> return_repeat;
   std::function<void(const SendCommand& command)> send;
@@ -179,11 +180,12 @@
 
   void OnFailure(std::int64_t attempt, CallFailure failure, Instant now);
 
-  // Call before the run in progress is stopped to be moved. Reserves the repeat that the send to
-  // the other engine may become; returns false, and the run must stay, when none can be spared.
+  // Call before the run in progress is stopped to be moved. Reserves the repeats that the send to
+  // the other engine, and the one back if that engine refuses, may become; returns false, and the
+  // run must stay, when they can't be spared.
   bool BeginMove(std::int64_t attempt);
 
-  // The run wasn't stopped, or can't be continued from its memory.
+  // The run wasn't stopped.
   void OnMoveFailed(std::int64_t attempt);
 
   // The run was stopped and its memory moved: `copy` tells which engine resumes it. It still counts
@@ -247,8 +249,9 @@
   // run there.
   std::int64_t arrivals_ = 0;
   std::int64_t runs_ = 0;
-  // A repeat was taken from the budget for the next send; and one for the attempt in progress.
-  bool has_reserved_repeat_ = false;
+  // Repeats that were taken from the budget for the next sends; and whether one was for the attempt
+  // in progress.
+  int reserved_repeats_ = 0;
   bool has_used_repeat_ = false;
   // The copy that the attempt in progress resumes; its run is already counted in runs_.
   std::optional<RunCopy> copy_;
--- a/src/libs/coordination/forwarding/repeat_budget.cpp
+++ b/src/libs/coordination/forwarding/repeat_budget.cpp
@@ -35,10 +35,13 @@
   return true;
 }
 
-bool RepeatBudget::TryOptionalRepeat(const std::string& service) {
+bool RepeatBudget::TryOptionalRepeats(const std::string& service, int count) {
   const double capacity = BucketCapacity();
-  const double needed = std::min(capacity, 1 + kKeptForUrgent);
-  return available(service) >= needed && TryRepeat(service);
+  if (count > capacity || available(service) < std::min(capacity, count + kKeptForUrgent)) {
+    return false;
+  }
+  available_[service] -= count;
+  return true;
 }
 
 void RepeatBudget::ReturnRepeat(const std::string& service) {
--- a/src/libs/coordination/forwarding/repeat_budget.h
+++ b/src/libs/coordination/forwarding/repeat_budget.h
@@ -37,8 +37,9 @@
   // Takes one repeat for the service; false when none is left.
   bool TryRepeat(const std::string& service);
 
-  // The same for a repeat that may wait: leaves one to those that can't, unless the bucket is full.
-  bool TryOptionalRepeat(const std::string& service);
+  // Takes `count` repeats, or none, for what may wait: leaves one to those that can't, unless the
+  // bucket is full.
+  bool TryOptionalRepeats(const std::string& service, int count);
 
   // Gives back a repeat that was taken but not used.
   void ReturnRepeat(const std::string& service);
