Control gives routers notice before it orders an engine, and says until when engines get no order

What callers saw: streams cut as the engine that their run was moved to got its own order first.

Cause: a router chose the target of a move among engines that weren't loading by the last news, while control ordered the next engine milliseconds after it had decided so. Nothing bounded how old the router's belief was, and the source was under its order by then, so that it took nothing back either.

Change: an engine is announced as loading 350 ms before its order at least (looked at meanwhile, so that no more calls are made). News say until when, by the leader's clock, the engines that they don't name get no order, and until when each announced one gets none. An engine that may be under an order, of this leader or of a former one (outdated since the term began and not looked at since), is promised to nobody. Control names those that load last as the targets of moves: a third of the waiting ones, 64 at most, so that news stay small at 240 engines. Routers bound the leader's clock by its answers to their greetings (MoveWindow): the replica's clock at the answer against the router's own at the greeting, so that late news, or a router that stood still, shorten the window and never lengthen it.

'An engine with several outdated models...' expects the order after the notice now, where it expected it at once.

--- a/src/kumquatcontrol/engine_operator.cpp
+++ b/src/kumquatcontrol/engine_operator.cpp
@@ -49,8 +49,8 @@
 
 void EngineOperator::BeginTerm(std::int64_t term) {
   term_ = term;
-  rollout_.emplace(options_.rollout);
   term_began_at_ = hooks_.clock();
+  rollout_.emplace(options_.rollout, term_began_at_);
   confirmed_at_ = Instant(0);
   is_confirming_ = false;
   published_ = {};
@@ -154,6 +154,7 @@
   for (const RolloutEngine& engine : hooks_.engines()) {
     EngineNews::Engine entry{engine.id, engine.incarnation, false, {}};
     entry.is_loading = std::find(loading.begin(), loading.end(), engine.id) != loading.end();
+    if (entry.is_loading) entry.unordered_until = rollout_->UnorderedUntil(engine.id);
     for (const auto& [model, announced] : engine.weights) {
       const auto known = rollout_->KnownVersion(engine.id, engine.incarnation, model);
       const std::int64_t has = std::max(announced, known.value_or(0));
@@ -166,6 +167,8 @@
   for (const auto& [weights, age] : named) {
     news.named.push_back({weights.first, weights.second, age});
   }
+  news.others_unordered_until = rollout_->OthersUnorderedUntil();
+  news.move_targets = rollout_->move_targets();
   return news;
 }
 
@@ -173,7 +176,9 @@
   EngineNews news = MakeNews(now);
   const bool has_news = !news.engines.empty() || !news.named.empty();
   const bool is_due = has_news && now >= published_at_ + kPublishInterval;
-  if (news.engines == published_.engines && !is_due) return;
+  const bool is_same =
+      news.engines == published_.engines && news.move_targets == published_.move_targets;
+  if (is_same && !is_due) return;
   hooks_.publish(news);
   published_ = std::move(news);
   published_at_ = now;
--- a/src/kumquatcontrol/router_desk.cpp
+++ b/src/kumquatcontrol/router_desk.cpp
@@ -37,7 +37,10 @@
   router.heard_at = hooks_.clock();
   SendMissingDocuments(&router, hooks_.documents());
   CompareMembers(&router, is_new_run);
-  Send(hello.router, Fleet());
+  FleetNews fleet = Fleet();
+  fleet.greeted_at = hello.sent_at;
+  fleet.answered_at = router.heard_at;
+  Send(hello.router, fleet);
 }
 
 void RouterDesk::CompareMembers(Router* router, bool is_new_run) {
--- a/src/kumquatrouter/forwarding/control_feed.cpp
+++ b/src/kumquatrouter/forwarding/control_feed.cpp
@@ -92,8 +92,8 @@
 }
 
 void ControlFeed::SendHello(FrameLink& link) const {
-  const RouterHello hello{options_.router, options_.failure_domain, options_.incarnation, versions_,
-                          directory_.table().digest()};
+  const RouterHello hello{options_.router, options_.failure_domain,     options_.incarnation,
+                          versions_,       directory_.table().digest(), hooks_.clock()};
   link.Send(FrameKind::kNews, Encode(hello));
   link.Send(FrameKind::kNews, Encode(hooks_.suspect_summary()));
 }
@@ -134,12 +134,13 @@
   for (const std::string& address : news.replicas) {
     if (const auto endpoint = ParseEndpoint(address)) LinkTo(*endpoint);
   }
+  hooks_.on_answered(replica.ToString(), news.greeted_at, news.answered_at);
   hooks_.on_routers(replica.ToString(), news.routers, replicas_.size());
   hooks_.on_stores(news.stores);
 }
 
-void ControlFeed::Receive(const Endpoint& /*replica*/, const EngineNews& news) {
-  hooks_.on_engines(news);
+void ControlFeed::Receive(const Endpoint& replica, const EngineNews& news) {
+  hooks_.on_engines(replica.ToString(), news);
 }
 
 void ControlFeed::Receive(const Endpoint& replica, const CacheNews& news) {
--- a/src/kumquatrouter/forwarding/control_feed.h
+++ b/src/kumquatrouter/forwarding/control_feed.h
@@ -38,9 +38,13 @@
   std::function<void(const std::string& replica, std::int64_t routers, std::size_t replicas)>
       on_routers;
   std::function<void(const std::string& replica)> on_replica_lost;
+  // Called with the clock that a replica's answer to a greeting shows, and with that of this router
+  // when it sent the greeting.
+  std::function<void(const std::string& replica, Instant greeted_at, Instant answered_at)>
+      on_answered;
   // Called with the cache stores that a replica knows, and whether each is alive.
   std::function<void(const std::map<std::string, bool>& alive)> on_stores;
-  std::function<void(const EngineNews& news)> on_engines;
+  std::function<void(const std::string& replica, const EngineNews& news)> on_engines;
   // Returns false if the update can't be applied and the whole contents of its source have to be
   // requested.
   std::function<bool(const CacheNews& news)> on_cache;
--- a/src/kumquatrouter/forwarding/forward_server.cpp
+++ b/src/kumquatrouter/forwarding/forward_server.cpp
@@ -58,22 +58,29 @@
       answer_memory_(PartOfMemory(settings_.memory_mb, kAnswerMemoryDivisor)),
       client_(MakeHttpBackendClient(&answer_memory_)),
       crash_watch_(settings_.instance, CrashHooks(), &metrics_),
-      feed_({settings_.instance, settings_.failure_domain, WallClockMillis(),
-             settings_.control_seeds},
-            {clock, random, [this](const Document& document) { OnDocument(document); },
-             [this](const MemberRecord& record) { OnMember(record); },
-             [this](const std::string& replica, std::int64_t routers, std::size_t replicas) {
-               OnRouterCount(replica, routers, replicas);
-             },
-             [this](const std::string& replica) { router_count_.OnLost(replica); },
-             [this](const std::map<std::string, bool>& alive) {
-               services_.stores.Update(alive, services_.clock());
-             },
-             [this](const EngineNews& news) { OnEngines(news); },
-             [this](const CacheNews& news) { return cache_parts_.Apply(news); },
-             [this](const RouterLoad& load, std::int64_t routers) { OnPeerLoads(load, routers); },
-             [this] { return crash_watch_.Summary(); },
-             [this](const SuspectNews& news) { return crash_watch_.Receive(news); }}),
+      feed_(
+          {settings_.instance, settings_.failure_domain, WallClockMillis(),
+           settings_.control_seeds},
+          {clock, random, [this](const Document& document) { OnDocument(document); },
+           [this](const MemberRecord& record) { OnMember(record); },
+           [this](const std::string& replica, std::int64_t routers, std::size_t replicas) {
+             OnRouterCount(replica, routers, replicas);
+           },
+           [this](const std::string& replica) {
+             router_count_.OnLost(replica);
+             services_.move_window.OnLost(replica);
+           },
+           [this](const std::string& replica, Instant greeted_at, Instant answered_at) {
+             services_.move_window.OnAnswered(replica, greeted_at, answered_at);
+           },
+           [this](const std::map<std::string, bool>& alive) {
+             services_.stores.Update(alive, services_.clock());
+           },
+           [this](const std::string& replica, const EngineNews& news) { OnEngines(replica, news); },
+           [this](const CacheNews& news) { return cache_parts_.Apply(news); },
+           [this](const RouterLoad& load, std::int64_t routers) { OnPeerLoads(load, routers); },
+           [this] { return crash_watch_.Summary(); },
+           [this](const SuspectNews& news) { return crash_watch_.Receive(news); }}),
       loop_watch_(kSilenceCheckInterval, kLateTimerThreshold) {
   services_.failure_domain = settings_.failure_domain;
   services_.clock = clock;
@@ -259,10 +266,11 @@
   placement_.SetRouters(routers);
 }
 
-void ForwardServer::OnEngines(const EngineNews& news) {
+void ForwardServer::OnEngines(const std::string& replica, const EngineNews& news) {
   for (const EngineNews::Named& named : news.named) {
     services_.weights.Learn(named.model, named.version, services_.clock() - named.age);
   }
+  services_.move_window.OnEngines(replica, news.others_unordered_until, news.move_targets);
   std::vector<BackendChoice> started_loading;
   for (const EngineNews::Engine& engine : news.engines) {
     PooledBackend* backend = services_.pool.Find({engine.id, engine.incarnation});
@@ -271,6 +279,7 @@
     backend->loading_until =
         engine.is_loading ? services_.clock() + kLoadingNewsLifetime : Instant(0);
     if (engine.is_loading && !was_loading) started_loading.push_back(backend->choice());
+    backend->unordered_until = services_.move_window.ToOwnTime(replica, engine.unordered_until);
     for (const auto& [model, version] : engine.weights) {
       std::int64_t& known = backend->weights[model];
       known = std::max(known, version);
--- a/src/kumquatrouter/forwarding/forward_server.h
+++ b/src/kumquatrouter/forwarding/forward_server.h
@@ -50,7 +50,7 @@
   void OnDocument(const Document& document);
   void OnMember(const MemberRecord& record);
   void OnRouterCount(const std::string& replica, std::int64_t routers, std::size_t replicas);
-  void OnEngines(const EngineNews& news);
+  void OnEngines(const std::string& replica, const EngineNews& news);
   void OnPeerLoads(const RouterLoad& load, std::int64_t routers);
   void ReportLoad();
   void MoveAwayFrom(const BackendChoice& backend);
--- a/src/kumquatrouter/forwarding/forward_services.h
+++ b/src/kumquatrouter/forwarding/forward_services.h
@@ -9,6 +9,7 @@
 #include "coordination/forwarding/drain_window.h"
 #include "coordination/forwarding/forward_admission.h"
 #include "coordination/forwarding/live_stores.h"
+#include "coordination/forwarding/move_window.h"
 #include "coordination/forwarding/prompt_placement.h"
 #include "coordination/forwarding/repeat_budget.h"
 #include "coordination/forwarding/route_index.h"
@@ -34,6 +35,7 @@
   NamedWeights weights;
   const WeightsLimit* weights_limit = nullptr;
   bool moves_runs = true;
+  MoveWindow move_window;
   bool backs_up_runs = false;
   BackendPool pool;
   LiveStores stores;
--- a/src/libs/coordination/forwarding/backend_pool.h
+++ b/src/libs/coordination/forwarding/backend_pool.h
@@ -34,6 +34,9 @@
 
   // Until this time, according to control, the server loads weights and takes no new requests.
   Instant loading_until{0};
+  // Until this time, according to control, a server that is to load surely gets no order; 0 if it
+  // may have one.
+  Instant unordered_until{0};
 
   // Requests of this router that are in progress on the server.
   std::int64_t in_flight = 0;
--- a/src/libs/coordination/orders/weights_rollout.cpp
+++ b/src/libs/coordination/orders/weights_rollout.cpp
@@ -41,6 +41,7 @@
 
 std::vector<RolloutAction> WeightsRollout::Advance(std::span<const RolloutEngine> engines,
                                                    const NamedWeights& named, Instant now) {
+  advanced_at_ = now;
   for (const RolloutEngine& engine : engines) {
     Progress& progress = progress_[engine.id];
     if (progress.incarnation == engine.incarnation) continue;
@@ -97,11 +98,19 @@
   const std::size_t reachable = CountReachable(engines);
   const std::size_t max_active = MaxConcurrentUpdates(reachable);
   std::size_t busy = CountActive();
-  std::vector<std::pair<Duration, Progress*>> waiting;
+  struct Waiting {
+    Duration time_since_replaced;
+    const std::string* id;
+    Progress* progress;
+  };
+  std::vector<Waiting> waiting;
   for (const RolloutEngine& engine : engines) {
     Progress& progress = progress_.at(engine.id);
     const auto update = FindPendingUpdate(engine, progress, named, now);
-    if (!update) continue;
+    if (!update) {
+      progress.was_up_to_date = true;
+      continue;
+    }
     ++outdated_;
     longest_time_since_replaced_ =
         std::max(longest_time_since_replaced_, update->time_since_replaced);
@@ -110,18 +119,35 @@
       // Unreachable engines are queried without counting towards the limit.
       progress.phase = Phase::kQuerying;
     } else if (can_start) {
-      waiting.emplace_back(update->time_since_replaced, &progress);
+      waiting.push_back({update->time_since_replaced, &engine.id, &progress});
     }
   }
-  std::stable_sort(waiting.begin(), waiting.end(),
-                   [](const auto& left, const auto& right) { return left.first > right.first; });
+  std::stable_sort(waiting.begin(), waiting.end(), [](const Waiting& left, const Waiting& right) {
+    return left.time_since_replaced > right.time_since_replaced;
+  });
   std::size_t left = waiting.size();
-  for (const auto& [time_since_replaced, progress] : waiting) {
+  for (const auto& [time_since_replaced, id, progress] : waiting) {
     if (busy >= max_active && !IsBehindSchedule(left, reachable, time_since_replaced)) break;
     progress->phase = Phase::kQuerying;
+    progress->announced_at = now;
     ++busy;
     --left;
   }
+  const auto targets = std::min<std::size_t>(
+      options_.max_move_targets, static_cast<std::size_t>(std::ceil(options_.move_target_fraction *
+                                                                    static_cast<double>(left))));
+  move_targets_.clear();
+  for (auto last = waiting.rbegin(); move_targets_.size() < targets; ++last) {
+    if (last == waiting.rend() || last->progress->phase != Phase::kIdle) break;
+    if (IsFree(*last->progress, now)) move_targets_.push_back(*last->id);
+  }
+}
+
+// An engine that was outdated when the term began may carry out an order of a former leader.
+bool WeightsRollout::IsFree(const Progress& progress, Instant now) const {
+  if (progress.may_have_order) return false;
+  if (progress.state) return !progress.state->is_busy;
+  return progress.was_up_to_date || now >= began_ + options_.former_orders_end;
 }
 
 std::optional<RolloutAction> WeightsRollout::Step(const RolloutEngine& engine, Progress* progress,
@@ -130,11 +156,15 @@
   const auto update = FindPendingUpdate(engine, *progress, named, now);
   if (!update) {
     progress->phase = Phase::kIdle;
+    const PendingUpdate& ordered = progress->ordered;
+    if (VersionIn(engine.weights, ordered.model) >= ordered.version) EndOrder(progress);
     return std::nullopt;
   }
   const bool is_free = progress->state && !progress->state->is_busy;
   if (progress->phase == Phase::kOrdering && is_free) {
+    if (now < progress->announced_at + options_.notice) return std::nullopt;
     progress->awaits_answer = true;
+    progress->may_have_order = true;
     progress->ordered_at = now;
     progress->ordered = *update;
     return OrderWeights{engine.id,
@@ -150,6 +180,12 @@
   return EngineStateQuery{engine.id, engine.incarnation, engine.endpoint};
 }
 
+// The engine has the weights that it was ordered to load last.
+void WeightsRollout::EndOrder(Progress* progress) {
+  progress->may_have_order = false;
+  if (progress->state) progress->state->is_busy = false;
+}
+
 void WeightsRollout::OnEngineState(const std::string& id, std::int64_t incarnation,
                                    const std::optional<EngineState>& state, Instant now) {
   Progress* progress = Find(id, incarnation);
@@ -174,6 +210,7 @@
     // If a newer version was named meanwhile, the engine goes back to the waiting ones, where
     // engines with older weights come first.
     progress->phase = Phase::kIdle;
+    EndOrder(progress);
     return;
   }
   const bool is_overdue = now > progress->ordered_at + options_.load_timeout;
@@ -195,6 +232,7 @@
     return;
   }
   const bool is_rejected = outcome == OrderOutcome::kFenced || outcome == OrderOutcome::kRefused;
+  if (outcome == OrderOutcome::kRefused) progress->may_have_order = false;
   progress->phase = is_rejected ? Phase::kIdle : Phase::kQuerying;
   progress->next_at = now + (is_rejected ? options_.retry_interval : options_.poll_interval);
 }
@@ -208,6 +246,12 @@
   return ids;
 }
 
+Instant WeightsRollout::UnorderedUntil(const std::string& id) const {
+  const auto found = progress_.find(id);
+  const bool is_free = found != progress_.end() && IsFree(found->second, advanced_at_);
+  return is_free ? found->second.announced_at + options_.notice : Instant(0);
+}
+
 std::optional<std::int64_t> WeightsRollout::KnownVersion(const std::string& id,
                                                          std::int64_t incarnation,
                                                          const std::string& model) const {
--- a/src/libs/coordination/orders/weights_rollout.h
+++ b/src/libs/coordination/orders/weights_rollout.h
@@ -74,6 +74,15 @@
   // second.
   double catch_up_start = 0.6;
   double catch_up_end = 0.8;
+  // Routers learn that an engine is to load at least this long before its order, so that they can
+  // move its runs away while it still takes them back.
+  Duration notice = std::chrono::milliseconds(350);
+  // Engines that load last take the moved runs: this fraction of those that wait for their turn.
+  double move_target_fraction = 1.0 / 3;
+  std::size_t max_move_targets = 64;
+  // Orders of a former leader take effect within this time. Until then an engine that was outdated
+  // since the term began, and hasn't been queried since, may be under such an order.
+  Duration former_orders_end = std::chrono::seconds(15);
   // Delay of the first state query after an order. A load takes about 0.8 s, so an earlier query
   // would see no change.
   Duration first_poll_delay = std::chrono::milliseconds(850);
@@ -110,7 +119,9 @@
 // The roll-out of one leader; it lives for one term.
 class WeightsRollout {
  public:
-  explicit WeightsRollout(const WeightsRolloutOptions& options) : options_(options) {}
+  // The term began at `began`.
+  WeightsRollout(const WeightsRolloutOptions& options, Instant began)
+      : options_(options), began_(began) {}
 
   // Advances the roll-out on the engines that may get orders, to the named versions. Returns the
   // actions to perform now. The outcome of each must be reported with OnEngineState() or
@@ -130,6 +141,17 @@
   // because an engine refuses the requests that are moved to it once it has the order.
   std::vector<std::string> loading() const;
 
+  // Returns until when an engine that is loading() surely gets no order; 0 if it may have one.
+  Instant UnorderedUntil(const std::string& id) const;
+
+  // Returns until when all engines that aren't loading() surely get no order, counted from the last
+  // Advance().
+  Instant OthersUnorderedUntil() const { return advanced_at_ + options_.notice; }
+
+  // Returns the engines, by id, that runs are best moved to: those that load last and are under no
+  // order.
+  const std::vector<std::string>& move_targets() const { return move_targets_; }
+
   // Returns the number of engines that need a newer version, including those that are loading it.
   std::size_t outdated() const { return outdated_; }
 
@@ -147,7 +169,8 @@
     kIdle,
     // Its state is queried before the order.
     kQuerying,
-    // It is ready for the order, or the order is in flight.
+    // It is ready for the order, which is sent once routers have had notice, or the order is in
+    // flight.
     kOrdering,
     // The order was accepted but has had no effect yet, or another order is in progress.
     kLoading,
@@ -171,6 +194,12 @@
     bool is_unreachable = false;
 
     Instant next_at{0};
+    // Since when routers are told that it is loading.
+    Instant announced_at{0};
+    // It needed no update at some time in this term.
+    bool was_up_to_date = false;
+    // An order was sent, and the engine doesn't have its weights yet.
+    bool may_have_order = false;
     Instant ordered_at{0};
     // The update that was ordered last.
     PendingUpdate ordered;
@@ -189,6 +218,8 @@
   std::size_t CountReachable(std::span<const RolloutEngine> engines) const;
   // Returns how many reachable engines are being updated.
   std::size_t CountActive() const;
+  // Returns whether the engine is surely under no order.
+  bool IsFree(const Progress& progress, Instant now) const;
   // Returns whether more engines wait for their update than the schedule allows,
   // `time_since_replaced` after the oldest weights among them were replaced.
   bool IsBehindSchedule(std::size_t waiting, std::size_t engines,
@@ -196,10 +227,14 @@
   void StartUpdates(std::span<const RolloutEngine> engines, const NamedWeights& named, Instant now);
   std::optional<RolloutAction> Step(const RolloutEngine& engine, Progress* progress,
                                     const NamedWeights& named, Instant now);
+  static void EndOrder(Progress* progress);
   Progress* Find(const std::string& id, std::int64_t incarnation);
 
   WeightsRolloutOptions options_;
+  Instant began_;
+  Instant advanced_at_{0};
   std::map<std::string, Progress> progress_;
+  std::vector<std::string> move_targets_;
   std::size_t outdated_ = 0;
   Duration longest_time_since_replaced_{0};
 };
--- a/src/libs/protocol/control_news.cpp
+++ b/src/libs/protocol/control_news.cpp
@@ -33,9 +33,12 @@
 }
 
 QCborValue ToCbor(const RouterHello& hello) {
-  return QCborArray{Bytes(hello.router), Bytes(hello.failure_domain),
-                    static_cast<qint64>(hello.incarnation), ToCbor(hello.versions),
-                    static_cast<qint64>(hello.members_digest)};
+  return QCborArray{Bytes(hello.router),
+                    Bytes(hello.failure_domain),
+                    static_cast<qint64>(hello.incarnation),
+                    ToCbor(hello.versions),
+                    static_cast<qint64>(hello.members_digest),
+                    static_cast<qint64>(hello.sent_at.count())};
 }
 
 QCborValue ToCbor(const DocumentNews& news) {
@@ -56,7 +59,9 @@
   for (const auto& [address, is_alive] : news.stores) {
     stores.append(QCborArray{Bytes(address), is_alive});
   }
-  return QCborArray{replicas, static_cast<qint64>(news.routers), stores};
+  return QCborArray{replicas, static_cast<qint64>(news.routers), stores,
+                    static_cast<qint64>(news.greeted_at.count()),
+                    static_cast<qint64>(news.answered_at.count())};
 }
 
 bool FromCbor(const QCborArray& items, RouterHello* hello) {
@@ -65,7 +70,8 @@
   hello->incarnation = items.at(2).toInteger();
   hello->versions = VersionsFrom(items.at(3));
   hello->members_digest = static_cast<std::uint64_t>(items.at(4).toInteger());
-  return items.size() == 5 && !hello->router.empty();
+  hello->sent_at = Instant(items.at(5).toInteger());
+  return items.size() == 6 && !hello->router.empty();
 }
 
 bool FromCbor(const QCborArray& items, DocumentNews* news) {
@@ -90,35 +96,45 @@
     const QCborArray pair = item.toArray();
     news->stores[ToText(pair.at(0))] = pair.at(1).toBool();
   }
-  return items.size() == 3;
+  news->greeted_at = Instant(items.at(3).toInteger());
+  news->answered_at = Instant(items.at(4).toInteger());
+  return items.size() == 5;
 }
 
 QCborValue ToCbor(const EngineNews& news) {
   QCborArray engines;
   for (const EngineNews::Engine& engine : news.engines) {
     engines.append(QCborArray{Bytes(engine.id), static_cast<qint64>(engine.incarnation),
-                              engine.is_loading, ToCbor(engine.weights)});
+                              engine.is_loading, ToCbor(engine.weights),
+                              static_cast<qint64>(engine.unordered_until.count())});
   }
   QCborArray named;
   for (const EngineNews::Named& one : news.named) {
     named.append(QCborArray{Bytes(one.model), static_cast<qint64>(one.version),
                             static_cast<qint64>(one.age.count())});
   }
-  return QCborArray{engines, named};
+  QCborArray targets;
+  for (const std::string& target : news.move_targets) targets.append(Bytes(target));
+  return QCborArray{engines, named, static_cast<qint64>(news.others_unordered_until.count()),
+                    targets};
 }
 
 bool FromCbor(const QCborArray& items, EngineNews* news) {
   for (const QCborValue item : items.at(0).toArray()) {
     const QCborArray fields = item.toArray();
     news->engines.push_back({ToText(fields.at(0)), fields.at(1).toInteger(), fields.at(2).toBool(),
-                             VersionsFrom(fields.at(3))});
+                             VersionsFrom(fields.at(3)), Instant(fields.at(4).toInteger())});
   }
   for (const QCborValue item : items.at(1).toArray()) {
     const QCborArray fields = item.toArray();
     news->named.push_back({ToText(fields.at(0)), fields.at(1).toInteger(),
                            Duration(std::max<qint64>(0, fields.at(2).toInteger()))});
   }
-  return items.size() == 2;
+  news->others_unordered_until = Instant(items.at(2).toInteger());
+  for (const QCborValue target : items.at(3).toArray()) {
+    news->move_targets.push_back(ToText(target));
+  }
+  return items.size() == 4;
 }
 
 // Keys and tokens stand in one byte string: 8 and 4 bytes each, the lowest first.
--- a/src/libs/protocol/control_news.h
+++ b/src/libs/protocol/control_news.h
@@ -27,6 +27,8 @@
   std::map<std::string, std::int64_t> versions;
   // Digest of its table of backend servers.
   std::uint64_t members_digest = 0;
+  // The router's clock when it sent this.
+  Instant sent_at{0};
 
   bool operator==(const RouterHello&) const = default;
 };
@@ -54,6 +56,10 @@
   std::int64_t routers = 0;
   // Whether each store of kept cache that it watches is alive, by address.
   std::map<std::string, bool> stores;
+  // Which greeting this answers, by the router's clock, and the replica's clock at the answer; 0
+  // where it answers none.
+  Instant greeted_at{0};
+  Instant answered_at{0};
 
   bool operator==(const FleetNews&) const = default;
 };
@@ -80,6 +86,9 @@
     bool is_loading = false;
     // Version of the weights by model.
     std::map<std::string, std::int64_t> weights;
+    // Until when an engine that is loading surely gets no order, by the leader's clock; 0 if it may
+    // have one. It takes back runs that were moved away only until then.
+    Instant unordered_until{0};
 
     bool operator==(const Engine&) const = default;
   };
@@ -96,6 +105,11 @@
   };
   std::vector<Named> named;
 
+  // Until when the engines that aren't named as loading here get no order, by the leader's clock.
+  Instant others_unordered_until{0};
+  // Engines, by id, that runs are best moved to, as they load last.
+  std::vector<std::string> move_targets;
+
   bool operator==(const EngineNews&) const = default;
 };
 
--- a/tests/libs/coordination/orders/weights_rollout_test.cpp
+++ b/tests/libs/coordination/orders/weights_rollout_test.cpp
@@ -73,7 +73,7 @@
 // so the roll-out depends on the answers of the engines alone.
 class Fleet {
  public:
-  explicit Fleet(int engines) : rollout_(WeightsRolloutOptions{}) {
+  explicit Fleet(int engines) : rollout_(WeightsRolloutOptions{}, Instant(0)) {
     for (int i = 0; i < engines; ++i) engines_.emplace_back().id = fmt::format("e{}", i);
     for (const Engine& engine : engines_) announced_[engine.id] = engine.version;
   }
@@ -228,7 +228,7 @@
 // Guards against a failure in which routers moved streams to engines that got an order milliseconds
 // later, so that the streams were cut.
 TEST_CASE("loading() lists an engine before its order is sent, while its state is queried") {
-  WeightsRollout rollout{WeightsRolloutOptions{}};
+  WeightsRollout rollout{WeightsRolloutOptions{}, Instant(0)};
   std::vector<RolloutEngine> engines(2);
   for (std::size_t i = 0; i < engines.size(); ++i) {
     engines[i].id = fmt::format("e{}", i);
@@ -244,7 +244,7 @@
 }
 
 TEST_CASE("An engine with several outdated models first loads the one that was replaced first") {
-  WeightsRollout rollout{WeightsRolloutOptions{}};
+  WeightsRollout rollout{WeightsRolloutOptions{}, Instant(0)};
   std::vector<RolloutEngine> engines(1);
   engines[0].id = "e0";
   engines[0].incarnation = 1;
@@ -256,13 +256,17 @@
   EngineState state;
   state.weights = engines[0].weights;
   rollout.OnEngineState("e0", 1, state, seconds(109));
-  const auto actions = rollout.Advance(engines, named, seconds(109));
+  CHECK(rollout.UnorderedUntil("e0") == seconds(109) + WeightsRolloutOptions{}.notice);
+  CHECK(rollout.Advance(engines, named, rollout.UnorderedUntil("e0") - Duration(1)).empty());
+  const auto actions = rollout.Advance(engines, named, rollout.UnorderedUntil("e0"));
   REQUIRE(actions.size() == 1);
   const auto* order = std::get_if<OrderWeights>(&actions[0]);
   REQUIRE(order);
   CHECK(order->model == "b");
-  CHECK(order->time_since_replaced == seconds(9));
-  CHECK(rollout.longest_time_since_replaced() == seconds(9));
+  const Duration replaced_for = seconds(9) + WeightsRolloutOptions{}.notice;
+  CHECK(order->time_since_replaced == replaced_for);
+  CHECK(rollout.longest_time_since_replaced() == replaced_for);
+  CHECK(rollout.UnorderedUntil("e0") == Instant(0));
 }
 
 // Otherwise each engine that does not answer would delay the others by a second or more.
--- a/tests/libs/protocol/control_news_test.cpp
+++ b/tests/libs/protocol/control_news_test.cpp
@@ -18,6 +18,9 @@
   EngineNews engines;
   engines.engines = {{"e1", 4, true, {{"lm", 2}}}, {"e2", 1, false, {}}};
   engines.named = {{"lm", 3, std::chrono::milliseconds(7500)}};
+  engines.engines[0].unordered_until = std::chrono::seconds(8);
+  engines.others_unordered_until = std::chrono::seconds(9);
+  engines.move_targets = {"e2", "e3"};
   CacheNews cache;
   cache.source = "e1";
   cache.epoch = 2;
@@ -40,7 +43,7 @@
   return {hello,
           DocumentNews{{{"routing", 7, std::string("\0bytes", 6)}}},
           MemberNews{"c1", "{}"},
-          FleetNews{{"10.0.0.1:7000"}, 6, {{"10.0.0.2:9000", true}}},
+          FleetNews{{"10.0.0.1:7000"}, 6, {{"10.0.0.2:9000", true}}, Instant(7), Instant(9)},
           engines,
           cache,
           CacheWanted{"r1", "e1"},
