A run is copied before it is stopped, and stopped only while its source or its target surely takes it

Cause: the router stopped a run (kv-move with last) on the belief that another engine would take it. That one had got its own order to load by then and refused, and so did the source.

The run's memory is copied while the run goes on, which reserves memory and a place at the target. Then it is stopped, if enough of the window is left in which neither engine can get an order. If the target refuses all the same the run goes back to its source. A stop without an answer resumes the run from the copy as soon as its stream ends. Targets are those that control names, two drawn by lot, so that the routers don't all choose the same one. Where any of this isn't sure, the run stays and ends at its engine, which loads afterwards. Copies that aren't used are freed.

Weighed and left: no moves at all (turns of the roll-out last as long as the longest run); moves at any time with the targets' window alone (a refusal is rare then, but has no way back).

--- a/src/kumquatrouter/forwarding/forward_codec.h
+++ b/src/kumquatrouter/forwarding/forward_codec.h
@@ -10,6 +10,7 @@
 
 #include "coordination/forwarding/forward_request.h"
 #include "coordination/forwarding/prompt_placement.h"
+#include "coordination/forwarding/run_move.h"
 #include "transport/backend_client.h"
 #include "transport/http_message.h"
 #include "transport/http_server.h"
@@ -55,20 +56,21 @@
   std::optional<Endpoint> backup_endpoint;
 };
 
-// Asks an engine to stop a run so that it can continue on another engine.
-struct RunMove {
+// Asks an engine to copy the memory of a run to another engine.
+struct RunMoveCall {
   BackendChoice from;
   Endpoint from_endpoint;
   Endpoint to;
   std::string request_id;
+  // Whether the run is stopped before the rest of it is copied, or goes on.
+  bool stops_run = false;
 };
 
-// The result of a RunMove.
-struct MoveAnswer {
-  // Name under which the run can be continued; empty if the run no longer exists.
+// Tells an engine that a copy of a run isn't needed.
+struct FreeCopyCall {
+  BackendChoice source;
+  Endpoint source_endpoint;
   std::string handle;
-  // Whether the copy reached the other engine; if not, the run can only continue where it was.
-  bool has_arrived = false;
 };
 
 struct ForwardCodec {
@@ -77,7 +79,8 @@
       encode_call;
   std::function<AnswerHead(const CallerRequest& request, int status, const HttpHeaders& headers)>
       decode_head;
-  std::function<BackendCallRequest(const RunMove& move)> encode_move;
+  std::function<BackendCallRequest(const RunMoveCall& move)> encode_move;
+  std::function<BackendCallRequest(const FreeCopyCall& call)> encode_free_copy;
   std::function<MoveAnswer(int status, std::string_view body)> decode_move;
   // Returns the weights version in the header of an answer; nullopt if it names none.
   std::function<std::optional<std::int64_t>(const HttpHeaders& headers)> decode_weights_version;
--- a/src/kumquatrouter/forwarding/forward_exchange.cpp
+++ b/src/kumquatrouter/forwarding/forward_exchange.cpp
@@ -18,9 +18,6 @@
 // Within one region a connection is established within milliseconds; a slower server is overloaded
 // or gone.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(250);
-// Moving a run normally takes milliseconds.
-constexpr Duration kMoveTimeout = std::chrono::milliseconds(1000);
-constexpr GatherLimits kMoveLimits{kConnectTimeout + kMoveTimeout, 64 * 1024};
 // Bytes of a non-streamed answer that are buffered. A longer answer is relayed as it arrives, and
 // its request can't be repeated from then on.
 constexpr std::size_t kMaxBufferedAnswer = 256 * 1024;
@@ -99,6 +96,7 @@
     return false;
   }
   service_ = routes_->FindService(RouteIndex::PickService(*route_, services_.random));
+  if (request_.prompt) engines_.emplace(services_, service_->name, request_.prompt->model);
   return true;
 }
 
@@ -134,10 +132,8 @@
   hooks.return_repeat = [this] { services_.budget->ReturnRepeat(service_->name); };
   hooks.send = [this](const SendCommand& command) { Send(command); };
   hooks.find_copy = [this] { return TakeCopy(); };
-  hooks.choose_to_resume =
-      [this](std::span<const BackendChoice> avoid) -> std::optional<BackendChoice> {
-    const PooledBackend* other = ChooseAlternativeEngine(avoid, run_weights_);
-    return other ? std::optional(other->choice()) : std::nullopt;
+  hooks.choose_to_resume = [this](std::span<const BackendChoice> avoid) {
+    return engines_->ChooseToResume(avoid, run_weights_, moved_from_);
   };
   hooks.cancel = [this](std::int64_t /*number*/) { EndAttempt(); };
   hooks.relay_head = [this](std::int64_t /*number*/) { RelayHead(); };
@@ -173,8 +169,8 @@
 }
 
 std::optional<BackendChoice> ForwardExchange::Choose(std::span<const BackendChoice> avoid) {
-  std::vector<PooledBackend*> candidates =
-      EnginesFor(services_.pool.Candidates(service_->name, avoid, Now()));
+  std::vector<PooledBackend*> candidates = services_.pool.Candidates(service_->name, avoid, Now());
+  if (engines_) candidates = engines_->MayBegin(std::move(candidates));
   if (candidates.empty()) return std::nullopt;
   next_choice_.reset();
   if (!request_.prompt) {
@@ -191,31 +187,14 @@
     if (has_not_run && services_.admission->IsTooLate(route_->objective, Now() - received_, wait)) {
       break;
     }
-    if (!BeginsTooLate(*next_choice_->backend, wait)) return next_choice_->backend->choice();
+    if (!engines_->BeginsTooLate(*next_choice_->backend, wait))
+      return next_choice_->backend->choice();
     std::erase(candidates, next_choice_->backend);
   }
   next_choice_.reset();
   return std::nullopt;
 }
 
-// Returns the candidates that have the request's model with weights recent enough for a new
-// request.
-std::vector<PooledBackend*> ForwardExchange::EnginesFor(
-    std::vector<PooledBackend*> candidates) const {
-  if (!request_.prompt) return candidates;
-  const std::string& model = request_.prompt->model;
-  std::erase_if(candidates, [&](const PooledBackend* backend) {
-    return !backend->weights.contains(model) || BeginsTooLate(*backend, Duration(0));
-  });
-  return candidates;
-}
-
-bool ForwardExchange::BeginsTooLate(const PooledBackend& backend, Duration expected_wait) const {
-  const std::string& model = request_.prompt->model;
-  return services_.weights_limit->BeginsTooLate(model, backend.VersionOf(model), expected_wait,
-                                                Now());
-}
-
 // Returns the first cache store of the routing table that is alive, if there is one.
 std::optional<Endpoint> ForwardExchange::LiveStore() const {
   for (const Service& service : routes_->table().services) {
@@ -234,24 +213,6 @@
   return organisation_ && organisation_->rank ? *organisation_->rank : route_->rank;
 }
 
-PooledBackend* ForwardExchange::ChooseAlternativeEngine(std::span<const BackendChoice> avoid,
-                                                        std::int64_t weights) {
-  std::vector<PooledBackend*> others = services_.pool.Candidates(service_->name, avoid, Now());
-  const std::string& model = request_.prompt->model;
-  std::erase_if(others, [&](const PooledBackend* other) {
-    // A run that continues on another engine counts as begun there, so its weights must be recent
-    // enough.
-    return !other->is_usable(Now()) || BeginsTooLate(*other, Duration(0)) ||
-           other->VersionOf(model) != weights;
-  });
-  return ChooseLeastBusy(others, services_.failure_domain, services_.random);
-}
-
-PooledBackend* ForwardExchange::AlternativeEngineFor(const PooledBackend& backend) {
-  const std::array<BackendChoice, 1> avoid = {backend.choice()};
-  return ChooseAlternativeEngine(avoid, backend.VersionOf(request_.prompt->model));
-}
-
 // Returns the copy of the last attempt's run, at most once. Returns nullopt if the engine with the
 // copy is unknown, is leaving, or has weights that are too old or, since then, other ones: it would
 // refuse to continue the run.
@@ -259,8 +220,8 @@
   if (!last_backup_) return std::nullopt;
   const PooledBackend* backend = services_.pool.Find(*last_backup_);
   last_backup_.reset();
-  const bool fits = backend && !backend->is_leaving && !BeginsTooLate(*backend, Duration(0)) &&
-                    backend->VersionOf(request_.prompt->model) == run_weights_;
+  const bool fits =
+      backend && !backend->is_leaving && engines_->MayContinue(*backend, run_weights_);
   if (!fits) return std::nullopt;
   return RunCopy{backend->choice(), backend->endpoint, request_.id};
 }
@@ -317,9 +278,11 @@
   const bool needs_backup = route_->is_stream && !route_->is_resumable && request_.prompt &&
                             services_.backs_up_runs && service_->engine &&
                             service_->engine->backs_up_runs;
-  if (PooledBackend* backup_engine = needs_backup ? AlternativeEngineFor(*backend) : nullptr) {
-    attempt_->backup = backup_engine->choice();
-    forward.backup_endpoint = backup_engine->endpoint;
+  const std::array avoid = {backend->choice()};
+  if (PooledBackend* other =
+          needs_backup ? engines_->ChooseToContinue(avoid, run_weights_) : nullptr) {
+    attempt_->backup = other->choice();
+    forward.backup_endpoint = other->endpoint;
   }
   BackendCallRequest call = services_.codec.encode_call(request_, forward);
   call.timeouts = Timeouts();
@@ -455,7 +418,7 @@
   if (is_done_ || !attempt_) return;
   const auto self = shared_from_this();
   // A run that is being moved ends too; its answer would grow on meanwhile.
-  if (attempt_->move) DestroyLater(std::move(attempt_->move));
+  attempt_->mover.reset();
   OnCallFailed(attempt_->number, CallFailure::kBroken,
                "The answers of this process take too much memory.");
 }
@@ -475,10 +438,8 @@
 
 void ForwardExchange::OnFirstEvent() {
   if (attempt_->prompt_choice) services_.placement->FirstEvent(attempt_->dispatch, Now());
-  // The run began after the engine was ordered to load weights, and would delay the loading until
-  // the run ends.
-  const PooledBackend* backend = services_.pool.Find(attempt_->backend);
-  if (backend && Now() < backend->loading_until) MoveAwayFrom(attempt_->backend);
+  // The run began after it was known that the engine is to load weights, and would delay that.
+  AdvanceMove();
   services_.metrics->Observe("kumquat_forward_first_event_seconds", RouteLabel(),
                              Seconds(Now() - received_));
   if (!first_event_at_) first_event_at_ = Now();
@@ -500,11 +461,11 @@
 void ForwardExchange::OnCallFailed(std::int64_t number, CallFailure failure,
                                    std::string_view reason) {
   if (is_done_ || !attempt_ || attempt_->number != number) return;
-  if (attempt_->move) {
-    // The engine closes the stream when it stops the run to move it; the answer to the move call
-    // tells whether the run can continue.
-    attempt_->failure_during_move = failure;
-    return;
+  if (attempt_->mover) {
+    // The engine closes the stream when it stops the run to move it.
+    attempt_->failure_at_stop = failure;
+    attempt_->reason_at_stop = reason;
+    if (attempt_->mover->HoldsFailure()) return;
   }
   LogEvent(LogLevel::kInfo, "attempt_failed",
            {{"request", request_.id},
@@ -531,7 +492,6 @@
   Attempt ended = std::move(*attempt_);
   attempt_.reset();
   last_backup_ = ended.backup;
-  if (ended.move) DestroyLater(std::move(ended.move));
   if (PooledBackend* backend = services_.pool.Find(ended.backend)) {
     services_.pool.OnEnded(*backend);
   }
@@ -539,56 +499,39 @@
   if (ended.call) DestroyLater(std::move(ended.call));
 }
 
-void ForwardExchange::MoveAwayFrom(const BackendChoice& backend) {
-  if (is_done_ || !attempt_ || attempt_->backend != backend || attempt_->move) return;
-  const bool can_move = services_.moves_runs && service_->engine && service_->engine->moves_runs &&
-                        request_.prompt && decisions_->is_relaying();
-  PooledBackend* from = services_.pool.Find(backend);
-  PooledBackend* to = can_move && from ? AlternativeEngineFor(*from) : nullptr;
+std::unique_ptr<RunMover> ForwardExchange::MakeMover(const PooledBackend& source) {
   const std::int64_t number = attempt_->number;
-  if (!to) return;
-  attempt_->move_was_denied = !decisions_->BeginMove(number);
-  if (attempt_->move_was_denied) return;
-  attempt_->move_to = to->choice();
-  BackendCallRequest call =
-      services_.codec.encode_move({backend, from->endpoint, to->endpoint, request_.id});
-  call.timeouts = {kConnectTimeout, kMoveTimeout, kMoveTimeout};
-  const auto on_answer = [weak = weak_from_this(), number](int status, std::string_view body) {
-    const auto exchange = weak.lock();
-    if (!exchange) return;
-    exchange->OnMoveAnswered(number, exchange->services_.codec.decode_move(status, body));
+  RunMoverHooks hooks;
+  hooks.choose_target = [this, from = source.choice()](std::span<const BackendChoice> refused) {
+    std::vector<BackendChoice> avoid(refused.begin(), refused.end());
+    avoid.push_back(from);
+    return engines_->ChooseMoveTarget(avoid, run_weights_);
   };
-  attempt_->move = StartGathered(*services_.client, std::move(call), kMoveLimits, on_answer);
-}
-
-void ForwardExchange::RetryDeniedMove() {
-  if (is_done_ || !attempt_ || !attempt_->move_was_denied) return;
-  const PooledBackend* backend = services_.pool.Find(attempt_->backend);
-  if (backend && Now() < backend->loading_until) MoveAwayFrom(attempt_->backend);
+  hooks.reserve_repeats = [this, number] { return decisions_->BeginMove(number); };
+  hooks.return_repeats = [this, number] { decisions_->OnMoveFailed(number); };
+  hooks.resume = [this, number](const RunCopy& copy) {
+    const auto self = shared_from_this();
+    moved_from_ = attempt_->backend;
+    decisions_->OnMoved(number, copy, Now());
+  };
+  hooks.fail = [this, number] {
+    const auto self = shared_from_this();
+    const auto mover = std::move(attempt_->mover);
+    OnCallFailed(number, attempt_->failure_at_stop, attempt_->reason_at_stop);
+  };
+  return std::make_unique<RunMover>(services_, source.choice(), source.endpoint, request_.id,
+                                    std::move(hooks));
 }
 
-void ForwardExchange::OnMoveAnswered(std::int64_t number, const MoveAnswer& answer) {
-  if (is_done_ || !attempt_ || attempt_->number != number) return;
-  DestroyLater(std::move(attempt_->move));
-  const auto failure = attempt_->failure_during_move;
-  const PooledBackend* from = services_.pool.Find(attempt_->backend);
-  const PooledBackend* to = services_.pool.Find(attempt_->move_to);
-  const PooledBackend* engine_with_run = answer.has_arrived ? to : from;
-  LogEvent(LogLevel::kInfo, "run_moved",
-           {{"request", request_.id},
-            {"from", attempt_->backend.backend_id},
-            {"to", attempt_->move_to.backend_id},
-            {"handle", answer.handle},
-            {"arrived", answer.has_arrived ? "yes" : "no"}});
-  if (!answer.handle.empty() && from && engine_with_run) {
-    decisions_->OnMoved(number, {engine_with_run->choice(), from->endpoint, answer.handle}, Now());
-    return;
-  }
-  decisions_->OnMoveFailed(number);
-  if (failure) {
-    OnCallFailed(number, *failure,
-                 "The stream ended while its run was being moved to another engine.");
-  }
+void ForwardExchange::AdvanceMove() {
+  if (is_done_ || !attempt_ || !decisions_->is_relaying()) return;
+  const PooledBackend* source = services_.pool.Find(attempt_->backend);
+  if (!source || Now() >= source->loading_until) return;
+  const bool can_move =
+      services_.moves_runs && service_->engine && service_->engine->moves_runs && request_.prompt;
+  if (!can_move) return;
+  if (!attempt_->mover) attempt_->mover = MakeMover(*source);
+  attempt_->mover->Advance();
 }
 
 std::optional<BackendChoice> ForwardExchange::SilentBackend(Duration silence) const {
@@ -598,7 +541,7 @@
 }
 
 void ForwardExchange::OnBackendUnreachable(const BackendChoice& backend, Duration silence) {
-  if (SilentBackend(silence) != backend || attempt_->move) return;
+  if (SilentBackend(silence) != backend || attempt_->is_stopping()) return;
   // The probe may be wrong, so an attempt is only failed if the request can continue elsewhere.
   const bool can_continue = services_.budget->available(service_->name) >= 1 &&
                             (decisions_->MayRepeatAfterLoss() || attempt_->backup);
@@ -606,7 +549,7 @@
 }
 
 bool ForwardExchange::HasOutdatedAttempt() const {
-  const bool is_waiting = attempt_ && !attempt_->has_stream_data && !attempt_->move;
+  const bool is_waiting = attempt_ && !attempt_->has_stream_data && !attempt_->is_stopping();
   // Only a streamed answer shows whether the run has begun: by its first data.
   return is_waiting && route_->is_stream && request_.prompt &&
          services_.weights_limit->MustCancel(request_.prompt->model, run_weights_, Now());
--- a/src/kumquatrouter/forwarding/forward_exchange.h
+++ b/src/kumquatrouter/forwarding/forward_exchange.h
@@ -10,7 +10,9 @@
 #include <vector>
 
 #include "coordination/forwarding/forward_request.h"
+#include "forwarding/engines_of_run.h"
 #include "forwarding/forward_services.h"
+#include "forwarding/run_mover.h"
 #include "protocol/suspect_entry.h"
 #include "transport/event_splitter.h"
 #include "transport/http_server.h"
@@ -42,13 +44,9 @@
 
   bool is_waiting() const { return decisions_ && decisions_->is_waiting(); }
 
-  // Moves a running stream from this engine, which is loading weights, to another one with the same
-  // weights version. Does nothing if the stream runs elsewhere or can't be moved.
-  void MoveAwayFrom(const BackendChoice& backend);
-
-  // Tries again to move a stream that stayed at an engine that is loading, as no repeat could be
-  // spared.
-  void RetryDeniedMove();
+  // Moves a running stream away from an engine that is to load weights, or takes the next step of a
+  // move that has begun. Does nothing if the stream runs elsewhere or can't be moved.
+  void AdvanceMove();
 
   // Returns the backend server of the streamed attempt in progress if it has sent nothing for
   // longer than `silence`; nullopt otherwise.
@@ -56,7 +54,8 @@
 
   // Call when a new connection to this backend server failed. Fails a streamed attempt that has
   // received nothing from it for longer than `silence`, if the request may be repeated within its
-  // budget or an engine keeps a copy of the run. Does nothing while the run is being moved.
+  // budget or an engine keeps a copy of the run. Does nothing while the run is being stopped to be
+  // moved.
   void OnBackendUnreachable(const BackendChoice& backend, Duration silence);
 
   // Returns whether the attempt in progress is still queued at an engine whose weights are too old
@@ -92,13 +91,14 @@
     Instant last_received_at{0};
     // The engine that keeps a copy of the run, if there is one.
     std::optional<BackendChoice> backup;
-    // The call that moves the run to `move_to`; null while the run isn't being moved.
-    std::unique_ptr<BackendCall> move;
-    BackendChoice move_to;
-    bool move_was_denied = false;
-    // How the attempt failed while it was being moved; handled only if the run can't be continued
-    // after the move.
-    std::optional<CallFailure> failure_during_move;
+    // Moves the run to another engine; null unless its engine is to load weights.
+    std::unique_ptr<RunMover> mover;
+    // How the stream failed while it was being stopped, and why; handled only if the run can't go
+    // on from its memory.
+    CallFailure failure_at_stop = CallFailure::kBroken;
+    std::string reason_at_stop;
+
+    bool is_stopping() const { return mover && mover->is_stopping(); }
   };
 
   // Finds the route, organisation and service of the request. Refuses the request and returns false
@@ -111,10 +111,6 @@
   // Takes a repeat from the budget, and logs what decided it.
   bool TryRepeat();
   std::optional<BackendChoice> Choose(std::span<const BackendChoice> avoid);
-  std::vector<PooledBackend*> EnginesFor(std::vector<PooledBackend*> candidates) const;
-  // Returns whether a request that waits for `expected_wait` at this engine would begin on weights
-  // that were replaced longer ago than the configured maximum lag.
-  bool BeginsTooLate(const PooledBackend& backend, Duration expected_wait) const;
   void Send(const SendCommand& command);
   void LogSent(const SendCommand& command) const;
   void OnFirstEvent();
@@ -124,12 +120,7 @@
   std::string RouteLabel() const;
   ForwardCall CallTo(const PooledBackend& backend, const SendCommand& command) const;
   std::optional<RunCopy> TakeCopy();
-  PooledBackend* AlternativeEngineFor(const PooledBackend& backend);
-  // Returns an engine with these weights, other than those to avoid, that could continue the run;
-  // null if there is none.
-  PooledBackend* ChooseAlternativeEngine(std::span<const BackendChoice> avoid,
-                                         std::int64_t weights);
-  void OnMoveAnswered(std::int64_t number, const MoveAnswer& answer);
+  std::unique_ptr<RunMover> MakeMover(const PooledBackend& source);
   CallTimeouts Timeouts() const;
   BackendCallHooks CallHooks(std::int64_t number);
   void OnHeaders(std::int64_t number, int status, const HttpHeaders& headers);
@@ -158,6 +149,8 @@
   const Route* route_ = nullptr;
   const RoutedOrganisation* organisation_ = nullptr;
   const Service* service_ = nullptr;
+  // Set for a request with a prompt.
+  std::optional<EnginesOfRun> engines_;
   // Computed when first needed, since a long body takes time to hash.
   std::optional<std::vector<Suspect>> suspects_;
   Instant received_{0};
@@ -172,6 +165,8 @@
   std::int64_t run_weights_ = 0;
   // The engine that kept a copy of the run of the last ended attempt.
   std::optional<BackendChoice> last_backup_;
+  // The engine that the run was stopped at to be moved.
+  std::optional<BackendChoice> moved_from_;
   // Counts what has come of the attempt's answer and isn't passed on yet.
   std::unique_ptr<AnswerMemory::Account> answer_account_;
   DeadlineTimer deadline_timer_;
--- a/src/kumquatrouter/forwarding/forward_server.cpp
+++ b/src/kumquatrouter/forwarding/forward_server.cpp
@@ -271,14 +271,11 @@
     services_.weights.Learn(named.model, named.version, services_.clock() - named.age);
   }
   services_.move_window.OnEngines(replica, news.others_unordered_until, news.move_targets);
-  std::vector<BackendChoice> started_loading;
   for (const EngineNews::Engine& engine : news.engines) {
     PooledBackend* backend = services_.pool.Find({engine.id, engine.incarnation});
     if (!backend) continue;
-    const bool was_loading = services_.clock() < backend->loading_until;
     backend->loading_until =
         engine.is_loading ? services_.clock() + kLoadingNewsLifetime : Instant(0);
-    if (engine.is_loading && !was_loading) started_loading.push_back(backend->choice());
     backend->unordered_until = services_.move_window.ToOwnTime(replica, engine.unordered_until);
     for (const auto& [model, version] : engine.weights) {
       std::int64_t& known = backend->weights[model];
@@ -287,12 +284,12 @@
   }
   // Streams are moved only after all engines are updated, so that none is moved to an engine that
   // is loading too.
-  for (const BackendChoice& backend : started_loading) MoveAwayFrom(backend);
+  AdvanceMoves();
 }
 
-void ForwardServer::MoveAwayFrom(const BackendChoice& backend) {
+void ForwardServer::AdvanceMoves() {
   const auto exchanges = exchanges_;
-  for (const auto& exchange : exchanges) exchange->MoveAwayFrom(backend);
+  for (const auto& exchange : exchanges) exchange->AdvanceMove();
 }
 
 // A silent open connection doesn't prove that a backend server is gone, so silent servers are
@@ -303,7 +300,7 @@
   loop_watch_.Beat(services_.clock());
   crash_watch_.ProbeUnproven();
   CancelOutdatedAttempts();
-  for (const auto& exchange : exchanges_) exchange->RetryDeniedMove();
+  AdvanceMoves();
   const bool anyone_waits =
       std::any_of(exchanges_.begin(), exchanges_.end(),
                   [](const auto& exchange) { return exchange->is_waiting(); });
--- a/src/kumquatrouter/forwarding/forward_server.h
+++ b/src/kumquatrouter/forwarding/forward_server.h
@@ -53,7 +53,7 @@
   void OnEngines(const std::string& replica, const EngineNews& news);
   void OnPeerLoads(const RouterLoad& load, std::int64_t routers);
   void ReportLoad();
-  void MoveAwayFrom(const BackendChoice& backend);
+  void AdvanceMoves();
   void CheckSilentBackends();
   void CancelOutdatedAttempts();
   CrashWatchHooks CrashHooks();
--- /dev/null
+++ b/src/kumquatrouter/forwarding/run_mover.cpp
@@ -0,0 +1,126 @@
+#include "forwarding/run_mover.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "utils/durations.h"
+#include "utils/log.h"
+
+namespace kumquat {
+namespace {
+
+// Within one region a connection is established within milliseconds.
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(250);
+// Copying a run normally takes milliseconds.
+constexpr Duration kMoveTimeout = std::chrono::milliseconds(1000);
+constexpr GatherLimits kMoveLimits{kConnectTimeout + kMoveTimeout, 64 * 1024};
+
+}  // namespace
+
+RunMover::RunMover(ForwardServices& services, BackendChoice source, Endpoint endpoint,
+                   std::string request_id, RunMoverHooks hooks)
+    : services_(services),
+      source_(source),
+      endpoint_(endpoint),
+      request_id_(std::move(request_id)),
+      hooks_(std::move(hooks)),
+      move_(std::move(source), std::move(endpoint)) {}
+
+RunMover::~RunMover() { FreeUnusedCopy(); }
+
+// Both engines have to be free of orders until the run goes on.
+Instant RunMover::closes_at() const {
+  const PooledBackend* source = services_.pool.Find(source_);
+  return source ? std::min(source->unordered_until, services_.move_window.closes_at()) : Instant(0);
+}
+
+void RunMover::Advance() {
+  if (call_) return;
+  const Instant now = services_.clock();
+  if (move_.MayBegin(closes_at(), now)) {
+    const auto target = hooks_.choose_target(move_.refused());
+    // A copy is of use only if the run can be stopped afterwards.
+    if (target && hooks_.reserve_repeats()) Call(move_.Begin(*target));
+    return;
+  }
+  if (move_.MayStop(closes_at(), now)) return Call(move_.Stop());
+  GiveUpUnlessStopped();
+}
+
+// Frees the copy and returns the repeats of a move that has been given up.
+void RunMover::GiveUpUnlessStopped() {
+  FreeUnusedCopy();
+  if (!move_.is_under_way()) hooks_.return_repeats();
+}
+
+void RunMover::Call(const MoveStep& step) {
+  const PooledBackend* target = services_.pool.Find(step.target);
+  // A target that has gone meanwhile refuses, as any other address does.
+  const Endpoint to = target ? target->endpoint : Endpoint{};
+  const bool stops_run = step.kind == MoveStep::Kind::kStop;
+  BackendCallRequest call =
+      services_.codec.encode_move({source_, endpoint_, to, request_id_, stops_run});
+  call.timeouts = {kConnectTimeout, kMoveTimeout, kMoveTimeout};
+  const auto on_answer = [this](int status, std::string_view body) {
+    OnAnswer(services_.codec.decode_move(status, body));
+  };
+  call_ = StartGathered(*services_.client, std::move(call), kMoveLimits, on_answer);
+}
+
+void RunMover::OnAnswer(const MoveAnswer& answer) {
+  DestroyLater(std::move(call_));
+  const bool was_stopping = move_.is_stopping();
+  Log(was_stopping ? "stop" : "copy", answer);
+  const MoveStep step = move_.OnAnswer(answer);
+  if (step.kind != MoveStep::Kind::kNone) return Perform(step);
+  // The window is short, so the run is stopped as soon as its copy is complete.
+  if (!was_stopping) return Advance();
+  GiveUpUnlessStopped();
+}
+
+bool RunMover::HoldsFailure() {
+  const bool was_stopping = move_.is_stopping();
+  const MoveStep step = move_.OnStreamFailed();
+  if (step.kind == MoveStep::Kind::kFail) return false;
+  if (!was_stopping) Perform(step);
+  return true;
+}
+
+// Either hook destroys this object.
+void RunMover::Perform(const MoveStep& step) {
+  if (step.kind == MoveStep::Kind::kResume) {
+    const auto resume = hooks_.resume;
+    resume(*step.copy);
+  } else if (step.kind == MoveStep::Kind::kFail) {
+    hooks_.return_repeats();
+    const auto fail = hooks_.fail;
+    fail();
+  }
+}
+
+void RunMover::FreeUnusedCopy() {
+  const auto handle = move_.TakeUnusedHandle();
+  if (!handle) return;
+  BackendCallRequest call = services_.codec.encode_free_copy({source_, endpoint_, *handle});
+  call.timeouts = {kConnectTimeout, kMoveTimeout, kMoveTimeout};
+  // The copy would be freed some seconds later anyway, so the answer doesn't matter. The call owns
+  // itself, as it outlives the attempt.
+  const auto owner = std::make_shared<std::unique_ptr<BackendCall>>();
+  *owner = StartGathered(
+      *services_.client, std::move(call), kMoveLimits,
+      [owner](int /*status*/, std::string_view /*body*/) { DestroyLater(std::move(*owner)); });
+}
+
+void RunMover::Log(std::string_view step, const MoveAnswer& answer) const {
+  LogEvent(LogLevel::kInfo, "run_moved",
+           {{"request", request_id_},
+            {"step", step},
+            {"from", source_.backend_id},
+            {"to", move_.target().backend_id},
+            {"handle", answer.handle},
+            {"answered", answer.is_answered ? "yes" : "no"},
+            {"arrived", answer.has_arrived ? "yes" : "no"},
+            {"window_ms", Milliseconds(closes_at() - services_.clock())}});
+}
+
+}  // namespace kumquat
--- a/src/libs/coordination/forwarding/forward_request.h
+++ b/src/libs/coordination/forwarding/forward_request.h
@@ -134,7 +134,8 @@
   // Returns the copy that another engine kept of the run that has just broken off; nullopt if there
   // is none.
   std::function<std::optional<RunCopy>()> find_copy;
-  // Chooses an engine that is not in `avoid` and could resume the run; nullopt if there is none.
+  // Chooses an engine that is not in `avoid` and could resume the run, first of all the one that it
+  // was moved from; nullopt if there is none.
   std::function<std::optional<BackendChoice>(std::span<const BackendChoice> avoid)>
       choose_to_resume;
   // Closes the connection of the attempt.
--- a/src/platform/front_edge.cpp
+++ b/src/platform/front_edge.cpp
@@ -192,28 +192,39 @@
   return result;
 }
 
-BackendCallRequest EncodeMove(const RunMove& move) {
+BackendCallRequest EncodeMove(const RunMoveCall& move) {
   BackendCallRequest request;
   request.endpoint = move.from_endpoint;
   request.method = "POST";
   request.target = "/kv-move";
   request.headers = {{"Content-Type", "application/json"},
                      {std::string(kExpectInstance), move.from.backend_id}};
-  // With "last" the run stops before its memory is copied.
-  request.body = ToJsonText(
-      {{"id", ToQString(move.request_id)}, {"to", ToQString(move.to.ToString())}, {"last", true}});
+  // With "last" the run stops before the rest of its memory is copied.
+  request.body = ToJsonText({{"id", ToQString(move.request_id)},
+                             {"to", ToQString(move.to.ToString())},
+                             {"last", move.stops_run}});
   return request;
 }
 
 MoveAnswer DecodeMove(int status, std::string_view body) {
-  const auto json = ParseJsonObject(body);
   MoveAnswer answer;
+  answer.is_answered = status != 0;
+  const auto json = ParseJsonObject(body);
   if (!json) return answer;
   answer.handle = json->value(QLatin1String("handle")).toVariant().toString().toStdString();
   answer.has_arrived = status == kOk && !answer.handle.empty();
   return answer;
 }
 
+BackendCallRequest EncodeFreeCopy(const FreeCopyCall& call) {
+  BackendCallRequest request;
+  request.endpoint = call.source_endpoint;
+  request.method = "DELETE";
+  request.target = "/kv-handle/" + call.handle;
+  request.headers = {{std::string(kExpectInstance), call.source.backend_id}};
+  return request;
+}
+
 AnswerHead DecodeHead(const CallerRequest& request, int status, const HttpHeaders& headers) {
   AnswerHead head;
   head.status = status;
@@ -248,6 +259,7 @@
   codec.decode_head = DecodeHead;
   codec.encode_move = EncodeMove;
   codec.decode_move = DecodeMove;
+  codec.encode_free_copy = EncodeFreeCopy;
   codec.decode_weights_version = [](const HttpHeaders& headers) {
     return ParseNumber(HeaderValue(headers, kWeightVersions));
   };
