What the review of moved runs found: lost engines, copies freed too early, moves that can't end in time

Found by a reviewer who hadn't seen the work, by reading; what callers would see:

- All streams of a router broke: a target that started anew, or left, between the stop of a run and the send was looked up and not there (a null reference, which the moves before had a check for).
Now the run goes back to its source; where both are gone the stream has failed, and only it.
- A stream was cut after a stop without an answer that took effect late: its copy had been freed at once.
- A copied run was stopped although its target was leaving or loading by then.
- A moved run that had sent nothing yet was taken back as its weights got too old, and cut; or was moved again before its engine had taken it, which gave its repeats away.
- A move began just before the end of the grace.
- A refused run wasn't offered to its source once that may have an order; it is now, last of all.

A move also begins while the source has its order already: the target is what must be sure.

The first four have no test with processes: the stand-in engines don't start anew or leave beside moves.

--- a/src/kumquatrouter/forwarding/engines_of_run.cpp
+++ b/src/kumquatrouter/forwarding/engines_of_run.cpp
@@ -59,7 +59,16 @@
   const PooledBackend* moved_from =
       source && !Contains(avoid, *source) ? services_.pool.Find(*source) : nullptr;
   if (moved_from && services_.clock() < moved_from->unordered_until) return source;
-  return ChoiceOf(ChooseToContinue(avoid, weights));
+  const PooledBackend* other = ChooseToContinue(avoid, weights);
+  return ChoiceOf(other ? other : moved_from);
+}
+
+std::optional<BackendChoice> EnginesOfRun::StillThere(
+    std::initializer_list<BackendChoice> engines) const {
+  for (const BackendChoice& engine : engines) {
+    if (services_.pool.Find(engine)) return engine;
+  }
+  return std::nullopt;
 }
 
 std::optional<BackendChoice> EnginesOfRun::ChooseMoveTarget(std::span<const BackendChoice> avoid,
--- a/src/kumquatrouter/forwarding/engines_of_run.h
+++ b/src/kumquatrouter/forwarding/engines_of_run.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <initializer_list>
 #include <optional>
 #include <span>
 #include <string>
@@ -32,12 +33,15 @@
   // none.
   PooledBackend* ChooseToContinue(std::span<const BackendChoice> avoid, std::int64_t weights) const;
 
-  // The same for a run that was stopped at `source` to be moved: that engine itself as long as it
-  // surely takes the run back.
+  // The same for a run that was stopped at `source` to be moved: first of all that engine itself as
+  // long as it surely takes the run back, and last of all even if it may not.
   std::optional<BackendChoice> ChooseToResume(std::span<const BackendChoice> avoid,
                                               std::int64_t weights,
                                               const std::optional<BackendChoice>& source) const;
 
+  // Returns the first of these engines that still exists.
+  std::optional<BackendChoice> StillThere(std::initializer_list<BackendChoice> engines) const;
+
   // The same for a run that is to be moved: one of the engines that load last, of two drawn by lot
   // the less busy one, so that not all routers choose the same at the same moment.
   std::optional<BackendChoice> ChooseMoveTarget(std::span<const BackendChoice> avoid,
--- a/src/kumquatrouter/forwarding/forward_exchange.cpp
+++ b/src/kumquatrouter/forwarding/forward_exchange.cpp
@@ -265,6 +265,7 @@
   attempt_->backend = command.backend;
   attempt_->prompt_choice = std::exchange(next_choice_, std::nullopt);
   attempt_->continues_run = command.copy || command.resume_after;
+  attempt_->resumes_copy = command.copy.has_value();
   attempt_->sent_at = Now();
   attempt_->last_received_at = attempt_->sent_at;
   services_.pool.OnSent(*backend);
@@ -512,7 +513,9 @@
   hooks.resume = [this, number](const RunCopy& copy) {
     const auto self = shared_from_this();
     moved_from_ = attempt_->backend;
-    decisions_->OnMoved(number, copy, Now());
+    const auto resumes_at = engines_->StillThere({copy.backend, attempt_->backend});
+    if (!resumes_at) return OnCallFailed(number, CallFailure::kBroken, "Its engines are gone.");
+    decisions_->OnMoved(number, {*resumes_at, copy.holder, copy.handle}, Now());
   };
   hooks.fail = [this, number] {
     const auto self = shared_from_this();
@@ -524,7 +527,8 @@
 }
 
 void ForwardExchange::AdvanceMove() {
-  if (is_done_ || !attempt_ || !decisions_->is_relaying()) return;
+  // A moved run isn't moved on before its engine has taken it.
+  if (is_done_ || !attempt_ || !attempt_->has_stream_data) return;
   const PooledBackend* source = services_.pool.Find(attempt_->backend);
   if (!source || Now() >= source->loading_until) return;
   const bool can_move =
@@ -549,7 +553,8 @@
 }
 
 bool ForwardExchange::HasOutdatedAttempt() const {
-  const bool is_waiting = attempt_ && !attempt_->has_stream_data && !attempt_->is_stopping();
+  // A run that goes on has begun before, on weights that were recent enough.
+  const bool is_waiting = attempt_ && !attempt_->has_stream_data && !attempt_->resumes_copy;
   // Only a streamed answer shows whether the run has begun: by its first data.
   return is_waiting && route_->is_stream && request_.prompt &&
          services_.weights_limit->MustCancel(request_.prompt->model, run_weights_, Now());
--- a/src/kumquatrouter/forwarding/forward_exchange.h
+++ b/src/kumquatrouter/forwarding/forward_exchange.h
@@ -80,6 +80,8 @@
     std::int64_t event_count = 0;
     // The attempt goes on with a run that had begun before.
     bool continues_run = false;
+    // It does so from a copy of that run's memory.
+    bool resumes_copy = false;
     std::unique_ptr<BackendCall> call;
     EventSplitter events;
     std::size_t bytes_without_id = 0;
--- a/src/kumquatrouter/forwarding/run_mover.cpp
+++ b/src/kumquatrouter/forwarding/run_mover.cpp
@@ -26,12 +26,17 @@
       hooks_(std::move(hooks)),
       move_(std::move(source), std::move(endpoint)) {}
 
-RunMover::~RunMover() { FreeUnusedCopy(); }
+RunMover::~RunMover() { Free(move_.End()); }
 
-// Both engines have to be free of orders until the run goes on.
+// The target has to be free of orders until the run goes on, and so has this router of its end.
 Instant RunMover::closes_at() const {
-  const PooledBackend* source = services_.pool.Find(source_);
-  return source ? std::min(source->unordered_until, services_.move_window.closes_at()) : Instant(0);
+  const Instant closes_at = services_.move_window.closes_at();
+  return services_.drain ? std::min(closes_at, services_.drain->answers_due()) : closes_at;
+}
+
+bool RunMover::IsTargetReady() const {
+  const PooledBackend* target = services_.pool.Find(move_.target());
+  return target && !target->is_leaving && target->is_usable(services_.clock());
 }
 
 void RunMover::Advance() {
@@ -40,17 +45,19 @@
   if (move_.MayBegin(closes_at(), now)) {
     const auto target = hooks_.choose_target(move_.refused());
     // A copy is of use only if the run can be stopped afterwards.
-    if (target && hooks_.reserve_repeats()) Call(move_.Begin(*target));
+    if (target && hooks_.reserve_repeats()) Call(move_.Begin(*target, now));
     return;
   }
+  if (!IsTargetReady()) move_.GiveUpCopy();
   if (move_.MayStop(closes_at(), now)) return Call(move_.Stop());
   GiveUpUnlessStopped();
 }
 
 // Frees the copy and returns the repeats of a move that has been given up.
 void RunMover::GiveUpUnlessStopped() {
-  FreeUnusedCopy();
+  const auto given_up = move_.TakeUnusedHandle();
   if (!move_.is_under_way()) hooks_.return_repeats();
+  Free(given_up);
 }
 
 void RunMover::Call(const MoveStep& step) {
@@ -71,7 +78,7 @@
   DestroyLater(std::move(call_));
   const bool was_stopping = move_.is_stopping();
   Log(was_stopping ? "stop" : "copy", answer);
-  const MoveStep step = move_.OnAnswer(answer);
+  const MoveStep step = move_.OnAnswer(answer, services_.clock());
   if (step.kind != MoveStep::Kind::kNone) return Perform(step);
   // The window is short, so the run is stopped as soon as its copy is complete.
   if (!was_stopping) return Advance();
@@ -98,8 +105,7 @@
   }
 }
 
-void RunMover::FreeUnusedCopy() {
-  const auto handle = move_.TakeUnusedHandle();
+void RunMover::Free(const std::optional<std::string>& handle) {
   if (!handle) return;
   BackendCallRequest call = services_.codec.encode_free_copy({source_, endpoint_, *handle});
   call.timeouts = {kConnectTimeout, kMoveTimeout, kMoveTimeout};
--- a/src/kumquatrouter/forwarding/run_mover.h
+++ b/src/kumquatrouter/forwarding/run_mover.h
@@ -45,11 +45,12 @@
 
  private:
   Instant closes_at() const;
+  bool IsTargetReady() const;
   void Call(const MoveStep& step);
   void OnAnswer(const MoveAnswer& answer);
   void Perform(const MoveStep& step);
   void GiveUpUnlessStopped();
-  void FreeUnusedCopy();
+  void Free(const std::optional<std::string>& handle);
   void Log(std::string_view step, const MoveAnswer& answer) const;
 
   ForwardServices& services_;
--- a/src/libs/coordination/forwarding/run_move.cpp
+++ b/src/libs/coordination/forwarding/run_move.cpp
@@ -1,5 +1,6 @@
 #include "coordination/forwarding/run_move.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace kumquat {
@@ -8,6 +9,8 @@
 // From the call that stops a run until its next engine has taken it: two round trips, and the turns
 // of a loop that has other runs to move.
 constexpr Duration kStopTime = std::chrono::milliseconds(120);
+// The same as a multiple of the time that the copy took: moves of other runs wait on the same link.
+constexpr int kCopyTimesToStop = 2;
 // From the call that copies the run to its answer.
 constexpr Duration kCopyTime = std::chrono::milliseconds(40);
 
@@ -20,31 +23,36 @@
   return state_ == State::kIdle && now + kCopyTime + kStopTime <= closes_at;
 }
 
-MoveStep RunMove::Begin(const BackendChoice& target) {
+MoveStep RunMove::Begin(const BackendChoice& target, Instant now) {
   state_ = State::kCopying;
+  copied_from_ = now;
   target_ = target;
   return {MoveStep::Kind::kCopy, target_, std::nullopt};
 }
 
 bool RunMove::MayStop(Instant closes_at, Instant now) {
   if (state_ != State::kCopied) return false;
-  if (now + kStopTime <= closes_at) return true;
+  if (now + std::max(kStopTime, kCopyTimesToStop * copy_time_) <= closes_at) return true;
   GiveUp();
   return false;
 }
 
+void RunMove::GiveUpCopy() {
+  if (state_ == State::kCopied) GiveUp();
+}
+
 MoveStep RunMove::Stop() {
   state_ = State::kStopping;
   return {MoveStep::Kind::kStop, target_, std::nullopt};
 }
 
-MoveStep RunMove::OnAnswer(const MoveAnswer& answer) {
-  if (state_ == State::kCopying) return OnCopied(answer);
+MoveStep RunMove::OnAnswer(const MoveAnswer& answer, Instant now) {
+  if (state_ == State::kCopying) return OnCopied(answer, now);
   if (state_ == State::kStopping) return OnStopped(answer);
   return {};
 }
 
-MoveStep RunMove::OnCopied(const MoveAnswer& answer) {
+MoveStep RunMove::OnCopied(const MoveAnswer& answer, Instant now) {
   if (!answer.has_arrived) {
     refused_.push_back(target_);
     handle_ = answer.handle;
@@ -53,6 +61,7 @@
   }
   state_ = State::kCopied;
   handle_ = answer.handle;
+  copy_time_ = now - copied_from_;
   return {};
 }
 
@@ -91,10 +100,12 @@
 }
 
 std::optional<std::string> RunMove::TakeUnusedHandle() {
-  if (unused_handle_) return std::exchange(unused_handle_, std::nullopt);
-  const bool is_unused = state_ == State::kCopied || state_ == State::kMayStop;
-  if (!is_unused || handle_.empty()) return std::nullopt;
-  return std::exchange(handle_, {});
+  return std::exchange(unused_handle_, std::nullopt);
+}
+
+std::optional<std::string> RunMove::End() {
+  if (state_ == State::kCopied || state_ == State::kMayStop) GiveUp();
+  return TakeUnusedHandle();
 }
 
 }  // namespace kumquat
--- a/src/libs/coordination/forwarding/run_move.h
+++ b/src/libs/coordination/forwarding/run_move.h
@@ -1,9 +1,10 @@
 // The state machine that moves a run to another engine without the risk of losing it.
 //
-// The run's memory is copied while the run goes on. Only then the run is stopped, its last tokens
-// follow, and it goes on from the copy. It is stopped only while neither engine can get an order to
-// load, as an engine under an order refuses runs: the target takes the run, and if it fails to, the
-// source still takes it back. Where that isn't sure the run stays, and ends where it is.
+// The run's memory is copied while the run goes on, which reserves room and a place at the target.
+// Only then the run is stopped, its last tokens follow, and it goes on from the copy. It is stopped
+// only while the target surely gets no order to load, as an engine under an order refuses runs. If
+// the target refuses for another reason, the source takes the run back until its own order comes.
+// Where that isn't sure the run stays, and ends where it is.
 #pragma once
 
 #include <optional>
@@ -57,25 +58,32 @@
   bool MayBegin(Instant closes_at, Instant now) const;
 
   // Begins a copy to `target`. Requires MayBegin().
-  MoveStep Begin(const BackendChoice& target);
+  MoveStep Begin(const BackendChoice& target, Instant now);
 
   // Returns whether the copy is complete and the run may be stopped now. If too little of the
-  // window is left, gives the move up instead.
+  // window is left, for another copy that takes longer than the first one too, gives the move up
+  // instead.
   bool MayStop(Instant closes_at, Instant now);
 
+  // Gives up a copy that is complete, as its target may refuse the run by now.
+  void GiveUpCopy();
+
   // Stops the run. Requires MayStop().
   MoveStep Stop();
 
   // The source answered the call for the last kCopy or kStop step, or the call failed.
-  MoveStep OnAnswer(const MoveAnswer& answer);
+  MoveStep OnAnswer(const MoveAnswer& answer, Instant now);
 
   // The stream of the run failed. kNone if it failed because the run was stopped: the answer to the
   // call that is under way tells how the run goes on. kFail if it has to be handled as any failure.
   MoveStep OnStreamFailed();
 
-  // Returns a copy that isn't used, which is to be freed at the source, at most once.
+  // Returns a copy that has been given up, which is to be freed at the source, at most once.
   std::optional<std::string> TakeUnusedHandle();
 
+  // The run has ended, or was ended. Returns a copy that is to be freed.
+  std::optional<std::string> End();
+
   // Returns the engines that didn't take a copy.
   const std::vector<BackendChoice>& refused() const { return refused_; }
   const BackendChoice& target() const { return target_; }
@@ -95,7 +103,7 @@
     kResumed,
   };
 
-  MoveStep OnCopied(const MoveAnswer& answer);
+  MoveStep OnCopied(const MoveAnswer& answer, Instant now);
   MoveStep OnStopped(const MoveAnswer& answer);
   MoveStep Resume(const BackendChoice& backend, const std::string& handle);
   void GiveUp();
@@ -104,8 +112,10 @@
   Endpoint endpoint_;
   State state_ = State::kIdle;
   BackendChoice target_;
-  // The copy that was made while the run went on.
+  // The copy that was made while the run went on, since when, and how long that took.
   std::string handle_;
+  Instant copied_from_{0};
+  Duration copy_time_{0};
   bool stream_has_failed_ = false;
   std::vector<BackendChoice> refused_;
   std::optional<std::string> unused_handle_;
