More engines take moved runs, and a new leader looks at those that may have an order

Cause: engines that were outdated when a leader's term began may be under an order of the one before and were no targets for 15 s; only the last third of the waiting engines was named. Now the leader queries each such engine once before its turn, two thirds are targets, and news are repeated each 250 ms while engines are outdated, as their promise lasts for 350 ms. An engine that drops out of the table and comes back is new to the leader, and a refused order no longer clears one without an answer before it (found by the review).

Evidence: 'An engine that was outdated from the beginning is queried before it takes moved runs' (orders_test). 'loading() lists an engine...' names the version after the engines were seen up to date, so that it still sees one query at a time.

--- a/src/kumquatcontrol/engine_operator.cpp
+++ b/src/kumquatcontrol/engine_operator.cpp
@@ -18,8 +18,9 @@
 constexpr Duration kCallTimeout = std::chrono::milliseconds(1000);
 // A report lists an engine's runs.
 constexpr GatherLimits kCallLimits{2 * kCallTimeout, 256 * 1024};
-// News are repeated, as a router's link may just have been down.
-constexpr Duration kPublishInterval = std::chrono::milliseconds(500);
+// News are repeated, as a router's link may just have been down, and as what they promise routers
+// ends soon.
+constexpr Duration kPublishInterval = std::chrono::milliseconds(250);
 
 }  // namespace
 
@@ -49,8 +50,8 @@
 
 void EngineOperator::BeginTerm(std::int64_t term) {
   term_ = term;
+  rollout_.emplace(options_.rollout);
   term_began_at_ = hooks_.clock();
-  rollout_.emplace(options_.rollout, term_began_at_);
   confirmed_at_ = Instant(0);
   is_confirming_ = false;
   published_ = {};
--- a/src/libs/coordination/orders/weights_rollout.cpp
+++ b/src/libs/coordination/orders/weights_rollout.cpp
@@ -47,6 +47,7 @@
     if (progress.incarnation == engine.incarnation) continue;
     progress = {};
     progress.incarnation = engine.incarnation;
+    progress.known_since = now;
   }
   std::erase_if(progress_, [&](const auto& entry) {
     return std::none_of(engines.begin(), engines.end(),
@@ -143,17 +144,22 @@
   }
 }
 
-// An engine that was outdated when the term began may carry out an order of a former leader.
+// An engine that was outdated when this leader got to know it may carry out a former order.
 bool WeightsRollout::IsFree(const Progress& progress, Instant now) const {
   if (progress.may_have_order) return false;
   if (progress.state) return !progress.state->is_busy;
-  return progress.was_up_to_date || now >= began_ + options_.former_orders_end;
+  return progress.was_up_to_date || now >= progress.known_since + options_.former_orders_end;
 }
 
 std::optional<RolloutAction> WeightsRollout::Step(const RolloutEngine& engine, Progress* progress,
                                                   const NamedWeights& named, Instant now) {
-  if (progress->phase == Phase::kIdle) return std::nullopt;
   const auto update = FindPendingUpdate(engine, *progress, named, now);
+  if (progress->phase == Phase::kIdle) {
+    const bool may_have_former_order = update && !progress->state && !IsFree(*progress, now);
+    if (!may_have_former_order || progress->is_unreachable) return std::nullopt;
+    progress->awaits_answer = true;
+    return EngineStateQuery{engine.id, engine.incarnation, engine.endpoint};
+  }
   if (!update) {
     progress->phase = Phase::kIdle;
     const PendingUpdate& ordered = progress->ordered;
@@ -198,6 +204,7 @@
     return;
   }
   progress->state = state;
+  if (progress->phase == Phase::kIdle && !state->is_busy) return;
   if (was_unreachable && !state->is_busy) {
     // It was queried outside the limit, so its update has to wait for its turn.
     progress->phase = Phase::kIdle;
@@ -232,7 +239,6 @@
     return;
   }
   const bool is_rejected = outcome == OrderOutcome::kFenced || outcome == OrderOutcome::kRefused;
-  if (outcome == OrderOutcome::kRefused) progress->may_have_order = false;
   progress->phase = is_rejected ? Phase::kIdle : Phase::kQuerying;
   progress->next_at = now + (is_rejected ? options_.retry_interval : options_.poll_interval);
 }
--- a/src/libs/coordination/orders/weights_rollout.h
+++ b/src/libs/coordination/orders/weights_rollout.h
@@ -78,10 +78,10 @@
   // move its runs away while it still takes them back.
   Duration notice = std::chrono::milliseconds(350);
   // Engines that load last take the moved runs: this fraction of those that wait for their turn.
-  double move_target_fraction = 1.0 / 3;
+  double move_target_fraction = 2.0 / 3;
   std::size_t max_move_targets = 64;
   // Orders of a former leader take effect within this time. Until then an engine that was outdated
-  // since the term began, and hasn't been queried since, may be under such an order.
+  // since the roll-out knows it may be under such an order, and is queried before its turn.
   Duration former_orders_end = std::chrono::seconds(15);
   // Delay of the first state query after an order. A load takes about 0.8 s, so an earlier query
   // would see no change.
@@ -119,9 +119,7 @@
 // The roll-out of one leader; it lives for one term.
 class WeightsRollout {
  public:
-  // The term began at `began`.
-  WeightsRollout(const WeightsRolloutOptions& options, Instant began)
-      : options_(options), began_(began) {}
+  explicit WeightsRollout(const WeightsRolloutOptions& options) : options_(options) {}
 
   // Advances the roll-out on the engines that may get orders, to the named versions. Returns the
   // actions to perform now. The outcome of each must be reported with OnEngineState() or
@@ -196,7 +194,8 @@
     Instant next_at{0};
     // Since when routers are told that it is loading.
     Instant announced_at{0};
-    // It needed no update at some time in this term.
+    Instant known_since{0};
+    // It needed no update at some time since then.
     bool was_up_to_date = false;
     // An order was sent, and the engine doesn't have its weights yet.
     bool may_have_order = false;
@@ -231,7 +230,6 @@
   Progress* Find(const std::string& id, std::int64_t incarnation);
 
   WeightsRolloutOptions options_;
-  Instant began_;
   Instant advanced_at_{0};
   std::map<std::string, Progress> progress_;
   std::vector<std::string> move_targets_;
--- a/tests/libs/coordination/orders/weights_rollout_test.cpp
+++ b/tests/libs/coordination/orders/weights_rollout_test.cpp
@@ -73,7 +73,7 @@
 // so the roll-out depends on the answers of the engines alone.
 class Fleet {
  public:
-  explicit Fleet(int engines) : rollout_(WeightsRolloutOptions{}, Instant(0)) {
+  explicit Fleet(int engines) : rollout_(WeightsRolloutOptions{}) {
     for (int i = 0; i < engines; ++i) engines_.emplace_back().id = fmt::format("e{}", i);
     for (const Engine& engine : engines_) announced_[engine.id] = engine.version;
   }
@@ -228,7 +228,7 @@
 // Guards against a failure in which routers moved streams to engines that got an order milliseconds
 // later, so that the streams were cut.
 TEST_CASE("loading() lists an engine before its order is sent, while its state is queried") {
-  WeightsRollout rollout{WeightsRolloutOptions{}, Instant(0)};
+  WeightsRollout rollout{WeightsRolloutOptions{}};
   std::vector<RolloutEngine> engines(2);
   for (std::size_t i = 0; i < engines.size(); ++i) {
     engines[i].id = fmt::format("e{}", i);
@@ -236,15 +236,44 @@
     engines[i].weights[kModel] = 1;
   }
   NamedWeights named;
+  REQUIRE(rollout.Advance(engines, named, seconds(99)).empty());
   named.Learn(kModel, 2, seconds(100));
   const auto actions = rollout.Advance(engines, named, seconds(100));
   REQUIRE(actions.size() == 1);
   CHECK(std::holds_alternative<EngineStateQuery>(actions[0]));
   CHECK(rollout.loading() == std::vector<std::string>{"e0"});
+  CHECK(rollout.move_targets() == std::vector<std::string>{"e1"});
+}
+
+// Guards against runs that a new leader lets routers move to engines under a former leader's order.
+TEST_CASE("An engine that was outdated from the beginning is queried before it takes moved runs") {
+  WeightsRollout rollout{WeightsRolloutOptions{}};
+  std::vector<RolloutEngine> engines(3);
+  for (std::size_t i = 0; i < engines.size(); ++i) {
+    engines[i].id = fmt::format("e{}", i);
+    engines[i].incarnation = 1;
+    engines[i].weights[kModel] = 1;
+  }
+  NamedWeights named;
+  named.Learn(kModel, 2, seconds(100));
+  CHECK(rollout.Advance(engines, named, seconds(101)).size() == 3);
+  CHECK(rollout.move_targets().empty());
+  CHECK(rollout.UnorderedUntil("e0") == Instant(0));
+  EngineState free;
+  free.weights[kModel] = 1;
+  EngineState busy = free;
+  busy.is_busy = true;
+  rollout.OnEngineState("e0", 1, busy, seconds(101));
+  rollout.OnEngineState("e1", 1, busy, seconds(101));
+  rollout.OnEngineState("e2", 1, free, seconds(101));
+  rollout.Advance(engines, named, seconds(101));
+  CHECK(rollout.loading() == std::vector<std::string>{"e0", "e1"});
+  CHECK(rollout.UnorderedUntil("e0") == Instant(0));
+  CHECK(rollout.move_targets() == std::vector<std::string>{"e2"});
 }
 
 TEST_CASE("An engine with several outdated models first loads the one that was replaced first") {
-  WeightsRollout rollout{WeightsRolloutOptions{}, Instant(0)};
+  WeightsRollout rollout{WeightsRolloutOptions{}};
   std::vector<RolloutEngine> engines(1);
   engines[0].id = "e0";
   engines[0].incarnation = 1;
