A stopped router goes once its answers have arrived at their callers

Cause: open_requests() falls once the system has taken the bytes, and a connection that lingers wasn't waited for. The process ended while most of an answer was in its sockets; a machine that goes with the process takes it along. Where the caller went on sending, the end of the process, or the close after 2 s of lingering, had the connection reset, which loses the answer even where the machine stays.

What changed: after SIGTERM the router waits, to the end that DrainWindow sets, until each caller's system has acknowledged what was written (SIOCOUTQ). A connection lingers until then, too, and so does one that was idle when the router stopped listening. Input is discarded before a close. While the router stops, a caller may leave its answer unread for the whole grace. router_drained tells on how many connections something was unacknowledged, so that the log tells this cause from others.

Evidence: forward_drain_test, "A stopped router goes once its answers have reached callers...", a router process and a caller with a receive buffer of 4 KB.

--- a/src/kumquatrouter/forwarding/forward_server.cpp
+++ b/src/kumquatrouter/forwarding/forward_server.cpp
@@ -387,7 +387,7 @@
   LogEvent(LogLevel::kInfo, "router_draining", {{"requests", exchanges_.size()}});
   services_.drain.emplace(services_.clock(), settings_.grace);
   on_drained_ = std::move(on_drained);
-  server_->CloseAfterAnswers();
+  server_->CloseAfterAnswers(settings_.grace);
   drain_timer_.start(kDrainPollInterval);
 }
 
@@ -398,9 +398,12 @@
   if (drain.IsBalancerUnaware(now)) return;
   if (server_->port() != 0) server_->StopListening();
   if (now >= drain.answers_due() && !exchanges_.empty()) EndExchangesForShutdown();
-  if (server_->open_requests() > 0 && now < drain.ends()) return;
+  // The machine may go with the process, and then what callers haven't acknowledged is lost.
+  const std::int64_t unacknowledged = server_->unacknowledged_connections();
+  if ((server_->open_requests() > 0 || unacknowledged > 0) && now < drain.ends()) return;
   drain_timer_.stop();
-  LogEvent(LogLevel::kInfo, "router_drained", {{"requests_cut", server_->open_requests()}});
+  LogEvent(LogLevel::kInfo, "router_drained",
+           {{"requests_cut", server_->open_requests()}, {"unacknowledged", unacknowledged}});
   if (on_drained_) std::exchange(on_drained_, nullptr)();
 }
 
--- a/src/kumquatrouter/forwarding/forward_server.h
+++ b/src/kumquatrouter/forwarding/forward_server.h
@@ -34,7 +34,7 @@
   bool Start();
 
   // Shuts down gracefully: reports not ready, later accepts no new connections, lets open requests
-  // finish within the grace period, and then calls `on_drained` once.
+  // finish and their answers arrive within the grace period, and then calls `on_drained` once.
   void Drain(std::function<void()> on_drained);
 
   void SetControlSeeds(const std::vector<Endpoint>& seeds) { feed_.SetSeeds(seeds); }
--- a/src/libs/transport/http_connection.cpp
+++ b/src/libs/transport/http_connection.cpp
@@ -13,8 +13,8 @@
 namespace kumquat::Internal {
 namespace {
 
-// How long a caller may take to read its last answer and close; a connection that is closed while
-// bytes of the caller are unread is reset, and the answer lost.
+// How long a caller that has got its last answer may take to close; a connection that is closed
+// while bytes of the caller are unread is reset, and what the caller hasn't read is lost.
 constexpr Duration kLingerTime = std::chrono::seconds(2);
 // The system's own buffer would grow to several megabytes for a caller that reads slowly.
 constexpr int kSendBufferBytes = 256 * 1024;
@@ -146,6 +146,11 @@
   };
   stream_ = TcpStream::Adopt(descriptor, {}, std::move(hooks));
   stream_->LimitSendBuffer(kSendBufferBytes);
+  if (shared_->caller_patience) SetCallerPatience(*shared_->caller_patience);
+}
+
+void HttpConnection::SetCallerPatience(Duration longest) {
+  if (stream_) stream_->SetDeadPeerTimeout(longest);
 }
 
 void HttpConnection::HandleData(std::string_view bytes) {
@@ -241,7 +246,8 @@
   const HttpServerLimits& limits = shared_->limits;
   bool overdue = false;
   if (phase_ == Phase::kLingering) {
-    overdue = now - phase_since_ > kLingerTime;
+    // A byte that comes in after the close would reset the connection, and lose what is on its way.
+    overdue = now - phase_since_ > kLingerTime && !has_unacknowledged();
   } else if (phase_ == Phase::kReading && has_begun_) {
     const bool in_header = !parser_ || !parser_->header_done();
     overdue = now - last_input_ > limits.request_timeout ||
@@ -253,7 +259,12 @@
 }
 
 void HttpConnection::CloseIfIdle() {
-  if (phase_ == Phase::kReading && !has_begun_) Close();
+  if (phase_ != Phase::kReading || has_begun_) return;
+  if (has_unacknowledged()) {
+    Linger();
+  } else {
+    Close();
+  }
 }
 
 void HttpConnection::Close() {
@@ -261,6 +272,7 @@
   const auto self = shared_from_this();
   const bool is_open =
       phase_ == Phase::kWaiting || phase_ == Phase::kStreaming || phase_ == Phase::kFlushing;
+  if (!is_open && stream_) stream_->DiscardInput();
   phase_ = Phase::kClosed;
   if (is_open) --shared_->open_requests;
   answer_account_.reset();
--- a/src/libs/transport/http_connection.h
+++ b/src/libs/transport/http_connection.h
@@ -30,6 +30,9 @@
   std::function<void(const HttpConnection* connection)> forget;
   // Whether each answer is the last of its connection.
   bool stopping = false;
+  // How long callers may leave what is written unread; by default as long as the transport lets
+  // them.
+  std::optional<Duration> caller_patience;
   std::int64_t open_requests = 0;
   // Bytes of requests that are kept now.
   std::int64_t buffered_bytes = 0;
@@ -54,9 +57,15 @@
   // Closes the connection where a time limit has passed.
   void CloseIfOverdue(Instant now);
 
-  // Closes the connection if no request has begun on it.
+  // Closes the connection if no request has begun on it, once its last answer has arrived.
   void CloseIfIdle();
 
+  // Returns whether the caller's system has yet to acknowledge something that was written.
+  bool has_unacknowledged() const { return stream_ && stream_->unacknowledged_bytes() > 0; }
+
+  // Lets the caller leave what is written unread for this long.
+  void SetCallerPatience(Duration longest);
+
   // Closes at once. Whoever answers is told, as when the caller goes away.
   void Close();
 
@@ -84,7 +93,7 @@
     kStreaming,
     // The answer is complete and goes out.
     kFlushing,
-    // Nothing more is read; the caller is given time to take the answer.
+    // What still comes in is thrown away; the caller is given time to take the answer.
     kLingering,
     kClosed,
   };
--- a/src/libs/transport/http_server.cpp
+++ b/src/libs/transport/http_server.cpp
@@ -5,6 +5,7 @@
 #include <QHostAddress>
 #include <QTcpServer>
 #include <QTimer>
+#include <algorithm>
 #include <set>
 #include <utility>
 #include <vector>
@@ -70,6 +71,17 @@
     for (const auto& connection : connections) connection->CloseIfIdle();
   }
 
+  void CloseAfterAnswers(Duration caller_patience) {
+    shared_->stopping = true;
+    shared_->caller_patience = caller_patience;
+    for (const auto& connection : connections_) connection->SetCallerPatience(caller_patience);
+  }
+
+  std::int64_t unacknowledged_connections() const {
+    return std::count_if(connections_.begin(), connections_.end(),
+                         [](const auto& connection) { return connection->has_unacknowledged(); });
+  }
+
   HttpServerShared& shared() { return *shared_; }
   std::uint16_t port() const { return acceptor_.serverPort(); }
   std::int64_t connections() const { return static_cast<std::int64_t>(connections_.size()); }
@@ -157,7 +169,9 @@
 
 void HttpServer::SetLimits(const HttpServerLimits& limits) { impl_->shared().limits = limits; }
 
-void HttpServer::CloseAfterAnswers() { impl_->shared().stopping = true; }
+void HttpServer::CloseAfterAnswers(Duration caller_patience) {
+  impl_->CloseAfterAnswers(caller_patience);
+}
 
 void HttpServer::StopListening() { impl_->StopListening(); }
 
@@ -165,6 +179,10 @@
 
 std::int64_t HttpServer::open_requests() const { return impl_->shared().open_requests; }
 
+std::int64_t HttpServer::unacknowledged_connections() const {
+  return impl_->unacknowledged_connections();
+}
+
 std::int64_t HttpServer::connections() const { return impl_->connections(); }
 
 }  // namespace kumquat
--- a/src/libs/transport/http_server.h
+++ b/src/libs/transport/http_server.h
@@ -99,8 +99,9 @@
   // Replaces the limits; they hold for the requests that begin from now on.
   void SetLimits(const HttpServerLimits& limits);
 
-  // From now on each answer is the last of its connection; further connections are accepted.
-  void CloseAfterAnswers();
+  // From now on each answer is the last of its connection; further connections are accepted. A
+  // caller may leave what is written unread for as long as `caller_patience`.
+  void CloseAfterAnswers(Duration caller_patience);
 
   // Stops accepting connections; those that are open go on to the end of their answer, and those
   // without a request are closed.
@@ -112,6 +113,10 @@
   // Returns the number of requests whose answer is not yet whole.
   std::int64_t open_requests() const;
 
+  // Returns the number of connections on which the caller's system has yet to acknowledge something
+  // that was written. open_requests() doesn't count an answer that this system has taken.
+  std::int64_t unacknowledged_connections() const;
+
   // Returns the number of open connections.
   std::int64_t connections() const;
 
--- a/src/libs/transport/tcp_stream.cpp
+++ b/src/libs/transport/tcp_stream.cpp
@@ -2,8 +2,10 @@
 
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -21,6 +23,8 @@
 // The system's own limit grows to several megabytes a connection, which count as memory of the
 // process while they aren't read.
 constexpr int kReceiveBufferBytes = 128 * 1024;
+// A peer that goes on sending doesn't keep its connection from being closed.
+constexpr std::size_t kMaxDiscardedBytes = 1024 * 1024;
 // The probes of an idle connection, which together take the dead-peer timeout.
 constexpr int kKeepAliveProbes = 3;
 
@@ -29,18 +33,21 @@
   LogEvent(LogLevel::kDebug, "socket_option_failed", {{"option", option}, {"errno", errno}});
 }
 
+void LimitUnacknowledged(int descriptor, Duration timeout) {
+  const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(timeout);
+  SetOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(millis.count()));
+}
+
 void SetOptions(int descriptor, const TcpOptions& options) {
-  const auto timeout =
-      std::chrono::duration_cast<std::chrono::milliseconds>(options.dead_peer_timeout);
-  const int step =
-      std::max(1, static_cast<int>(timeout / std::chrono::seconds(kKeepAliveProbes + 1)));
+  const int step = std::max(
+      1, static_cast<int>(options.dead_peer_timeout / std::chrono::seconds(kKeepAliveProbes + 1)));
   SetOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
   SetOption(descriptor, SOL_SOCKET, SO_RCVBUF, kReceiveBufferBytes);
   SetOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
   SetOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, step);
   SetOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, step);
   SetOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
-  SetOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(timeout.count()));
+  LimitUnacknowledged(descriptor, options.dead_peer_timeout);
 }
 
 bool WouldBlock(int error) { return error == EAGAIN || error == EWOULDBLOCK || error == EINTR; }
@@ -182,6 +189,21 @@
   if (hooks->on_flushed) hooks->on_flushed();
 }
 
+std::int64_t TcpStream::unacknowledged_bytes() const {
+  int bytes = 0;
+  if (descriptor_ < 0 || ioctl(descriptor_, SIOCOUTQ, &bytes) != 0) return pending_bytes();
+  return pending_bytes() + bytes;
+}
+
+void TcpStream::SetDeadPeerTimeout(Duration timeout) {
+  if (descriptor_ >= 0) LimitUnacknowledged(descriptor_, timeout);
+}
+
+void TcpStream::DiscardInput() {
+  // With this flag the system discards without copying.
+  if (descriptor_ >= 0) recv(descriptor_, nullptr, kMaxDiscardedBytes, MSG_TRUNC);
+}
+
 void TcpStream::SetReading(bool reading) {
   if (readable_ && state_ == State::kOpen) readable_->setEnabled(reading);
 }
--- a/src/libs/transport/tcp_stream.h
+++ b/src/libs/transport/tcp_stream.h
@@ -67,6 +67,17 @@
   // Returns the bytes that the system has not taken yet.
   std::int64_t pending_bytes() const { return static_cast<std::int64_t>(out_.size() - out_sent_); }
 
+  // Returns the bytes that the peer's system has not acknowledged, with those that this one has not
+  // taken yet.
+  std::int64_t unacknowledged_bytes() const;
+
+  // Replaces how long sent bytes may stay unacknowledged. A peer that reads nothing for as long
+  // counts as dead too.
+  void SetDeadPeerTimeout(Duration timeout);
+
+  // Throws away what has come in and is unread, as closing the connection would else reset it.
+  void DiscardInput();
+
   // Stops or goes on reading. While it is stopped, the peer is slowed by the system's windows, and
   // the end of the connection isn't seen.
   void SetReading(bool reading);
--- a/tests/libs/transport/http_server_test.cpp
+++ b/tests/libs/transport/http_server_test.cpp
@@ -8,6 +8,7 @@
 
 #include "property.h"
 #include "raw_peer.h"
+#include "slow_caller.h"
 
 namespace kumquat {
 namespace {
@@ -392,12 +393,41 @@
   HttpResponder& responder = *fixture.taken[0].responder;
   responder.StartStream(200, {});
   responder.Write("data: 1\n\n");
-  fixture.server->CloseAfterAnswers();
+  fixture.server->CloseAfterAnswers(std::chrono::seconds(5));
   responder.End();
   CHECK(SpinUntil([&] { return socket->state() == QTcpSocket::UnconnectedState; }));
   CHECK(socket->readAll().endsWith("\r\n0\r\n\r\n"));
 }
 
+// Kept from callers that read late: a byte that came after the close reset their connections.
+TEST_CASE("An answer that its caller reads late arrives whole, though the caller goes on sending") {
+  constexpr std::size_t kAnswerBytes = 90'000;
+  constexpr std::chrono::milliseconds kUnread{3500};
+  Fixture fixture;
+  bool is_idle = false;
+  SUBCASE("the last of its connection") {}
+  SUBCASE("before the server stops listening") { is_idle = true; }
+  SlowCaller caller({"127.0.0.1", fixture.server->port()}, "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  REQUIRE(SpinUntil([&] { return fixture.taken.size() == 1; }));
+  if (!is_idle) fixture.server->CloseAfterAnswers(std::chrono::seconds(10));
+  fixture.taken[0].responder->Send(200, {}, std::string(kAnswerBytes, 'x'));
+  CHECK(SpinUntil([&] { return fixture.server->open_requests() == 0; }));
+  CHECK(fixture.server->unacknowledged_connections() == 1);
+  if (is_idle) fixture.server->StopListening();
+  QElapsedTimer elapsed;
+  elapsed.start();
+  SpinUntil([&] { return elapsed.elapsed() >= kUnread.count(); });
+  caller.Write("x");
+  CHECK(fixture.server->unacknowledged_connections() == 1);
+  CHECK(SpinUntil([&] {
+    caller.Read();
+    return caller.ended();
+  }));
+  CHECK_FALSE(caller.was_reset());
+  CHECK(caller.received().ends_with(std::string(kAnswerBytes, 'x')));
+  CHECK(fixture.server->unacknowledged_connections() == 0);
+}
+
 TEST_CASE("A server that stops listening finishes what runs") {
   Fixture fixture;
   const auto socket = fixture.Connect();
--- a/tests/process/forwarding/forward_bench.cpp
+++ b/tests/process/forwarding/forward_bench.cpp
@@ -2,6 +2,9 @@
 
 #include <fmt/format.h>
 
+#include <fstream>
+#include <iterator>
+
 #include "process/explain.h"
 
 namespace kumquat {
@@ -220,6 +223,11 @@
   CHECK(SpinUntil([&] { return Run(router, path, &id)->status == status; }));
 }
 
+std::string ForwardBench::RouterLog(int router) const {
+  std::ifstream log(LogOf(fmt::format("r{}", router + 1)));
+  return {std::istreambuf_iterator<char>(log), {}};
+}
+
 std::string ForwardBench::Explain(const std::string& id) {
   QStringList logs;
   for (std::size_t i = 0; i < replicas_.size(); ++i) {
--- a/tests/process/forwarding/forward_bench.h
+++ b/tests/process/forwarding/forward_bench.h
@@ -84,6 +84,9 @@
   // Repeats a request through the router until it is answered with this status.
   void WaitForStatus(int router, const std::string& path, int status);
 
+  // Returns what the router has logged so far.
+  std::string RouterLog(int router) const;
+
   // Returns the explanation of the request that kumquatctl prints from the logs of all processes.
   std::string Explain(const std::string& id);
 
--- a/tests/process/forwarding/forward_drain_test.cpp
+++ b/tests/process/forwarding/forward_drain_test.cpp
@@ -1,10 +1,13 @@
 // Planned stops of a router process: every request that it has read ends with an answer.
+#include <fmt/format.h>
+
 #include <QElapsedTimer>
 #include <csignal>
 #include <cstdlib>
 #include <memory>
 #include <vector>
 
+#include "libs/transport/slow_caller.h"
 #include "process/forwarding/forward_bench.h"
 
 namespace kumquat {
@@ -104,5 +107,92 @@
   CHECK(server.runs().size() == runs);
 }
 
+// Large enough that most of it is still in the router's socket while the caller doesn't read.
+constexpr std::size_t kLargeBytes = 90'000;
+constexpr std::chrono::milliseconds kReadPause{20};
+
+// A router with a once-only answer that its caller, which reads nothing yet, hasn't got.
+struct UnreadAnswer {
+  UnreadAnswer() : server("s1", "desk", bench.control()) {
+    bench.WaitForStatus(0, "/once/book", 200);
+    Add();
+  }
+
+  // Sends one more such request and waits until the router has written its answer.
+  void Add() {
+    std::string id;
+    std::string head =
+        fmt::format("POST /once/book HTTP/1.1\r\nContent-Length: {}\r\n", kLargeBytes);
+    for (const auto& [name, value] : bench.Headers(&id))
+      head += fmt::format("{}: {}\r\n", name, value);
+    const std::string body(kLargeBytes, 'x');
+    callers.push_back(std::make_unique<SlowCaller>(bench.router_endpoint(0), head + "\r\n" + body));
+    CHECK(SpinUntil([&] { return callers.back()->unread() > 0; }));
+    CHECK(SpinUntil([&] {
+      const std::string log = bench.RouterLog(0);
+      const std::size_t done = log.find("event=request_done request=" + id);
+      return done != std::string::npos && log.find("outcome=complete", done) != std::string::npos;
+    }));
+  }
+
+  // Stops the router and lets the first caller read from this moment of the grace on.
+  void StopAndReadFrom(std::chrono::milliseconds begin, bool writes_on) {
+    SlowCaller& caller = *callers.front();
+    bench.router(0).Signal(SIGTERM);
+    elapsed.start();
+    QElapsedTimer pause;
+    pause.start();
+    CHECK(SpinUntil([&] {
+      if (!bench.router(0).running()) return true;
+      if (pause.elapsed() < kReadPause.count()) return false;
+      pause.restart();
+      if (elapsed.elapsed() >= begin.count()) caller.Read();
+      if (writes_on) caller.Write("x");
+      return false;
+    }));
+    CHECK(elapsed.elapsed() < kGrace.count());
+    CHECK(bench.router(0).exit_status() == 0);
+  }
+
+  ForwardBench bench;
+  StandInServer server;
+  std::vector<std::unique_ptr<SlowCaller>> callers;
+  QElapsedTimer elapsed;
+};
+
+// If the machine behind the process goes with it, what the caller hasn't acknowledged is lost.
+TEST_CASE("A stopped router goes once its answers have reached callers that read late and slowly") {
+  std::chrono::milliseconds begin{0};
+  bool writes_on = false;
+  SUBCASE("in the middle of the grace") { begin = kGrace / 2; }
+  SUBCASE("late in the grace") { begin = kGrace * 3 / 4; }
+  SUBCASE("that go on sending") {
+    begin = kGrace / 2;
+    writes_on = true;
+  }
+  UnreadAnswer answer;
+  answer.StopAndReadFrom(begin, writes_on);
+  SlowCaller& caller = *answer.callers.front();
+  // What is in the caller's own system at the end of the process.
+  const std::size_t arrived = caller.received().size() + caller.unread();
+  CHECK(SpinUntil([&] {
+    caller.Read();
+    if (writes_on) caller.Write("x");
+    return caller.ended();
+  }));
+  CHECK_FALSE(caller.was_reset());
+  CHECK(caller.received().ends_with(std::string(kLargeBytes, 'x')));
+  CHECK(arrived == caller.received().size());
+  CHECK(answer.bench.RouterLog(0).find("unacknowledged=0") != std::string::npos);
+}
+
+TEST_CASE("A stopped router whose callers read nothing goes in time and says how many there were") {
+  UnreadAnswer answer;
+  answer.Add();
+  answer.Add();
+  answer.StopAndReadFrom(kGrace, false);
+  CHECK(answer.bench.RouterLog(0).find("unacknowledged=3") != std::string::npos);
+}
+
 }  // namespace
 }  // namespace kumquat
