The grace counts from the signal, not from when the loop gets to it

A router whose loop was busy when SIGTERM came went on past the end of its grace, where the platform kills it and all its connections at once.

Cause: the handler noted that a signal came, not when, and the grace began in the loop.

What changed: the handler notes the moment of the first signal by SteadyClock(), which is async-signal-safe; Drain() takes it, and DrainWindow counts the end and what may outlast it from there.

A process that is itself held (SIGSTOP, processor quota) runs its handler late too; that delay can't be seen from inside and is part of the exit margin.

--- a/src/fakes/service/main.cpp
+++ b/src/fakes/service/main.cpp
@@ -23,6 +23,7 @@
     fmt::print(stderr, "{}\n", server.last_reason());
     return 1;
   }
-  const kumquat::ProcessSignals signals([&server] { server.Leave(); }, [] {});
+  const kumquat::ProcessSignals signals([&server](kumquat::Instant /*came*/) { server.Leave(); },
+                                        [] {});
   return application.Run();
 }
--- a/src/fakes/weight_store/main.cpp
+++ b/src/fakes/weight_store/main.cpp
@@ -64,7 +64,7 @@
     fmt::print(stderr, "{}\n", server->last_reason());
     return 1;
   }
-  const ProcessSignals signals([] { QCoreApplication::quit(); }, [] {});
+  const ProcessSignals signals([](Instant /*came*/) { QCoreApplication::quit(); }, [] {});
   return application.Run();
 }
 
--- a/src/kumquatcontrol/main.cpp
+++ b/src/kumquatcontrol/main.cpp
@@ -160,7 +160,8 @@
   ControlNode node(settings.node, NodeHooks(settings.data_dir));
   SettingsWatch watch(SettingsPath(), [&node] { ReloadSeeds(node); });
   // All that was acknowledged is synced, so there is nothing to wait for at the end.
-  const ProcessSignals signals([] { QCoreApplication::quit(); }, [&watch] { watch.Check(); });
+  const ProcessSignals signals([](Instant /*came*/) { QCoreApplication::quit(); },
+                               [&watch] { watch.Check(); });
   if (!node.Start()) {
     fmt::print(stderr, "{}: {}\n", kName, node.last_reason());
     return kExitFailed;
--- a/src/kumquatrouter/forwarding/forward_server.cpp
+++ b/src/kumquatrouter/forwarding/forward_server.cpp
@@ -382,10 +382,10 @@
       [this](std::string_view id) { return feed_.members().Find(id) != nullptr; });
 }
 
-void ForwardServer::Drain(std::function<void()> on_drained) {
+void ForwardServer::Drain(Instant asked, std::function<void()> on_drained) {
   if (services_.drain) return;
   LogEvent(LogLevel::kInfo, "router_draining", {{"requests", exchanges_.size()}});
-  services_.drain.emplace(services_.clock(), settings_.grace);
+  services_.drain.emplace(asked, services_.clock(), settings_.grace);
   on_drained_ = std::move(on_drained);
   server_->CloseAfterAnswers(settings_.grace);
   drain_timer_.start(kDrainPollInterval);
--- a/src/kumquatrouter/forwarding/forward_server.h
+++ b/src/kumquatrouter/forwarding/forward_server.h
@@ -34,8 +34,9 @@
   bool Start();
 
   // Shuts down gracefully: reports not ready, later accepts no new connections, lets open requests
-  // finish and their answers arrive within the grace period, and then calls `on_drained` once.
-  void Drain(std::function<void()> on_drained);
+  // finish and their answers arrive within the grace period, and then calls `on_drained` once. The
+  // grace counts from `asked`, when the process was asked to end.
+  void Drain(Instant asked, std::function<void()> on_drained);
 
   void SetControlSeeds(const std::vector<Endpoint>& seeds) { feed_.SetSeeds(seeds); }
 
--- a/src/kumquatrouter/main.cpp
+++ b/src/kumquatrouter/main.cpp
@@ -17,12 +17,13 @@
 constexpr char kPurpose[] = "Routes callers' requests to backend servers.";
 constexpr int kExitNoAddress = 1;
 
-// Starts the server, drains it when the process is asked to end, and tells it of changed settings.
+// Starts the server, drains it by this hook when the process is asked to end, and tells it of
+// changed settings.
 template <typename Server>
-int Run(Application& application, Server& server, std::function<void()> reload) {
+int Run(Application& application, Server& server, std::function<void(Instant asked)> drain,
+        std::function<void()> reload) {
   SettingsWatch settings(SettingsPath(), std::move(reload));
-  const ProcessSignals signals([&] { server.Drain([] { QCoreApplication::quit(); }); },
-                               [&] { settings.Check(); });
+  const ProcessSignals signals(std::move(drain), [&] { settings.Check(); });
   if (!server.Start()) {
     LogEvent(LogLevel::kError, "start_failed", {{"reason", server.last_reason()}});
     return kExitNoAddress;
@@ -59,7 +60,10 @@
   if (settings.forwards()) {
     ForwardServer server(settings.ForForwarding(), platform::MakeForwardCodec(), SteadyClock(),
                          random);
-    return Run(application, server, [&server] { ReloadSeeds(server); });
+    return Run(
+        application, server,
+        [&server](Instant asked) { server.Drain(asked, [] { QCoreApplication::quit(); }); },
+        [&server] { ReloadSeeds(server); });
   }
   if (settings.control.empty()) {
     LogEvent(LogLevel::kError, "start_failed",
@@ -67,7 +71,10 @@
     return kExitUsage;
   }
   Router router(settings, SteadyClock(), random);
-  return Run(application, router, [] { LogEvent(LogLevel::kInfo, "settings_need_restart"); });
+  return Run(
+      application, router,
+      [&router](Instant /*asked*/) { router.Drain([] { QCoreApplication::quit(); }); },
+      [] { LogEvent(LogLevel::kInfo, "settings_need_restart"); });
 }
 
 }  // namespace
--- a/src/libs/coordination/forwarding/drain_window.cpp
+++ b/src/libs/coordination/forwarding/drain_window.cpp
@@ -15,17 +15,20 @@
 
 }  // namespace
 
+Duration DrainWindow::DetectionTime() const { return std::min(kBalancerDetectionTime, grace_ / 2); }
+
 bool DrainWindow::IsBalancerUnaware(Instant now) const {
-  return now - began_ < std::min(kBalancerDetectionTime, grace_ / 2);
+  return now < std::min(told_ + DetectionTime(), answers_due());
 }
 
 bool DrainWindow::TakesOn(Instant now, Duration longest, bool once_only) const {
   if (now + longest <= answers_due()) return true;
-  return !once_only && IsBalancerUnaware(now);
+  // Counted from when the stop was asked for, as what is taken on later would be cut too early.
+  return !once_only && now - asked_ < DetectionTime();
 }
 
 Instant DrainWindow::answers_due() const { return ends() - kAnswerMargin; }
 
-Instant DrainWindow::ends() const { return began_ + std::max(grace_ - kExitMargin, grace_ / 2); }
+Instant DrainWindow::ends() const { return asked_ + std::max(grace_ - kExitMargin, grace_ / 2); }
 
 }  // namespace kumquat
--- a/src/libs/coordination/forwarding/drain_window.h
+++ b/src/libs/coordination/forwarding/drain_window.h
@@ -11,8 +11,10 @@
 
 class DrainWindow {
  public:
-  // The stop began at `began` and lasts for `grace` at most.
-  DrainWindow(Instant began, Duration grace) : began_(began), grace_(grace) {}
+  // The process was asked to stop at `asked`, and ends before `grace` has passed from then on.
+  // Since `told` it tells the load balancer so, which is later where the process was busy.
+  DrainWindow(Instant asked, Instant told, Duration grace)
+      : asked_(asked), told_(told), grace_(grace) {}
 
   // Returns whether the load balancer may still send new connections.
   bool IsBalancerUnaware(Instant now) const;
@@ -28,7 +30,11 @@
   Instant ends() const;
 
  private:
-  Instant began_;
+  // How long the load balancer takes to notice.
+  Duration DetectionTime() const;
+
+  Instant asked_;
+  Instant told_;
   Duration grace_;
 };
 
--- a/tests/process/forwarding/forward_stop_test.cpp
+++ b/tests/process/forwarding/forward_stop_test.cpp
@@ -218,5 +218,18 @@
   }
 }
 
+// The grace counts from the signal, after which the platform kills what is still there.
+TEST_CASE("A router that is stopped while it starts slowly ends within the grace of its signal") {
+  constexpr std::chrono::milliseconds kHeld{6500};
+  TestProgram router("kumquat-router", RouterSettings(FreeEndpoint()));
+  router.StartHeld();
+  router.Signal(SIGTERM);
+  QElapsedTimer elapsed;
+  elapsed.start();
+  SpinUntil([&] { return elapsed.elapsed() >= kHeld.count(); });
+  router.Release();
+  CheckExits(router, kGrace - kHeld);
+}
+
 }  // namespace
 }  // namespace kumquat
