A caller that reads slowly slows its backend server down instead of being cut

What callers saw: the connection of a sound stream closed once more than 1 MB of it (2 MB of another answer) waited for a caller that read late. One that may run once only was lost by that, with `slow_caller_cut` and `outcome=caller_gone`.

Cause: a call read on from its backend server however far its caller was behind, so that only a cut bounded the memory.

Now a call can stop and go on reading. An exchange stops above 64 KB that wait for its caller, and reads on once nothing waits (HttpResponder tells). The system's windows slow the server down, so each side keeps a bounded part. A call that isn't read isn't silent: its silence starts when it is read again, and nobody probes its server for it. The deadline, the caller's close and the end of the attempt end it as before. While a run is being moved its stream is read on, as the move waits for the end of the stream. Answers that keep most are still dropped past the process's limit.

Evidence: the three new cases of forward_memory_test (12 callers that read nothing for 3 s of 8 MB each, together more than the machine's 88 MB; a server that has closed its listener meanwhile; a caller that closes, and a deadline). A move while reading is stopped was not run; nor were forwarding_test, forward_move_test and router_process_test.

--- a/src/kumquatrouter/forwarding/forward_exchange.cpp
+++ b/src/kumquatrouter/forwarding/forward_exchange.cpp
@@ -24,11 +24,8 @@
 // An attempt fails as broken if the parts of its stream without an event id exceed this in total.
 // Engines number the events of a stream; only a few bytes, such as comments, carry no event id.
 constexpr std::size_t kMaxBytesWithoutId = 64 * 1024;
-// Bytes of a streamed answer that are buffered for a slow caller; above that its request is
-// cancelled.
-constexpr std::int64_t kMaxPendingBytes = 1024 * 1024;
-// The same for a non-streamed answer, which may be long and arrive faster than the caller reads it.
-constexpr std::int64_t kMaxPendingAnswer = 2 * 1024 * 1024;
+// Above this many bytes that wait for a slow caller, its backend server isn't read from.
+constexpr std::int64_t kMaxPendingBytes = 64 * 1024;
 // A request may wait for a backend server for its route's objective divided by this.
 constexpr int kQueueTimeDivisor = 2;
 constexpr int kFirstServerError = 500;
@@ -60,6 +57,9 @@
   responder_->OnClosed([weak = weak_from_this()] {
     if (const auto exchange = weak.lock()) exchange->OnCallerGone();
   });
+  responder_->OnCaughtUp([weak = weak_from_this()] {
+    if (const auto exchange = weak.lock()) exchange->PaceReading();
+  });
   if (!ResolveRoute()) return;
   deadline_ = received_ + std::min(route_->timeout, request_.time_left.value_or(route_->timeout));
   deadline_timer_.OnReached([weak = weak_from_this()] {
@@ -390,7 +390,7 @@
     if (attempt_->body.size() <= kMaxBufferedAnswer && !is_head_relayed_) return;
     const std::string buffered = std::exchange(attempt_->body, {});
     decisions_->OnEvent(number, std::nullopt, buffered, Now());
-    AbortIfCallerTooSlow(kMaxPendingAnswer);
+    PaceReading();
     return;
   }
   attempt_->events.Feed(data, [&](const RawEvent& event) {
@@ -407,7 +407,7 @@
     return;
   }
   if (!std::exchange(attempt_->has_stream_data, true)) OnFirstEvent();
-  AbortIfCallerTooSlow(kMaxPendingBytes);
+  PaceReading();
 }
 
 std::int64_t ForwardExchange::kept_bytes() const {
@@ -424,11 +424,21 @@
                "The answers of this process take too much memory.");
 }
 
-void ForwardExchange::AbortIfCallerTooSlow(std::int64_t max_pending_bytes) {
-  if (is_done_ || responder_->pending_bytes() <= max_pending_bytes) return;
-  LogEvent(LogLevel::kWarning, "slow_caller_cut", {{"request", request_.id}});
-  responder_->Abort();
-  OnCallerGone();
+void ForwardExchange::PaceReading() {
+  if (is_done_ || !attempt_ || !attempt_->call) return;
+  const std::int64_t pending = responder_->pending_bytes();
+  const std::int64_t limit = attempt_->is_paused ? 0 : kMaxPendingBytes;
+  // Only an attempt whose answer has begun is known to be running. The rest of a run that is moved
+  // is short, and the move waits for the end of its stream.
+  const bool may_pause =
+      attempt_->is_event_stream ? attempt_->has_stream_data : attempt_->status != 0;
+  const bool is_moving = attempt_->mover && attempt_->mover->is_under_way();
+  const bool pauses = may_pause && !is_moving && pending > limit;
+  if (pauses == std::exchange(attempt_->is_paused, pauses)) return;
+  attempt_->last_received_at = Now();
+  attempt_->call->SetReading(!pauses);
+  LogEvent(LogLevel::kDebug, pauses ? "reading_paused" : "reading_resumed",
+           {{"request", request_.id}, {"pending", pending}});
 }
 
 // A run that goes on elsewhere doesn't begin there, which is when it would crash its server.
@@ -527,6 +537,7 @@
 }
 
 void ForwardExchange::AdvanceMove() {
+  PaceReading();
   // A moved run isn't moved on before its engine has taken it.
   if (is_done_ || !attempt_ || !attempt_->has_stream_data) return;
   const PooledBackend* source = services_.pool.Find(attempt_->backend);
@@ -539,8 +550,8 @@
 }
 
 std::optional<BackendChoice> ForwardExchange::SilentBackend(Duration silence) const {
-  const bool is_silent =
-      !is_done_ && attempt_ && route_->is_stream && Now() - attempt_->last_received_at > silence;
+  const bool is_silent = !is_done_ && attempt_ && route_->is_stream && !attempt_->is_paused &&
+                         Now() - attempt_->last_received_at > silence;
   return is_silent ? std::optional(attempt_->backend) : std::nullopt;
 }
 
--- a/src/kumquatrouter/forwarding/forward_exchange.h
+++ b/src/kumquatrouter/forwarding/forward_exchange.h
@@ -91,6 +91,8 @@
     bool is_event_stream = false;
     Instant sent_at{0};
     Instant last_received_at{0};
+    // The answer isn't read on, as its caller is slow.
+    bool is_paused = false;
     // The engine that keeps a copy of the run, if there is one.
     std::optional<BackendChoice> backup;
     // Moves the run to another engine; null unless its engine is to load weights.
@@ -117,8 +119,9 @@
   void LogSent(const SendCommand& command) const;
   void OnFirstEvent();
   void OnBeginningSurvived();
-  // Cancels the request if more than this many bytes of its answer are still unread by the caller.
-  void AbortIfCallerTooSlow(std::int64_t max_pending_bytes);
+  // Stops reading from the backend server while too much of its answer waits for the caller, and
+  // reads on once nothing waits any more.
+  void PaceReading();
   std::string RouteLabel() const;
   ForwardCall CallTo(const PooledBackend& backend, const SendCommand& command) const;
   std::optional<RunCopy> TakeCopy();
--- a/src/libs/transport/backend_client.cpp
+++ b/src/libs/transport/backend_client.cpp
@@ -102,6 +102,13 @@
     stream_.reset();
   }
 
+  void SetReading(bool reading) {
+    if (ended_ || reading == is_reading_) return;
+    is_reading_ = reading;
+    last_progress_ = clock_();
+    stream_->SetReading(reading);
+  }
+
  private:
   TcpStream::Hooks StreamHooks() {
     const auto weak = weak_from_this();
@@ -123,6 +130,7 @@
 
   void SendRequest() {
     is_sending_ = true;
+    stream_->SetReading(is_reading_);
     const std::string head = HeadOf(request_);
     // One write where the body is short, as each costs a system call and maybe a packet.
     stream_->Write(head + request_.body);
@@ -142,6 +150,7 @@
       Fail(CallFailure::kSilent, "The answer took too long.");
       return;
     }
+    if (!is_reading_) last_progress_ = now;
     if (now < last_progress_ + PhaseLimit()) {
       StartTimer();
     } else {
@@ -255,6 +264,7 @@
                           input_.empty() && !saw_foreign_answer_ && stream_->pending_bytes() == 0;
     const Duration kept_for = KeptFor(parser_->headers());
     if (reusable && kept_for > Duration(0)) {
+      stream_->SetReading(true);
       pool_->Keep(request_.endpoint, std::move(stream_), kept_for);
     }
     stream_.reset();
@@ -287,6 +297,7 @@
   int passed_over_ = 0;
   // Whether there was a connection, so that bytes of the request may have been sent.
   bool is_sending_ = false;
+  bool is_reading_ = true;
   bool has_headers_ = false;
   bool has_data_ = false;
   bool saw_foreign_answer_ = false;
@@ -300,6 +311,8 @@
   HttpBackendCall& operator=(const HttpBackendCall&) = delete;
   ~HttpBackendCall() override { state_->Cancel(); }
 
+  void SetReading(bool reading) override { state_->SetReading(reading); }
+
  private:
   std::shared_ptr<CallState> state_;
 };
--- a/src/libs/transport/http_connection.cpp
+++ b/src/libs/transport/http_connection.cpp
@@ -107,6 +107,9 @@
   void OnClosed(std::function<void()> hook) override {
     connection_->SetClosedHook(number_, std::move(hook));
   }
+  void OnCaughtUp(std::function<void()> hook) override {
+    connection_->SetCaughtUpHook(number_, std::move(hook));
+  }
 
  private:
   std::shared_ptr<HttpConnection> connection_;
@@ -283,6 +286,7 @@
   GiveUpExemption();
   CountBuffered();
   if (shared_->forget) shared_->forget(this);
+  caught_up_hook_ = nullptr;
   const auto hook = std::exchange(closed_hook_, nullptr);
   if (hook) hook();
   shared_->ResumePaused();
@@ -363,6 +367,7 @@
 void HttpConnection::FinishAnswer() {
   phase_ = Phase::kFlushing;
   closed_hook_ = nullptr;
+  caught_up_hook_ = nullptr;
   if (stream_->pending_bytes() > 0) return;
   // Not from here, since the handler of the request may be on the stack.
   const auto weak = weak_from_this();
@@ -372,6 +377,11 @@
 }
 
 void HttpConnection::HandleFlushed() {
+  if (phase_ == Phase::kStreaming && caught_up_hook_) {
+    const auto hook = caught_up_hook_;
+    hook();
+    return;
+  }
   if (phase_ != Phase::kFlushing || stream_->pending_bytes() > 0) return;
   --shared_->open_requests;
   answer_account_.reset();
@@ -414,6 +424,12 @@
   }
 }
 
+void HttpConnection::SetCaughtUpHook(std::int64_t number, std::function<void()> hook) {
+  if (IsCurrent(number, Phase::kWaiting) || IsCurrent(number, Phase::kStreaming)) {
+    caught_up_hook_ = std::move(hook);
+  }
+}
+
 std::int64_t HttpConnection::pending_bytes(std::int64_t number) const {
   return stream_ && number == number_ ? stream_->pending_bytes() : 0;
 }
--- a/src/libs/transport/http_connection.h
+++ b/src/libs/transport/http_connection.h
@@ -80,6 +80,7 @@
   void End(std::int64_t number);
   void Abort(std::int64_t number);
   void SetClosedHook(std::int64_t number, std::function<void()> hook);
+  void SetCaughtUpHook(std::int64_t number, std::function<void()> hook);
   // Ends a request whose answer was given up by its handler.
   void Abandon(std::int64_t number);
   std::int64_t pending_bytes(std::int64_t number) const;
@@ -138,6 +139,7 @@
   Framing framing_ = Framing::kLength;
   std::int64_t length_left_ = 0;
   std::function<void()> closed_hook_;
+  std::function<void()> caught_up_hook_;
   // Open from the first part of an answer that the caller doesn't take at once.
   std::unique_ptr<AnswerMemory::Account> answer_account_;
 };
--- a/src/libs/transport/http_server.h
+++ b/src/libs/transport/http_server.h
@@ -46,6 +46,9 @@
 
   // Sets a hook that runs once if the connection closes before the answer is whole.
   virtual void OnClosed(std::function<void()> hook) = 0;
+
+  // Sets a hook that runs each time no byte of a started stream waits any more.
+  virtual void OnCaughtUp(std::function<void()> hook) = 0;
 };
 
 // What a server accepts; a request past a limit is answered 413 or 431 and its connection closed.
--- a/tests/libs/transport/backend_client_test.cpp
+++ b/tests/libs/transport/backend_client_test.cpp
@@ -566,6 +566,79 @@
   CHECK(flood.sent() < kSocketBytes);
 }
 
+// Runs the event loop for a while.
+void Wait(std::chrono::milliseconds time) {
+  const QDeadlineTimer deadline(time);
+  SpinUntil([&] { return deadline.hasExpired(); });
+}
+
+TEST_CASE("A call that isn't read slows its server down, isn't silent, and comes whole later") {
+  const std::string body(2 * kSocketBytes, 'x');
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+  QTcpSocket* peer = nullptr;
+  RawServer server([&](QTcpSocket* socket) {
+    peer = socket;
+    Answer(socket, head + body);
+  });
+  const auto client = MakeHttpBackendClient();
+  BackendCallRequest request = RequestTo(server.serverPort());
+  request.timeouts.first_byte = request.timeouts.between_bytes = std::chrono::milliseconds(200);
+  request.new_connection = true;
+  for (const bool before_answer : {false, true}) {
+    Heard heard;
+    std::unique_ptr<BackendCall> call;
+    BackendCallHooks hooks = HooksInto(&heard);
+    hooks.on_data = [&](std::string_view data) {
+      if (heard.data.empty() && !before_answer) call->SetReading(false);
+      heard.data += data;
+    };
+    call = client->Start(request, std::move(hooks));
+    if (before_answer) call->SetReading(false);
+    CHECK(SpinUntil([&] { return server.requests == (before_answer ? 2 : 1); }));
+    Wait(std::chrono::milliseconds(700));
+    CHECK(!heard.done());
+    CHECK(heard.data.size() < kSocketBytes);
+    CHECK(peer->bytesToWrite() > 0);
+    call->SetReading(true);
+    CHECK(SpinUntil([&] { return heard.done(); }));
+    CHECK(heard.ends == 1);
+    CHECK((heard.data == body));
+  }
+}
+
+TEST_CASE("A call that isn't read ends with its longest time, and by its destruction") {
+  RawServer server(
+      [](QTcpSocket* socket) { Answer(socket, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nab"); });
+  const auto client = MakeHttpBackendClient();
+  BackendCallRequest request = RequestTo(server.serverPort());
+  for (const bool is_timed : {true, false}) {
+    if (is_timed) request.max_time = std::chrono::milliseconds(400);
+    if (!is_timed) request.max_time.reset();
+    Heard heard;
+    auto call = client->Start(request, HooksInto(&heard));
+    CHECK(SpinUntil([&] { return heard.data == "ab"; }));
+    call->SetReading(false);
+    if (!is_timed) call.reset();
+    CHECK(SpinUntil([&] { return server.closed == (is_timed ? 1 : 2); }));
+    CHECK(heard.failure.has_value() == is_timed);
+  }
+}
+
+TEST_CASE("A connection whose call stopped reading at the end of its answer serves the next call") {
+  RawServer server([](QTcpSocket* socket) { Answer(socket, kWholeAnswer); });
+  const auto client = MakeHttpBackendClient();
+  Heard first;
+  std::unique_ptr<BackendCall> call;
+  BackendCallHooks hooks = HooksInto(&first);
+  hooks.on_data = [&](std::string_view) { call->SetReading(false); };
+  call = client->Start(RequestTo(server.serverPort()), std::move(hooks));
+  CHECK(SpinUntil([&] { return first.done(); }));
+  CHECK(first.ends == 1);
+  CHECK(Run(*client, RequestTo(server.serverPort())).ends == 1);
+  CHECK(server.connections == 1);
+}
+
 TEST_CASE("A gathered answer comes whole, or as status 0 without what had come of it") {
   std::vector<std::pair<int, std::string>> answers;
   const auto on_answer = [&answers](int status, std::string_view body) {
--- a/tests/libs/transport/http_server_test.cpp
+++ b/tests/libs/transport/http_server_test.cpp
@@ -173,16 +173,23 @@
   socket->write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
   REQUIRE(SpinUntil([&] { return fixture.taken.size() == 1; }));
   HttpResponder& responder = *fixture.taken[0].responder;
+  int caught_up = 0;
+  responder.OnCaughtUp([&] {
+    ++caught_up;
+    CHECK(responder.pending_bytes() == 0);
+  });
   responder.StartStream(200, {});
   const std::string piece(kLimitBytes, 'x');
   for (int i = 0; i < 32; ++i) responder.Write(piece);
   for (int i = 0; i < 20; ++i) QCoreApplication::processEvents();
   CHECK(responder.pending_bytes() > kLimitBytes);
+  CHECK(caught_up == 0);
   socket->setReadBufferSize(0);
   CHECK(SpinUntil([&] {
     socket->readAll();
     return responder.pending_bytes() == 0;
   }));
+  CHECK(caught_up == 1);
 }
 
 TEST_CASE("A request past a limit is refused while memory stays bounded") {
--- a/tests/process/forwarding/forward_memory_test.cpp
+++ b/tests/process/forwarding/forward_memory_test.cpp
@@ -2,11 +2,14 @@
 #include <fmt/format.h>
 
 #include <QTcpSocket>
+#include <algorithm>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "process/forwarding/forward_bench.h"
 #include "process/small_quarantine.h"
+#include "transport/http_parser.h"
 
 namespace kumquat {
 namespace {
@@ -14,6 +17,9 @@
 // What answers take has to leave half of the machine.
 constexpr std::int64_t kMachineKilobytes = ForwardBench::kRouterMemoryMb * 1024;
 constexpr int kCallers = 60;
+// Callers that read late; together their answers are longer than the machine's memory.
+constexpr int kLateCallers = 12;
+constexpr std::chrono::milliseconds kReadsAfter{3000};
 
 bool IsSanitized() {
 #ifdef __SANITIZE_ADDRESS__
@@ -23,7 +29,7 @@
 #endif
 }
 
-// Sends a request and reads nothing of its answer.
+// Sends a request and reads nothing of its answer until it is told to.
 class DeafCaller {
  public:
   DeafCaller(ForwardBench& bench, const std::string& path) {
@@ -40,8 +46,30 @@
     REQUIRE(socket_.waitForBytesWritten());
   }
 
+  // Reads all that comes from now on.
+  void ReadOn() {
+    QObject::connect(&socket_, &QTcpSocket::readyRead, &socket_, [this] { Read(); });
+    socket_.setReadBufferSize(0);
+    Read();
+  }
+
+  void Close() { socket_.abort(); }
+
+  bool is_whole() const { return parser_.done(); }
+  bool is_closed() const { return socket_.state() == QTcpSocket::UnconnectedState; }
+  const std::string& body() const { return body_; }
+
  private:
+  void Read() {
+    input_ += socket_.readAll().toStdString();
+    input_.erase(0, parser_.Feed(input_));
+    body_ += parser_.TakeBody();
+  }
+
   QTcpSocket socket_;
+  std::string input_;
+  Internal::ResponseParser parser_{false};
+  std::string body_;
 };
 
 class FloodBench {
@@ -115,5 +143,93 @@
   flood.CheckBounded();
 }
 
+// A router and a server whose answers are long.
+class LateReaderBench {
+ public:
+  LateReaderBench() {
+    // The deadline of `path` lies far beyond the time at which callers read on.
+    bench.PutSlowStreams(2, "/slow/", std::chrono::seconds(30));
+    bench.WaitForStatus(0, "/again/look", 200);
+    bench.WaitForStatus(0, "/slow/stream", 200);
+    server.SetMode(StandInServer::Mode::kStreamsMuch);
+    before = bench.router(0).peak_kilobytes();
+  }
+
+  // Reads on after a while, and expects the answer as a whole from one run each.
+  void ReadLate(std::vector<std::unique_ptr<DeafCaller>>& callers) const {
+    const std::size_t runs = server.runs().size();
+    Pause(kReadsAfter);
+    for (const auto& caller : callers) caller->ReadOn();
+    CHECK(SpinUntil([&] {
+      return std::all_of(callers.begin(), callers.end(), [](const auto& caller) {
+        return caller->is_whole() || caller->is_closed();
+      });
+    }));
+    for (const auto& caller : callers) {
+      CHECK(caller->is_whole());
+      CHECK((caller->body() == StandInServer::LongStream()));
+    }
+    CHECK(server.runs().size() == runs);
+  }
+
+  static void Pause(std::chrono::milliseconds time) {
+    QElapsedTimer timer;
+    timer.start();
+    while (timer.elapsed() < time.count()) {
+      QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents, 20);
+    }
+  }
+
+  std::vector<std::unique_ptr<DeafCaller>> StartCallers(int count, const std::string& path) {
+    const std::size_t runs = server.runs().size();
+    std::vector<std::unique_ptr<DeafCaller>> callers(count);
+    for (auto& caller : callers) caller = std::make_unique<DeafCaller>(bench, path);
+    CHECK(SpinUntil([&] { return server.runs().size() == runs + callers.size(); }));
+    return callers;
+  }
+
+ private:
+  const SmallQuarantine quarantine_;
+
+ public:
+  ForwardBench bench;
+  StandInServer server{"s1", "desk", bench.control()};
+  std::int64_t before = 0;
+};
+
+TEST_CASE("Streams that can't be resumed arrive whole at callers that read late") {
+  LateReaderBench late;
+  auto callers = late.StartCallers(kLateCallers, "/slow/stream");
+  late.ReadLate(callers);
+  CHECK(late.bench.router(0).peak_kilobytes() - late.before < kMachineKilobytes / 2);
+}
+
+TEST_CASE("A server isn't silent because its caller doesn't read") {
+  LateReaderBench late;
+  auto callers = late.StartCallers(1, "/long/stream");
+  // Whoever probes the server takes it for gone.
+  late.server.CloseListener();
+  late.ReadLate(callers);
+}
+
+TEST_CASE("A stream whose caller doesn't read ends with the caller, or at its deadline") {
+  LateReaderBench late;
+  auto callers = late.StartCallers(1, "/slow/stream");
+  LateReaderBench::Pause(std::chrono::milliseconds(1000));
+  CHECK(late.server.open_requests() == 1);
+  callers[0]->Close();
+  CHECK(SpinUntil([&] { return late.server.open_requests() == 0; }));
+
+  late.bench.PutSlowStreams(3, "/slow/", std::chrono::milliseconds(3000));
+  LateReaderBench::Pause(std::chrono::milliseconds(500));
+  QElapsedTimer timer;
+  timer.start();
+  callers = late.StartCallers(1, "/slow/stream");
+  LateReaderBench::Pause(std::chrono::milliseconds(1000));
+  CHECK(late.server.open_requests() == 1);
+  CHECK(SpinUntil([&] { return late.server.open_requests() == 0; }));
+  CHECK(timer.elapsed() < 4500);
+}
+
 }  // namespace
 }  // namespace kumquat
--- a/tests/process/forwarding/stand_in_server.cpp
+++ b/tests/process/forwarding/stand_in_server.cpp
@@ -22,6 +22,8 @@
 constexpr qint64 kFloodBytes = 1024 * 1024;
 const std::string kFlood(kFloodBytes, '\n');
 const std::string kEventFlood(kFloodBytes, 'x');
+constexpr int kLongStreamEvents = 256;
+constexpr std::size_t kLongEventBytes = 32 * 1024;
 constexpr qint64 kStartedAtMillis = 1'790'000'000'000;
 
 int LastEventId(const HttpRequest& request) {
@@ -143,6 +145,17 @@
   return whole;
 }
 
+const std::string& StandInServer::LongStream() {
+  static const std::string whole = [] {
+    std::string events;
+    for (int id = 1; id <= kLongStreamEvents; ++id) {
+      events += fmt::format("id: {}\ndata: {}\n\n", id, std::string(kLongEventBytes, 'x'));
+    }
+    return events;
+  }();
+  return whole;
+}
+
 std::unique_ptr<TestCall> StandInServer::Announce() {
   const QJsonObject body{{"service", ToQString(service_)},
                          {"addr", ToQString(endpoint_.ToString())},
@@ -330,6 +343,11 @@
     for (int id = after + 1; id <= kEvents; ++id) events.push_back(Event(id));
     return WriteSlowly(std::move(events), kSlowPause, responder);
   }
+  if (mode_ == Mode::kStreamsMuch) {
+    responder->Write(LongStream());
+    responder->End();
+    return;
+  }
   if (mode_ == Mode::kDribbles) {
     responder->Write(Event(after + 1));
     return WriteSlowly(std::vector<std::string>(kDribbledBytes, ":"), kBytePause, responder);
--- a/tests/process/forwarding/stand_in_server.h
+++ b/tests/process/forwarding/stand_in_server.h
@@ -31,6 +31,8 @@
     kStreamsSlowly,
     // Writes the first event of each stream and then a byte of the next one each kBytePause.
     kDribbles,
+    // Writes a long answer to each stream as fast as it is taken, see LongStream().
+    kStreamsMuch,
     // Accepts streamed requests and never answers them, as if they were queued.
     kHoldsStreams,
     // Answers every request with status 500, without running it.
@@ -136,6 +138,10 @@
   // Returns the complete body of a stream that starts after this event; 0 starts at the beginning.
   static std::string StreamFrom(int event);
 
+  // Returns the complete body of a stream in mode kStreamsMuch: far more than the buffers of the
+  // system between a server and its caller hold.
+  static const std::string& LongStream();
+
  private:
   using Responder = std::shared_ptr<HttpResponder>;
 
