--- a/tests/kumquatcontrol/router_desk_test.cpp
+++ b/tests/kumquatcontrol/router_desk_test.cpp
@@ -152,7 +152,8 @@
   desk.Greet("r1", 5);
   desk.now += std::chrono::seconds(3);
   desk.Greet("r2", 5);
-  const EngineNews news{{{"e1", 1, true, {}}}, {}};
+  EngineNews news;
+  news.engines = {{"e1", 1, true, {}}};
   desk.desk().SendAll(news);
   CHECK(desk.links["r1"]->sent.back() != Encode(news));
   CHECK(desk.links["r2"]->sent.back() == Encode(news));
