A connection taken right after a lost run no longer hides a crash

Cause: a server whose process ends may close its listener after its connections. The probe that follows a lost run then still connects, within a millisecond. The router took that as 'reached', stopped probing, and counted the crash only when something else was refused, about 370 ms later; the part went to another engine meanwhile.

Now a connection settles the question only if it was begun 200 ms after the last loss, and until then the server is probed again after 40 ms instead of 300 ms.

crash_fleet_test has two new cases with servers that close their listeners up to 40 ms late.

What is left, seen in the failing run: a server that is back and crashes again before its new incarnation is announced isn't counted, as the crash gets the id of the one before.

--- a/src/kumquatrouter/crash_watch.cpp
+++ b/src/kumquatrouter/crash_watch.cpp
@@ -57,7 +57,9 @@
   OnCrashed(backend, lost_runs_.OnRefused(backend, hooks_.clock()));
 }
 
-void CrashWatch::OnReachable(const BackendChoice& backend) { lost_runs_.OnReachable(backend); }
+void CrashWatch::OnReachable(const BackendChoice& backend, Instant begun) {
+  lost_runs_.OnReachable(backend, begun);
+}
 
 void CrashWatch::OnIncarnation(const std::string& backend_id, std::int64_t incarnation) {
   const auto older = lost_runs_.OlderIncarnation(backend_id, incarnation);
--- a/src/kumquatrouter/crash_watch.h
+++ b/src/kumquatrouter/crash_watch.h
@@ -50,9 +50,15 @@
 
   // What became known of a backend server.
   void OnRefused(const BackendChoice& backend);
-  void OnReachable(const BackendChoice& backend);
+  // The connection that the backend server took was begun at `begun`.
+  void OnReachable(const BackendChoice& backend, Instant begun);
   void OnIncarnation(const std::string& backend_id, std::int64_t incarnation);
 
+  // Returns whether another probe may prove that the backend server crashed.
+  bool IsUnproven(const BackendChoice& backend) const {
+    return lost_runs_.IsUnproven(backend, hooks_.clock());
+  }
+
   // Probes the backend servers whose crash is still unproven; call it at short intervals.
   void ProbeUnproven();
 
--- a/src/kumquatrouter/forwarding/forward_server.cpp
+++ b/src/kumquatrouter/forwarding/forward_server.cpp
@@ -28,6 +28,9 @@
 // How long the probed server may still take to connect once the witness has connected.
 constexpr Duration kProbeWitnessMargin = std::chrono::milliseconds(30);
 constexpr std::chrono::milliseconds kProbeCooldown{300};
+// The same after a backend server that lost runs took a connection but may be about to close its
+// listener: a culprit that isn't known yet goes on to the next servers meanwhile.
+constexpr std::chrono::milliseconds kUnprovenProbeCooldown{40};
 constexpr Duration kMaxLoadReportInterval = std::chrono::milliseconds(700);
 constexpr std::chrono::milliseconds kDrainPollInterval{20};
 // Request bodies may take the process's memory limit divided by this.
@@ -337,12 +340,14 @@
 }
 
 void ForwardServer::OnProbed(const BackendChoice& backend, Instant begun, ProbeVerdict verdict) {
-  QTimer::singleShot(kProbeCooldown, &silence_timer_,
-                     [this, id = backend.backend_id] { probes_.erase(id); });
   PooledBackend* probed = services_.pool.Find(backend);
   if (verdict == ProbeVerdict::kReachable && probed) BackendPool::OnReachable(*probed);
-  if (verdict == ProbeVerdict::kReachable) crash_watch_.OnReachable(backend);
+  if (verdict == ProbeVerdict::kReachable) crash_watch_.OnReachable(backend, begun);
   if (verdict == ProbeVerdict::kRefused) crash_watch_.OnRefused(backend);
+  const bool may_close_yet =
+      verdict == ProbeVerdict::kReachable && crash_watch_.IsUnproven(backend);
+  QTimer::singleShot(may_close_yet ? kUnprovenProbeCooldown : kProbeCooldown, Qt::PreciseTimer,
+                     &silence_timer_, [this, id = backend.backend_id] { probes_.erase(id); });
   loop_watch_.Look(services_.clock());
   const bool is_gone = verdict == ProbeVerdict::kGone && !loop_watch_.WasLate(begun);
   if (!is_gone && verdict != ProbeVerdict::kRefused) return;
--- a/src/libs/coordination/forwarding/lost_runs.cpp
+++ b/src/libs/coordination/forwarding/lost_runs.cpp
@@ -9,6 +9,8 @@
 // A server that refuses connections, or starts again after it took some, may do so for another
 // reason when it is later than this.
 constexpr Duration kRefusalWindow = std::chrono::seconds(2);
+// A server that ends may take connections for this long after it lost those it had.
+constexpr Duration kListenerLag = std::chrono::milliseconds(200);
 // Crashed servers are back after some seconds.
 constexpr Duration kRestartWindow = std::chrono::seconds(10);
 
@@ -19,9 +21,10 @@
   if (known == backends_.end() && backends_.size() >= kMaxBackends) return;
   Backend& entry = backends_[backend.backend_id];
   if (entry.incarnation > backend.incarnation) return;
-  if (entry.incarnation < backend.incarnation) entry = {backend.incarnation, false, {}};
+  if (entry.incarnation < backend.incarnation) entry = {backend.incarnation, false, Instant(0), {}};
   // Whether it was reachable before this loss says nothing about the loss.
   entry.was_reachable = false;
+  entry.last_lost_at = run.lost_at;
   if (entry.runs.size() < kMaxRuns) entry.runs.push_back(std::move(run));
 }
 
@@ -44,10 +47,20 @@
   return Take(backend, now, was_reachable ? kRefusalWindow : kRestartWindow);
 }
 
-void LostRuns::OnReachable(const BackendChoice& backend) {
+void LostRuns::OnReachable(const BackendChoice& backend, Instant begun) {
   const auto found = backends_.find(backend.backend_id);
-  const bool is_same = found != backends_.end() && found->second.incarnation == backend.incarnation;
-  if (is_same) found->second.was_reachable = true;
+  if (found == backends_.end() || found->second.incarnation != backend.incarnation) return;
+  if (begun - found->second.last_lost_at >= kListenerLag) found->second.was_reachable = true;
+}
+
+bool LostRuns::IsUnproven(const BackendChoice& backend, Instant now) const {
+  const auto found = backends_.find(backend.backend_id);
+  return found != backends_.end() && found->second.incarnation == backend.incarnation &&
+         found->second.MayBeProven(now);
+}
+
+bool LostRuns::Backend::MayBeProven(Instant now) const {
+  return !runs.empty() && !was_reachable && now - last_lost_at <= kRefusalWindow;
 }
 
 std::vector<BackendChoice> LostRuns::Unproven(Instant now) {
@@ -55,9 +68,7 @@
   for (auto& [id, backend] : backends_) {
     std::erase_if(backend.runs,
                   [&](const LostRun& run) { return now - run.lost_at > kRestartWindow; });
-    if (backend.runs.empty() || backend.was_reachable) continue;
-    const bool may_prove = now - backend.runs.back().lost_at <= kRefusalWindow;
-    if (may_prove) unproven.push_back({id, backend.incarnation});
+    if (backend.MayBeProven(now)) unproven.push_back({id, backend.incarnation});
   }
   std::erase_if(backends_, [](const auto& item) { return item.second.runs.empty(); });
   return unproven;
--- a/src/libs/coordination/forwarding/lost_runs.h
+++ b/src/libs/coordination/forwarding/lost_runs.h
@@ -24,7 +24,9 @@
 
 // A lost connection alone doesn't prove a crash: networks and faulty servers break them too, and
 // silence proves nothing. Proof is a refused connection soon after the loss, or a later incarnation
-// soon after it, or some seconds after it if the server hasn't been reached since.
+// soon after it, or some seconds after it if the server hasn't been reached since. A connection
+// that is taken right after the loss settles nothing, as a server that ends may close its listener
+// last.
 class LostRuns {
  public:
   // Adds a run that was lost on the backend server. At most kMaxRuns are kept for each server, and
@@ -35,8 +37,11 @@
   std::vector<LostRun> OnRefused(const BackendChoice& backend, Instant now);
   std::vector<LostRun> OnLaterIncarnation(const BackendChoice& backend, Instant now);
 
-  // The backend server took a connection.
-  void OnReachable(const BackendChoice& backend);
+  // The backend server took a connection that was begun at `begun`.
+  void OnReachable(const BackendChoice& backend, Instant begun);
+
+  // Returns whether Unproven() has the backend server.
+  bool IsUnproven(const BackendChoice& backend, Instant now) const;
 
   // Returns the backend servers of which it is unknown whether they take connections, after
   // forgetting runs that were lost too long ago.
@@ -53,7 +58,11 @@
   struct Backend {
     std::int64_t incarnation = 0;
     bool was_reachable = false;
+    Instant last_lost_at{0};
     std::vector<LostRun> runs;
+
+    // Returns whether a refused connection would prove that runs were lost with a crash.
+    bool MayBeProven(Instant now) const;
   };
 
   std::vector<LostRun> Take(const BackendChoice& backend, Instant now, Duration max_age);
--- a/tests/kumquatrouter/crash_fleet_test.cpp
+++ b/tests/kumquatrouter/crash_fleet_test.cpp
@@ -24,6 +24,8 @@
 constexpr std::size_t kReplicas = 3;
 constexpr std::size_t kServers = 9;
 constexpr Duration kContactTime = seconds(3);
+// A crashed server closes its listener up to this long after it has lost its connections.
+constexpr Duration kLongestListenerLag = milliseconds(40);
 // After how many crashes a culprit may reach at most kMaxSends more servers.
 constexpr int kMaxRequestCrashes = 3;
 constexpr int kMaxPartCrashes = 5;
@@ -45,6 +47,8 @@
   bool has_power_losses = false;
   // Whether there is a second culprit, a request if the first is a part and the reverse.
   bool has_second_culprit = false;
+  // Whether crashed servers take connections for a while after they have lost those they had.
+  bool has_late_listeners = false;
 };
 
 // What is counted of a culprit.
@@ -100,6 +104,8 @@
   struct Server {
     std::int64_t incarnation = 1;
     bool is_up = true;
+    // A server that has crashed takes connections until then, without serving them.
+    Instant listens_until{0};
     std::map<int, Execution> executions;
   };
   struct Router {
@@ -137,10 +143,10 @@
   }
 
   void Probe(std::size_t index, const BackendChoice& backend) {
-    OnRouter(index, Delay(), [this, backend](CrashWatch& watch) {
+    OnRouter(index, Delay(), [this, backend, begun = world_.now()](CrashWatch& watch) {
       const Server& server = servers_[std::stoul(backend.backend_id)];
-      if (server.is_up) {
-        watch.OnReachable(backend);
+      if (server.is_up || world_.now() < server.listens_until) {
+        watch.OnReachable(backend, begun);
       } else {
         watch.OnRefused(backend);
       }
@@ -291,6 +297,9 @@
     const BackendChoice backend{std::to_string(index), server.incarnation};
     ++crashes;
     server.is_up = false;
+    if (options_.has_late_listeners) {
+      server.listens_until = world_.now() + world_.Between(milliseconds(0), kLongestListenerLag);
+    }
     for (auto& [id, execution] : std::exchange(server.executions, {})) {
       if (execution.has_begun) continue;
       const std::size_t router = execution.router;
@@ -359,6 +368,10 @@
   CheckFleets({.has_faults = true}, kMaxSends);
 }
 
+TEST_CASE("A request is stopped too if crashed servers close their listeners last") {
+  CheckFleets({.has_late_listeners = true}, 0);
+}
+
 TEST_CASE("A request that crashed three engines doesn't condemn the parts that it shares") {
   CheckFleets({.has_faults = true, .has_prompts = true}, kMaxSends);
 }
@@ -371,6 +384,10 @@
   CheckFleets({.has_prompts = true, .is_part = true}, 0);
 }
 
+TEST_CASE("A part is stopped too if crashed engines close their listeners last") {
+  CheckFleets({.has_prompts = true, .is_part = true, .has_late_listeners = true}, 0);
+}
+
 TEST_CASE("The same part while routers and replicas restart and lose their links") {
   CheckFleets({.has_faults = true, .has_prompts = true, .is_part = true}, kMaxSends);
 }
--- a/tests/libs/coordination/forwarding/lost_runs_test.cpp
+++ b/tests/libs/coordination/forwarding/lost_runs_test.cpp
@@ -36,11 +36,30 @@
   LostRuns late = WithOneRun();
   CHECK(late.OnRefused(kServer, kLost + seconds(3)).empty());
   LostRuns reached = WithOneRun();
-  reached.OnReachable(kServer);
+  reached.OnReachable(kServer, kLost + milliseconds(300));
   CHECK(reached.Unproven(kLost).empty());
   CHECK(reached.OnLaterIncarnation(kServer, kLost + seconds(5)).empty());
 }
 
+TEST_CASE("A server that takes a connection right after the loss may still prove to have crashed") {
+  LostRuns runs = WithOneRun();
+  runs.OnReachable(kServer, kLost - milliseconds(1));
+  runs.OnReachable(kServer, kLost + milliseconds(1));
+  CHECK(runs.IsUnproven(kServer, kLost + milliseconds(50)));
+  CHECK(runs.Unproven(kLost + milliseconds(50)).size() == 1);
+  CHECK(runs.OnRefused(kServer, kLost + milliseconds(51)).size() == 1);
+  CHECK_FALSE(runs.IsUnproven(kServer, kLost + milliseconds(52)));
+}
+
+TEST_CASE("A connection settles nothing about a run that was lost after it was begun") {
+  LostRuns runs = WithOneRun();
+  runs.Add(kServer, {"q2", {{"digest", 1}}, kLost + milliseconds(200)});
+  runs.OnReachable(kServer, kLost + milliseconds(300));
+  CHECK(runs.IsUnproven(kServer, kLost + milliseconds(350)));
+  runs.OnReachable(kServer, kLost + milliseconds(500));
+  CHECK_FALSE(runs.IsUnproven(kServer, kLost + milliseconds(550)));
+}
+
 TEST_CASE("A later incarnation proves the crash of one that fell silent") {
   LostRuns runs = WithOneRun();
   CHECK_FALSE(runs.OlderIncarnation("s1", 5));
