--- a/tests/libs/coordination/forwarding/repeat_fleet_test.cpp
+++ b/tests/libs/coordination/forwarding/repeat_fleet_test.cpp
@@ -17,6 +17,7 @@
 #include "coordination/forwarding/forward_request.h"
 #include "coordination/forwarding/repeat_budget.h"
 #include "coordination/forwarding/router_count.h"
+#include "libs/coordination/forwarding/repeat_arrivals.h"
 
 namespace kumquat {
 namespace {
@@ -83,51 +84,6 @@
   std::map<std::size_t, Instant> heard_at_;
 };
 
-// Arrivals by the rule's count, and by the stricter one in which a run that goes on counts too.
-class Arrivals {
- public:
-  void OnRequest(Instant now) { requests_.push_back(now); }
-  void OnRepeat(Instant now) { repeats_.push_back(now); }
-  void OnSameRun(Instant now) { same_runs_.push_back(now); }
-
-  std::size_t repeats() const { return repeats_.size(); }
-  std::size_t same_runs() const { return same_runs_.size(); }
-
-  // Returns by how much the repeats of the worst window exceed the allowance; negative if they are
-  // within it.
-  double WorstExcess() const { return WorstExcess(repeats_); }
-  double WorstStrictExcess() const {
-    std::vector<Instant> all = repeats_;
-    all.insert(all.end(), same_runs_.begin(), same_runs_.end());
-    std::sort(all.begin(), all.end());
-    return WorstExcess(all);
-  }
-
- private:
-  static double Count(const std::vector<Instant>& times, Instant after, Instant until) {
-    return static_cast<double>(std::upper_bound(times.begin(), times.end(), until) -
-                               std::upper_bound(times.begin(), times.end(), after));
-  }
-
-  // All happens at ticks, so windows that end at ticks are all that differ.
-  double WorstExcess(const std::vector<Instant>& repeats) const {
-    double worst = -kAllowance.slack;
-    for (Instant end{0}; end <= kDay + kWindow; end += kTick) {
-      const Instant begin = end - kWindow;
-      const double requests =
-          std::max({Count(requests_, begin, end), Count(requests_, begin - kWindow, begin),
-                    Count(requests_, begin - kWindow / 2, end - kWindow / 2)});
-      const double allowed = kAllowance.ratio * requests + kAllowance.slack;
-      worst = std::max(worst, Count(repeats, begin, end) - allowed);
-    }
-    return worst;
-  }
-
-  std::vector<Instant> requests_;
-  std::vector<Instant> repeats_;
-  std::vector<Instant> same_runs_;
-};
-
 class Fleet {
  public:
   Fleet(const Trouble& trouble, std::uint64_t seed) : trouble_(trouble), random_(seed) {
@@ -151,7 +107,7 @@
     }
   }
 
-  const Arrivals& arrivals() const { return arrivals_; }
+  const RepeatArrivals& arrivals() const { return arrivals_; }
   int complete() const { return complete_; }
   int cut() const { return cut_; }
   int moves() const { return moves_; }
@@ -378,7 +334,8 @@
   std::array<Instant, 5> desk_up_at_{};
   std::vector<std::unique_ptr<Stream>> streams_;
   std::map<std::string, Instant> loading_until_;
-  Arrivals arrivals_;
+  // All happens at ticks, so windows that end at ticks are all that differ.
+  RepeatArrivals arrivals_{kAllowance, kWindow, kTick};
   int complete_ = 0;
   int cut_ = 0;
   int moves_ = 0;
@@ -397,8 +354,9 @@
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
     Fleet fleet(trouble, seed);
     fleet.Run();
-    worst = std::max(worst, fleet.arrivals().WorstExcess());
-    worst_strict = std::max(worst_strict, fleet.arrivals().WorstStrictExcess());
+    worst = std::max(worst, fleet.arrivals().WorstExcess(Instant(0), kDay + kWindow));
+    worst_strict =
+        std::max(worst_strict, fleet.arrivals().WorstStrictExcess(Instant(0), kDay + kWindow));
     repeats += fleet.arrivals().repeats();
     same_runs += fleet.arrivals().same_runs();
     cut += fleet.cut();
@@ -406,7 +364,7 @@
     complete += fleet.complete();
     CAPTURE(name);
     CAPTURE(seed);
-    CHECK(fleet.arrivals().WorstExcess() <= 0);
+    CHECK(fleet.arrivals().WorstExcess(Instant(0), kDay + kWindow) <= 0);
   }
   MESSAGE(fmt::format(
       "{}: worst window {:+.1f} of the allowance ({:+.1f} if runs that go on count), {} repeats, "
