A stopped run doesn't wait past its window for an answer, and refusals of one move don't count for the next

What callers would see: a stream cut because the call that stopped its run got no answer within a second, by when the target had its order; or because targets had refused it six times, over several moves.

The stop is answered while the target surely takes the run, or the run goes on from its first copy, which the engine completes by reading what it lacks. The count of sends from a copy begins anew once an engine has taken it.

--- a/src/kumquatrouter/forwarding/run_mover.cpp
+++ b/src/kumquatrouter/forwarding/run_mover.cpp
@@ -13,6 +13,8 @@
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(250);
 // Copying a run normally takes milliseconds.
 constexpr Duration kMoveTimeout = std::chrono::milliseconds(1000);
+// From the decision to resume a run until its engine has got it.
+constexpr Duration kTimeToResume = std::chrono::milliseconds(30);
 constexpr GatherLimits kMoveLimits{kConnectTimeout + kMoveTimeout, 64 * 1024};
 
 }  // namespace
@@ -67,11 +69,17 @@
   const bool stops_run = step.kind == MoveStep::Kind::kStop;
   BackendCallRequest call =
       services_.codec.encode_move({source_, endpoint_, to, request_id_, stops_run});
-  call.timeouts = {kConnectTimeout, kMoveTimeout, kMoveTimeout};
+  // A run that has stopped goes on from its first copy if the answer doesn't come in time: the
+  // target takes it only while the window is open.
+  const Duration timeout =
+      stops_run ? std::min(kMoveTimeout, closes_at() - services_.clock() - kTimeToResume)
+                : kMoveTimeout;
+  call.timeouts = {kConnectTimeout, timeout, timeout};
   const auto on_answer = [this](int status, std::string_view body) {
     OnAnswer(services_.codec.decode_move(status, body));
   };
-  call_ = StartGathered(*services_.client, std::move(call), kMoveLimits, on_answer);
+  const GatherLimits limits{stops_run ? timeout : kMoveLimits.time, kMoveLimits.body_bytes};
+  call_ = StartGathered(*services_.client, std::move(call), limits, on_answer);
 }
 
 void RunMover::OnAnswer(const MoveAnswer& answer) {
--- a/src/libs/coordination/forwarding/forward_request.cpp
+++ b/src/libs/coordination/forwarding/forward_request.cpp
@@ -195,6 +195,7 @@
   if (copy_ && head.status < kFirstRedirect) {
     ReturnUsed();
     ReturnReserved();
+    copy_sends_ = 0;
   }
   has_head_ = true;
   status_ = head.status;
