--- a/src/libs/transport/backend_client.h
+++ b/src/libs/transport/backend_client.h
@@ -77,8 +77,8 @@
 
   // Stops or goes on reading the answer. While it isn't read, the server is slowed down by the
   // system's windows and isn't taken for silent; only `max_time` and the destruction end the call.
-  // The end of the answer, or a failure, is heard of once it is read again. Does nothing where a call
-  // has no stream to read from.
+  // The end of the answer, or a failure, is heard of once it is read again. Does nothing where a
+  // call has no stream to read from.
   virtual void SetReading(bool /*reading*/) {}
 };
 
