Tests of moves: clean for the linter

clang-tidy found a repeated branch and a nested type that it can't construct in move_fleet_test, and a capture of a structured binding in forward_move_test.

--- a/tests/libs/coordination/forwarding/move_fleet_test.cpp
+++ b/tests/libs/coordination/forwarding/move_fleet_test.cpp
@@ -129,6 +129,21 @@
   }
 };
 
+struct Mover {
+  Mover(BackendChoice source, Endpoint endpoint) : move(std::move(source), std::move(endpoint)) {}
+  RunMove move;
+  // The call that is in progress; 0 for none.
+  std::int64_t call = 0;
+};
+
+struct Attempt {
+  std::int64_t number = 0;
+  BackendChoice engine;
+  bool has_data = false;
+  std::unique_ptr<Mover> mover;
+  CallFailure failure_at_stop = CallFailure::kBroken;
+};
+
 class MoveFleet {
  public:
   MoveFleet(const Trouble& trouble, std::uint64_t seed, bool is_traced)
@@ -247,21 +262,6 @@
     std::map<std::int64_t, std::shared_ptr<Stream>> streams;
   };
 
-  struct Mover {
-    Mover(BackendChoice source, Endpoint endpoint) : move(std::move(source), std::move(endpoint)) {}
-    RunMove move;
-    // The call that is in progress; 0 for none.
-    std::int64_t call = 0;
-  };
-
-  struct Attempt {
-    std::int64_t number = 0;
-    BackendChoice engine;
-    bool has_data = false;
-    std::unique_ptr<Mover> mover;
-    CallFailure failure_at_stop = CallFailure::kBroken;
-  };
-
   struct Stream {
     std::int64_t id = 0;
     std::size_t router = 0;
@@ -447,6 +447,7 @@
   void Publish(Term& term, Instant now) {
     EngineNews news;
     const auto loading = term.rollout->loading();
+    std::map<std::int64_t, Duration> named;
     for (std::size_t i = 0; i < kEngines; ++i) {
       const std::string& id = engines_[i].id;
       const std::int64_t announced = announced_[i].version;
@@ -459,15 +460,10 @@
       const std::int64_t has = std::max(announced, known.value_or(0));
       if (has > announced) entry.weights[kModel] = has;
       const auto next = term.named.NextVersion(kModel, has);
-      if (next && news.named.empty()) {
-        news.named.push_back({kModel, next->version, now - next->at});
-      } else if (next && next->version < news.named.front().version) {
-        news.named.insert(news.named.begin(), {kModel, next->version, now - next->at});
-      } else if (next && next->version > news.named.back().version) {
-        news.named.push_back({kModel, next->version, now - next->at});
-      }
+      if (next) named[next->version] = now - next->at;
       if (entry.is_loading || !entry.weights.empty()) news.engines.push_back(std::move(entry));
     }
+    for (const auto& [version, age] : named) news.named.push_back({kModel, version, age});
     news.others_unordered_until = term.rollout->OthersUnorderedUntil();
     news.move_targets = term.rollout->move_targets();
     const bool has_news = !news.engines.empty() || !news.named.empty();
--- a/tests/process/forwarding/forward_move_test.cpp
+++ b/tests/process/forwarding/forward_move_test.cpp
@@ -202,9 +202,9 @@
     }
     CHECK(stopped > 0);
     CHECK(cut_ == 0);
-    for (const auto& [id, count] : runs) {
-      CAPTURE(id);
-      CHECK(count <= 1);
+    for (const auto& run : runs) {
+      CAPTURE(run.first);
+      CHECK(run.second <= 1);
     }
   }
 
