Process tests of one run don't take each other's ports while a program is down

Ports began at the process's id times 97, so that two tests could share a range, and a router that is down for a moment lost its port to another test. That is suspected: the address's taker wasn't looked up. Now each process holds the first port of a range of 200 for itself.

--- a/tests/process/test_program.h
+++ b/tests/process/test_program.h
@@ -4,7 +4,9 @@
 #include <doctest/doctest.h>
 
 #include <fcntl.h>
+#include <netinet/in.h>
 #include <sys/resource.h>
+#include <sys/socket.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -13,6 +15,7 @@
 #include <QTcpServer>
 #include <QTemporaryDir>
 #include <csignal>
+#include <cstdint>
 #include <fstream>
 #include <string>
 #include <utility>
@@ -22,15 +25,39 @@
 
 namespace kumquat {
 
+// Binds the port of the loopback address until the process ends; false if another one has it.
+inline bool HoldPort(int port) {
+  const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<std::uint16_t>(port));
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  const auto* generic = reinterpret_cast<const sockaddr*>(&address);
+  if (descriptor >= 0 && bind(descriptor, generic, sizeof(address)) == 0) return true;
+  if (descriptor >= 0) close(descriptor);
+  return false;
+}
+
 // Returns an address on loopback that nothing listens on. Its port lies below those that the system
 // gives to outgoing connections, so that none of these takes it before the program starts.
 inline Endpoint FreeEndpoint() {
   constexpr int kFirstPort = 10'000;
-  constexpr int kPorts = 20'000;
-  static int offset = static_cast<int>(QCoreApplication::applicationPid() * 97 % kPorts);
+  constexpr int kPortsOfProcess = 200;
+  constexpr int kProcesses = 100;
+  // The first port of the process's range is held, so that no other test takes a port of the range
+  // while the program that listens on it is down.
+  static const int first_port = [] {
+    int range = static_cast<int>(QCoreApplication::applicationPid() % kProcesses);
+    while (true) {
+      const int port = kFirstPort + range * kPortsOfProcess;
+      if (HoldPort(port)) return port;
+      range = (range + 1) % kProcesses;
+    }
+  }();
+  static int offset = 0;
   while (true) {
-    offset = (offset + 1) % kPorts;
-    const auto port = static_cast<quint16>(kFirstPort + offset);
+    offset = offset % (kPortsOfProcess - 1) + 1;
+    const auto port = static_cast<quint16>(first_port + offset);
     QTcpServer server;
     if (server.listen(QHostAddress::LocalHost, port)) return {"127.0.0.1", port};
   }
