Unread input is discarded through a buffer before a connection is closed

A router ended without a log line 2.3 s after SIGTERM, at the moment at which it stops listening and closes idle connections, with streams open.

It now reads into a buffer.

--- a/src/libs/transport/tcp_stream.cpp
+++ b/src/libs/transport/tcp_stream.cpp
@@ -200,8 +200,13 @@
 }
 
 void TcpStream::DiscardInput() {
-  // With this flag the system discards without copying.
-  if (descriptor_ >= 0) recv(descriptor_, nullptr, kMaxDiscardedBytes, MSG_TRUNC);
+  static std::array<char, kReadBytes> buffer;
+  std::size_t discarded = 0;
+  while (descriptor_ >= 0 && discarded < kMaxDiscardedBytes) {
+    const ssize_t count = recv(descriptor_, buffer.data(), buffer.size(), 0);
+    if (count <= 0) return;
+    discarded += static_cast<std::size_t>(count);
+  }
 }
 
 void TcpStream::SetReading(bool reading) {
