--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -5,7 +5,7 @@
 CASE=$(cd "$(dirname "$0")" && pwd)
 ROOT=$(cd "$CASE/../.." && pwd)
 export CASE ROOT
-program=$ROOT/build-review/lost_leave
+program=$ROOT/target/review-2/lost_leave
 [ -x "$program" ] && [ -x "$ROOT/target/bin/kumquat-router" ] || exit 2
 timeout -k 2 118 "$program"
 status=$?
