--- a/review/tools-2/kit.hh
+++ b/review/tools-2/kit.hh
@@ -21,6 +21,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -70,6 +71,13 @@
   }
 }
 
+// Writes a line to record.txt only.
+inline void RecordDetail(const std::string& line) {
+  static std::mutex mutex;
+  const std::lock_guard lock(mutex);
+  if (RecordFile()) std::fprintf(RecordFile(), "%9.1f ms    %s\n", NowMs(), line.c_str());
+}
+
 inline bool Trouble() {
   const char* value = std::getenv("TROUBLE");
   return !value || std::string(value) != "0";
@@ -272,9 +280,21 @@
   bool has_host = false;
   for (const auto& [name, value] : headers) has_host = has_host || name == "Host";
   if (!has_host) all.insert(all.begin(), {"Host", to.Text()});
+  std::string id;
+  for (const auto& [name, value] : headers) {
+    if (name == "Kumquatcross-Request-Id") id = value;
+  }
+  if (!id.empty()) {
+    RecordDetail("sent " + id + " " + method + " " + path + " with " + std::to_string(body.size()) + " bytes to " +
+                 to.Text());
+  }
   if (SendAll(fd, RequestText(method, path, all, body))) {
     answer = ReadAnswer(fd, deadline);
   }
+  if (!id.empty()) {
+    RecordDetail("answered " + id + " " + std::to_string(answer.status) + (answer.whole ? " whole, " : " not whole, ") +
+                 std::to_string(answer.body.size()) + " bytes");
+  }
   answer.connected = true;
   close(fd);
   return answer;
@@ -347,8 +367,8 @@
 class Deployment {
  public:
   explicit Deployment(Options options) : options_(options) {
-    char folder[] = "/tmp/kumquat-review-XXXXXX";
-    folder_ = mkdtemp(folder);
+    folder_ = (std::filesystem::temp_directory_path() / "kumquat-review-XXXXXX").string();
+    if (!mkdtemp(folder_.data())) std::exit(2);
     std::vector<std::string> all;
     for (int i = 0; i < options_.controls; ++i) control_ips_.push_back("127.81.1." + std::to_string(i + 1));
     for (int i = 0; i < options_.routers; ++i) router_ips_.push_back("127.81.2." + std::to_string(i + 1));
@@ -550,6 +570,7 @@
 
   // A whole success with the headers that the pages ask for.
   std::string Success(const Request& request, const std::string& body) const {
+    RecordDetail("run by " + id_ + " " + request.Header("Kumquatcross-Request-Id"));
     return "HTTP/1.1 200 OK\r\nKumquatcross-Request-Id: " + request.Header("Kumquatcross-Request-Id") +
            "\r\nKumquatcross-Server-Stamp: " + stamp() + "\r\nContent-Length: " + std::to_string(body.size()) +
            "\r\nKeep-Alive: timeout=5\r\n\r\n" + body;
@@ -666,6 +687,8 @@
       }
       request.body = input.substr(end + 4, length);
       input.erase(0, end + 4 + length);
+      const std::string request_id = request.Header("Kumquatcross-Request-Id");
+      if (!request_id.empty()) RecordDetail("reached " + id_ + " " + request_id);
       if (!handler_(*this, channel, request)) return;
     }
   }
--- a/review/tools-2/other_writer.cc
+++ b/review/tools-2/other_writer.cc
@@ -7,8 +7,8 @@
 namespace {
 
 constexpr int kServers = 4;
-constexpr char kKey[] = "ctnfzs989anu6wsjnban";
-constexpr char kTenant[] = "sese880";
+constexpr char kKey[] = "clerks-key-1";
+constexpr char kTenant[] = "clerks";
 
 std::mutex sent_mutex;
 std::map<std::string, std::string> sent;  // bodies by request id
@@ -50,7 +50,7 @@
 }
 
 Headers HeadersOf(const std::string& id) {
-  return {{"Host", "jepu9.example"},
+  return {{"Host", "desk.example"},
           {"Kumquatcross-Request-Id", id},
           {"Kumquatcross-Deadline-Ms", "2500"},
           {"Api-Key", kKey}};
@@ -69,17 +69,17 @@
   for (int i = 0; i < deployment.options().controls; ++i) control.push_back(deployment.ControlApi(i));
   std::vector<std::unique_ptr<Runner>> servers;
   for (int i = 0; i < kServers; ++i) {
-    servers.push_back(std::make_unique<Runner>("i-7f3a91c" + std::to_string(i), "kafi81c", Address{ips[i], port},
+    servers.push_back(std::make_unique<Runner>("server-" + std::to_string(i), "bookings", Address{ips[i], port},
                                                control, Handle));
     servers.back()->Start();
   }
   const std::string config =
-      "{\"version\":7,\"routes\":[{\"name\":\"r-book\",\"hostname\":\"jepu9.example\",\"pathPrefix\":\"/book/\","
-      "\"kind\":\"non_idempotent\",\"timeoutMs\":2500,\"sloMs\":150,\"priority\":2,\"service\":\"kafi81c\","
-      "\"attempts\":1,\"public\":false,\"sticky\":false,\"resumable\":false}],\"services\":[{\"name\":\"kafi81c\","
+      "{\"version\":7,\"routes\":[{\"name\":\"r-book\",\"hostname\":\"desk.example\",\"pathPrefix\":\"/book/\","
+      "\"kind\":\"non_idempotent\",\"timeoutMs\":2500,\"sloMs\":150,\"priority\":2,\"service\":\"bookings\","
+      "\"attempts\":1,\"public\":false,\"sticky\":false,\"resumable\":false}],\"services\":[{\"name\":\"bookings\","
       "\"healthPath\":\"/healthz\",\"maxConns\":96,\"protocol\":\"h1\",\"tls\":false}],\"limits\":{"
       "\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},"
-      "\"tenants\":[{\"name\":\"sese880\",\"apiKeys\":[\"ctnfzs989anu6wsjnban\"],\"priority\":1,\"isolated\":false}]}";
+      "\"tenants\":[{\"name\":\"clerks\",\"apiKeys\":[\"clerks-key-1\"],\"priority\":1,\"isolated\":false}]}";
   if (!deployment.PutConfig(config) || !deployment.WaitReady()) {
     Record("the system did not come up");
     return 2;
@@ -117,7 +117,7 @@
   if (Trouble()) {
     const std::int64_t born = UnixMs();
     for (int seq = 1; seq <= 10; ++seq) {
-      const std::string body = "{\"service\":\"kafi81c\",\"addr\":\"" + servers[0]->address().Text() +
+      const std::string body = "{\"service\":\"bookings\",\"addr\":\"" + servers[0]->address().Text() +
                                "\",\"zone\":\"zone-0\",\"version\":\"v1\",\"slots\":6,\"state\":\"ready\","
                                "\"coldLeftMs\":0,\"born\":" + std::to_string(born) + ",\"seq\":" +
                                std::to_string(seq) + "}";
