--- a/review/tools-2/other_fields.cc
+++ b/review/tools-2/other_fields.cc
@@ -8,7 +8,7 @@
 
 constexpr int kBooking = 3;
 constexpr int kOther = 3;
-constexpr char kKey[] = "ctnfzs989anu6wsjnban";
+constexpr char kKey[] = "clerks-key-1";
 
 std::atomic<int> own_runs{0};
 std::atomic<int> foreign_runs{0};
@@ -39,7 +39,7 @@
 }
 
 std::string RouteTo(const std::string& path, const std::string& kind, const std::string& service) {
-  return "{\"name\":\"r-" + service + "\",\"hostname\":\"jepu9.example\",\"pathPrefix\":\"" + path + "\",\"kind\":\"" +
+  return "{\"name\":\"r-" + service + "\",\"hostname\":\"desk.example\",\"pathPrefix\":\"" + path + "\",\"kind\":\"" +
          kind + "\",\"timeoutMs\":2500,\"sloMs\":150,\"priority\":2,\"service\":\"" + service +
          "\",\"attempts\":1,\"public\":false,\"sticky\":false,\"resumable\":false}";
 }
@@ -62,16 +62,16 @@
   std::vector<std::unique_ptr<Runner>> servers;
   for (int i = 0; i < kBooking + kOther; ++i) {
     const bool books = i < kBooking;
-    servers.push_back(std::make_unique<Runner>("i-7f3a91c" + std::to_string(i), books ? "kafi81c" : "dolu44e",
+    servers.push_back(std::make_unique<Runner>("server-" + std::to_string(i), books ? "bookings" : "lookups",
                                                Address{ips[i], port}, control,
                                                books ? ServerOf("/book/", "booked") : ServerOf("/look/", "looked up")));
     servers.back()->Start();
   }
   const std::string config =
-      "{\"version\":7,\"routes\":[" + RouteTo("/book/", "non_idempotent", "kafi81c") + "," +
-      RouteTo("/look/", "idempotent", "dolu44e") + "],\"services\":[" + Service("kafi81c") + "," + Service("dolu44e") +
+      "{\"version\":7,\"routes\":[" + RouteTo("/book/", "non_idempotent", "bookings") + "," +
+      RouteTo("/look/", "idempotent", "lookups") + "],\"services\":[" + Service("bookings") + "," + Service("lookups") +
       "],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},"
-      "\"tenants\":[{\"name\":\"sese880\",\"apiKeys\":[\"ctnfzs989anu6wsjnban\"],\"priority\":1,\"isolated\":false}]}";
+      "\"tenants\":[{\"name\":\"clerks\",\"apiKeys\":[\"clerks-key-1\"],\"priority\":1,\"isolated\":false}]}";
   if (!deployment.PutConfig(config) || !deployment.WaitReady()) {
     Record("the system did not come up");
     return 2;
@@ -84,7 +84,7 @@
     callers.emplace_back([&, c] {
       for (int i = 0; !ends; ++i) {
         const std::string id = NewId();
-        const Headers headers = {{"Host", "jepu9.example"},
+        const Headers headers = {{"Host", "desk.example"},
                                  {"Kumquatcross-Request-Id", id},
                                  {"Kumquatcross-Deadline-Ms", "2500"},
                                  {"Api-Key", kKey}};
@@ -107,7 +107,7 @@
     const std::int64_t born = UnixMs();
     for (int seq = 1; seq <= 8; ++seq) {
       // No "version"; "coldLeftMs" isn't a number.
-      const std::string body = "{\"service\":\"kafi81c\",\"addr\":\"" + listed.address().Text() +
+      const std::string body = "{\"service\":\"bookings\",\"addr\":\"" + listed.address().Text() +
                                "\",\"zone\":\"zone-0\",\"slots\":6,\"state\":\"ready\",\"coldLeftMs\":\"none\","
                                "\"born\":" + std::to_string(born) + ",\"seq\":" + std::to_string(seq) + "}";
       const Answer answer = Call(control[seq % 5], "PUT", "/instances/" + listed.id(),
