--- a/review/tools-2/late_wall.cc
+++ b/review/tools-2/late_wall.cc
@@ -6,10 +6,10 @@
 
 namespace {
 
-constexpr char kModel[] = "daka510000";
-constexpr char kIsolated[] = "sese880";
-constexpr char kOther[] = "mipu317";
-constexpr char kPart[] = "5c1e07a2";
+constexpr char kModel[] = "draft-model";
+constexpr char kIsolated[] = "clerks";
+constexpr char kOther[] = "owners";
+constexpr char kPart[] = "a1b2c3d4";
 
 // The leading parts that the server keeps, by salt and id, with the tenant whose request made them.
 std::mutex cache_mutex;
@@ -37,6 +37,8 @@
   const std::string tenant = request.Header("Kumquatcross-Tenant");
   const std::string salt = request.Header("Kumquatcross-Cache-Salt");
   ++runs;
+  RecordDetail("run by " + runner.id() + " " + request.Header("Kumquatcross-Request-Id") + " of " + tenant + ", salt '" +
+               salt + "'");
   {
     const std::lock_guard lock(cache_mutex);
     const auto [held, is_new] = cache.try_emplace({salt, kPart}, tenant);
@@ -56,9 +58,9 @@
 
 std::string Config(int version, bool isolated) {
   return "{\"version\":" + std::to_string(version) +
-         ",\"routes\":[{\"name\":\"r-draft\",\"hostname\":\"jepu9.example\",\"pathPrefix\":\"/draft/\",\"kind\":"
-         "\"streaming\",\"timeoutMs\":5000,\"sloMs\":500,\"priority\":1,\"service\":\"huvo11a\",\"attempts\":2,"
-         "\"public\":false,\"sticky\":true,\"resumable\":true,\"gapTargetMs\":400}],\"services\":[{\"name\":\"huvo11a\","
+         ",\"routes\":[{\"name\":\"r-draft\",\"hostname\":\"desk.example\",\"pathPrefix\":\"/draft/\",\"kind\":"
+         "\"streaming\",\"timeoutMs\":5000,\"sloMs\":500,\"priority\":1,\"service\":\"drafts\",\"attempts\":2,"
+         "\"public\":false,\"sticky\":true,\"resumable\":true,\"gapTargetMs\":400}],\"services\":[{\"name\":\"drafts\","
          "\"healthPath\":\"/healthz\",\"maxConns\":360,\"protocol\":\"h1\",\"tls\":false,\"engine\":{\"slots\":64,"
          "\"kvCapacity\":116883,\"tokenBytes\":18432,\"linkMbps\":370000.0,\"moves\":true,\"backups\":true,\"stride\":5,"
          "\"maxInflight\":12,\"pinMs\":4000.0,\"holdMs\":2000.0,\"handle_s\":5.0,\"models\":[{\"name\":\"" +
@@ -75,7 +77,7 @@
   for (int i = 0; i < count; ++i) {
     const std::string id = NewId();
     const Answer answer = Call(deployment.Front(i % 3), "POST", "/draft/1",
-                               {{"Host", "jepu9.example"},
+                               {{"Host", "desk.example"},
                                 {"Kumquatcross-Request-Id", id},
                                 {"Kumquatcross-Deadline-Ms", "5000"},
                                 {"Kumquatcross-Model", kModel},
@@ -98,7 +100,7 @@
   const int port = FreePort({"127.81.3.1"});
   std::vector<Address> control;
   for (int i = 0; i < deployment.options().controls; ++i) control.push_back(deployment.ControlApi(i));
-  Runner server("i-7f3a91c0", "huvo11a", Address{"127.81.3.1", port}, control, Handle);
+  Runner server("server-0", "drafts", Address{"127.81.3.1", port}, control, Handle);
   server.SetModels(std::string("[{\"name\":\"") + kModel + "\",\"version\":1,\"adapters\":[]}]");
   server.slots = 64;
   server.Start();
