--- a/review/tools-2/left_poison.cc
+++ b/review/tools-2/left_poison.cc
@@ -13,7 +13,7 @@
 // The deadly request runs for so long before it crashes its server; its client leaves before that.
 constexpr int kRunsForMs = 100;
 constexpr int kLeavesAfterMs = 75;
-constexpr char kKey[] = "ctnfzs989anu6wsjnban";
+constexpr char kKey[] = "clerks-key-1";
 
 std::mutex arrivals_mutex;
 std::vector<double> arrivals;
@@ -42,17 +42,17 @@
 }
 
 Headers HeadersOf(const std::string& id) {
-  return {{"Host", "jepu9.example"},
+  return {{"Host", "desk.example"},
           {"Kumquatcross-Request-Id", id},
           {"Kumquatcross-Deadline-Ms", "2500"},
           {"Api-Key", kKey}};
 }
 
-// One coming. With the disruption the client leaves half its objective after it has sent the request;
-// without it, it waits for the answer, and repeats the request once at another daemon.
-void Come(Deployment& deployment, int coming) {
+// Sends the deadly request. With the disruption the client leaves half its objective later; without it,
+// it waits for the answer, and repeats the request once at another daemon.
+void SendDeadly(Deployment& deployment, int round) {
   for (int attempt = 0; attempt < 2; ++attempt) {
-    const int router = (coming + attempt) % 3;
+    const int router = (round + attempt) % 3;
     const std::string id = NewId();
     Record("the client sends the deadly request %s to front-%d", id.c_str(), router);
     if (Trouble()) {
@@ -85,17 +85,17 @@
   for (int i = 0; i < deployment.options().controls; ++i) control.push_back(deployment.ControlApi(i));
   std::vector<std::unique_ptr<Runner>> servers;
   for (int i = 0; i < kServers; ++i) {
-    servers.push_back(std::make_unique<Runner>("i-7f3a91c" + std::to_string(i), "kafi81c", Address{ips[i], port},
+    servers.push_back(std::make_unique<Runner>("server-" + std::to_string(i), "bookings", Address{ips[i], port},
                                                control, Handle));
     servers.back()->Start();
   }
   const std::string config =
-      "{\"version\":7,\"routes\":[{\"name\":\"r-cards\",\"hostname\":\"jepu9.example\",\"pathPrefix\":\"/cards/\","
-      "\"kind\":\"idempotent\",\"timeoutMs\":2500,\"sloMs\":150,\"priority\":2,\"service\":\"kafi81c\","
-      "\"attempts\":2,\"public\":false,\"sticky\":false,\"resumable\":false}],\"services\":[{\"name\":\"kafi81c\","
+      "{\"version\":7,\"routes\":[{\"name\":\"r-cards\",\"hostname\":\"desk.example\",\"pathPrefix\":\"/cards/\","
+      "\"kind\":\"idempotent\",\"timeoutMs\":2500,\"sloMs\":150,\"priority\":2,\"service\":\"bookings\","
+      "\"attempts\":2,\"public\":false,\"sticky\":false,\"resumable\":false}],\"services\":[{\"name\":\"bookings\","
       "\"healthPath\":\"/healthz\",\"maxConns\":96,\"protocol\":\"h1\",\"tls\":false}],\"limits\":{"
       "\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},"
-      "\"tenants\":[{\"name\":\"sese880\",\"apiKeys\":[\"ctnfzs989anu6wsjnban\"],\"priority\":1,\"isolated\":false}]}";
+      "\"tenants\":[{\"name\":\"clerks\",\"apiKeys\":[\"clerks-key-1\"],\"priority\":1,\"isolated\":false}]}";
   if (!deployment.PutConfig(config) || !deployment.WaitReady()) {
     Record("the system did not come up");
     return 2;
@@ -116,8 +116,8 @@
     });
   }
   SleepMs(5000);
-  for (int coming = 0; coming < 9; ++coming) {
-    Come(deployment, coming);
+  for (int round = 0; round < 9; ++round) {
+    SendDeadly(deployment, round);
     SleepMs(4000);
   }
   ends = true;
