A departure is acknowledged once a majority of the replicas holds it

Cause: the replica answered when its own table had the leaving. The gossip to the other replicas and the routers was still in the buffers of its sockets, and a server that said DELETE says nothing more. A replica that had just started acknowledged even for servers that it didn't know.

Change: DepartureService asks the other voters to hold the record, and acknowledges when a majority does.

Why it works: any minority of the replicas may be lost at once and one that knows is left, which tells its routers as soon as it learns of the departure.

--- a/src/kumquatcontrol/control_api.h
+++ b/src/kumquatcontrol/control_api.h
@@ -14,10 +14,11 @@
   using OnDone = std::function<void(bool acknowledged)>;
 
   // A backend server says how it is. Acknowledged only by a replica in contact with a majority,
-  // since only then all routers are sure to learn of it.
+  // since only then all routers are sure to learn of it; if the server is leaving, see `leave`.
   std::function<void(const Announcement& announcement, OnDone done)> announce;
 
-  // A backend server says that it goes.
+  // A backend server says that it goes. Acknowledged once a majority of the replicas holds that, so
+  // that it isn't lost with this one.
   std::function<void(const std::string& backend_id, OnDone done)> leave;
 
   // Sets a document. Acknowledged once a majority has stored it or one of a higher version.
--- a/src/kumquatcontrol/control_node.cpp
+++ b/src/kumquatcontrol/control_node.cpp
@@ -6,6 +6,7 @@
 #include <set>
 #include <utility>
 
+#include "protocol/control_messages.h"
 #include "protocol/engine_messages.h"
 #include "protocol/json_fields.h"
 #include "protocol/routing_table.h"
@@ -30,6 +31,8 @@
 // A replica that answers none of several heartbeats is dead, frozen or cut off.
 constexpr Duration kLeaderSilence = std::chrono::milliseconds(400);
 constexpr Duration kLeaderCallTimeout = std::chrono::milliseconds(600);
+// Replicas of one region answer within milliseconds; a later answer still counts.
+constexpr Duration kDepartureCallTimeout = DepartureService::kPatience;
 // Before the name of a router among the gossip's neighbours; replicas have plain names.
 constexpr std::string_view kRouterPrefix = "router/";
 
@@ -63,6 +66,7 @@
                     SendGossip(to, message);
                   },
                   {}}),
+      departures_(DepartureHooks(), &directory_),
       desk_({SteadyClock(), [this] { return CompiledDocuments(); },
              [this] { return directory_.table().digest(); },
              [this](const std::string& router) {
@@ -97,6 +101,7 @@
               },
               [this] { return WholeCache(); }}) {
   service_.AddMethods(rpc_.get());
+  AddDepartureMethod();
   server_ = MakeFrameServer(
       [this](const std::shared_ptr<FrameConnection>& connection, FrameKind kind,
              std::string_view payload) { Received(connection, kind, payload); },
@@ -128,6 +133,7 @@
     NoteNamedWeights();
     service_.Tick();
     documents_.Tick();
+    departures_.Tick();
     if (operator_) operator_->Tick();
   });
   QObject::connect(&gossip_tick_, &QTimer::timeout, &gossip_tick_, [this] {
@@ -172,6 +178,39 @@
   return hooks;
 }
 
+DepartureServiceHooks ControlNode::DepartureHooks() {
+  DepartureServiceHooks hooks;
+  hooks.clock = SteadyClock();
+  hooks.self = options_.log_name();
+  hooks.voters = [this] {
+    std::vector<std::string> names;
+    if (!log_) return names;
+    for (const ReplicaId& voter : log_->voters()) names.push_back(voter.name);
+    return names;
+  };
+  hooks.in_contact = [this] { return log_ && log_->in_contact(); };
+  hooks.ask = [this](const std::string& replica, const DepartureRequest& request,
+                     const DepartureServiceHooks::OnAnswer& on_answer) {
+    links_.Call(replica, control_method::kHoldDeparture, ToJson(request), kDepartureCallTimeout,
+                [on_answer](const std::optional<QJsonObject>& result) {
+                  on_answer(result ? ParseDepartureAnswer(*result) : std::nullopt);
+                });
+  };
+  return hooks;
+}
+
+void ControlNode::AddDepartureMethod() {
+  rpc_->AddMethod(control_method::kHoldDeparture,
+                  [this](const QJsonObject& params, const RpcReply& reply) {
+                    const auto request = ParseDepartureRequest(params);
+                    if (!request) {
+                      LogEvent(LogLevel::kWarning, "departure_request_malformed");
+                      return;
+                    }
+                    reply(ToJson(departures_.OnAsked(*request)));
+                  });
+}
+
 void ControlNode::NoteLeader() {
   const auto leader = log_ ? log_->leader() : std::nullopt;
   if (!leader || log_->term() == leadership_.term) return;
@@ -302,12 +341,13 @@
 ControlApi ControlNode::api() {
   ControlApi api;
   api.announce = [this](const Announcement& announcement, const ControlApi::OnDone& done) {
-    directory_.Learn(RecordOf(announcement));
+    const MemberRecord record = RecordOf(announcement);
+    if (record.leaving) return departures_.Announce(record, done);
+    directory_.Learn(record);
     done(log_ && log_->in_contact());
   };
   api.leave = [this](const std::string& backend_id, const ControlApi::OnDone& done) {
-    directory_.Leave(backend_id);
-    done(log_ && log_->in_contact());
+    departures_.Leave(backend_id, done);
   };
   api.put_document = [this](const Document& document, ControlApi::OnDone done) {
     documents_.Put(document, std::move(done));
--- a/src/kumquatcontrol/control_node.h
+++ b/src/kumquatcontrol/control_node.h
@@ -18,6 +18,7 @@
 #include "coordination/limits/quota_ledger.h"
 #include "coordination/log/replicated_log.h"
 #include "coordination/membership/backend_directory.h"
+#include "coordination/membership/departure_service.h"
 #include "coordination/orders/named_weights.h"
 #include "engine_codec.h"
 #include "engine_operator.h"
@@ -126,6 +127,8 @@
   void SendOrder(const Announcement& engine, const EngineOrder& order);
   void OrderEnded(std::int64_t fencing_number, std::string_view outcome);
   EngineOperatorHooks OperatorHooks();
+  DepartureServiceHooks DepartureHooks();
+  void AddDepartureMethod();
   void NoteLeader();
   void NoteNamedWeights();
   bool FormerLeaderIsSilent() const;
@@ -155,6 +158,7 @@
   ControlService service_;
   DocumentService documents_;
   BackendDirectory directory_;
+  DepartureService departures_;
   RouterDesk desk_;
   SuspectRelay suspects_;
   Metrics metrics_;
--- /dev/null
+++ b/tests/process/forwarding/forward_departure_test.cpp
@@ -0,0 +1,76 @@
+// Backend servers that leave while control replicas are killed: what was acknowledged holds.
+
+#include <QTcpSocket>
+#include <csignal>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "process/forwarding/crash_bench.h"
+
+namespace kumquat {
+namespace {
+
+// From this long after the acknowledgement on, a leaving server gets no request.
+constexpr std::chrono::milliseconds kDrainTime{2000};
+
+// Sends the DELETE of the server to a replica, and kills that as soon as its acknowledgement is
+// here. Returns whether it acknowledged.
+bool LeaveAndKill(ForwardBench& bench, int replica, const std::string& server) {
+  const Endpoint& endpoint = bench.control()[replica];
+  QTcpSocket socket;
+  socket.connectToHost(QString::fromStdString(endpoint.ip), endpoint.port);
+  if (!socket.waitForConnected()) return false;
+  socket.write(QByteArray::fromStdString("DELETE /instances/" + server +
+                                         " HTTP/1.1\r\nHost: control\r\n\r\n"));
+  if (!socket.waitForBytesWritten() || !socket.waitForReadyRead()) return false;
+  if (!socket.peek(12).endsWith("200")) return false;
+  bench.replica(replica).Signal(SIGKILL);
+  return true;
+}
+
+// Guards against a departure that only the replica which acknowledged it knows of.
+TEST_CASE("Servers that left get no request after the replica that acknowledged it is killed") {
+  ForwardBench bench;
+  StandInServer staying("staying", "desk", bench.control());
+  constexpr int kLeaving = 6;
+  std::vector<std::unique_ptr<StandInServer>> leaving;
+  for (int i = 0; i < kLeaving; ++i) {
+    leaving.push_back(
+        std::make_unique<StandInServer>("leaving" + std::to_string(i), "desk", bench.control()));
+  }
+  std::string id;
+  for (const auto& server : leaving) {
+    CHECK(SpinUntil([&] {
+      for (int router = 0; router < ForwardBench::kRouters; ++router) {
+        bench.Run(router, "/again/look", &id);
+      }
+      return !server->runs().empty();
+    }));
+  }
+  int acknowledged = 0;
+  for (int i = 0; i < kLeaving; ++i) {
+    StandInServer& server = *leaving[i];
+    const int replica = i % ForwardBench::kReplicas;
+    server.StopAnnouncing();
+    // A replica that has just started may refuse at first.
+    const bool has_left = SpinUntil([&] { return LeaveAndKill(bench, replica, server.id()); });
+    CHECK(has_left);
+    acknowledged += has_left ? 1 : 0;
+    bench.replica(replica).Kill();
+    bench.replica(replica).Start();
+    CrashBench::Wait(kDrainTime);
+    const std::size_t before = server.runs().size();
+    constexpr int kRequests = 20;
+    for (int request = 0; request < kRequests; ++request) {
+      for (int router = 0; router < ForwardBench::kRouters; ++router) {
+        CHECK(bench.Run(router, "/again/look", &id)->status == 200);
+      }
+    }
+    CHECK(server.runs().size() == before);
+  }
+  CHECK(acknowledged == kLeaving);
+}
+
+}  // namespace
+}  // namespace kumquat
--- a/tests/process/forwarding/stand_in_server.cpp
+++ b/tests/process/forwarding/stand_in_server.cpp
@@ -197,9 +197,13 @@
   }));
 }
 
-void StandInServer::Exit() {
+void StandInServer::StopAnnouncing() {
   announce_timer_.stop();
   announcement_.reset();
+}
+
+void StandInServer::Exit() {
+  StopAnnouncing();
   for (const Endpoint& control : control_) {
     farewells_.push_back(caller_.Start(control, "DELETE", "/instances/" + id_));
   }
--- a/tests/process/forwarding/stand_in_server.h
+++ b/tests/process/forwarding/stand_in_server.h
@@ -121,6 +121,9 @@
   // The same without waiting.
   void StartLeaving() { is_leaving_ = true; }
 
+  // Announces nothing more; requests are served as before.
+  void StopAnnouncing();
+
   // Refuses new connections from now on, while the answers in progress go on.
   void CloseListener() { server_->StopListening(); }
 
