A crash counts against runs that were given up shortly before

Cause: only an attempt in progress notes that its run is lost. When the caller leaves or the deadline passes, the attempt ends first, and the crash some milliseconds later has no suspect.

Change: AbandonedRuns keeps such runs until the server must have ended them, and CrashWatch records them with a crash that a refused connection or a later incarnation proves.

Why it works: the evidence of a crash no longer depends on the request that caused it being there to see it; a culprit never gets a complete answer, which would clear it.

--- a/src/fakes/engine/engine_server.cpp
+++ b/src/fakes/engine/engine_server.cpp
@@ -18,11 +18,13 @@
 namespace kumquat {
 namespace {
 
-// A prompt with this text crashes the engine when it begins the answer, one with the other text
-// when it has written a token.
+// A prompt with the first text crashes the engine when it begins the answer, one with the second
+// text when it has written a token, one with the third some time after it came, without an answer.
 constexpr std::string_view kCrashText = "please-crash";
 constexpr std::string_view kLateCrashText = "please-write-and-crash";
+constexpr std::string_view kDelayedCrashText = "please-wait-and-crash";
 constexpr std::chrono::milliseconds kTimeToSend{20};
+constexpr std::chrono::milliseconds kTimeToCrash{200};
 constexpr std::chrono::milliseconds kLeavePollInterval{20};
 
 Random SeededRandom(std::int64_t seed) {
@@ -144,6 +146,8 @@
     SendRefusal(responder, 409, "This is another incarnation.");
   } else if (!IsLoaded(engine_request->model)) {
     SendRefusal(responder, 404, "The model is not loaded.");
+  } else if (request.body.find(kDelayedCrashText) != std::string::npos) {
+    QTimer::singleShot(kTimeToCrash, [responder] { _exit(1); });
   } else {
     Stream stream;
     stream.request = std::move(*engine_request);
--- a/src/fakes/service/booking_server.cpp
+++ b/src/fakes/service/booking_server.cpp
@@ -14,11 +14,13 @@
 namespace {
 
 constexpr std::chrono::milliseconds kLeavePollInterval{20};
-// A request with this text in its query ends the process at once, one with the other text after a
-// part of the answer.
+// A request with the first text in its query ends the process at once, one with the second text
+// after a part of the answer, one with the third after some time without any.
 constexpr std::string_view kCrashText = "please-crash";
 constexpr std::string_view kLateCrashText = "please-write-and-crash";
+constexpr std::string_view kDelayedCrashText = "please-wait-and-crash";
 constexpr std::chrono::milliseconds kTimeToSend{20};
+constexpr std::chrono::milliseconds kTimeToCrash{200};
 
 const HttpHeaders& JsonHeaders() {
   static const HttpHeaders headers = {{"Content-Type", "application/json"}};
@@ -63,6 +65,10 @@
 
 void BookingServer::Handle(const HttpRequest& request, const Responder& responder) {
   if (request.query.find(kCrashText) != std::string::npos) _exit(1);
+  if (request.query.find(kDelayedCrashText) != std::string::npos) {
+    QTimer::singleShot(kTimeToCrash, [responder] { _exit(1); });
+    return;
+  }
   if (request.query.find(kLateCrashText) != std::string::npos) {
     responder->StartStream(200, JsonHeaders());
     responder->Write("{");
--- a/src/kumquatrouter/chat_exchange.cpp
+++ b/src/kumquatrouter/chat_exchange.cpp
@@ -164,8 +164,10 @@
 bool ChatExchange::IsCondemned() {
   if (services_.strikes->StandingOf(digest_) == RequestStanding::kCondemned) return true;
   const CrashWatch& watch = services_.crashes->watch();
+  if (!watch.has_condemned()) return false;
   const bool is_past_beginning = tokens_sent_ >= kTokensPastBeginning;
-  return !is_past_beginning && watch.has_condemned() && watch.IsCondemned(PartSuspects());
+  return watch.IsCondemned(RunSuspects()) ||
+         (!is_past_beginning && watch.IsCondemned(PartSuspects()));
 }
 
 // A suspect asks each engine's owner for the slot, and takes the first that it gets.
@@ -218,6 +220,7 @@
 
 void ChatExchange::Send(const stream_command::StartAttempt& command) {
   attempt_->is_sent = true;
+  attempt_->sent_at = services_.clock();
   LogEvent(LogLevel::kInfo, "request_sent",
            {{"request", start_.request_id},
             {"attempt", command.attempt_id},
@@ -297,6 +300,7 @@
     if (!exchange || !exchange->attempt_ || exchange->attempt_->id != attempt_id) return;
     const BackendChoice backend = exchange->attempt_->backend;
     exchange->services_.membership->ConnectionSucceeded(backend.backend_id, backend.incarnation);
+    exchange->services_.crashes->watch().OnAnswering(backend);
     exchange->Execute(
         exchange->decisions_->OnHeaders(attempt_id, status, exchange->services_.clock()));
   };
@@ -362,6 +366,7 @@
     services_.membership->ConnectionFailed(backend.backend_id, backend.incarnation, false);
   }
   if (IsCurrent(attempt_id) && failure != CallFailure::kNotSent) NoteLoss();
+  if (IsCurrent(attempt_id)) attempt_->has_failed = true;
   if (!is_done_) Execute(decisions_->OnFailure(attempt_id, failure, services_.clock()));
 }
 
@@ -374,6 +379,7 @@
 
 // A strike on this backend server may follow later; how the run was lost counts then.
 void ChatExchange::NoteLoss() {
+  attempt_->has_failed = true;
   if (attempt_->event_count < kTokensPastBeginning) {
     services_.crashes->watch().OnRunLost(attempt_->backend,
                                          {start_.request_id, PartSuspects(), services_.clock()});
@@ -382,6 +388,19 @@
                      attempt_->is_isolated, attempt_->event_count > 0});
 }
 
+// Strikes need an exchange that sees the death of its engine, and this one may end before. The
+// engine may go on with the run for a while, and die by it.
+void ChatExchange::NoteAbandoned() {
+  const bool may_run = attempt_->is_sent && !attempt_->has_failed && attempt_->call &&
+                       attempt_->call->may_have_sent();
+  if (!may_run) return;
+  services_.crashes->watch().OnRunAbandoned(
+      attempt_->backend,
+      {start_.request_id, RunSuspects(), services_.clock(),
+       attempt_->event_count >= kTokensPastBeginning, attempt_->sent_at},
+      start_.deadline);
+}
+
 void ChatExchange::Execute(const stream_command::CancelAttempt& command) {
   if (attempt_ && attempt_->id == command.attempt_id) EndAttempt(false, 0);
 }
@@ -389,6 +408,7 @@
 void ChatExchange::EndAttempt(bool whole, std::int64_t cached_tokens) {
   if (!attempt_ || !attempt_->is_open) return;
   attempt_->is_open = false;
+  if (!whole) NoteAbandoned();
   if (attempt_->call) DestroyLater(std::move(attempt_->call));
   services_.strikes->OnStopped(digest_, attempt_->backend.backend_id);
   if (whole) {
@@ -463,6 +483,8 @@
                              static_cast<double>(usage.prompt_tokens - usage.cached_tokens));
   ticket_.Settle(usage.prompt_tokens + tokens_sent_);
   if (attempt_) OnBeginningSurvived();
+  CrashWatch& watch = services_.crashes->watch();
+  if (watch.has_suspects()) watch.OnRunSurvived(RunSuspects());
   EndAttempt(true, usage.cached_tokens);
   Finish("complete");
 }
--- a/src/kumquatrouter/chat_exchange.h
+++ b/src/kumquatrouter/chat_exchange.h
@@ -30,6 +30,10 @@
   bool is_isolated = false;
   // The request went out; before that a suspect's engine is asked for a life sign.
   bool is_sent = false;
+  // When it went out.
+  Instant sent_at{0};
+  // The run was lost, or never reached its engine.
+  bool has_failed = false;
   // Events of the answer that have come.
   std::int64_t event_count = 0;
   // It goes on with a run that had begun before.
@@ -77,6 +81,7 @@
   bool MayWaitForPlace();
   bool IsCondemned();
   const std::vector<Suspect>& PartSuspects();
+  std::vector<Suspect> RunSuspects() const { return {{digest_, kRequestDepth}}; }
   bool IsDead(const BackendChoice& backend) const;
   void OnData(const std::string& attempt_id, std::string_view data);
   void OnCallFailed(const std::string& attempt_id, CallFailure failure);
@@ -84,6 +89,8 @@
   void DropAnswer();
   std::int64_t kept_bytes() const;
   void NoteLoss();
+  // Records that the attempt ends while its engine may go on with the run.
+  void NoteAbandoned();
   void OnBeginningSurvived();
   void OnCallerGone();
   void EndAttempt(bool whole, std::int64_t cached_tokens);
--- a/src/kumquatrouter/crash_exchange.cpp
+++ b/src/kumquatrouter/crash_exchange.cpp
@@ -65,6 +65,9 @@
     const Member* member = membership_->table().Find(id);
     return member ? std::optional(member->record.incarnation) : std::nullopt;
   };
+  hooks.is_leaving = [this](const BackendChoice& backend) {
+    return membership_->table().IsLeaving(backend.backend_id, backend.incarnation);
+  };
   hooks.report = [this](const SuspectNews& news) { SendToAll(news); };
   // Not every router is linked to every other.
   hooks.relays_news = true;
--- a/src/kumquatrouter/crash_watch.cpp
+++ b/src/kumquatrouter/crash_watch.cpp
@@ -6,6 +6,7 @@
 #include <set>
 #include <utility>
 
+#include "utils/durations.h"
 #include "utils/log.h"
 
 namespace kumquat {
@@ -44,6 +45,12 @@
   }
 }
 
+void CrashWatch::OnRunAbandoned(const BackendChoice& backend, LostRun run, Instant ends_by) {
+  if (hooks_.is_leaving(backend)) return;
+  metrics_->Count("kumquat_runs_abandoned_total");
+  abandoned_runs_.Add(backend, std::move(run), ends_by);
+}
+
 void CrashWatch::Clear(std::span<const Suspect> suspects) {
   const Instant now = hooks_.clock();
   for (const auto& [digest, depth] : suspects) {
@@ -54,7 +61,10 @@
 }
 
 void CrashWatch::OnRefused(const BackendChoice& backend) {
-  OnCrashed(backend, lost_runs_.OnRefused(backend, hooks_.clock()));
+  const Instant now = hooks_.clock();
+  OnCrashed(backend, lost_runs_.OnRefused(backend, now));
+  if (hooks_.is_leaving(backend)) abandoned_runs_.OnLeaving(backend);
+  OnCrashedAfter(backend, abandoned_runs_.OnRefused(backend, now));
 }
 
 void CrashWatch::OnReachable(const BackendChoice& backend, Instant begun) {
@@ -62,28 +72,47 @@
 }
 
 void CrashWatch::OnIncarnation(const std::string& backend_id, std::int64_t incarnation) {
-  const auto older = lost_runs_.OlderIncarnation(backend_id, incarnation);
-  if (!older) return;
-  std::vector<LostRun> runs = lost_runs_.OnLaterIncarnation(*older, hooks_.clock());
   // It proves one crash. A run that was sent after that may have run on the later incarnation,
   // which is up.
-  for (LostRun& run : runs) run.sent_at = Instant(0);
-  OnCrashed(*older, runs);
+  const auto of_one_crash = [](std::vector<LostRun> runs) {
+    for (LostRun& run : runs) run.sent_at = Instant(0);
+    return runs;
+  };
+  const Instant now = hooks_.clock();
+  if (const auto older = lost_runs_.OlderIncarnation(backend_id, incarnation)) {
+    OnCrashed(*older, of_one_crash(lost_runs_.OnLaterIncarnation(*older, now)));
+  }
+  if (const auto older = abandoned_runs_.OlderIncarnation(backend_id, incarnation)) {
+    OnCrashedAfter(*older, of_one_crash(abandoned_runs_.OnLaterIncarnation(*older, now)));
+  }
 }
 
 void CrashWatch::OnCrashed(const BackendChoice& backend, const std::vector<LostRun>& runs) {
   for (const LostRun& run : runs) {
-    for (const Suspect& suspect : run.suspects) Record(backend, run, suspect);
+    for (const Suspect& suspect : run.suspects) Record(backend, run, suspect, run.lost_at);
   }
 }
 
-void CrashWatch::Record(const BackendChoice& backend, const LostRun& run, const Suspect& suspect) {
+// When the crash was isn't known, only that the runs had been abandoned before. The time at which
+// they were would make crashes of one moment look like several.
+void CrashWatch::OnCrashedAfter(const BackendChoice& backend,
+                                const std::vector<LostRun>& abandoned_runs) {
+  const Instant now = hooks_.clock();
+  for (const LostRun& run : abandoned_runs) {
+    for (const Suspect& suspect : run.suspects) {
+      if (!table_.IsClearedSince(suspect.digest, run.lost_at)) Record(backend, run, suspect, now);
+    }
+  }
+}
+
+void CrashWatch::Record(const BackendChoice& backend, const LostRun& run, const Suspect& suspect,
+                        Instant crashed_at) {
   const Instant now = hooks_.clock();
   const std::string& digest = suspect.digest;
   const bool was_condemned = table_.IsCondemned(digest);
   const std::uint64_t crash =
       table_.CrashSince(digest, backend.backend_id, backend.incarnation, run.sent_at);
-  if (!table_.AddCrash(suspect, crash, run.lost_at, now)) return;
+  if (!table_.AddCrash(suspect, crash, crashed_at, now)) return;
   changed_at_[digest] = now;
   metrics_->Count("kumquat_crash_strikes_total");
   LogEvent(LogLevel::kWarning, "request_struck",
@@ -91,6 +120,7 @@
             {"digest", ForLog(digest)},
             {"backend", backend.backend_id},
             {"incarnation", backend.incarnation},
+            {"lost_ms", Milliseconds(now - run.lost_at)},
             {"condemned", table_.IsCondemned(digest) ? "yes" : "no"}});
   LogNewlyCondemned(digest, was_condemned);
 }
@@ -102,6 +132,18 @@
 
 void CrashWatch::ProbeUnproven() {
   for (const BackendChoice& backend : lost_runs_.Unproven(hooks_.clock())) hooks_.probe(backend);
+  CheckAbandoned();
+}
+
+void CrashWatch::CheckAbandoned() {
+  for (const BackendChoice& backend : abandoned_runs_.Backends(hooks_.clock())) {
+    if (hooks_.is_leaving(backend)) {
+      abandoned_runs_.OnLeaving(backend);
+      continue;
+    }
+    const auto latest = hooks_.latest_incarnation(backend.backend_id);
+    if (latest && *latest > backend.incarnation) OnIncarnation(backend.backend_id, *latest);
+  }
 }
 
 SuspectNews CrashWatch::NewsOf(std::vector<SuspectEntry> entries) const {
@@ -151,6 +193,7 @@
 }
 
 void CrashWatch::Measure() {
+  metrics_->Set("kumquat_abandoned_runs", {}, static_cast<double>(abandoned_runs_.size()));
   metrics_->Set("kumquat_condemned_suspects", {}, static_cast<double>(table_.condemned().size()));
 }
 
--- a/src/kumquatrouter/crash_watch.h
+++ b/src/kumquatrouter/crash_watch.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "coordination/admission/culprit_table.h"
+#include "coordination/forwarding/abandoned_runs.h"
 #include "coordination/forwarding/lost_runs.h"
 #include "protocol/control_news.h"
 #include "utils/histogram.h"
@@ -24,6 +25,8 @@
   std::function<void(const BackendChoice& backend)> probe;
   // Returns the latest known incarnation of the backend server; nullopt if it isn't known.
   std::function<std::optional<std::int64_t>(const std::string& backend_id)> latest_incarnation;
+  // Returns whether this incarnation of the backend server said that it leaves.
+  std::function<bool(const BackendChoice& backend)> is_leaving;
   // Sends news to the processes that this router is linked to.
   std::function<void(const SuspectNews& news)> report;
   // Set if news that change the table are to be reported on.
@@ -45,6 +48,15 @@
   // A run was lost.
   void OnRunLost(const BackendChoice& backend, LostRun run);
 
+  // This process gave up a run, at `run.lost_at`, that the backend server may go on with until
+  // `ends_by`. It counts as lost if the server crashes meanwhile.
+  void OnRunAbandoned(const BackendChoice& backend, LostRun run, Instant ends_by);
+
+  // The backend server answered a request.
+  void OnAnswering(const BackendChoice& backend) {
+    abandoned_runs_.OnAnswering(backend, hooks_.clock());
+  }
+
   // A backend server survived the beginning of an answer.
   void OnBeginningSurvived(std::span<const Suspect> suspects) { Clear(suspects); }
 
@@ -62,7 +74,8 @@
     return lost_runs_.IsUnproven(backend, hooks_.clock());
   }
 
-  // Probes the backend servers whose crash is still unproven; call it at short intervals.
+  // Probes the backend servers whose crash is still unproven, and looks for news of those that have
+  // abandoned runs; call it at short intervals.
   void ProbeUnproven();
 
   // Reports what changed since the last call; call it at short intervals.
@@ -81,7 +94,11 @@
  private:
   void Clear(std::span<const Suspect> suspects);
   void OnCrashed(const BackendChoice& backend, const std::vector<LostRun>& runs);
-  void Record(const BackendChoice& backend, const LostRun& run, const Suspect& suspect);
+  void OnCrashedAfter(const BackendChoice& backend, const std::vector<LostRun>& abandoned_runs);
+  void CheckAbandoned();
+  // Records that the suspect was lost with a crash at `crashed_at`, or at an unknown time before.
+  void Record(const BackendChoice& backend, const LostRun& run, const Suspect& suspect,
+              Instant crashed_at);
   void LogNewlyCondemned(const std::string& digest, bool was_condemned) const;
   SuspectNews NewsOf(std::vector<SuspectEntry> entries) const;
 
@@ -89,6 +106,7 @@
   CrashWatchHooks hooks_;
   Metrics* metrics_;
   LostRuns lost_runs_;
+  AbandonedRuns abandoned_runs_;
   CulpritTable table_;
   // When this router last changed an entry that it has to report, by digest.
   std::map<std::string, Instant> changed_at_;
--- a/src/kumquatrouter/forwarding/forward_exchange.cpp
+++ b/src/kumquatrouter/forwarding/forward_exchange.cpp
@@ -193,7 +193,7 @@
   hooks.choose_to_resume = [this](std::span<const BackendChoice> avoid) {
     return engines_->ChooseToResume(avoid, run_weights_, moved_from_);
   };
-  hooks.cancel = [this](std::int64_t /*number*/) { EndAttempt(); };
+  hooks.cancel = [this](std::int64_t /*number*/) { AbandonAttempt(); };
   hooks.relay_head = [this](std::int64_t /*number*/) { RelayHead(); };
   hooks.relay_event = [this](std::string_view event) { responder_->Write(event); };
   hooks.relay_end = [this] {
@@ -478,6 +478,7 @@
               {"misdirected", head.is_misdirected ? "yes" : "no"},
               {"ms", Milliseconds(Now() - attempt_->sent_at)}});
   }
+  if (!head.is_misdirected) services_.crashes->OnAnswering(attempt_->backend);
   if (PooledBackend* backend = services_.pool.Find(attempt_->backend)) {
     if (head.is_misdirected) {
       BackendPool::OnMisdirected(*backend, Now());
@@ -623,7 +624,7 @@
   decisions_->OnFailure(number, failure, Now());
 }
 
-void ForwardExchange::ReportLoss() {
+LostRun ForwardExchange::RunLostNow() {
   LostRun run;
   run.request_id = request_.id;
   run.is_past_beginning = attempt_->event_count >= kEventsPastBeginning;
@@ -632,7 +633,31 @@
   run.suspects.assign(suspects.begin(), suspects.end());
   run.lost_at = Now();
   run.sent_at = attempt_->sent_at;
-  services_.crashes->OnRunLost(attempt_->backend, std::move(run));
+  return run;
+}
+
+void ForwardExchange::ReportLoss() {
+  services_.crashes->OnRunLost(attempt_->backend, RunLostNow());
+}
+
+void ForwardExchange::AbandonAttempt() {
+  if (!attempt_) return;
+  // An error is answered without a run or at its end, and a run that was moved has ended.
+  const bool has_answered = attempt_->status != 0 && !IsSuccess(attempt_->status);
+  const bool was_moved =
+      attempt_->mover && (attempt_->mover->is_stopping() || attempt_->mover->has_resumed());
+  const bool may_run =
+      attempt_->call && attempt_->call->may_have_sent() && !has_answered && !was_moved;
+  if (may_run) {
+    LostRun run = RunLostNow();
+    // Many sound requests share a part, and nothing shows when the crash was that it would have to
+    // answer for.
+    std::erase_if(run.suspects,
+                  [](const Suspect& suspect) { return suspect.depth != kRequestDepth; });
+    const Instant ends_by = received_ + request_.time_left.value_or(route_->timeout);
+    services_.crashes->OnRunAbandoned(attempt_->backend, std::move(run), ends_by);
+  }
+  EndAttempt();
 }
 
 void ForwardExchange::EndAttempt() {
--- a/src/kumquatrouter/forwarding/forward_exchange.h
+++ b/src/kumquatrouter/forwarding/forward_exchange.h
@@ -130,8 +130,12 @@
   void OnFirstEvent();
   void ObserveExpectation();
   void OnBeginningSurvived();
+  // Returns the run in progress as one that is lost now.
+  LostRun RunLostNow();
   // Records that the run in progress was lost.
   void ReportLoss();
+  // Ends the attempt in progress, whose server may go on with the run and still crash by it.
+  void AbandonAttempt();
   // Stops reading from the backend server while too much of its answer waits for the caller, and
   // reads on once nothing waits any more.
   void PaceReading();
--- a/src/kumquatrouter/forwarding/forward_server.cpp
+++ b/src/kumquatrouter/forwarding/forward_server.cpp
@@ -171,6 +171,9 @@
     const Member* member = feed_.members().Find(id);
     return member ? std::optional(member->record.incarnation) : std::nullopt;
   };
+  hooks.is_leaving = [this](const BackendChoice& backend) {
+    return feed_.members().IsLeaving(backend.backend_id, backend.incarnation);
+  };
   hooks.report = [this](const SuspectNews& news) { feed_.ReportSuspects(news); };
   return hooks;
 }
--- a/src/kumquatrouter/forwarding/run_mover.h
+++ b/src/kumquatrouter/forwarding/run_mover.h
@@ -42,6 +42,7 @@
   bool HoldsFailure();
 
   bool is_stopping() const { return move_.is_stopping(); }
+  bool has_resumed() const { return move_.has_resumed(); }
   bool is_under_way() const { return move_.is_under_way(); }
 
  private:
--- a/src/kumquatrouter/service_exchange.cpp
+++ b/src/kumquatrouter/service_exchange.cpp
@@ -156,12 +156,18 @@
 void ServiceExchange::Execute(const service_command::StartAttempt& command) {
   Attempt& attempt = attempts_[command.attempt_id];
   attempt.backend = command.backend;
+  attempt.sent_at = services_.clock();
   directory_->Started(command.backend.backend_id);
   attempt.call = services_.client->Start(CallFor(command), HooksFor(command.attempt_id));
 }
 
 void ServiceExchange::Execute(const service_command::CancelAttempt& command) {
-  TakeAttempt(command.attempt_id);
+  const auto attempt = TakeAttempt(command.attempt_id);
+  const bool has_failed = attempt && attempt->answer.status >= kFirstError;
+  if (!attempt || has_failed || !attempt->may_run) return;
+  services_.crashes->watch().OnRunAbandoned(
+      attempt->backend, {start_.request_id, Suspects(), services_.clock(), false, attempt->sent_at},
+      start_.deadline);
 }
 
 void ServiceExchange::Execute(const service_command::Answer& command) {
@@ -220,6 +226,7 @@
     attempt.answer.content_type = HeaderValue(headers, "Content-Type");
     exchange->services_.membership->ConnectionSucceeded(attempt.backend.backend_id,
                                                         attempt.backend.incarnation);
+    exchange->services_.crashes->watch().OnAnswering(attempt.backend);
   };
   hooks.on_data = [weak, attempt_id](std::string_view data) {
     const auto exchange = weak.lock();
@@ -284,6 +291,7 @@
   if (entry == attempts_.end()) return std::nullopt;
   Attempt attempt = std::move(entry->second);
   attempts_.erase(entry);
+  attempt.may_run = attempt.call && attempt.call->may_have_sent();
   directory_->Stopped(attempt.backend.backend_id);
   DestroyLater(std::move(attempt.call));
   return attempt;
--- a/src/kumquatrouter/service_exchange.h
+++ b/src/kumquatrouter/service_exchange.h
@@ -32,6 +32,9 @@
     BackendChoice backend;
     std::unique_ptr<BackendCall> call;
     RecordedAnswer answer;
+    Instant sent_at{0};
+    // Whether the server may have got the call, once the attempt is taken out.
+    bool may_run = false;
   };
 
   void Run();
--- a/src/libs/coordination/admission/culprit_table.cpp
+++ b/src/libs/coordination/admission/culprit_table.cpp
@@ -100,6 +100,11 @@
   return true;
 }
 
+bool CulpritTable::IsClearedSince(const std::string& digest, Instant time) const {
+  const auto found = entries_.find(digest);
+  return found != entries_.end() && found->second.cleared_at && *found->second.cleared_at >= time;
+}
+
 bool CulpritTable::Merge(const SuspectEntry& message, Instant now) {
   const std::string& digest = message.suspect.digest;
   Entry& entry = entries_[digest];
--- a/src/libs/coordination/admission/culprit_table.h
+++ b/src/libs/coordination/admission/culprit_table.h
@@ -74,6 +74,9 @@
   // whether it was one until now.
   bool Clear(const std::string& digest, Instant now);
 
+  // Returns whether the suspect was cleared at this time or later.
+  bool IsClearedSince(const std::string& digest, Instant time) const;
+
   // Merges an entry of another process. Returns whether it changed the table.
   bool Merge(const SuspectEntry& entry, Instant now);
 
--- a/src/libs/coordination/forwarding/lost_runs.cpp
+++ b/src/libs/coordination/forwarding/lost_runs.cpp
@@ -6,13 +6,8 @@
 namespace kumquat {
 namespace {
 
-// A server that refuses connections, or starts again after it took some, may do so for another
-// reason when it is later than this.
-constexpr Duration kRefusalWindow = std::chrono::seconds(2);
 // A server that ends may take connections for this long after it lost those it had.
 constexpr Duration kListenerLag = std::chrono::milliseconds(200);
-// Crashed servers are back after some seconds.
-constexpr Duration kRestartWindow = std::chrono::seconds(10);
 
 }  // namespace
 
--- a/src/libs/coordination/forwarding/lost_runs.h
+++ b/src/libs/coordination/forwarding/lost_runs.h
@@ -56,6 +56,12 @@
   std::optional<BackendChoice> OlderIncarnation(std::string_view backend_id,
                                                 std::int64_t incarnation) const;
 
+  // A server that refuses connections, or starts again after it took some, may do so for another
+  // reason when it is later than this.
+  static constexpr Duration kRefusalWindow = std::chrono::seconds(2);
+  // Crashed servers are back after some seconds.
+  static constexpr Duration kRestartWindow = std::chrono::seconds(10);
+
   static constexpr std::size_t kMaxRuns = 64;
   static constexpr std::size_t kMaxBackends = 64;
 
--- a/src/libs/coordination/forwarding/run_move.h
+++ b/src/libs/coordination/forwarding/run_move.h
@@ -89,6 +89,8 @@
   const BackendChoice& target() const { return target_; }
   // Returns whether the source was asked to stop the run, and the outcome isn't known yet.
   bool is_stopping() const { return state_ == State::kStopping; }
+  // Returns whether the run goes on elsewhere.
+  bool has_resumed() const { return state_ == State::kResumed; }
   // Returns whether the run is copied, or may have been stopped.
   bool is_under_way() const { return state_ != State::kIdle && state_ != State::kResumed; }
 
--- a/src/libs/coordination/membership/member_table.cpp
+++ b/src/libs/coordination/membership/member_table.cpp
@@ -122,6 +122,11 @@
   return entry == members_.end() ? nullptr : &entry->second;
 }
 
+bool MemberTable::IsLeaving(std::string_view id, std::int64_t incarnation) const {
+  const Member* member = Find(id);
+  return member && member->record.incarnation == incarnation && member->record.leaving;
+}
+
 void MemberTable::ForEach(const std::function<void(const Member&)>& hook) const {
   for (const auto& [id, member] : members_) hook(member);
 }
--- a/src/libs/coordination/membership/member_table.h
+++ b/src/libs/coordination/membership/member_table.h
@@ -66,6 +66,9 @@
   // Returns the member, or null if it is unknown. The table keeps ownership.
   const Member* Find(std::string_view id) const;
 
+  // Returns whether this incarnation is the latest known one and announced that it is leaving.
+  bool IsLeaving(std::string_view id, std::int64_t incarnation) const;
+
   // Calls the hook for each member in order of the ids.
   void ForEach(const std::function<void(const Member&)>& hook) const;
 
--- a/src/libs/transport/backend_client.cpp
+++ b/src/libs/transport/backend_client.cpp
@@ -110,6 +110,8 @@
     stream_->SetReading(reading);
   }
 
+  bool may_have_sent() const { return is_sending_; }
+
  private:
   TcpStream::Hooks StreamHooks() {
     const auto weak = weak_from_this();
@@ -313,6 +315,7 @@
   ~HttpBackendCall() override { state_->Cancel(); }
 
   void SetReading(bool reading) override { state_->SetReading(reading); }
+  bool may_have_sent() const override { return state_->may_have_sent(); }
 
  private:
   std::shared_ptr<CallState> state_;
--- a/src/libs/transport/backend_client.h
+++ b/src/libs/transport/backend_client.h
@@ -83,6 +83,9 @@
   // The end of the answer, or a failure, is heard of once it is read again. Does nothing where a
   // call has no stream to read from.
   virtual void SetReading(bool /*reading*/) {}
+
+  // Returns whether there has been a connection, so that the server may have got the request.
+  virtual bool may_have_sent() const { return true; }
 };
 
 // Starts calls; the interface that tests fake.
--- a/tests/kumquatrouter/crash_fleet_test.cpp
+++ b/tests/kumquatrouter/crash_fleet_test.cpp
@@ -137,6 +137,7 @@
     hooks.latest_incarnation = [this](const std::string& id) {
       return std::optional(servers_[std::stoul(id)].incarnation);
     };
+    hooks.is_leaving = [](const BackendChoice& /*backend*/) { return false; };
     hooks.report = [this, index](const SuspectNews& news) { SendToReplicas(index, news); };
     router.watch = std::make_unique<CrashWatch>("r" + std::to_string(index), hooks, &metrics_);
     router.disturbed_at = world_.now();
--- a/tests/kumquatrouter/crash_watch_test.cpp
+++ b/tests/kumquatrouter/crash_watch_test.cpp
@@ -1,5 +1,4 @@
-// Tests which lost runs CrashWatch counts as further crashes of a server whose new incarnation
-// isn't announced yet.
+// Tests which lost and abandoned runs CrashWatch counts as crashes of a server.
 #include "crash_watch.h"
 
 #include <doctest/doctest.h>
@@ -20,10 +19,12 @@
 // A crash watch that knows one server, and one request that is lost on it.
 struct OneServer {
   Instant now = seconds(100);
+  bool is_leaving = false;
   Metrics metrics;
   CrashWatch watch{"r1",
                    {[this] { return now; }, [](const BackendChoice& /*backend*/) {},
                     [](const std::string& /*id*/) { return std::optional(kServer.incarnation); },
+                    [this](const BackendChoice& /*backend*/) { return is_leaving; },
                     [](const SuspectNews& /*news*/) {}},
                    &metrics};
 
@@ -35,6 +36,14 @@
     watch.OnRunLost(kServer, run);
   }
 
+  // Gives up a run that is sent now, and returns half a second later.
+  void AbandonRun() {
+    LostRun run{"q", {{"digest", kRequestDepth}}, now + milliseconds(100)};
+    run.sent_at = now;
+    now += milliseconds(500);
+    watch.OnRunAbandoned(kServer, run, now + seconds(1));
+  }
+
   std::size_t Crashes() {
     const std::vector<SuspectEntry> entries = watch.Summary().entries;
     return entries.empty() ? 0 : entries[0].crashes.size();
@@ -66,5 +75,65 @@
   CHECK(server.Crashes() == 1);
 }
 
+// Guards against a deadly request that is never condemned, as its callers leave before each crash.
+TEST_CASE("A crash counts against a run that was given up shortly before") {
+  OneServer server;
+  for (std::size_t crashes = 1; crashes <= 3; ++crashes) {
+    server.AbandonRun();
+    server.watch.OnRefused(kServer);
+    CHECK(server.Crashes() == crashes);
+    server.now += milliseconds(100);
+  }
+  const std::vector<Suspect> suspects{{"digest", kRequestDepth}};
+  CHECK(server.watch.IsCondemned(suspects));
+}
+
+TEST_CASE("A run that was lost and one that was given up count one crash together") {
+  OneServer server;
+  server.AbandonRun();
+  server.LoseRun();
+  server.watch.OnRefused(kServer);
+  CHECK(server.Crashes() == 1);
+  server.now += milliseconds(1);
+  server.watch.OnIncarnation("s1", 6);
+  CHECK(server.Crashes() == 1);
+}
+
+TEST_CASE("The planned end of a server counts against no run that was given up") {
+  OneServer server;
+  server.AbandonRun();
+  server.is_leaving = true;
+  server.watch.OnRefused(kServer);
+  CHECK(server.Crashes() == 0);
+  server.AbandonRun();
+  server.is_leaving = false;
+  server.watch.OnRefused(kServer);
+  CHECK(server.Crashes() == 0);
+}
+
+TEST_CASE("A run that was given up doesn't count if its request was cleared since") {
+  OneServer server;
+  server.LoseRun();
+  server.watch.OnRefused(kServer);
+  server.now += milliseconds(1);
+  server.AbandonRun();
+  server.watch.OnRunSurvived(std::vector<Suspect>{{"digest", kRequestDepth}});
+  server.now += milliseconds(1);
+  server.watch.OnRefused(kServer);
+  CHECK(server.Crashes() == 0);
+}
+
+// A rack that loses power crashes servers at one moment, whenever runs were given up there.
+TEST_CASE("The time at which a run was given up isn't taken for that of the crash") {
+  OneServer server;
+  server.AbandonRun();
+  server.now += milliseconds(400);
+  server.watch.OnRefused(kServer);
+  const std::vector<SuspectEntry> entries = server.watch.Summary().entries;
+  REQUIRE(entries.size() == 1);
+  REQUIRE(entries[0].crashes.size() == 1);
+  CHECK(entries[0].crashes[0].age == Duration(0));
+}
+
 }  // namespace
 }  // namespace kumquat
--- a/tests/process/forwarding/forward_crash_test.cpp
+++ b/tests/process/forwarding/forward_crash_test.cpp
@@ -63,6 +63,65 @@
   CHECK(bench.Send(0, "/again/look", "sound") == 200);
 }
 
+// Guards against a request that crashes servers without end, as its callers leave before each
+// crash.
+TEST_CASE("A request whose callers leave before it crashes servers reaches at most three more") {
+  constexpr std::chrono::milliseconds kRunTime{100};
+  constexpr std::chrono::milliseconds kCallerTime{75};
+  CrashBench bench;
+  bench.CrashOnBody("crash");
+  for (std::size_t i = 0; i < CrashBench::kServers; ++i) bench.server(i).AnswerAfter(kRunTime);
+  std::string path;
+  SUBCASE("a call") { path = "/again/look"; }
+  SUBCASE("a call that may run once") { path = "/once/book"; }
+  SUBCASE("a stream") { path = "/long/stream"; }
+  int next = 0;
+  const auto send_and_leave = [&] {
+    std::string id;
+    auto call = bench.Start(next++ % ForwardBench::kRouters, path, &id, "crash");
+    CrashBench::Wait(kCallerTime);
+    call.reset();
+    // Servers are back by then, so that the request could crash them again.
+    CrashBench::Wait(2 * StandInServer::kDownTime);
+  };
+  while (next < 3) send_and_leave();
+  CHECK(bench.Crashes() == 3);
+  CrashBench::Wait(kContactTime);
+  constexpr int kRounds = 8;
+  int sound_served = 0;
+  for (int i = 0; i < kRounds; ++i) {
+    send_and_leave();
+    if (bench.Send(i % ForwardBench::kRouters, path, "sound") == 200) ++sound_served;
+  }
+  CHECK(bench.Crashes() - 3 <= kMaxSendsAfterContactTime);
+  CHECK(bench.Send(0, path, "crash") == 422);
+  CHECK(sound_served == kRounds);
+}
+
+// Guards against sound requests that are refused since servers ended where their callers had left.
+TEST_CASE("A request whose callers leave is served on while servers are replaced") {
+  CrashBench bench;
+  for (std::size_t i = 0; i < CrashBench::kServers; ++i) {
+    bench.server(i).AnswerAfter(std::chrono::milliseconds(200));
+  }
+  std::string id;
+  for (std::size_t i = 0; i + 1 < CrashBench::kServers; ++i) {
+    std::vector<std::unique_ptr<TestCall>> calls;
+    for (int call = 0; call < 8; ++call) {
+      calls.push_back(bench.Start(call % ForwardBench::kRouters, "/again/look", &id, "sound"));
+    }
+    CrashBench::Wait(std::chrono::milliseconds(50));
+    calls.clear();
+    bench.server(i).Leave();
+    CrashBench::Wait(std::chrono::milliseconds(200));
+    bench.server(i).Exit();
+    CrashBench::Wait(std::chrono::milliseconds(500));
+  }
+  for (int router = 0; router < ForwardBench::kRouters; ++router) {
+    CHECK(bench.Send(router, "/again/look", "sound") == 200);
+  }
+}
+
 TEST_CASE("Errors that servers answer without running a request don't clear it") {
   CrashBench bench;
   bench.CrashOnBody("crash");
--- a/tests/process/router/router_poison_test.cpp
+++ b/tests/process/router/router_poison_test.cpp
@@ -1,5 +1,8 @@
 // A request that crashes each engine that runs it.
+#include <QElapsedTimer>
 #include <algorithm>
+#include <functional>
+#include <memory>
 #include <optional>
 #include <set>
 
@@ -83,6 +86,57 @@
   CheckDeadlyCall("please-write-and-crash");
 }
 
+// Sends a request whose caller leaves before it crashes its server, over all routers, until it is
+// refused.
+void CheckCallersThatLeave(
+    const std::function<std::unique_ptr<TestCall>(SystemBench& bench, int router)>& send) {
+  constexpr int kCallerTimeMs = 100;
+  constexpr int kCrashTimeMs = 2000;
+  constexpr int kRounds = 9;
+  SystemBench bench;
+  int crashes = 0;
+  for (int round = 0; round < kRounds; ++round) {
+    auto call = send(bench, round % SystemBench::kRouters);
+    QElapsedTimer elapsed;
+    elapsed.start();
+    CHECK(SpinUntil([&] { return call->done() || elapsed.elapsed() > kCallerTimeMs; }));
+    const bool is_refused = call->done() && call->status == 422;
+    call.reset();
+    int crashed = 0;
+    CHECK(SpinUntil([&] {
+      crashed += bench.RestartCrashed();
+      return is_refused || crashed > 0 || elapsed.elapsed() > kCrashTimeMs;
+    }));
+    crashes += crashed;
+    for (int router = 0; router < SystemBench::kRouters; ++router) bench.WaitUntilServing(router);
+  }
+  CHECK(crashes >= 3);
+  CHECK(crashes <= 6);
+  for (int router = 0; router < SystemBench::kRouters; ++router) {
+    CHECK(SpinUntil([&] {
+      const auto call = send(bench, router);
+      CHECK(SpinUntil([&] { return call->done(); }));
+      crashes += bench.RestartCrashed();
+      return call->status == 422;
+    }));
+  }
+  CHECK(crashes <= 6);
+}
+
+// Guards against deadly requests that are never condemned, as their callers leave before each
+// crash.
+TEST_CASE("A call whose callers leave before it crashes plain services is refused in the end") {
+  CheckCallersThatLeave([](SystemBench& bench, int router) {
+    return bench.StartCrashingCall(router, "please-wait-and-crash");
+  });
+}
+
+TEST_CASE("A chat whose callers leave before it crashes engines is refused in the end") {
+  CheckCallersThatLeave([](SystemBench& bench, int router) {
+    return bench.StartChat(router, "please-wait-and-crash");
+  });
+}
+
 // Sends chats with a part that crashes engines, by this text, until every router refuses them.
 void CheckDeadlyPart(const std::string& crash_text) {
   SystemBenchOptions options;
