Cached parts are shared under a scope that follows from who is isolated

Cause: the salt of organisations that aren't isolated was the version of the weights alone, so it stayed the same when one of them became isolated.

Change: the shared scope is named by a hash of the set of isolated organisations, and is part of the salt, of the index's keys and of the placement key. It is taken from the newest routing table when a request is sent. With nobody isolated the salt is the one of before.

Why it works: a scope has parts of organisations only that weren't isolated while exactly this set was, whatever a process has seen of the configurations in between.

--- a/src/kumquatrouter/forwarding/forward_exchange.cpp
+++ b/src/kumquatrouter/forwarding/forward_exchange.cpp
@@ -282,7 +282,7 @@
 
 PromptContext ForwardExchange::PlacementContext() const {
   PromptContext context;
-  context.cache_scope = CacheIsolationKey();
+  context.cache_scope = CacheScope();
   const auto urgent_rank = routes_->UrgentRank(service_->name);
   context.is_urgent = !urgent_rank || Rank() == *urgent_rank;
   const CacheStore* store = LiveStore();
@@ -310,8 +310,11 @@
   return nullptr;
 }
 
-std::string ForwardExchange::CacheIsolationKey() const {
-  return organisation_ && organisation_->is_isolated ? organisation_->name : std::string();
+// The organisation of this request, or another one, may have been isolated since the request came.
+std::string ForwardExchange::CacheScope() const {
+  const std::string organisation = OrganisationName();
+  const RouteIndex& routes = routes_->IsIsolated(organisation) ? *routes_ : *services_.routes;
+  return routes.CacheScopeOf(organisation);
 }
 
 std::int64_t ForwardExchange::Rank() const {
@@ -344,7 +347,7 @@
   call.copy = command.copy;
   call.rank = Rank();
   if (!request_.prompt) return call;
-  call.cache_salt = CacheSaltOf(run_weights_, CacheIsolationKey());
+  call.cache_salt = CacheSaltOf(run_weights_, CacheScope());
   call.expected_weights = run_weights_;
   if (attempt_->prompt_choice) {
     call.fetch_from = attempt_->prompt_choice->fetch_from;
--- a/src/kumquatrouter/forwarding/forward_exchange.h
+++ b/src/kumquatrouter/forwarding/forward_exchange.h
@@ -160,7 +160,8 @@
   void Finish(std::string_view outcome);
   std::optional<Duration> RetryAfter() const;
   std::string OrganisationName() const { return organisation_ ? organisation_->name : ""; }
-  std::string CacheIsolationKey() const;
+  // Returns the scope within which cached parts may be used by what is sent now.
+  std::string CacheScope() const;
   const CacheStore* LiveStore() const;
   PromptContext PlacementContext() const;
   Instant Now() const { return services_.clock(); }
--- a/src/libs/coordination/forwarding/prompt_placement.h
+++ b/src/libs/coordination/forwarding/prompt_placement.h
@@ -75,8 +75,7 @@
 
 // What placement needs to know about a request besides its prompt.
 struct PromptContext {
-  // The organisation whose cached parts are kept apart from those of others; empty when they may be
-  // shared.
+  // The scope within which cached parts may be used; see RouteIndex::CacheScopeOf.
   std::string cache_scope;
   // The cache store that may be used; nullopt for none.
   std::optional<Endpoint> store;
--- a/src/libs/coordination/forwarding/route_index.cpp
+++ b/src/libs/coordination/forwarding/route_index.cpp
@@ -1,5 +1,7 @@
 #include "coordination/forwarding/route_index.h"
 
+#include <QByteArray>
+#include <QCryptographicHash>
 #include <algorithm>
 #include <cctype>
 #include <set>
@@ -10,6 +12,11 @@
 namespace kumquat {
 namespace {
 
+// Digits of the hash that names a shared cache scope. Engines report it with each cached part.
+constexpr qsizetype kSharedScopeDigits = 16;
+// Before the name in the scope of an isolated organisation, so that it is no shared scope.
+constexpr std::string_view kIsolatedPrefix = "=";
+
 // Returns the host in lower case, without its port.
 std::string NormalisedHost(std::string_view host) {
   std::string host_name(host.substr(0, host.rfind(':')));
@@ -32,6 +39,26 @@
   }
   for (const Service& service : table_.services) services_[service.name] = &service;
   FindUrgentRanks();
+  NameSharedCacheScope();
+}
+
+// It stays empty while no organisation is isolated.
+void RouteIndex::NameSharedCacheScope() {
+  QCryptographicHash hash(QCryptographicHash::Sha256);
+  for (const RoutedOrganisation& organisation : table_.organisations) {
+    if (organisation.is_isolated) isolated_.insert(organisation.name);
+  }
+  if (isolated_.empty()) return;
+  for (const std::string& name : isolated_) {
+    hash.addData(QByteArray::number(static_cast<qulonglong>(name.size())) + ':');
+    hash.addData(QByteArrayView(name.data(), static_cast<qsizetype>(name.size())));
+  }
+  shared_cache_scope_ = hash.result().toHex().first(kSharedScopeDigits).toStdString();
+}
+
+std::string RouteIndex::CacheScopeOf(std::string_view organisation) const {
+  if (!IsIsolated(organisation)) return shared_cache_scope_;
+  return std::string(kIsolatedPrefix) + std::string(organisation);
 }
 
 // A request has the rank of its organisation, or of its route if that has none.
--- a/src/libs/coordination/forwarding/route_index.h
+++ b/src/libs/coordination/forwarding/route_index.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -37,12 +38,22 @@
   // ones; nullopt if all are equally urgent.
   std::optional<std::int64_t> UrgentRank(std::string_view service) const;
 
+  bool IsIsolated(std::string_view organisation) const { return isolated_.contains(organisation); }
+
+  // Returns the scope within which the organisation's requests may use cached parts of others: its
+  // own if it is isolated, else one that is shared by the organisations which aren't. The shared
+  // scope is another one for each set of isolated organisations. So what an organisation left there
+  // before it was isolated isn't found by others afterwards, by any process, whichever versions of
+  // the table it has seen.
+  std::string CacheScopeOf(std::string_view organisation) const;
+
   // Returns one of the route's services, drawn at random in proportion to their weights. The result
   // is a part of `route`.
   static const std::string& PickService(const Route& route, const Random& random);
 
  private:
   void FindUrgentRanks();
+  void NameSharedCacheScope();
 
   RoutingTable table_;
   // By host and path prefix, without the prefix's trailing slash.
@@ -52,6 +63,9 @@
   std::map<std::string, const Service*, std::less<>> services_;
   // By service; only those whose requests can have different ranks.
   std::map<std::string, std::int64_t, std::less<>> urgent_ranks_;
+  // Names of the isolated organisations.
+  std::set<std::string, std::less<>> isolated_;
+  std::string shared_cache_scope_;
 };
 
 }  // namespace kumquat
--- a/tests/libs/coordination/forwarding/route_index_test.cpp
+++ b/tests/libs/coordination/forwarding/route_index_test.cpp
@@ -1,6 +1,10 @@
 #include "coordination/forwarding/route_index.h"
 
 #include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
 
 #include "property.h"
 #include "protocol/key_digest.h"
@@ -105,5 +109,60 @@
   CHECK(RouteIndex(table).UrgentRank("t") == 2);
 }
 
+// Whatever was cached under a scope in any earlier version may still be there. Guards against parts
+// that cross the border of an isolated organisation after a change of the configuration.
+TEST_CASE(
+    "No history of configurations lets cached parts cross an isolated organisation's border") {
+  CheckProperty("two organisations with one scope aren't isolated", [] {
+    const std::vector<std::string> names = {"a", "b", "=b", "c"};
+    std::map<std::string, std::set<std::string>> makers;
+    const int versions = *rc::gen::inRange(1, 12);
+    for (int version = 0; version < versions; ++version) {
+      RoutingTable table;
+      std::set<std::string> isolated;
+      for (const std::string& name : names) {
+        const int state = *rc::gen::inRange(0, 3);
+        if (state == 0) continue;
+        RoutedOrganisation organisation;
+        organisation.name = name;
+        organisation.is_isolated = state == 1;
+        if (organisation.is_isolated) isolated.insert(name);
+        table.organisations.push_back(organisation);
+      }
+      const RouteIndex index(table);
+      for (const RoutedOrganisation& organisation : table.organisations) {
+        std::set<std::string>& of_scope = makers[index.CacheScopeOf(organisation.name)];
+        of_scope.insert(organisation.name);
+        for (const std::string& maker : of_scope) {
+          if (maker == organisation.name) continue;
+          RC_ASSERT_FALSE(isolated.contains(maker));
+          RC_ASSERT_FALSE(isolated.contains(organisation.name));
+        }
+      }
+    }
+  });
+}
+
+TEST_CASE(
+    "The shared cache scope depends on which organisations are isolated and on nothing else") {
+  const auto scope_with = [](const std::vector<RoutedOrganisation>& organisations,
+                             std::int64_t version) {
+    RoutingTable table;
+    table.version = version;
+    table.organisations = organisations;
+    return RouteIndex(table).CacheScopeOf("");
+  };
+  RoutedOrganisation shared;
+  shared.name = "shared";
+  RoutedOrganisation isolated;
+  isolated.name = "isolated";
+  isolated.is_isolated = true;
+  CHECK(scope_with({}, 1).empty());
+  CHECK(scope_with({shared}, 2).empty());
+  CHECK(scope_with({isolated}, 3) == scope_with({shared, isolated}, 4));
+  CHECK(scope_with({isolated, shared}, 5) == scope_with({shared, isolated}, 6));
+  CHECK(scope_with({isolated}, 7) != scope_with({shared}, 7));
+}
+
 }  // namespace
 }  // namespace kumquat
--- a/tests/process/forwarding/forward_bench.cpp
+++ b/tests/process/forwarding/forward_bench.cpp
@@ -134,8 +134,10 @@
                     {"models", QJsonArray{QJsonObject{{"name", ToQString(engine_model_)}}}}};
   }
   const QJsonObject tenant{
-      {"name", "clerks"},  {"apiKeys", QJsonArray{kKey}},        {"priority", 1},
-      {"isolated", false}, {"ratePerS", quota_.rate_per_second}, {"burst", quota_.burst}};
+      {"name", "clerks"},         {"apiKeys", QJsonArray{kKey}},        {"priority", 1},
+      {"isolated", is_isolated_}, {"ratePerS", quota_.rate_per_second}, {"burst", quota_.burst}};
+  const QJsonObject other_tenant{
+      {"name", "owners"}, {"apiKeys", QJsonArray{kOtherKey}}, {"priority", 1}, {"isolated", false}};
   QJsonObject limits{{"maxBodyBytes", static_cast<qint64>(max_body_bytes_)}};
   if (idle_timeout_.count() > 0) {
     limits["idleTimeoutMs"] = static_cast<qint64>(idle_timeout_.count());
@@ -143,7 +145,7 @@
   return {{"version", version},
           {"routes", routes},
           {"services", QJsonArray{service}},
-          {"tenants", QJsonArray{tenant}},
+          {"tenants", QJsonArray{tenant, other_tenant}},
           {"limits", limits}};
 }
 
@@ -209,9 +211,11 @@
   }));
 }
 
-HttpHeaders ForwardBench::Headers(std::string* id) {
+HttpHeaders ForwardBench::Headers(std::string* id) { return HeadersWithKey(id, kKey); }
+
+HttpHeaders ForwardBench::HeadersWithKey(std::string* id, const std::string& key) {
   *id = fmt::format("request{:04}", ++last_id_);
-  return {{"Host", "desk.example"}, {"Kumquatcross-Request-Id", *id}, {"Api-Key", kKey}};
+  return {{"Host", "desk.example"}, {"Kumquatcross-Request-Id", *id}, {"Api-Key", key}};
 }
 
 std::unique_ptr<TestCall> ForwardBench::Start(int router, const std::string& path, std::string* id,
--- a/tests/process/forwarding/forward_bench.h
+++ b/tests/process/forwarding/forward_bench.h
@@ -37,6 +37,8 @@
 
   // Returns the headers of a request of the organisation, with a new id that `*id` is set to.
   HttpHeaders Headers(std::string* id);
+  // The same with another API key.
+  HttpHeaders HeadersWithKey(std::string* id, const std::string& key);
 
   std::unique_ptr<TestCall> Start(int router, const std::string& path, std::string* id,
                                   const std::string& body = {},
@@ -67,6 +69,11 @@
   // which move runs.
   void ServeByEngines(const std::string& model) { engine_model_ = model; }
 
+  // From now on each configuration says whether the organisation is isolated; another organisation,
+  // with the key kOtherKey, never is.
+  void SetIsolated(bool is_isolated) { is_isolated_ = is_isolated; }
+  static constexpr const char* kOtherKey = "owner-key";
+
   // From now on each configuration limits the organisation's requests over all routers.
   void SetQuota(int rate_per_second, int burst) { quota_ = {rate_per_second, burst}; }
 
@@ -142,6 +149,7 @@
     int burst = 0;
   };
   Quota quota_;
+  bool is_isolated_ = false;
   TestCaller caller_;
   int last_id_ = 0;
 };
