A reset that a write was told of is no orderly end

Cause: the system tells of a reset once. Where a write met it, the next read returned 0, which TcpStream reported as the peer's orderly end.

Change: the stream remembers that a write failed by a reset. EPIPE is left out: Linux reports it where the peer's own end had come in before.

Why it works: whoever meets the reset first, the end of the stream is now the same.

--- a/src/libs/transport/tcp_stream.cpp
+++ b/src/libs/transport/tcp_stream.cpp
@@ -142,7 +142,13 @@
     return;
   }
   if (count < 0 && WouldBlock(errno)) return;
-  End(count == 0 ? TcpEnd::kFinished : TcpEnd::kReset);
+  End(count == 0 && !is_reset_ ? TcpEnd::kFinished : TcpEnd::kReset);
+}
+
+// EPIPE comes where the peer had finished in order before it reset the connection: Linux reports a
+// reset as ECONNRESET unless the end of the peer's side has come in.
+void TcpStream::NoteWriteError(int error) {
+  if (!WouldBlock(error) && error != EPIPE) is_reset_ = true;
 }
 
 void TcpStream::Write(std::string_view bytes) {
@@ -151,6 +157,7 @@
   if (state_ == State::kOpen && was_empty) {
     // What the system takes at once needs no copy.
     const ssize_t count = send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    if (count < 0) NoteWriteError(errno);
     if (count > 0) bytes.remove_prefix(static_cast<std::size_t>(count));
     if (bytes.empty()) return;
   }
@@ -171,6 +178,7 @@
       return;
     }
     if (count < 0) {
+      NoteWriteError(errno);
       // What the peer sent before it closed may still be unread; the reader sees the end.
       writable_->setEnabled(false);
       if (!readable_->isEnabled()) End(TcpEnd::kReset);
--- a/src/libs/transport/tcp_stream.h
+++ b/src/libs/transport/tcp_stream.h
@@ -111,6 +111,8 @@
   void HandleReadable();
   void HandleConnected();
   void Flush();
+  // Notes that the system didn't take bytes because of this error.
+  void NoteWriteError(int error);
   void Release();
   void End(TcpEnd end);
 
@@ -121,6 +123,9 @@
   std::string out_;
   std::size_t out_sent_ = 0;
   bool finish_writing_ = false;
+  // A write was told of a reset. The system tells of it once, and reads then look as if the peer
+  // had finished in order.
+  bool is_reset_ = false;
   // Outlives the stream where a hook destroys it.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   std::unique_ptr<QSocketNotifier> readable_;
--- a/tests/libs/transport/backend_client_test.cpp
+++ b/tests/libs/transport/backend_client_test.cpp
@@ -208,6 +208,48 @@
   }
 }
 
+// A server that answers with the first bytes of a request, without a length, and then resets the
+// connection.
+class ResettingServer : public QTcpServer {
+ public:
+  explicit ResettingServer(std::chrono::milliseconds pause) : pause_(pause) {
+    listen(QHostAddress::LocalHost);
+  }
+
+ protected:
+  void incomingConnection(qintptr descriptor) override {
+    auto* socket = new QTcpSocket(this);
+    socket->setSocketDescriptor(descriptor);
+    connect(socket, &QTcpSocket::readyRead, this, [this, socket] {
+      if (socket->property("answered").toBool()) return;
+      socket->setProperty("answered", true);
+      Answer(socket, "HTTP/1.1 200 OK\r\n\r\n" + std::string(700, 'a'));
+      socket->flush();
+      if (pause_.count() == 0) return CloseWith(socket, Closing::kReset);
+      QTimer::singleShot(pause_, socket, [socket] { CloseWith(socket, Closing::kReset); });
+    });
+  }
+
+ private:
+  std::chrono::milliseconds pause_;
+};
+
+// Guards against a part of an answer that is passed on as a whole one.
+TEST_CASE("An answer that is reset while the request is still being written is broken") {
+  const std::string upload(3'000'000, 'u');
+  for (const int pause : {0, 1, 20}) {
+    ResettingServer server{std::chrono::milliseconds(pause)};
+    constexpr int kTries = 40;
+    for (int i = 0; i < kTries; ++i) {
+      BackendCallRequest request = RequestTo(server.serverPort(), "POST", upload);
+      request.takes_unframed_answer = true;
+      const Heard heard = Run(*MakeHttpBackendClient(), request);
+      CHECK(heard.ends == 0);
+      CHECK(heard.failure == CallFailure::kBroken);
+    }
+  }
+}
+
 // A server that stops inside the head must not be taken for one whose answer has no length.
 TEST_CASE("An answer that is cut inside its head never reaches the caller") {
   constexpr std::string_view kEndOfHead = "\r\n\r\n";
--- a/tests/libs/transport/tcp_stream_test.cpp
+++ b/tests/libs/transport/tcp_stream_test.cpp
@@ -8,7 +8,10 @@
 
 #include <QElapsedTimer>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
+#include <utility>
 
 #include "raw_peer.h"
 
@@ -17,10 +20,10 @@
 
 constexpr std::int64_t kMegabyte = 1024 * 1024;
 
-// Accepts one connection and sends on it as fast as the system takes it.
-class FloodingPeer {
+// Accepts one connection, and sends on it what the test asks for or as fast as the system takes it.
+class TestPeer {
  public:
-  FloodingPeer() : listener_(socket(AF_INET, SOCK_STREAM, 0)) {
+  TestPeer() : listener_(socket(AF_INET, SOCK_STREAM, 0)) {
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -30,9 +33,9 @@
     REQUIRE(getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size) == 0);
     port_ = ntohs(address.sin_port);
   }
-  FloodingPeer(const FloodingPeer&) = delete;
-  FloodingPeer& operator=(const FloodingPeer&) = delete;
-  ~FloodingPeer() {
+  TestPeer(const TestPeer&) = delete;
+  TestPeer& operator=(const TestPeer&) = delete;
+  ~TestPeer() {
     close(listener_);
     if (connection_ >= 0) close(connection_);
   }
@@ -48,6 +51,19 @@
     REQUIRE(fcntl(connection_, F_SETFL, O_NONBLOCK) == 0);
   }
 
+  void Finish() const { REQUIRE(shutdown(connection_, SHUT_WR) == 0); }
+
+  void Reset() {
+    const linger now{1, 0};
+    REQUIRE(setsockopt(connection_, SOL_SOCKET, SO_LINGER, &now, sizeof(now)) == 0);
+    close(std::exchange(connection_, -1));
+  }
+
+  void Send(std::string_view bytes) const {
+    REQUIRE(send(connection_, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
+            static_cast<ssize_t>(bytes.size()));
+  }
+
   // Returns the bytes that the system took.
   std::int64_t Send() {
     const std::string bytes(256 * 1024, 'x');
@@ -68,7 +84,7 @@
 // Bytes that have arrived and aren't read count towards a machine's memory. The system's own limit
 // grows to several megabytes a connection once much has been read.
 TEST_CASE("A stream that isn't read takes less than 1 MB, also after much was read quickly") {
-  FloodingPeer peer;
+  TestPeer peer;
   std::int64_t read_bytes = 0;
   bool is_connected = false;
   TcpStream::Hooks hooks;
@@ -94,5 +110,55 @@
   CHECK(unread_bytes < kMegabyte);
 }
 
+// What a stream hears of its peer, which sends a few bytes and then closes the connection in some
+// way before the stream reads any of it.
+struct Closed {
+  std::string received;
+  std::optional<TcpEnd> end;
+};
+
+Closed CloseBeforeWrite(bool finishes_first, std::size_t write_bytes, int writes) {
+  TestPeer peer;
+  Closed closed;
+  bool is_connected = false;
+  TcpStream::Hooks hooks;
+  hooks.on_connected = [&is_connected] { is_connected = true; };
+  hooks.on_data = [&closed](std::string_view bytes) { closed.received += bytes; };
+  hooks.on_end = [&closed](TcpEnd end) { closed.end = end; };
+  const auto stream = TcpStream::Connect(peer.endpoint(), {}, std::move(hooks));
+  CHECK(SpinUntil([&] { return is_connected; }));
+  peer.Accept();
+  peer.Send("part");
+  if (finishes_first) peer.Finish();
+  peer.Reset();
+  // The system tells of the reset here, before the stream reads.
+  const std::string upload(write_bytes, 'x');
+  for (int i = 0; i < writes; ++i) stream->Write(upload);
+  CHECK(SpinUntil([&] { return closed.end.has_value(); }));
+  return closed;
+}
+
+// Guards against an answer that was cut by a reset and is taken for whole, as a write was told of
+// the reset and the read after it was not.
+TEST_CASE("A reset that a write is told of ends the stream as reset, after what came before it") {
+  for (const std::size_t write_bytes : {std::size_t{1}, std::size_t{3'000'000}}) {
+    for (const int writes : {0, 1, 3}) {
+      CAPTURE(write_bytes);
+      CAPTURE(writes);
+      const Closed closed = CloseBeforeWrite(false, write_bytes, writes);
+      CHECK(closed.received == "part");
+      CHECK(closed.end == TcpEnd::kReset);
+    }
+  }
+}
+
+TEST_CASE("A peer that finishes in order and resets its connection afterwards has finished") {
+  for (const int writes : {0, 1, 3}) {
+    const Closed closed = CloseBeforeWrite(true, 1000, writes);
+    CHECK(closed.received == "part");
+    CHECK(closed.end == TcpEnd::kFinished);
+  }
+}
+
 }  // namespace
 }  // namespace kumquat
