An answer with an invalid status is malformed

A server in trouble may answer with a status like 000.

Cause: the parser took any three digits for a status.

Change: it refuses what is outside of 100 to 599, so that the call fails as broken at once and the request is repeated where it may be. RFC 9110, section 15, has such an answer processed as a server error.

--- a/src/libs/transport/http_parser.cpp
+++ b/src/libs/transport/http_parser.cpp
@@ -22,6 +22,10 @@
 constexpr std::size_t kMaxLineBytes = 64 * 1024;
 // A length with more digits than this is larger than any body.
 constexpr std::size_t kMaxLengthDigits = 18;
+// Other statuses are invalid, and such an answer is to be taken for a server's error (RFC 9110,
+// section 15). What it says of the request isn't known, so it isn't passed on either.
+constexpr int kFirstStatus = 100;
+constexpr int kLastStatus = 599;
 
 std::string ToString(View view) { return {view.data(), view.size()}; }
 
@@ -68,9 +72,9 @@
     request.method = ToString(method);
     request.target = ToString(target);
   }
-  void on_response_impl(int code, View /*reason*/, int /*version*/,
-                        error_code& /*error*/) override {
+  void on_response_impl(int code, View /*reason*/, int /*version*/, error_code& error) override {
     status = code;
+    if (code < kFirstStatus || code > kLastStatus) error = http::error::bad_status;
   }
   void on_field_impl(http::field name, View name_text, View value, error_code& error) override {
     // Fields behind the body are of no use here.
--- a/tests/libs/transport/backend_client_test.cpp
+++ b/tests/libs/transport/backend_client_test.cpp
@@ -398,6 +398,41 @@
   CHECK(heard.data == "ok");
 }
 
+// Guards against a status that no recipient knows and that is passed on, or taken for an interim
+// answer until the call's time is over (RFC 9110, section 15).
+TEST_CASE("An answer with an invalid status is broken at once, and nothing of it is passed on") {
+  for (const char* status : {"000", "001", "099", "600", "999"}) {
+    for (const char* framing : {"Content-Length: 2\r\n\r\nok", "\r\nok",
+                                "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"}) {
+      CAPTURE(status);
+      CAPTURE(framing);
+      // The connection stays open.
+      RawServer server([&](QTcpSocket* socket) {
+        Answer(socket, std::string("HTTP/1.1 ") + status + " Odd\r\n" + framing);
+      });
+      BackendCallRequest request = RequestTo(server.serverPort());
+      request.takes_unframed_answer = true;
+      request.timeouts.first_byte = std::chrono::minutes(1);
+      const Heard heard = Run(*MakeHttpBackendClient(), request);
+      CHECK(heard.failure == CallFailure::kBroken);
+      CHECK(heard.status == 0);
+      CHECK(heard.data.empty());
+      CHECK(heard.ends == 0);
+    }
+  }
+}
+
+TEST_CASE("The first and the last valid status are passed on") {
+  for (const int status : {200, 599}) {
+    RawServer server([&](QTcpSocket* socket) {
+      Answer(socket, "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Length: 2\r\n\r\nok");
+    });
+    const Heard heard = Run(*MakeHttpBackendClient(), RequestTo(server.serverPort()));
+    CHECK(heard.status == status);
+    CHECK(heard.ends == 1);
+  }
+}
+
 TEST_CASE("Silence ends a call in each phase") {
   CallTimeouts short_ones;
   short_ones.connect = std::chrono::milliseconds(300);
