--- a/src/kumquatrouter/forwarding/forward_exchange.cpp
+++ b/src/kumquatrouter/forwarding/forward_exchange.cpp
@@ -653,8 +653,8 @@
       attempt_->call && attempt_->call->may_have_sent() && !has_answered && !was_moved;
   if (may_run) {
     LostRun run = RunLostNow();
-    // Many sound requests share a part, and nothing shows when the crash was that it would have to
-    // answer for.
+    // Only the request itself is counted: many sound ones share its parts, and the unknown time of
+    // the crash doesn't tell a loss of power from several crashes.
     std::erase_if(run.suspects,
                   [](const Suspect& suspect) { return suspect.depth != kRequestDepth; });
     const Instant ends_by = received_ + request_.time_left.value_or(route_->timeout);
--- a/tests/process/forwarding/forward_crash_test.cpp
+++ b/tests/process/forwarding/forward_crash_test.cpp
@@ -106,8 +106,10 @@
   }
   std::string id;
   for (std::size_t i = 0; i + 1 < CrashBench::kServers; ++i) {
+    constexpr int kCalls = 8;
     std::vector<std::unique_ptr<TestCall>> calls;
-    for (int call = 0; call < 8; ++call) {
+    calls.reserve(kCalls);
+    for (int call = 0; call < kCalls; ++call) {
       calls.push_back(bench.Start(call % ForwardBench::kRouters, "/again/look", &id, "sound"));
     }
     CrashBench::Wait(std::chrono::milliseconds(50));
--- a/tests/process/forwarding/forward_departure_test.cpp
+++ b/tests/process/forwarding/forward_departure_test.cpp
@@ -35,6 +35,7 @@
   StandInServer staying("staying", "desk", bench.control());
   constexpr int kLeaving = 6;
   std::vector<std::unique_ptr<StandInServer>> leaving;
+  leaving.reserve(kLeaving);
   for (int i = 0; i < kLeaving; ++i) {
     leaving.push_back(
         std::make_unique<StandInServer>("leaving" + std::to_string(i), "desk", bench.control()));
