The scope of an isolated organisation compiles on x86-64 in Release

Users saw: the deploy file's build stopped on x86-64, twice on clean machines; on arm64 it passed.

Cause: CacheScopeOf joined two temporaries, the first of one character that the compiler knows. In -O3 for x86-64 g++ 12 inlines operator+(string&&, string&&) down to memcpy and warns with -Wrestrict that more than 2^63 bytes might overlap, which no string can hold; warnings are errors in that build. For arm64 and at -O2 it inlines less and doesn't warn.

Evidence: on, x86-64, g++ 12.2, the deploy file's command ends with exit 1 at route_index.cpp, line 61, the only file of the programs that fails with `ninja -k 0`.

Why this works: fmt::format appends to one buffer and never inserts into a temporary, so there is no such memcpy. The scope's bytes are the same.

Result, x86-64: the deploy file's command exits with 0 and no warning, where it failed before; the same programs build for arm64 and start in the emulator. The guard as it runs on arm64: Debian's arm64 build of the cross compiler (cc1plus, in the emulator) fails on the old file at -O3 with this error, and compiles it at -O2, and the new file at both.

--- a/src/libs/coordination/forwarding/route_index.cpp
+++ b/src/libs/coordination/forwarding/route_index.cpp
@@ -1,5 +1,7 @@
 #include "coordination/forwarding/route_index.h"
 
+#include <fmt/format.h>
+
 #include <QByteArray>
 #include <QCryptographicHash>
 #include <algorithm>
@@ -58,7 +60,7 @@
 
 std::string RouteIndex::CacheScopeOf(std::string_view organisation) const {
   if (!IsIsolated(organisation)) return shared_cache_scope_;
-  return std::string(kIsolatedPrefix) + std::string(organisation);
+  return fmt::format("{}{}", kIsolatedPrefix, organisation);
 }
 
 // A request has the rank of its organisation, or of its route if that has none.
