--- a/cmake/KumquatHelpers.cmake
+++ b/cmake/KumquatHelpers.cmake
@@ -10,7 +10,8 @@
 
 option(KUMQUAT_SANITIZE "Build with address and undefined-behaviour sanitizers" OFF)
 option(KUMQUAT_PROGRAMS_ONLY "Leave out tests, benchmarks and what only they need" OFF)
-option(KUMQUAT_WERROR "Treat warnings as errors" ON)
+# Off for users: which warnings there are depends on the compiler, its version and its target.
+option(KUMQUAT_WERROR "Treat warnings as errors, as CI does" OFF)
 
 find_program(CCACHE_PROGRAM ccache)
 if(CCACHE_PROGRAM)
