--- a/tests/libs/state/storage/log_file_storage_test.cpp
+++ b/tests/libs/state/storage/log_file_storage_test.cpp
@@ -1,7 +1,8 @@
 #include "state/storage/log_file_storage.h"
 
-#include <QTemporaryDir>
+#include <fmt/format.h>
 
+#include <QTemporaryDir>
 #include <cerrno>
 #include <filesystem>
 #include <fstream>
@@ -113,6 +114,29 @@
   AppendAndSync(*storage, Entry(3, 3, "another third"));
 }
 
+std::string Hex(const std::string& bytes) {
+  std::string text;
+  for (const char byte : bytes) text += fmt::format("{:02x}", static_cast<unsigned char>(byte));
+  return text;
+}
+
+// Guards against a data folder that can't be read once it is on another kind of machine. Each
+// record is "kqrc", the payload's length and its checksum, both lowest byte first, and the payload.
+TEST_CASE("Files hold the same bytes on every kind of machine") {
+  Folder folder;
+  {
+    const auto storage = folder.Open();
+    REQUIRE(storage->Load());
+    storage->SaveVote({3, ReplicaId{"a", 5}});
+    AppendAndSync(*storage, Entry(1, 1, "\xff\x80"));
+  }
+  CHECK(Hex(Folder::Read(folder.FileNamed("vote"))) ==
+        "6b7172630700000000000000fb3bdae709d17d1a82038182416105");
+  CHECK(Hex(Folder::Read(folder.FileNamed("log-"))) ==
+        "6b7172630300000000000000d8e66762678cb4aa820000"
+        "6b7172630a00000000000000c63105a48249d9b08200818401010042ff80");
+}
+
 TEST_CASE("A flipped byte before the last record is refused with file and offset") {
   Folder folder;
   const std::size_t length_of_two = WriteThreeBatches(folder);
