--- a/review/tools-3/common.hh
+++ b/review/tools-3/common.hh
@@ -439,6 +439,21 @@
     for (Child& child : fronts) child.Start();
   }
 
+  // `bootstrap` is true at the first start only.
+  void EndBootstrap() const {
+    for (std::size_t i = 1; i <= cores.size(); ++i) {
+      const std::string path = folder_ + "/core-" + std::to_string(i) + ".conf";
+      std::FILE* file = std::fopen(path.c_str(), "r");
+      char bytes[8192];
+      std::string text(bytes, std::fread(bytes, 1, sizeof(bytes), file));
+      std::fclose(file);
+      text.replace(text.find("found = true"), 12, "found = false");
+      file = std::fopen(path.c_str(), "w");
+      std::fputs(text.c_str(), file);
+      std::fclose(file);
+    }
+  }
+
   // A call to control: the daemons in turn, from the i-th on, until one gives a clear answer.
   Message CallControl(const std::string& method, const std::string& path, const std::string& body,
                       int first = 0, double patience = 10) const {
--- a/review/tools-3/departure.cc
+++ b/review/tools-3/departure.cc
@@ -149,6 +149,7 @@
     for (Child& child : all.cores) child.Kill();
     for (Child& child : all.fronts) child.Kill();
     record.Line("all processes of the system are killed");
+    all.EndBootstrap();
     Sleep(0.6);
     all.StartAll();
     record.Line("all processes of the system are started again");
--- a/review/tools-3/engine.hh
+++ b/review/tools-3/engine.hh
@@ -36,10 +36,12 @@
                      const std::string& tenant, const std::string& part, const std::string& maker,
                      const std::string& salt)>
       on_hit;
+  // Called under the mutex for each request that an engine reads; may be empty.
+  std::function<void(const std::string& engine, const Message& request)> on_request;
 };
 
 inline std::string Field(const std::string& json, const std::string& name) {
-  const auto at = json.find("\"" + name + "\"");
+  const auto at = json.find("\"" + name + "\":");
   if (at == std::string::npos) return "";
   auto begin = json.find_first_not_of(" ", json.find(':', at) + 1);
   if (json[begin] == '"') return json.substr(begin + 1, json.find('"', begin + 1) - begin - 1);
@@ -94,6 +96,10 @@
   bool Handle(int fd, const Message& request) {
     const std::string path = request.target.substr(0, request.target.find('?'));
     const std::string expected = request.Header("kumquatcross-expect-instance");
+    if (fleet_->on_request) {
+      const std::lock_guard lock(fleet_->mutex);
+      fleet_->on_request(id_, request);
+    }
     if (path == "/kv-events") return Events(fd, request);
     if (!expected.empty() && expected != id_) return SendAll(fd, AnswerText(421, {}, ""));
     if (path == "/report") {
