--- a/review/tools-3/engine.hh
+++ b/review/tools-3/engine.hh
@@ -77,6 +77,17 @@
            "}";
   }
   const std::string& id() const { return id_; }
+
+  // Ends like a crash: no listener, and all connections reset.
+  void Crash() {
+    {
+      const std::lock_guard lock(fleet_->mutex);
+      fleet_->by_address.erase(address_);
+    }
+    server_.Crash();
+  }
+  // How long a run reads its prompt before its first event.
+  void SetReading(double seconds) { reading_ = seconds; }
   int version() {
     const std::lock_guard lock(fleet_->mutex);
     return version_;
@@ -288,6 +299,7 @@
                 "\r\nKumquatcross-Server-Stamp: stamp." + id_ + "." + id +
                 "\r\nKumquatcross-Weight-Versions: " + std::to_string(weights) +
                 "\r\nTransfer-Encoding: chunked\r\n\r\n");
+    Sleep(reading_);
     for (; is_open && next <= out; ++next) {
       Sleep(0.04);
       {
@@ -321,6 +333,7 @@
   std::int64_t born_;
   std::int64_t beats_ = 0;
   int version_ = 1;
+  double reading_ = 0;
   bool is_busy_ = false;
   long orders_ = 0;
   long fence_ = 0;
