--- a/review/tools-3/common.hh
+++ b/review/tools-3/common.hh
@@ -8,6 +8,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -342,6 +343,7 @@
   void Start() {
     pid = fork();
     if (pid != 0) return;
+    prctl(PR_SET_PDEATHSIG, SIGKILL);  // ends with this driver, however that ends
     const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     dup2(out, 1);
     dup2(out, 2);
