A run's memory stays under the scope that it was computed under

Cause: the salt of a send was computed from the configuration in force, also where the send goes on with a run's memory. The engine that takes the memory caches its parts under that salt, so parts of the old scope got into the new one.

Change: RunCacheScope decides the scope of each send. Memory goes on under its own scope while that is in force, and under one drawn for the run alone otherwise: the old scope can't be kept, as the run would find more parts under it. A request to an engine that names no model had no salt, which is one scope for all organisations; it now has one of its own.

--- a/src/kumquatrouter/forwarding/forward_exchange.cpp
+++ b/src/kumquatrouter/forwarding/forward_exchange.cpp
@@ -48,6 +48,7 @@
       responder_(std::move(responder)),
       routes_(services.routes),
       received_(services.clock()),
+      cache_scope_(services.random),
       deadline_timer_(services.clock) {}
 
 ForwardExchange::~ForwardExchange() = default;
@@ -317,6 +318,17 @@
   return routes.CacheScopeOf(organisation);
 }
 
+void ForwardExchange::ChooseCacheScope(const SendCommand& command) {
+  if (command.copy) {
+    cache_scope_.GoOn(CacheScope());
+  } else if (request_.prompt) {
+    cache_scope_.Begin(CacheScope());
+  } else {
+    // The engine may find parts in it all the same, and on which weights isn't known.
+    cache_scope_.BeginAlone();
+  }
+}
+
 std::int64_t ForwardExchange::Rank() const {
   return organisation_ && organisation_->rank ? *organisation_->rank : route_->rank;
 }
@@ -346,8 +358,10 @@
   call.resume_after = command.resume_after;
   call.copy = command.copy;
   call.rank = Rank();
+  if (service_->engine || request_.prompt) {
+    call.cache_salt = CacheSaltOf(run_weights_, cache_scope_.name());
+  }
   if (!request_.prompt) return call;
-  call.cache_salt = CacheSaltOf(run_weights_, CacheScope());
   call.expected_weights = run_weights_;
   if (attempt_->prompt_choice) {
     call.fetch_from = attempt_->prompt_choice->fetch_from;
@@ -385,6 +399,7 @@
     attempt_->dispatch = services_.placement->Sent(*attempt_->prompt_choice, Now());
   }
   if (request_.prompt && !command.copy) run_weights_ = backend->VersionOf(request_.prompt->model);
+  ChooseCacheScope(command);
   ForwardCall forward = CallTo(*backend, command);
   // If enabled, a second engine keeps a copy of the run of a stream that can't be resumed, so that
   // the stream can continue there if the first engine fails. A copy costs far less than the stream.
--- a/src/kumquatrouter/forwarding/forward_exchange.h
+++ b/src/kumquatrouter/forwarding/forward_exchange.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "coordination/forwarding/forward_request.h"
+#include "coordination/forwarding/run_cache_scope.h"
 #include "forwarding/engines_of_run.h"
 #include "forwarding/forward_services.h"
 #include "forwarding/request_suspects.h"
@@ -160,8 +161,10 @@
   void Finish(std::string_view outcome);
   std::optional<Duration> RetryAfter() const;
   std::string OrganisationName() const { return organisation_ ? organisation_->name : ""; }
-  // Returns the scope within which cached parts may be used by what is sent now.
+  // Returns the scope that is in force for what is sent now without memory.
   std::string CacheScope() const;
+  // Sets the scope of the send that the command asks for.
+  void ChooseCacheScope(const SendCommand& command);
   const CacheStore* LiveStore() const;
   PromptContext PlacementContext() const;
   Instant Now() const { return services_.clock(); }
@@ -191,6 +194,8 @@
   // Version of the weights that the last run began on; a copy of the run can only continue on the
   // same version.
   std::int64_t run_weights_ = 0;
+  // The scope under which engines cache what the last run computed.
+  RunCacheScope cache_scope_;
   // The engine that kept a copy of the run of the last ended attempt.
   std::optional<BackendChoice> last_backup_;
   // The engine that the run was stopped at to be moved.
--- a/src/platform/front_edge.cpp
+++ b/src/platform/front_edge.cpp
@@ -177,8 +177,8 @@
   add(kExpectInstance, call.backend.backend_id);
   if (!call.organisation.empty()) add(kTenant, call.organisation);
   if (call.resume_after) add(kLastEventId, std::to_string(*call.resume_after));
+  if (!call.cache_salt.empty()) add(kCacheSalt, call.cache_salt);
   if (!request.prompt) return headers;
-  add(kCacheSalt, call.cache_salt);
   add(kPriority, std::to_string(std::clamp<std::int64_t>(call.rank, 0, kLowestPriority)));
   if (call.expected_weights) add(kExpectVersion, std::to_string(*call.expected_weights));
   if (call.fetch_from) add(kKvFetch, call.fetch_from->ToString());
--- a/tests/process/forwarding/stand_in_server.cpp
+++ b/tests/process/forwarding/stand_in_server.cpp
@@ -318,7 +318,7 @@
     head.emplace_back("Kumquatcross-Not-Run", "1");
     return responder->Send(503, head, "loading");
   }
-  if (!has_copy) runs_.push_back(request);
+  (has_copy ? continued_runs_ : runs_).push_back(request);
   if (answer_delay_.count() == 0) return Begin(request, responder);
   QTimer::singleShot(answer_delay_, &announce_timer_, [this, request, responder, born = born_] {
     if (server_ && born == born_) Begin(request, responder);
--- a/tests/process/forwarding/stand_in_server.h
+++ b/tests/process/forwarding/stand_in_server.h
@@ -134,6 +134,8 @@
 
   // Returns all requests that were accepted, including those that are never answered.
   const std::vector<HttpRequest>& runs() const { return runs_; }
+  // Returns the requests that went on with a copy of a run.
+  const std::vector<HttpRequest>& continued_runs() const { return continued_runs_; }
   const std::string& id() const { return id_; }
 
   static constexpr int kEvents = 6;
@@ -213,6 +215,7 @@
   int stopped_runs_ = 0;
   int refused_copies_ = 0;
   std::vector<HttpRequest> runs_;
+  std::vector<HttpRequest> continued_runs_;
   std::vector<Responder> open_responders_;
   QTimer flood_timer_;
   Endpoint endpoint_;
