--- a/src/kumquatcontrol/control_node.cpp
+++ b/src/kumquatcontrol/control_node.cpp
@@ -425,7 +425,11 @@
     OnQuotaAsked(*quota);
   } else if (const auto* suspects = std::get_if<SuspectNews>(&*news)) {
     const auto answer = suspects_.Receive(*suspects);
-    if (answer) desk_.Send(suspects->router, *answer);
+    if (!answer) return;
+    desk_.Send(suspects->router, *answer);
+    desk_.Send(suspects->router, suspects_.TrialSummary());
+  } else if (const auto* trials = std::get_if<TrialNews>(&*news)) {
+    suspects_.Receive(*trials);
   }
 }
 
@@ -523,6 +527,7 @@
 // One tick's news go out together: each router is woken once for all of them.
 void ControlNode::TellRouters() {
   if (const auto suspects = suspects_.TakeNews()) desk_.SendAll(*suspects);
+  if (const auto trials = suspects_.TakeTrialNews()) desk_.SendAll(*trials);
   desk_.PushUnsentDocuments();
   const std::vector<std::string> routers = desk_.LiveRouters();
   member_flood_.Flush(routers, SteadyClock()());
--- a/src/kumquatcontrol/suspect_relay.cpp
+++ b/src/kumquatcontrol/suspect_relay.cpp
@@ -6,7 +6,7 @@
 namespace kumquat {
 
 SuspectNews SuspectRelay::NewsOf(std::vector<SuspectEntry> entries) const {
-  return {{}, false, table_.CondemnedHash(), std::move(entries)};
+  return {{}, false, Hash(), std::move(entries)};
 }
 
 std::optional<SuspectNews> SuspectRelay::Receive(const SuspectNews& news) {
@@ -16,7 +16,7 @@
     if (!table_.Merge(entry, now)) continue;
     if (table_.IsShared(entry.suspect.digest)) untold_.insert(entry.suspect.digest);
   }
-  const bool differs = news.is_summary && news.condemned_hash != table_.CondemnedHash();
+  const bool differs = news.is_summary && news.accused_hash != Hash();
   if (!differs) return std::nullopt;
   SuspectNews answer = NewsOf(table_.SharedEntries(now));
   answer.is_summary = true;
@@ -32,8 +32,27 @@
   return NewsOf(std::move(entries));
 }
 
+void SuspectRelay::Receive(const TrialNews& news) {
+  const Instant now = clock_();
+  for (const SuspectTrial& trial : news.trials) trials_.Merge(trial, now);
+  for (const ServerCrash& crash : news.crashes) trials_.Merge(crash, now);
+}
+
+std::optional<TrialNews> SuspectRelay::TakeTrialNews() {
+  const Instant now = clock_();
+  TrialNews news{trials_.TakeChangedTrials(true, now), trials_.TakeNewCrashes(true, now)};
+  if (news.trials.empty() && news.crashes.empty()) return std::nullopt;
+  return news;
+}
+
+TrialNews SuspectRelay::TrialSummary() {
+  const Instant now = clock_();
+  trials_.Expire(now);
+  return {trials_.Trials(now), trials_.Crashes(now)};
+}
+
 void SuspectRelay::Measure(Metrics* metrics) const {
-  metrics->Set("kumquat_condemned_suspects", {}, static_cast<double>(table_.condemned().size()));
+  metrics->Set("kumquat_accused_suspects", {}, static_cast<double>(table_.accused().size()));
 }
 
 }  // namespace kumquat
--- a/src/kumquatrouter/chat_exchange.cpp
+++ b/src/kumquatrouter/chat_exchange.cpp
@@ -137,6 +137,7 @@
     const auto may_use = [&](const std::string& backend_id) {
       return services_.strikes->MayPlace(digest_, backend_id, engines);
     };
+    if (!PassesSuspects()) return std::optional<BackendChoice>();
     auto backend = services_.engines->Choose(demand_, avoid, may_use);
     is_choice_isolated_ = services_.strikes->StandingOf(digest_) == RequestStanding::kSuspect;
     return backend;
@@ -145,7 +146,7 @@
   hooks.try_retry = [this](int retries_before, Instant now, Instant deadline) {
     return services_.retry_budget->TryRetry(retries_before, now, deadline);
   };
-  hooks.may_wait_for_backend = [this] { return MayWaitForPlace(); };
+  hooks.may_wait_for_backend = [this] { return is_held_ || MayWaitForPlace(); };
   hooks.is_condemned = [this] { return IsCondemned(); };
   return hooks;
 }
@@ -164,12 +165,31 @@
 bool ChatExchange::IsCondemned() {
   if (services_.strikes->StandingOf(digest_) == RequestStanding::kCondemned) return true;
   const CrashWatch& watch = services_.crashes->watch();
-  if (!watch.has_condemned()) return false;
+  if (!watch.has_accused()) return false;
   const bool is_past_beginning = tokens_sent_ >= kTokensPastBeginning;
   return watch.IsCondemned(RunSuspects()) ||
          (!is_past_beginning && watch.IsCondemned(PartSuspects()));
 }
 
+std::vector<Suspect> ChatExchange::SuspectsOfNextSend() {
+  std::vector<Suspect> suspects = RunSuspects();
+  if (tokens_sent_ >= kTokensPastBeginning) return suspects;
+  suspects.insert(suspects.end(), PartSuspects().begin(), PartSuspects().end());
+  return suspects;
+}
+
+// Returns whether the chat may be sent, by its suspects; sets is_trial_ and is_held_.
+bool ChatExchange::PassesSuspects() {
+  CrashWatch& watch = services_.crashes->watch();
+  const SuspectVerdict verdict =
+      watch.has_accused()
+          ? watch.Judge(SuspectsOfNextSend(), services_.engines->EnginesFor(demand_.model).size())
+          : SuspectVerdict::kFree;
+  is_trial_ = verdict == SuspectVerdict::kTrial;
+  is_held_ = verdict == SuspectVerdict::kHeld;
+  return verdict == SuspectVerdict::kFree || is_trial_;
+}
+
 // A suspect asks each engine's owner for the slot, and takes the first that it gets.
 bool ChatExchange::MayWaitForPlace() {
   if (services_.strikes->StandingOf(digest_) != RequestStanding::kSuspect) return false;
@@ -206,6 +226,10 @@
   attempt_->id = command.attempt_id;
   attempt_->backend = command.backend;
   attempt_->continues_run = command.resume_offset > 0;
+  if (std::exchange(is_trial_, false)) {
+    attempt_->trial = services_.crashes->watch().BeginTrial(SuspectsOfNextSend(), start_.request_id,
+                                                            command.backend);
+  }
   // An attempt on the same backend server again follows no choice.
   attempt_->is_isolated = std::exchange(is_choice_isolated_, false);
   attempt_->dispatch = services_.engines->Dispatched(demand_, command.backend);
@@ -375,14 +399,22 @@
   CrashWatch& watch = services_.crashes->watch();
   if (attempt_->continues_run || !watch.has_suspects()) return;
   watch.OnBeginningSurvived(PartSuspects());
+  if (attempt_->trial && !watch.IsAccused(RunSuspects())) EndTrial();
+}
+
+void ChatExchange::EndTrial() {
+  if (!attempt_->trial) return;
+  services_.crashes->watch().EndTrial(*std::exchange(attempt_->trial, std::nullopt));
 }
 
 // A strike on this backend server may follow later; how the run was lost counts then.
 void ChatExchange::NoteLoss() {
   attempt_->has_failed = true;
   if (attempt_->event_count < kTokensPastBeginning) {
-    services_.crashes->watch().OnRunLost(attempt_->backend,
-                                         {start_.request_id, PartSuspects(), services_.clock()});
+    LostRun run{start_.request_id, PartSuspects(), services_.clock()};
+    // The outcome is known once it is known whether the engine crashed.
+    run.trial = std::exchange(attempt_->trial, std::nullopt);
+    services_.crashes->watch().OnRunLost(attempt_->backend, std::move(run));
   }
   losses_.push_back({attempt_->backend.backend_id, attempt_->backend.incarnation,
                      attempt_->is_isolated, attempt_->event_count > 0});
@@ -408,6 +440,7 @@
 void ChatExchange::EndAttempt(bool whole, std::int64_t cached_tokens) {
   if (!attempt_ || !attempt_->is_open) return;
   attempt_->is_open = false;
+  EndTrial();
   if (!whole) NoteAbandoned();
   if (attempt_->call) DestroyLater(std::move(attempt_->call));
   services_.strikes->OnStopped(digest_, attempt_->backend.backend_id);
--- a/src/kumquatrouter/chat_exchange.h
+++ b/src/kumquatrouter/chat_exchange.h
@@ -38,6 +38,8 @@
   std::int64_t event_count = 0;
   // It goes on with a run that had begun before.
   bool continues_run = false;
+  // The trial of its suspects that it is, until the outcome is known.
+  std::optional<std::uint64_t> trial;
 };
 
 // Everything that decides is in StreamRequest; this class carries its commands out.
@@ -81,6 +83,10 @@
   bool MayWaitForPlace();
   bool IsCondemned();
   const std::vector<Suspect>& PartSuspects();
+  std::vector<Suspect> SuspectsOfNextSend();
+  bool PassesSuspects();
+  // The trial that the attempt is, if it is one, has ended.
+  void EndTrial();
   std::vector<Suspect> RunSuspects() const { return {{digest_, kRequestDepth}}; }
   bool IsDead(const BackendChoice& backend) const;
   void OnData(const std::string& attempt_id, std::string_view data);
@@ -112,6 +118,9 @@
   std::optional<ChatAttempt> attempt_;
   // Whether the last choice kept suspects apart.
   bool is_choice_isolated_ = false;
+  // The next attempt is a trial of the chat's suspects, or waits for one.
+  bool is_trial_ = false;
+  bool is_held_ = false;
   // Runs that were lost; a strike follows once their backend server is proven dead.
   std::vector<Strike> losses_;
   std::function<void()> on_done_;
--- a/src/kumquatrouter/crash_exchange.cpp
+++ b/src/kumquatrouter/crash_exchange.cpp
@@ -17,37 +17,41 @@
 constexpr Duration kSummaryInterval = std::chrono::seconds(1);
 const QString kNewsField = QStringLiteral("news");
 
-QJsonObject ToBody(const SuspectNews& news) {
+QJsonObject ToBody(const ControlNews& news) {
   const QByteArray encoded = QByteArray::fromStdString(Encode(news)).toBase64();
   return {{kNewsField, QString::fromLatin1(encoded)}};
 }
 
-std::optional<SuspectNews> FromBody(const QJsonObject& body) {
+std::optional<ControlNews> FromBody(const QJsonObject& body) {
   const QByteArray encoded = QByteArray::fromBase64(body[kNewsField].toString().toLatin1());
-  const auto news = DecodeControlNews(encoded.toStdString());
-  const auto* suspects = news ? std::get_if<SuspectNews>(&*news) : nullptr;
-  return suspects ? std::optional(*suspects) : std::nullopt;
+  return DecodeControlNews(encoded.toStdString());
 }
 
 }  // namespace
 
 CrashExchange::CrashExchange(std::string self, PeerNetwork* network, MembershipService* membership,
-                             Metrics* metrics, Clock clock)
+                             Metrics* metrics, Clock clock, Random random)
     : network_(network),
       membership_(membership),
       clock_(std::move(clock)),
+      random_(std::move(random)),
       watch_(std::move(self), Hooks(), metrics) {
-  network_->SetHandler(PeerMessageType::kSuspects,
-                       [this](const std::string& from, const QJsonObject& body) {
-                         const auto news = FromBody(body);
-                         if (!news) {
-                           LogEvent(LogLevel::kWarning, "peer_message_dropped", {{"from", from}});
-                           return;
-                         }
-                         const auto answer = watch_.Receive(*news);
-                         if (answer)
-                           network_->Send(from, PeerMessageType::kSuspects, ToBody(*answer));
-                       });
+  network_->SetHandler(
+      PeerMessageType::kSuspects,
+      [this](const std::string& from, const QJsonObject& body) { OnNews(from, FromBody(body)); });
+}
+
+void CrashExchange::OnNews(const std::string& from, const std::optional<ControlNews>& news) {
+  if (const auto* suspects = news ? std::get_if<SuspectNews>(&*news) : nullptr) {
+    const auto answer = watch_.Receive(*suspects);
+    if (!answer) return;
+    network_->Send(from, PeerMessageType::kSuspects, ToBody(*answer));
+    network_->Send(from, PeerMessageType::kSuspects, ToBody(watch_.TrialSummary()));
+  } else if (const auto* trials = news ? std::get_if<TrialNews>(&*news) : nullptr) {
+    watch_.Receive(*trials);
+  } else {
+    LogEvent(LogLevel::kWarning, "peer_message_dropped", {{"from", from}});
+  }
 }
 
 CrashWatchHooks CrashExchange::Hooks() {
@@ -68,13 +72,14 @@
   hooks.is_leaving = [this](const BackendChoice& backend) {
     return membership_->table().IsLeaving(backend.backend_id, backend.incarnation);
   };
-  hooks.report = [this](const SuspectNews& news) { SendToAll(news); };
+  hooks.report = [this](const ControlNews& news) { SendToAll(news); };
+  hooks.random = random_;
   // Not every router is linked to every other.
   hooks.relays_news = true;
   return hooks;
 }
 
-void CrashExchange::SendToAll(const SuspectNews& news) {
+void CrashExchange::SendToAll(const ControlNews& news) {
   const QJsonObject body = ToBody(news);
   for (const std::string& peer : network_->connected_peers()) {
     network_->Send(peer, PeerMessageType::kSuspects, body);
@@ -92,6 +97,8 @@
   if (now - summary_sent_at_ < kSummaryInterval) return;
   summary_sent_at_ = now;
   SendToAll(watch_.Summary());
+  const TrialNews trials = watch_.TrialSummary();
+  if (!trials.trials.empty() || !trials.crashes.empty()) SendToAll(trials);
 }
 
 }  // namespace kumquat
--- a/src/kumquatrouter/crash_exchange.h
+++ b/src/kumquatrouter/crash_exchange.h
@@ -1,9 +1,11 @@
 // The crash watch of a router that shares what it learns with its peers instead of through control.
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include "crash_watch.h"
+#include "protocol/control_news.h"
 #include "utils/histogram.h"
 #include "utils/hooks.h"
 
@@ -16,7 +18,7 @@
  public:
   // The raw pointers aren't owned.
   CrashExchange(std::string self, PeerNetwork* network, MembershipService* membership,
-                Metrics* metrics, Clock clock);
+                Metrics* metrics, Clock clock, Random random);
 
   CrashWatch& watch() { return watch_; }
 
@@ -28,11 +30,14 @@
 
  private:
   CrashWatchHooks Hooks();
-  void SendToAll(const SuspectNews& news);
+  void SendToAll(const ControlNews& news);
+  // Takes a message of another router; nullopt if it can't be read.
+  void OnNews(const std::string& from, const std::optional<ControlNews>& news);
 
   PeerNetwork* network_;
   MembershipService* membership_;
   Clock clock_;
+  Random random_;
   CrashWatch watch_;
   Instant summary_sent_at_{0};
 };
--- a/src/kumquatrouter/forwarding/control_feed.cpp
+++ b/src/kumquatrouter/forwarding/control_feed.cpp
@@ -97,6 +97,10 @@
                           versions_,       directory_.table().digest(), hooks_.clock()};
   link.Send(FrameKind::kNews, Encode(hello));
   link.Send(FrameKind::kNews, Encode(hooks_.suspect_summary()));
+  const TrialNews trials = hooks_.trial_summary();
+  if (!trials.trials.empty() || !trials.crashes.empty()) {
+    link.Send(FrameKind::kNews, Encode(trials));
+  }
 }
 
 void ControlFeed::OnFrame(const Endpoint& replica, FrameKind kind, std::string_view payload) {
@@ -183,6 +187,10 @@
   hooks_.on_quota(news);
 }
 
+void ControlFeed::Receive(const Endpoint& /*replica*/, const TrialNews& news) {
+  hooks_.on_trials(news);
+}
+
 void ControlFeed::AskQuota(const QuotaAsked& asked) {
   const Instant now = hooks_.clock();
   if (!quota_unanswered_since_) quota_unanswered_since_ = now;
@@ -199,7 +207,7 @@
   SendToAll(PartsWanted{keys});
 }
 
-void ControlFeed::ReportSuspects(const SuspectNews& news) { SendToAll(news); }
+void ControlFeed::ReportSuspects(const ControlNews& news) { SendToAll(news); }
 
 void ControlFeed::SendToAll(const ControlNews& news) {
   const std::string encoded = Encode(news);
--- a/src/kumquatrouter/forwarding/control_feed.h
+++ b/src/kumquatrouter/forwarding/control_feed.h
@@ -56,6 +56,9 @@
   // Returns what to answer the replica; nullopt for nothing.
   std::function<std::optional<SuspectNews>(const SuspectNews& news)> on_suspects;
   std::function<void(const QuotaGranted& granted)> on_quota;
+  // The same as suspect_summary, and on_suspects without an answer, for trials of suspects.
+  std::function<TrialNews()> trial_summary;
+  std::function<void(const TrialNews& news)> on_trials;
 };
 
 // Keeps a connection to each control replica and merges their updates. A replica with older state
@@ -82,8 +85,9 @@
   // Reports to all connected replicas the keys of parts that requests are placed by.
   void ReportInterest(const std::vector<std::uint64_t>& keys);
 
-  // Reports suspects to all connected replicas, which pass them on to the other routers.
-  void ReportSuspects(const SuspectNews& news);
+  // Reports suspects or their trials to all connected replicas, which pass them on to the other
+  // routers.
+  void ReportSuspects(const ControlNews& news);
 
   // Asks the leader for units of quotas: through the replica that answered last, or all replicas if
   // that one has been silent.
@@ -110,6 +114,7 @@
   void Receive(const Endpoint& replica, const PartsWanted& news);
   void Receive(const Endpoint& replica, const QuotaAsked& news);
   void Receive(const Endpoint& replica, const QuotaGranted& news);
+  void Receive(const Endpoint& replica, const TrialNews& news);
   void SendToAll(const ControlNews& news);
   FrameLink* LoadRelayLink();
   void DropUnknownReplicas();
--- a/src/kumquatrouter/forwarding/forward_exchange.cpp
+++ b/src/kumquatrouter/forwarding/forward_exchange.cpp
@@ -29,6 +29,10 @@
 constexpr int kQueueTimeDivisor = 2;
 // A request may wait for its organisation's quota for the objective divided by this.
 constexpr int kQuotaWaitDivisor = 4;
+// A trial of a request's suspects takes a quiet second and the time of a prompt. The request waits
+// for it so long, but at most for half of its time.
+constexpr Duration kLongestHold = std::chrono::milliseconds(1500);
+constexpr int kHoldDivisor = 2;
 constexpr int kFirstServerError = 500;
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
@@ -158,12 +162,46 @@
 }
 
 bool ForwardExchange::IsCondemned() {
-  return services_.crashes->has_condemned() && services_.crashes->IsCondemned(Suspects().all);
+  return services_.crashes->has_accused() && services_.crashes->IsCondemned(Suspects().all);
 }
 
 bool ForwardExchange::IsRunCondemned() {
-  return services_.crashes->has_condemned() &&
-         services_.crashes->IsCondemned(Suspects().whole_run());
+  return services_.crashes->has_accused() && services_.crashes->IsCondemned(Suspects().whole_run());
+}
+
+bool ForwardExchange::IsRunAccused() {
+  return services_.crashes->has_accused() && services_.crashes->IsAccused(Suspects().whole_run());
+}
+
+std::span<const Suspect> ForwardExchange::SuspectsOfNextSend() {
+  if (decisions_->is_past_beginning()) return Suspects().whole_run();
+  return Suspects().all;
+}
+
+bool ForwardExchange::PassesSuspects(std::size_t servers) {
+  held_until_.reset();
+  is_trial_ = false;
+  if (!services_.crashes->has_accused()) return true;
+  switch (services_.crashes->Judge(SuspectsOfNextSend(), servers)) {
+    case SuspectVerdict::kFree:
+      return true;
+    case SuspectVerdict::kTrial:
+      is_trial_ = true;
+      return true;
+    case SuspectVerdict::kHeld:
+      // A stream that has begun can't be refused any more.
+      held_until_ =
+          decisions_->is_relaying()
+              ? deadline_
+              : received_ + std::min(kLongestHold, (deadline_ - received_) / kHoldDivisor);
+      return false;
+    case SuspectVerdict::kExhausted:
+    case SuspectVerdict::kCondemned:
+      break;
+  }
+  // No trial will tell, so it is refused at once.
+  held_until_ = received_;
+  return false;
 }
 
 ForwardPolicy ForwardExchange::Policy() const {
@@ -182,6 +220,7 @@
   ForwardHooks hooks;
   hooks.choose = [this](std::span<const BackendChoice> avoid) { return Choose(avoid); };
   hooks.is_hopeless = [this] { return IsHopeless(); };
+  hooks.held_until = [this] { return held_until_; };
   hooks.is_condemned = [this] { return IsCondemned(); };
   hooks.is_run_condemned = [this] { return IsRunCondemned(); };
   hooks.try_repeat = [this] { return TryRepeat(); };
@@ -228,12 +267,13 @@
 }
 
 std::optional<BackendChoice> ForwardExchange::Choose(std::span<const BackendChoice> avoid) {
-  std::vector<PooledBackend*> candidates = services_.pool.Candidates(service_->name, avoid, Now());
-  if (engines_) candidates = engines_->MayBegin(std::move(candidates));
   next_choice_.reset();
   expected_wait_.reset();
-  if (candidates.empty()) return std::nullopt;
-  if (!request_.prompt) {
+  std::vector<PooledBackend*> candidates = services_.pool.Candidates(service_->name, avoid, Now());
+  if (engines_) candidates = engines_->MayBegin(std::move(candidates));
+  if (!PassesSuspects(candidates.size()) || candidates.empty()) return std::nullopt;
+  // A trial goes where the fewest other runs may be lost with it.
+  if (!request_.prompt || is_trial_) {
     return ChooseLeastBusy(candidates, services_.failure_domain, services_.random)->choice();
   }
   const PromptContext setting = PlacementContext();
@@ -337,7 +377,7 @@
 // copy is unknown, is leaving, or has weights that are too old or, since then, other ones: it would
 // refuse to continue the run.
 std::optional<RunCopy> ForwardExchange::TakeCopy() {
-  if (!last_backup_) return std::nullopt;
+  if (!last_backup_ || IsRunAccused()) return std::nullopt;
   const PooledBackend* backend = services_.pool.Find(*last_backup_);
   last_backup_.reset();
   const bool fits =
@@ -391,6 +431,10 @@
   attempt_->sent_at = Now();
   attempt_->last_received_at = attempt_->sent_at;
   services_.pool.OnSent(*backend);
+  if (std::exchange(is_trial_, false)) {
+    attempt_->trial =
+        services_.crashes->BeginTrial(SuspectsOfNextSend(), request_.id, command.backend);
+  }
   if (number == 1) {
     const std::int64_t amount = request_.prompt ? request_.prompt->tokens : 1;
     services_.waiting_order.AddUse(Rank(), OrganisationName(), amount, Now());
@@ -495,6 +539,7 @@
               {"status", status},
               {"misdirected", head.is_misdirected ? "yes" : "no"},
               {"ms", Milliseconds(Now() - attempt_->sent_at)}});
+    WithdrawTrial();
   }
   if (!head.is_misdirected) services_.crashes->OnAnswering(attempt_->backend);
   if (PooledBackend* backend = services_.pool.Find(attempt_->backend)) {
@@ -573,6 +618,16 @@
 void ForwardExchange::OnBeginningSurvived() {
   if (attempt_->continues_run || !services_.crashes->has_suspects()) return;
   services_.crashes->OnBeginningSurvived(Suspects().beginning());
+  if (!IsRunAccused()) EndTrial();
+}
+
+void ForwardExchange::EndTrial() {
+  if (attempt_->trial) services_.crashes->EndTrial(*std::exchange(attempt_->trial, std::nullopt));
+}
+
+void ForwardExchange::WithdrawTrial() {
+  if (!attempt_->trial) return;
+  services_.crashes->WithdrawTrial(*std::exchange(attempt_->trial, std::nullopt));
 }
 
 void ForwardExchange::OnFirstEvent() {
@@ -637,7 +692,11 @@
   if (PooledBackend* backend = services_.pool.Find(attempt_->backend)) {
     BackendPool::OnFailure(*backend, failure, Now());
   }
-  if (failure != CallFailure::kNotSent) ReportLoss();
+  if (failure == CallFailure::kNotSent) {
+    WithdrawTrial();
+  } else {
+    ReportLoss();
+  }
   EndAttempt();
   decisions_->OnFailure(number, failure, Now());
 }
@@ -651,11 +710,14 @@
   run.suspects.assign(suspects.begin(), suspects.end());
   run.lost_at = Now();
   run.sent_at = attempt_->sent_at;
+  run.trial = attempt_->trial;
   return run;
 }
 
 void ForwardExchange::ReportLoss() {
   services_.crashes->OnRunLost(attempt_->backend, RunLostNow());
+  // The outcome is known once it is known whether the server crashed.
+  attempt_->trial.reset();
 }
 
 void ForwardExchange::AbandonAttempt() {
@@ -680,6 +742,7 @@
 
 void ForwardExchange::EndAttempt() {
   if (!attempt_) return;
+  EndTrial();
   Attempt ended = std::move(*attempt_);
   attempt_.reset();
   last_backup_ = ended.backup;
@@ -693,7 +756,10 @@
 std::unique_ptr<RunMover> ForwardExchange::MakeMover(const PooledBackend& source) {
   const std::int64_t number = attempt_->number;
   RunMoverHooks hooks;
-  hooks.choose_target = [this, from = source.choice()](std::span<const BackendChoice> refused) {
+  hooks.choose_target =
+      [this, from = source.choice()](
+          std::span<const BackendChoice> refused) -> std::optional<BackendChoice> {
+    if (IsRunAccused()) return std::nullopt;
     std::vector<BackendChoice> avoid(refused.begin(), refused.end());
     avoid.push_back(from);
     return engines_->ChooseMoveTarget(avoid, run_weights_);
--- a/src/kumquatrouter/forwarding/forward_exchange.h
+++ b/src/kumquatrouter/forwarding/forward_exchange.h
@@ -44,6 +44,9 @@
 
   bool is_waiting() const { return decisions_ && decisions_->is_waiting(); }
 
+  // Returns whether it waits for a trial of its suspects, not for a backend server.
+  bool is_held() const { return is_waiting() && held_until_; }
+
   // Moves a running stream away from an engine that is to load weights, or takes the next step of a
   // move that has begun. Does nothing if the stream runs elsewhere or can't be moved.
   void AdvanceMove();
@@ -74,6 +77,8 @@
     // The engine chosen for a request with a prompt, and the estimates that led to the choice.
     std::optional<PromptChoice> prompt_choice;
     DispatchId dispatch = 0;
+    // The trial of its suspects that it is, until the outcome is known.
+    std::optional<std::uint64_t> trial;
     // Whether any data of a streamed answer has arrived, even if no event is complete yet.
     bool has_stream_data = false;
     // Events with a number that have come.
@@ -118,6 +123,13 @@
   const RequestSuspects& Suspects();
   bool IsCondemned();
   bool IsRunCondemned();
+  // Returns whether the whole run may crash servers, so that it must not go on from a copy.
+  bool IsRunAccused();
+  // Returns the suspects that the next send would have.
+  std::span<const Suspect> SuspectsOfNextSend();
+  // Returns whether a send to one of this many servers may be made now, by its suspects; sets
+  // is_trial_ and held_until_.
+  bool PassesSuspects(std::size_t servers);
   ForwardPolicy Policy() const;
   ForwardHooks Hooks();
   // Takes a repeat from the budget, and logs what decided it.
@@ -135,6 +147,9 @@
   LostRun RunLostNow();
   // Records that the run in progress was lost.
   void ReportLoss();
+  // The trial that the attempt in progress is, if it is one, has ended, or hasn't run.
+  void EndTrial();
+  void WithdrawTrial();
   // Ends the attempt in progress, whose server may go on with the run and still crash by it.
   void AbandonAttempt();
   // Stops reading from the backend server while too much of its answer waits for the caller, and
@@ -179,6 +194,10 @@
   const Service* service_ = nullptr;
   // Set for a request with a prompt.
   std::optional<EnginesOfRun> engines_;
+  // Until when the request may wait for a trial of its suspects; nullopt if it isn't held back.
+  std::optional<Instant> held_until_;
+  // The next send is a trial of its suspects.
+  bool is_trial_ = false;
   // Computed when first needed, since a long body takes time to hash.
   std::optional<RequestSuspects> suspects_;
   Instant received_{0};
--- a/src/kumquatrouter/forwarding/forward_server.cpp
+++ b/src/kumquatrouter/forwarding/forward_server.cpp
@@ -99,7 +99,9 @@
            [this](const RouterLoad& load, std::int64_t routers) { OnPeerLoads(load, routers); },
            [this] { return crash_watch_.Summary(); },
            [this](const SuspectNews& news) { return crash_watch_.Receive(news); },
-           [this](const QuotaGranted& granted) { quotas_.OnGranted(granted); }}),
+           [this](const QuotaGranted& granted) { quotas_.OnGranted(granted); },
+           [this] { return crash_watch_.TrialSummary(); },
+           [this](const TrialNews& news) { crash_watch_.Receive(news); }}),
       loop_watch_(kSilenceCheckInterval, kLateTimerThreshold) {
   services_.failure_domain = settings_.failure_domain;
   services_.clock = clock;
@@ -174,7 +176,8 @@
   hooks.is_leaving = [this](const BackendChoice& backend) {
     return feed_.members().IsLeaving(backend.backend_id, backend.incarnation);
   };
-  hooks.report = [this](const SuspectNews& news) { feed_.ReportSuspects(news); };
+  hooks.report = [this](const ControlNews& news) { feed_.ReportSuspects(news); };
+  hooks.random = [this] { return services_.random(); };
   return hooks;
 }
 
@@ -245,7 +248,7 @@
   exchanges_.insert(exchange);
   exchange->Start([this, raw = std::weak_ptr(exchange)] { exchanges_.erase(raw.lock()); });
   if (!exchange->is_waiting()) return;
-  services_.waited_for.insert(exchange->service_name());
+  if (!exchange->is_held()) services_.waited_for.insert(exchange->service_name());
   if (!wake_timer_.isActive()) wake_timer_.start(kWakeInterval);
 }
 
@@ -267,10 +270,13 @@
 // Notes the services that requests wait for now, and lets the timer run while there are any.
 void ForwardServer::NoteWaiting() {
   services_.waited_for.clear();
+  bool any_waits = false;
   for (const auto& exchange : exchanges_) {
-    if (exchange->is_waiting()) services_.waited_for.insert(exchange->service_name());
+    if (!exchange->is_waiting()) continue;
+    any_waits = true;
+    if (!exchange->is_held()) services_.waited_for.insert(exchange->service_name());
   }
-  if (services_.waited_for.empty()) {
+  if (!any_waits) {
     wake_timer_.stop();
   } else if (!wake_timer_.isActive()) {
     wake_timer_.start(kWakeInterval);
--- a/src/kumquatrouter/router.cpp
+++ b/src/kumquatrouter/router.cpp
@@ -89,7 +89,7 @@
             return membership_.FirstKeeperOf(std::string(backend_id));
           },
           settings.request_deadline, clock_),
-      crashes_(settings.instance, &network_, &membership_, &metrics_, clock_),
+      crashes_(settings.instance, &network_, &membership_, &metrics_, clock_, random_),
       cache_follower_(std::make_unique<CacheFollower>(&membership_, &index_, client_.get(), clock_,
                                                       settings.cache_poll_interval)) {
   services_ = {&settings_, client_.get(),   &control_,      &membership_, &engines_,
--- a/src/kumquatrouter/service_directory.cpp
+++ b/src/kumquatrouter/service_directory.cpp
@@ -70,4 +70,15 @@
   return best;
 }
 
+std::size_t ServiceDirectory::CountUp(const ServiceTarget& target) const {
+  std::size_t up = 0;
+  table_->ForEach([&](const Member& member) {
+    const MemberRecord& record = member.record;
+    const bool serves =
+        FindOperation(record, target.service, target.method, target.path) != nullptr;
+    if (serves && !record.leaving && !record.down) ++up;
+  });
+  return up;
+}
+
 }  // namespace kumquat
--- a/src/kumquatrouter/service_directory.h
+++ b/src/kumquatrouter/service_directory.h
@@ -38,6 +38,9 @@
   std::optional<BackendChoice> Choose(const ServiceTarget& target,
                                       std::span<const BackendChoice> avoid) const;
 
+  // Returns how many backend servers can serve it that aren't said to be down.
+  std::size_t CountUp(const ServiceTarget& target) const;
+
   // Count the calls under way.
   void Started(const std::string& backend_id) { ++running_[backend_id]; }
   void Stopped(const std::string& backend_id) { --running_[backend_id]; }
--- a/src/kumquatrouter/service_exchange.cpp
+++ b/src/kumquatrouter/service_exchange.cpp
@@ -108,14 +108,23 @@
 
 bool ServiceExchange::IsCondemned() {
   const CrashWatch& watch = services_.crashes->watch();
-  return watch.has_condemned() && watch.IsCondemned(Suspects());
+  return watch.has_accused() && watch.IsCondemned(Suspects());
+}
+
+// While a call may crash its server, it is refused as not run, but for the one that is to show it.
+std::optional<BackendChoice> ServiceExchange::Choose(std::span<const BackendChoice> avoid) {
+  CrashWatch& watch = services_.crashes->watch();
+  const SuspectVerdict verdict = watch.has_accused()
+                                     ? watch.Judge(Suspects(), directory_->CountUp(target_))
+                                     : SuspectVerdict::kFree;
+  is_trial_ = verdict == SuspectVerdict::kTrial;
+  if (verdict != SuspectVerdict::kFree && !is_trial_) return std::nullopt;
+  return directory_->Choose(target_, avoid);
 }
 
 void ServiceExchange::Run() {
   ServiceCallHooks hooks;
-  hooks.choose_backend = [this](std::span<const BackendChoice> avoid) {
-    return directory_->Choose(target_, avoid);
-  };
+  hooks.choose_backend = [this](std::span<const BackendChoice> avoid) { return Choose(avoid); };
   hooks.is_condemned = [this] { return IsCondemned(); };
   hooks.try_retry = [this](int retries_before, Instant now, Instant deadline) {
     return services_.retry_budget->TryRetry(retries_before, now, deadline);
@@ -157,6 +166,10 @@
   Attempt& attempt = attempts_[command.attempt_id];
   attempt.backend = command.backend;
   attempt.sent_at = services_.clock();
+  if (std::exchange(is_trial_, false)) {
+    attempt.trial =
+        services_.crashes->watch().BeginTrial(Suspects(), start_.request_id, command.backend);
+  }
   directory_->Started(command.backend.backend_id);
   attempt.call = services_.client->Start(CallFor(command), HooksFor(command.attempt_id));
 }
@@ -164,6 +177,7 @@
 void ServiceExchange::Execute(const service_command::CancelAttempt& command) {
   const auto attempt = TakeAttempt(command.attempt_id);
   const bool has_failed = attempt && attempt->answer.status >= kFirstError;
+  if (attempt && attempt->trial) services_.crashes->watch().EndTrial(*attempt->trial);
   if (!attempt || has_failed || !attempt->may_run) return;
   services_.crashes->watch().OnRunAbandoned(
       attempt->backend, {start_.request_id, Suspects(), services_.clock(), false, attempt->sent_at},
@@ -245,6 +259,7 @@
     // An error may be answered without running the call.
     const bool has_run = attempt->answer.status < kFirstError;
     if (has_run && watch.has_suspects()) watch.OnBeginningSurvived(exchange->Suspects());
+    if (attempt->trial) watch.EndTrial(*attempt->trial);
     exchange->Execute(
         exchange->decisions_->OnAnswer(attempt_id, attempt->answer, exchange->services_.clock()));
   };
@@ -275,12 +290,15 @@
   const auto attempt = TakeAttempt(attempt_id);
   if (!attempt) return;
   const BackendChoice& backend = attempt->backend;
+  CrashWatch& watch = services_.crashes->watch();
   if (failure == CallFailure::kNotSent) {
     services_.membership->ConnectionFailed(backend.backend_id, backend.incarnation, false);
+    if (attempt->trial) watch.WithdrawTrial(*attempt->trial);
   } else {
     services_.membership->ProbeBackend(backend.backend_id);
-    services_.crashes->watch().OnRunLost(backend,
-                                         {start_.request_id, Suspects(), services_.clock()});
+    LostRun run{start_.request_id, Suspects(), services_.clock()};
+    run.trial = attempt->trial;
+    watch.OnRunLost(backend, std::move(run));
   }
   Execute(decisions_->OnFailure(attempt_id, failure, services_.clock()));
 }
--- a/src/kumquatrouter/service_exchange.h
+++ b/src/kumquatrouter/service_exchange.h
@@ -33,6 +33,8 @@
     std::unique_ptr<BackendCall> call;
     RecordedAnswer answer;
     Instant sent_at{0};
+    // The trial that it is, if it is one.
+    std::optional<std::uint64_t> trial;
     // Whether the server may have got the call, once the attempt is taken out.
     bool may_run = false;
   };
@@ -51,6 +53,7 @@
 
   ServiceCallOptions OptionsFor() const;
   bool IsCondemned();
+  std::optional<BackendChoice> Choose(std::span<const BackendChoice> avoid);
   const std::vector<Suspect>& Suspects();
   BackendCallRequest CallFor(const service_command::StartAttempt& command) const;
   BackendCallHooks HooksFor(const std::string& attempt_id);
@@ -76,6 +79,8 @@
   std::unique_ptr<AnswerMemory::Account> answer_account_;
   std::function<void()> on_done_;
   bool is_answered_ = false;
+  // The next attempt is a trial of the call's suspects.
+  bool is_trial_ = false;
 };
 
 }  // namespace kumquat
--- a/src/libs/coordination/admission/culprit_table.cpp
+++ b/src/libs/coordination/admission/culprit_table.cpp
@@ -17,16 +17,8 @@
 constexpr Duration kClearedLifetime = std::chrono::seconds(30);
 // The time of one clearing differs this much between processes, by the delay of messages.
 constexpr Duration kClearingTolerance = std::chrono::milliseconds(250);
-// This many crashes or more are one incident if each follows the one before within kIncidentGap and
-// all lie within kIncidentWindow. Routers notice crashes of one moment some milliseconds apart; a
-// culprit that is sent to two servers at once crashes two.
-constexpr std::size_t kIncidentCrashes = 3;
-constexpr Duration kIncidentGap = std::chrono::milliseconds(25);
-constexpr Duration kIncidentWindow = std::chrono::milliseconds(250);
 // Crashes of one incarnation that are told apart.
 constexpr int kMaxOrdinals = 8;
-// Crashes whose times are kept, the latest ones.
-constexpr std::size_t kMaxCrashTimes = 512;
 
 }  // namespace
 
@@ -47,7 +39,6 @@
 
 bool CulpritTable::AddCrashTo(Entry& entry, std::uint64_t crash, Instant lost_at, Instant now) {
   if (entry.cleared_at && lost_at <= *entry.cleared_at) return false;
-  LearnCrash(crash, lost_at, now);
   const auto [known, is_new] = entry.crashes.try_emplace(crash, Loss{lost_at, now});
   // Delays only ever make a crash look later than it was.
   known->second.lost_at = std::min(known->second.lost_at, lost_at);
@@ -78,19 +69,6 @@
   return further.value_or(crash);
 }
 
-void CulpritTable::LearnCrash(std::uint64_t crash, Instant lost_at, Instant now) {
-  const auto [known, is_new] = crash_times_.try_emplace(crash, lost_at);
-  if (!is_new && known->second <= lost_at) return;
-  known->second = lost_at;
-  if (crash_times_.size() > kMaxCrashTimes) {
-    crash_times_.erase(std::min_element(
-        crash_times_.begin(), crash_times_.end(),
-        [](const auto& left, const auto& right) { return left.second < right.second; }));
-  }
-  // It may make one incident of crashes that were counted apart.
-  if (!incriminated_.empty()) Condemn(now);
-}
-
 bool CulpritTable::Clear(const std::string& digest, Instant now) {
   const auto found = entries_.find(digest);
   if (found == entries_.end() || found->second.crashes.empty()) return false;
@@ -130,20 +108,20 @@
   return changed;
 }
 
-std::size_t CulpritTable::CrashesToCondemn(const Entry& entry) const {
-  return entry.depth == kRequestDepth ? options_.crashes_to_condemn_request
-                                      : options_.crashes_to_condemn_part;
+std::size_t CulpritTable::CrashesToAccuse(const Entry& entry) const {
+  return entry.depth == kRequestDepth ? options_.crashes_to_accuse_request
+                                      : options_.crashes_to_accuse_part;
 }
 
 void CulpritTable::OnChanged(const std::string& digest, Instant now) {
   Entry& entry = entries_.at(digest);
   entry.changed_at = now;
   entry.is_shared = entry.is_shared || entry.crashes.size() >= kSharedCrashes;
-  const bool is_incriminated = entry.crashes.size() >= CrashesToCondemn(entry);
+  const bool is_incriminated = entry.crashes.size() >= CrashesToAccuse(entry);
   const bool was_incriminated = incriminated_.contains(digest);
   if (is_incriminated) incriminated_.insert(digest);
   if (!is_incriminated) incriminated_.erase(digest);
-  if (is_incriminated || was_incriminated) Condemn(now);
+  if (is_incriminated || was_incriminated) Accuse(now);
   while (entries_.size() > options_.max_entries) {
     const auto weakest =
         std::min_element(entries_.begin(), entries_.end(), [](const auto& left, const auto& right) {
@@ -154,108 +132,79 @@
   }
 }
 
-// Returns the incident of each crash, identified by the first crash of the incident.
-std::map<std::uint64_t, std::uint64_t> CulpritTable::Incidents() const {
-  std::vector<std::pair<Instant, std::uint64_t>> crashes;
-  crashes.reserve(crash_times_.size());
-  for (const auto& [crash, at] : crash_times_) crashes.emplace_back(at, crash);
-  std::sort(crashes.begin(), crashes.end());
-  std::map<std::uint64_t, std::uint64_t> incidents;
-  for (auto first = crashes.begin(); first != crashes.end();) {
-    auto last = std::next(first);
-    while (last != crashes.end() && last->first <= std::prev(last)->first + kIncidentGap &&
-           last->first <= first->first + kIncidentWindow) {
-      ++last;
-    }
-    const bool is_one = static_cast<std::size_t>(last - first) >= kIncidentCrashes;
-    for (auto crash = first; crash != last; ++crash) {
-      incidents[crash->second] = is_one ? first->second : crash->second;
-    }
-    first = last;
-  }
-  return incidents;
-}
-
 bool CulpritTable::IsOnParole(const Entry& entry, Instant now) const {
   Instant last_crash{0};
   for (const auto& [crash, loss] : entry.crashes) last_crash = std::max(last_crash, loss.lost_at);
   // At most kMaxCrashes are kept, which bounds the shift.
-  const std::size_t doublings = entry.crashes.size() - CrashesToCondemn(entry);
+  const std::size_t doublings = entry.crashes.size() - CrashesToAccuse(entry);
   return now >= last_crash + options_.parole_after * (std::int64_t{1} << doublings);
 }
 
-// Returns the suspects with enough incidents, those that had enough first come first. Of those that
-// had enough with the same incident, the most specific comes first, then the one with most.
-std::vector<CulpritTable::Accused> CulpritTable::AccusedSuspects(Instant now) const {
-  const auto incident_of_crash = Incidents();
-  const auto incident_of = [&](std::uint64_t crash) {
-    const auto known = incident_of_crash.find(crash);
-    return known != incident_of_crash.end() ? known->second : crash;
-  };
+// Returns the suspects with enough crashes, those that had enough first come first. Of those that
+// had enough with the same crash, the most specific comes first, then the one with most.
+std::vector<CulpritTable::Candidate> CulpritTable::Candidates(Instant now) const {
   std::vector<const std::string*> digests;
-  // All suspects give an incident the same time, so that they can be compared by it.
-  std::map<std::uint64_t, Instant> incident_times;
+  // All suspects give a crash the same time, so that they can be compared by it.
+  std::map<std::uint64_t, Instant> crash_times;
   for (const std::string& digest : incriminated_) {
     const Entry& entry = entries_.at(digest);
     // While a message is merged, an entry may already have lost the crashes that incriminated it.
-    const bool was_cleared = entry.crashes.size() < CrashesToCondemn(entry);
+    const bool was_cleared = entry.crashes.size() < CrashesToAccuse(entry);
     if (was_cleared || IsOnParole(entry, now)) continue;
     digests.push_back(&digest);
     for (const auto& [crash, loss] : entry.crashes) {
-      Instant& at = incident_times.try_emplace(incident_of(crash), loss.lost_at).first->second;
+      Instant& at = crash_times.try_emplace(crash, loss.lost_at).first->second;
       at = std::min(at, loss.lost_at);
     }
   }
-  std::vector<Accused> all;
+  std::vector<Candidate> all;
   for (const std::string* digest : digests) {
     const Entry& entry = entries_.at(*digest);
-    Accused one{digest, CrashesToCondemn(entry), entry.depth, {}, {}};
+    Candidate one{digest, CrashesToAccuse(entry), entry.depth, {}, {}};
     for (const auto& [crash, loss] : entry.crashes) {
-      const std::uint64_t incident = incident_of(crash);
-      one.incidents.emplace(incident_times.at(incident), incident);
+      one.crashes.emplace(crash_times.at(crash), crash);
     }
-    if (one.incidents.size() < one.needed) continue;
-    one.enough_since =
-        *std::next(one.incidents.begin(), static_cast<std::ptrdiff_t>(one.needed) - 1);
+    one.enough_since = *std::next(one.crashes.begin(), static_cast<std::ptrdiff_t>(one.needed) - 1);
     all.push_back(std::move(one));
   }
-  std::sort(all.begin(), all.end(), [](const Accused& left, const Accused& right) {
+  std::sort(all.begin(), all.end(), [](const Candidate& left, const Candidate& right) {
     if (left.enough_since != right.enough_since) return left.enough_since < right.enough_since;
-    return std::pair(left.depth, left.incidents.size()) >
-           std::pair(right.depth, right.incidents.size());
+    return std::pair(left.depth, left.crashes.size()) >
+           std::pair(right.depth, right.crashes.size());
   });
   return all;
 }
 
-void CulpritTable::Condemn(Instant now) {
-  condemned_.clear();
-  const std::vector<Accused> all = AccusedSuspects(now);
-  std::set<Incident> explained;
-  const auto has_enough_unexplained = [&](const Accused& one) {
+void CulpritTable::Accuse(Instant now) {
+  accused_.clear();
+  const std::vector<Candidate> all = Candidates(now);
+  std::set<TimedCrash> explained;
+  const auto has_enough_unexplained = [&](const Candidate& one) {
     const auto unexplained =
-        std::count_if(one.incidents.begin(), one.incidents.end(),
-                      [&](const Incident& incident) { return !explained.contains(incident); });
+        std::count_if(one.crashes.begin(), one.crashes.end(),
+                      [&](const TimedCrash& crash) { return !explained.contains(crash); });
     return static_cast<std::size_t>(unexplained) >= one.needed;
   };
-  // What was lost in each incident of `one`, and in a later one without it, explains all of them.
-  const auto explains = [](const Accused& other, const Accused& one) {
-    return *other.incidents.rbegin() > *one.incidents.rbegin() &&
-           std::includes(other.incidents.begin(), other.incidents.end(), one.incidents.begin(),
-                         one.incidents.end());
+  // What was lost with each crash of `one`, and with a later one without it, explains all of them.
+  const auto explains = [](const Candidate& other, const Candidate& one) {
+    return *other.crashes.rbegin() > *one.crashes.rbegin() &&
+           std::includes(other.crashes.begin(), other.crashes.end(), one.crashes.begin(),
+                         one.crashes.end());
   };
   for (auto one = all.begin(); one != all.end();) {
     // Nothing tells suspects of the same rank apart, so none explains the crashes of another.
-    const auto next = std::find_if(one, all.end(),
-                                   [&](const Accused& other) { return !other.IsOfSameRank(*one); });
-    std::set<Incident> newly_explained;
+    const auto next = std::find_if(
+        one, all.end(), [&](const Candidate& other) { return !other.IsOfSameRank(*one); });
+    std::set<TimedCrash> newly_explained;
     for (; one != next; ++one) {
+      if (one->depth == kRequestDepth) accused_.insert(*one->digest);
       if (!has_enough_unexplained(*one)) continue;
-      const auto better = std::find_if(one, all.end(), [&](const Accused& other) {
+      const auto better = std::find_if(one, all.end(), [&](const Candidate& other) {
         return explains(other, *one) && has_enough_unexplained(other);
       });
-      const Accused& culprit = better == all.end() ? *one : *better;
-      condemned_.insert(*culprit.digest);
-      newly_explained.insert(culprit.incidents.begin(), culprit.incidents.end());
+      const Candidate& culprit = better == all.end() ? *one : *better;
+      accused_.insert(*culprit.digest);
+      newly_explained.insert(culprit.crashes.begin(), culprit.crashes.end());
     }
     explained.merge(newly_explained);
   }
@@ -264,7 +213,7 @@
 void CulpritTable::Remove(std::map<std::string, Entry>::iterator entry, Instant now) {
   const bool was_incriminated = incriminated_.erase(entry->first) > 0;
   entries_.erase(entry);
-  if (was_incriminated) Condemn(now);
+  if (was_incriminated) Accuse(now);
 }
 
 void CulpritTable::Expire(Instant now) {
@@ -276,9 +225,7 @@
     if (now - entry->second.changed_at >= lifetime) Remove(entry, now);
     entry = next;
   }
-  std::erase_if(crash_times_,
-                [&](const auto& crash) { return now - crash.second >= options_.max_age; });
-  if (!incriminated_.empty()) Condemn(now);
+  if (!incriminated_.empty()) Accuse(now);
 }
 
 SuspectEntry CulpritTable::ToMessage(const std::string& digest, const Entry& entry,
@@ -292,6 +239,19 @@
   return message;
 }
 
+bool CulpritTable::HasCrashes(const std::string& digest) const {
+  const auto found = entries_.find(digest);
+  return found != entries_.end() && !found->second.crashes.empty();
+}
+
+Instant CulpritTable::AccusedSince(const std::string& digest) const {
+  const Entry& entry = entries_.at(digest);
+  std::vector<Instant> times;
+  for (const auto& [crash, loss] : entry.crashes) times.push_back(loss.lost_at);
+  std::sort(times.begin(), times.end());
+  return times[std::min(times.size(), CrashesToAccuse(entry)) - 1];
+}
+
 std::optional<SuspectEntry> CulpritTable::EntryOf(const std::string& digest, Instant now) const {
   const auto found = entries_.find(digest);
   if (found == entries_.end()) return std::nullopt;
@@ -318,9 +278,9 @@
   return messages;
 }
 
-std::uint64_t CulpritTable::CondemnedHash() const {
+std::uint64_t CulpritTable::AccusedHash() const {
   std::uint64_t hash = 0;
-  for (const std::string& digest : condemned_) {
+  for (const std::string& digest : accused_) {
     hash = XXH3_64bits_withSeed(digest.data(), digest.size(), hash);
   }
   return hash;
--- a/src/libs/coordination/admission/culprit_table.h
+++ b/src/libs/coordination/admission/culprit_table.h
@@ -20,15 +20,15 @@
   // Maximum number of suspects. Those with the fewest crashes are evicted first, of these the ones
   // that changed longest ago.
   std::size_t max_entries = 2048;
-  // How long a suspect stays condemned after its last crash. It is then on parole: the next crash
-  // condemns it again, for twice as long each time, and an answer clears it.
+  // How long a suspect stays accused after its last crash. It is then on parole: the next crash
+  // accuses it again, for twice as long each time, and an answer clears it.
   Duration parole_after = std::chrono::minutes(1);
   // Lifetime of an entry after its last change.
   Duration max_age = std::chrono::minutes(10);
-  // A request that was lost with this many crashes, and not cleared since, is condemned; a part of
+  // A request that was lost with this many crashes, and not cleared since, is accused; a part of
   // prompts needs one more, since many sound requests may share it.
-  std::size_t crashes_to_condemn_request = 3;
-  std::size_t crashes_to_condemn_part = 4;
+  std::size_t crashes_to_accuse_request = 3;
+  std::size_t crashes_to_accuse_part = 4;
 };
 
 // Returns the id of a crash of this incarnation of a backend server. A server that has come back
@@ -44,14 +44,16 @@
 // A forwarded request is also a suspect for its whole run, which is recorded with each run that is
 // lost at any event, and cleared by a complete answer only: a culprit may crash its server late.
 //
-// Servers that crash together have another cause than a request, such as a loss of power: three or
-// more crashes within a fraction of a second count as one.
+// A suspect with enough crashes is accused. Whether it caused them isn't known by then: servers may
+// have crashed together by a loss of power, however close together that was. It isn't sent any more
+// but for trials (SuspectTrials), which tell.
 //
-// A crash needs one culprit only. So the suspect that had enough crashes first is condemned, of
+// A crash needs one culprit only. So the suspect that had enough crashes first is accused, of
 // several the most specific, of equal ones the one with the most, and its crashes no longer count
-// for the others. A later culprit therefore doesn't undo a verdict by crashes that both were lost
-// with. Only a suspect that was lost with each of these crashes, and with a later one without the
-// first, is condemned in its place.
+// for the others. A later culprit therefore doesn't undo an accusation by crashes that both were
+// lost with. Only a suspect that was lost with each of these crashes, and with a later one without
+// the first, is accused in its place. A request with enough crashes is accused in any case: what
+// explains them may be cleared by a trial, and a request must reach few servers until then.
 //
 // Merging the entries of other processes gives the same crashes in any order and when repeated, as
 // long as no entry expires or is evicted.
@@ -80,11 +82,20 @@
   // Merges an entry of another process. Returns whether it changed the table.
   bool Merge(const SuspectEntry& entry, Instant now);
 
-  bool IsCondemned(const std::string& digest) const { return condemned_.contains(digest); }
+  bool IsAccused(const std::string& digest) const { return accused_.contains(digest); }
 
-  // Returns whether any entry could be cleared or is condemned.
+  // Returns whether the suspect has enough crashes, though an accused one may explain them.
+  bool IsIncriminated(const std::string& digest) const { return incriminated_.contains(digest); }
+
+  // Returns whether the suspect was lost with a crash since it was last cleared.
+  bool HasCrashes(const std::string& digest) const;
+
+  // Returns when the crash was that made the crashes of an accused suspect enough.
+  Instant AccusedSince(const std::string& digest) const;
+
+  // Returns whether any entry could be cleared or is accused.
   bool has_suspects() const { return !entries_.empty(); }
-  const std::set<std::string>& condemned() const { return condemned_; }
+  const std::set<std::string>& accused() const { return accused_; }
   std::size_t size() const { return entries_.size(); }
 
   // Returns the entry of the suspect as it is sent to other processes; nullopt if there is none.
@@ -97,8 +108,8 @@
   // Returns the shared entries with the latest changes, at most kMaxExchanged.
   std::vector<SuspectEntry> SharedEntries(Instant now) const;
 
-  // Returns a hash of the condemned suspects, by which processes notice that they differ.
-  std::uint64_t CondemnedHash() const;
+  // Returns a hash of the accused suspects, by which processes notice that they differ.
+  std::uint64_t AccusedHash() const;
 
   // Removes expired entries and lets suspects out on parole.
   void Expire(Instant now);
@@ -120,42 +131,38 @@
     bool is_shared = false;
   };
 
-  // The time and id of a crash, or of the first of several that count as one.
-  using Incident = std::pair<Instant, std::uint64_t>;
+  // The time and id of a crash.
+  using TimedCrash = std::pair<Instant, std::uint64_t>;
 
-  // A suspect with enough crashes to be condemned, if others don't explain them.
-  struct Accused {
+  // A suspect with enough crashes to be accused, if others don't explain them.
+  struct Candidate {
     const std::string* digest = nullptr;
     std::size_t needed = 0;
     std::int64_t depth = 0;
-    std::set<Incident> incidents;
-    // The incident that made them enough.
-    Incident enough_since;
+    std::set<TimedCrash> crashes;
+    // The crash that made them enough.
+    TimedCrash enough_since;
 
-    bool IsOfSameRank(const Accused& other) const {
-      return enough_since == other.enough_since && incidents.size() == other.incidents.size() &&
+    bool IsOfSameRank(const Candidate& other) const {
+      return enough_since == other.enough_since && crashes.size() == other.crashes.size() &&
              depth == other.depth;
     }
   };
 
   bool AddCrashTo(Entry& entry, std::uint64_t crash, Instant lost_at, Instant now);
-  void LearnCrash(std::uint64_t crash, Instant lost_at, Instant now);
   bool IsOnParole(const Entry& entry, Instant now) const;
-  std::map<std::uint64_t, std::uint64_t> Incidents() const;
-  std::vector<Accused> AccusedSuspects(Instant now) const;
+  std::vector<Candidate> Candidates(Instant now) const;
   void OnChanged(const std::string& digest, Instant now);
-  std::size_t CrashesToCondemn(const Entry& entry) const;
-  void Condemn(Instant now);
+  std::size_t CrashesToAccuse(const Entry& entry) const;
+  void Accuse(Instant now);
   void Remove(std::map<std::string, Entry>::iterator entry, Instant now);
   SuspectEntry ToMessage(const std::string& digest, const Entry& entry, Instant now) const;
 
   CulpritTableOptions options_;
   std::map<std::string, Entry> entries_;
-  // When each crash was first noticed, of all suspects.
-  std::map<std::uint64_t, Instant> crash_times_;
-  // Suspects with enough crashes, if these are neither of one incident nor explained by others.
+  // Suspects with enough crashes, whether or not others explain them.
   std::set<std::string> incriminated_;
-  std::set<std::string> condemned_;
+  std::set<std::string> accused_;
 };
 
 }  // namespace kumquat
--- a/src/libs/coordination/forwarding/forward_request.cpp
+++ b/src/libs/coordination/forwarding/forward_request.cpp
@@ -66,6 +66,8 @@
       return "backlog";
     case EndReason::kNoRepeat:
       return "no_repeat";
+    case EndReason::kHeld:
+      return "held";
     case EndReason::kCondemned:
       return "condemned";
     case EndReason::kDeadline:
@@ -112,11 +114,14 @@
   if (!backend && runs_ > 0 && !avoid_.empty()) backend = hooks_.choose({});
   if (!backend) {
     state_ = State::kWaiting;
-    if (runs_ == 0 && hooks_.is_hopeless && hooks_.is_hopeless()) {
+    const auto held_until = hooks_.held_until();
+    if (runs_ == 0 && !held_until && hooks_.is_hopeless && hooks_.is_hopeless()) {
       return GiveUp(EndReason::kBacklog, ErrorKind::kBackendServerFailed);
     }
-    const bool may_wait = now < std::min(policy_.queue_until, policy_.deadline);
-    if (!may_wait) GiveUp(EndReason::kNoBackend, ErrorKind::kBackendServerFailed);
+    const bool may_wait =
+        now < std::min(held_until.value_or(policy_.queue_until), policy_.deadline);
+    const EndReason reason = held_until ? EndReason::kHeld : EndReason::kNoBackend;
+    if (!may_wait) GiveUp(reason, ErrorKind::kBackendServerFailed);
     return;
   }
   if (arrivals_ > 0 && !ReserveRepeat()) {
--- a/src/libs/coordination/forwarding/forward_request.h
+++ b/src/libs/coordination/forwarding/forward_request.h
@@ -98,6 +98,8 @@
   // It would begin too late to be of use, wherever it is sent.
   kBacklog,
   kNoRepeat,
+  // It may crash servers, and waits for a trial that tells.
+  kHeld,
   kCondemned,
   kDeadline,
   kShutdown,
@@ -125,6 +127,9 @@
   // Returns whether a request that hasn't run, and for which `choose` has just returned nothing,
   // can't be answered in time even if it waits. May be empty: then it waits.
   std::function<bool()> is_hopeless;
+  // Returns until when a request that `choose` has just held back, as it may crash the server that
+  // runs it, may wait for that to be found out; nullopt if it isn't held back.
+  std::function<std::optional<Instant>()> held_until = [] { return std::nullopt; };
   // Returns whether the request is known to crash the backend servers that run it. Not asked about
   // a request that is past its beginning.
   std::function<bool()> is_condemned;
--- a/src/libs/coordination/forwarding/lost_runs.h
+++ b/src/libs/coordination/forwarding/lost_runs.h
@@ -25,6 +25,8 @@
   // When it was sent. If this isn't known, the run never counts as lost with a further crash of the
   // same incarnation.
   Instant sent_at{0};
+  // The trial that it was, if it was one.
+  std::optional<std::uint64_t> trial = std::nullopt;
 };
 
 // A lost connection alone doesn't prove a crash: networks and faulty servers break them too, and
--- a/src/libs/coordination/forwarding/run_cache_scope.h
+++ b/src/libs/coordination/forwarding/run_cache_scope.h
@@ -12,8 +12,8 @@
 // those that it computes and those that are in the memory of a run that goes on there. A scope is
 // shared by the organisations of one set of isolated organisations (RouteIndex::CacheScopeOf), so
 // memory may only go on under the scope that it was computed under. If another scope is in force by
-// then, the run goes on under one of its own: the new scope must not get its parts, and the run must
-// not look for more parts under the old one.
+// then, the run goes on under one of its own: the new scope must not get its parts, and the run
+// must not look for more parts under the old one.
 class RunCacheScope {
  public:
   explicit RunCacheScope(Random random) : random_(std::move(random)) {}
--- a/src/libs/protocol/control_news.cpp
+++ b/src/libs/protocol/control_news.cpp
@@ -266,14 +266,14 @@
     entries.append(QCborArray{Bytes(entry.suspect.digest), static_cast<qint64>(entry.suspect.depth),
                               CrashesToBytes(entry.crashes), cleared_age});
   }
-  return QCborArray{Bytes(news.router), news.is_summary, static_cast<qint64>(news.condemned_hash),
+  return QCborArray{Bytes(news.router), news.is_summary, static_cast<qint64>(news.accused_hash),
                     entries};
 }
 
 bool FromCbor(const QCborArray& items, SuspectNews* news) {
   news->router = ToText(items.at(0));
   news->is_summary = items.at(1).toBool();
-  news->condemned_hash = static_cast<std::uint64_t>(items.at(2).toInteger());
+  news->accused_hash = static_cast<std::uint64_t>(items.at(2).toInteger());
   const QCborArray entries = items.at(3).toArray();
   if (items.size() != 4 || entries.size() > kMaxEntries) return false;
   for (const QCborValue item : entries) {
@@ -394,6 +394,74 @@
   return true;
 }
 
+// An age of something that hasn't happened.
+constexpr qint64 kNoAge = -1;
+constexpr qsizetype kMaxTrials = 1024;
+
+qint64 AgeToNumber(const std::optional<Duration>& age) { return age ? age->count() : kNoAge; }
+
+std::optional<Duration> AgeFrom(const QCborValue& value) {
+  const qint64 age = value.toInteger(kNoAge);
+  return age >= 0 ? std::optional(Duration(age)) : std::nullopt;
+}
+
+QCborValue ToCbor(const TrialNews& news) {
+  QCborArray trials;
+  for (const SuspectTrial& trial : news.trials) {
+    QCborArray suspects;
+    for (const Suspect& suspect : trial.suspects) {
+      suspects.append(QCborArray{Bytes(suspect.digest), static_cast<qint64>(suspect.depth)});
+    }
+    trials.append(
+        QCborArray{static_cast<qint64>(trial.id), suspects, static_cast<qint64>(trial.state),
+                   static_cast<qint64>(trial.announced_age.count()), AgeToNumber(trial.sent_age),
+                   static_cast<qint64>(trial.server), AgeToNumber(trial.crashed_age)});
+  }
+  QCborArray crashes;
+  for (const ServerCrash& crash : news.crashes) {
+    crashes.append(
+        QCborArray{static_cast<qint64>(crash.server), static_cast<qint64>(crash.age.count())});
+  }
+  return QCborArray{trials, crashes};
+}
+
+bool FromCbor(const QCborArray& fields, SuspectTrial* trial) {
+  constexpr auto kLastState = static_cast<qint64>(TrialState::kWithdrawn);
+  const QCborArray suspects = fields.at(1).toArray();
+  const qint64 state = fields.at(2).toInteger(kLastState + 1);
+  const auto announced_age = AgeFrom(fields.at(3));
+  if (fields.size() != 7 || suspects.isEmpty() || suspects.size() > kMaxEntries) return false;
+  if (state < 0 || state > kLastState || !announced_age) return false;
+  for (const QCborValue item : suspects) {
+    const QCborArray pair = item.toArray();
+    trial->suspects.push_back({ToText(pair.at(0)), pair.at(1).toInteger()});
+    if (pair.size() != 2 || trial->suspects.back().digest.empty()) return false;
+  }
+  trial->id = static_cast<std::uint64_t>(fields.at(0).toInteger());
+  trial->state = static_cast<TrialState>(state);
+  trial->announced_age = *announced_age;
+  trial->sent_age = AgeFrom(fields.at(4));
+  trial->server = static_cast<std::uint64_t>(fields.at(5).toInteger());
+  trial->crashed_age = AgeFrom(fields.at(6));
+  return true;
+}
+
+bool FromCbor(const QCborArray& items, TrialNews* news) {
+  const QCborArray trials = items.at(0).toArray();
+  const QCborArray crashes = items.at(1).toArray();
+  if (items.size() != 2 || trials.size() > kMaxTrials || crashes.size() > kMaxTrials) return false;
+  for (const QCborValue item : trials) {
+    if (!FromCbor(item.toArray(), &news->trials.emplace_back())) return false;
+  }
+  for (const QCborValue item : crashes) {
+    const QCborArray pair = item.toArray();
+    const auto age = AgeFrom(pair.at(1));
+    if (pair.size() != 2 || !age) return false;
+    news->crashes.push_back({static_cast<std::uint64_t>(pair.at(0).toInteger()), *age});
+  }
+  return true;
+}
+
 // Reads the alternative with this number, which is its place in the variant.
 template <std::size_t Index = 0>
 bool AlternativeFromCbor(qint64 number, const QCborArray& items, ControlNews* news) {
--- a/src/libs/protocol/control_news.h
+++ b/src/libs/protocol/control_news.h
@@ -160,8 +160,8 @@
   std::string router;
   // Set if the receiver should compare hashes, and send the entries that it shares if they differ.
   bool is_summary = false;
-  // Hash of the suspects that the sender has condemned.
-  std::uint64_t condemned_hash = 0;
+  // Hash of the suspects that the sender has accused.
+  std::uint64_t accused_hash = 0;
   std::vector<SuspectEntry> entries;
 
   bool operator==(const SuspectNews&) const = default;
@@ -241,10 +241,18 @@
   bool operator==(const QuotaGranted&) const = default;
 };
 
+// What a router or a replica knows of the trials of suspects, and of crashes near them.
+struct TrialNews {
+  std::vector<SuspectTrial> trials;
+  std::vector<ServerCrash> crashes;
+
+  bool operator==(const TrialNews&) const = default;
+};
+
 // New alternatives are added at the end, as their index identifies them in messages.
 using ControlNews = std::variant<RouterHello, DocumentNews, MemberNews, FleetNews, EngineNews,
                                  CacheNews, CacheWanted, LoadNews, SuspectNews, HintNews,
-                                 PartsWanted, QuotaAsked, QuotaGranted>;
+                                 PartsWanted, QuotaAsked, QuotaGranted, TrialNews>;
 
 std::string Encode(const ControlNews& news);
 
--- a/src/libs/protocol/suspect_entry.h
+++ b/src/libs/protocol/suspect_entry.h
@@ -46,4 +46,42 @@
   bool operator==(const SuspectEntry&) const = default;
 };
 
+// How far a trial has got. Of two reports of one trial the later state holds.
+enum class TrialState {
+  // A router has a request that it may send once no other trial goes first.
+  kAnnounced,
+  kSent,
+  // The run has ended or was given up, and no crash is known.
+  kEnded,
+  // The run was lost with a crash of its server.
+  kCrashed,
+  // The request was never sent, or its server confirmed that it hasn't run.
+  kWithdrawn,
+};
+
+// A request that is sent to find out whether its suspects crash the server that runs it.
+struct SuspectTrial {
+  std::uint64_t id = 0;
+  std::vector<Suspect> suspects;
+  TrialState state = TrialState::kAnnounced;
+  // Time since the router last announced it; counts while it is announced.
+  Duration announced_age{0};
+  // Time since it was sent, once it was.
+  std::optional<Duration> sent_age;
+  // The server incarnation that crashed, as CrashId() gives it, and the time since; set if it did.
+  std::uint64_t server = 0;
+  std::optional<Duration> crashed_age;
+
+  bool operator==(const SuspectTrial&) const = default;
+};
+
+// A crash of a server that had runs, whatever these were.
+struct ServerCrash {
+  // The incarnation, as CrashId() gives it.
+  std::uint64_t server = 0;
+  Duration age{0};
+
+  bool operator==(const ServerCrash&) const = default;
+};
+
 }  // namespace kumquat
--- a/tests/libs/coordination/forwarding/forward_request_test.cpp
+++ b/tests/libs/coordination/forwarding/forward_request_test.cpp
@@ -744,6 +744,30 @@
   CHECK(causes == std::vector{SendCause::kFirst, SendCause::kMove, SendCause::kCopyElsewhere});
 }
 
+// Guards against requests with nothing left to clear them that are held until their deadline.
+TEST_CASE("A request that may crash servers is held for a trial only as long as it may be") {
+  HookRecorder recorder;
+  ForwardHooks hooks = recorder.Hooks();
+  hooks.choose = [](std::span<const BackendChoice>) { return std::nullopt; };
+  std::optional<Instant> held_until = seconds(5);
+  hooks.held_until = [&] { return held_until; };
+  ForwardPolicy policy = PolicyOf(true, false, false);
+  policy.queue_until = seconds(2);
+  ForwardRequest held(policy, hooks);
+  held.Start(seconds(1));
+  held.OnCapacityFree(seconds(4));
+  CHECK(held.is_waiting());
+  held.OnCapacityFree(seconds(5));
+  CHECK(held.done());
+  CHECK(held.end_reason() == EndReason::kHeld);
+  REQUIRE(recorder.refusals.size() == 1);
+  CHECK(recorder.refusals[0].kind == ErrorKind::kNoBackendServer);
+  held_until = seconds(1);
+  ForwardRequest exhausted(policy, hooks);
+  exhausted.Start(seconds(1));
+  CHECK(exhausted.done());
+}
+
 // Guards against callers that wait for half of their objective for nothing.
 TEST_CASE("A request that can't be on time is refused at once, unless it may have run") {
   HookRecorder recorder;
--- a/tests/process/forwarding/crash_bench.h
+++ b/tests/process/forwarding/crash_bench.h
@@ -23,6 +23,7 @@
  public:
   static constexpr std::size_t kServers = 4;
   static constexpr std::chrono::milliseconds kTimeBetweenSends{50};
+  static constexpr int kSendsUntilCondemned = 12;
 
   CrashBench() {
     for (std::size_t i = 0; i < kServers; ++i) {
@@ -54,12 +55,21 @@
                            [](int sum, const auto& server) { return sum + server->crashes(); });
   }
 
+  // Sends the request again and again until it is refused as one that crashes servers: that is
+  // known once a trial has crashed one too. Returns whether it was refused so in time.
+  bool SendUntilCondemned(const std::string& path, const std::string& body) {
+    for (int i = 0; i < kSendsUntilCondemned; ++i) {
+      if (Send(i % kRouters, path, body) == 422) return true;
+      Wait(StandInServer::kDownTime);
+    }
+    return false;
+  }
+
   // Sends the request through one router after the other until this many servers have crashed.
   void SendUntilCrashes(int crashes, const std::string& path, const std::string& body) {
     int next = 0;
     CHECK(SpinUntil([&] {
       if (Crashes() < crashes) Send(next++ % kRouters, path, body);
-      // Crashes of one moment would count as one.
       Wait(kTimeBetweenSends);
       return Crashes() >= crashes;
     }));
