A trial whose caller leaves counts on the own interface too; chats wait for one for 5 s

Seen: router_poison_test, chats with a part whose engines crash after a token: a chat that had begun waited for a trial of its part while no engine was up, until the test's 20 s were over.

Cause: a chat that waits for a place waits until its deadline, and one that was held counted as such.

Change: a chat waits for a trial for 5 s, and not without an engine.

--- a/src/kumquatrouter/chat_exchange.cpp
+++ b/src/kumquatrouter/chat_exchange.cpp
@@ -32,6 +32,9 @@
 constexpr GatherLimits kLifeSignLimits{2 * kLifeSignTimeout, 64 * 1024};
 // How long a broken stream may take to hand its error event to the caller.
 constexpr std::chrono::milliseconds kErrorFlushTime{500};
+// For how long a chat waits for a trial of its suspects. With one engine left that takes some
+// seconds.
+constexpr Duration kLongestHold = std::chrono::seconds(5);
 // Pieces of one prompt that are watched for crashes, from its beginning.
 constexpr std::size_t kMaxPartSuspects = 32;
 // Tokens that show that the beginning of an answer crashes no engine. One doesn't, as an engine may
@@ -181,12 +184,16 @@
 // Returns whether the chat may be sent, by its suspects; sets is_trial_ and is_held_.
 bool ChatExchange::PassesSuspects() {
   CrashWatch& watch = services_.crashes->watch();
+  const std::size_t engines =
+      watch.has_accused() ? services_.engines->EnginesFor(demand_.model).size() : 0;
   const SuspectVerdict verdict =
-      watch.has_accused()
-          ? watch.Judge(SuspectsOfNextSend(), services_.engines->EnginesFor(demand_.model).size())
-          : SuspectVerdict::kFree;
+      watch.has_accused() ? watch.Judge(SuspectsOfNextSend(), engines) : SuspectVerdict::kFree;
+  const Instant now = services_.clock();
   is_trial_ = verdict == SuspectVerdict::kTrial;
-  is_held_ = verdict == SuspectVerdict::kHeld;
+  if (verdict != SuspectVerdict::kHeld) held_since_.reset();
+  if (verdict == SuspectVerdict::kHeld && !held_since_) held_since_ = now;
+  // Without an engine there is no trial to wait for.
+  is_held_ = held_since_ && engines > 0 && now - *held_since_ < kLongestHold;
   return verdict == SuspectVerdict::kFree || is_trial_;
 }
 
@@ -429,7 +436,7 @@
   services_.crashes->watch().OnRunAbandoned(
       attempt_->backend,
       {start_.request_id, RunSuspects(), services_.clock(),
-       attempt_->event_count >= kTokensPastBeginning, attempt_->sent_at},
+       attempt_->event_count >= kTokensPastBeginning, attempt_->sent_at, attempt_->trial},
       start_.deadline);
 }
 
@@ -440,8 +447,8 @@
 void ChatExchange::EndAttempt(bool whole, std::int64_t cached_tokens) {
   if (!attempt_ || !attempt_->is_open) return;
   attempt_->is_open = false;
-  EndTrial();
   if (!whole) NoteAbandoned();
+  EndTrial();
   if (attempt_->call) DestroyLater(std::move(attempt_->call));
   services_.strikes->OnStopped(digest_, attempt_->backend.backend_id);
   if (whole) {
--- a/src/kumquatrouter/chat_exchange.h
+++ b/src/kumquatrouter/chat_exchange.h
@@ -121,6 +121,7 @@
   // The next attempt is a trial of the chat's suspects, or waits for one.
   bool is_trial_ = false;
   bool is_held_ = false;
+  std::optional<Instant> held_since_;
   // Runs that were lost; a strike follows once their backend server is proven dead.
   std::vector<Strike> losses_;
   std::function<void()> on_done_;
--- a/src/kumquatrouter/service_exchange.cpp
+++ b/src/kumquatrouter/service_exchange.cpp
@@ -180,7 +180,8 @@
   if (attempt && attempt->trial) services_.crashes->watch().EndTrial(*attempt->trial);
   if (!attempt || has_failed || !attempt->may_run) return;
   services_.crashes->watch().OnRunAbandoned(
-      attempt->backend, {start_.request_id, Suspects(), services_.clock(), false, attempt->sent_at},
+      attempt->backend,
+      {start_.request_id, Suspects(), services_.clock(), false, attempt->sent_at, attempt->trial},
       start_.deadline);
 }
 
