--- a/src/kumquatrouter/crash_watch.cpp
+++ b/src/kumquatrouter/crash_watch.cpp
@@ -3,7 +3,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <iterator>
 #include <set>
 #include <utility>
 
@@ -92,9 +91,9 @@
   return trials_.Begin(accused, incriminated, hooks_.clock());
 }
 
-void CrashWatch::EndTrial(std::uint64_t trial) { trials_.End(trial, hooks_.clock()); }
+void CrashWatch::EndTrial(std::uint64_t trial) { trials_.End(trial); }
 
-void CrashWatch::WithdrawTrial(std::uint64_t trial) { trials_.Withdraw(trial, hooks_.clock()); }
+void CrashWatch::WithdrawTrial(std::uint64_t trial) { trials_.Withdraw(trial); }
 
 void CrashWatch::OnRunLost(const BackendChoice& backend, LostRun run) {
   lost_runs_.Add(backend, std::move(run));
--- a/src/libs/coordination/admission/suspect_trials.cpp
+++ b/src/libs/coordination/admission/suspect_trials.cpp
@@ -39,22 +39,6 @@
 
 }  // namespace
 
-std::string_view TrialStateName(TrialState state) {
-  switch (state) {
-    case TrialState::kAnnounced:
-      return "announced";
-    case TrialState::kSent:
-      return "sent";
-    case TrialState::kEnded:
-      return "ended";
-    case TrialState::kCrashed:
-      return "crashed";
-    case TrialState::kWithdrawn:
-      return "withdrawn";
-  }
-  return "announced";
-}
-
 SuspectTrials::Own* SuspectTrials::FindOwn(std::span<const Suspect> accused) {
   const auto found = std::find_if(own_.begin(), own_.end(), [&](const Own& own) {
     return std::equal(accused.begin(), accused.end(), own.suspects.begin(), own.suspects.end());
@@ -98,7 +82,7 @@
 void SuspectTrials::Tick(Instant now) {
   std::erase_if(own_, [&](const Own& own) {
     const bool is_over = now - own.last_asked_at > kInterestTime;
-    if (is_over) Withdraw(own.id, now);
+    if (is_over) Withdraw(own.id);
     return is_over;
   });
 }
@@ -140,11 +124,9 @@
   return id;
 }
 
-void SuspectTrials::End(std::uint64_t id, Instant /*now*/) { Change(id, TrialState::kEnded); }
+void SuspectTrials::End(std::uint64_t id) { Change(id, TrialState::kEnded); }
 
-void SuspectTrials::Withdraw(std::uint64_t id, Instant /*now*/) {
-  Change(id, TrialState::kWithdrawn);
-}
+void SuspectTrials::Withdraw(std::uint64_t id) { Change(id, TrialState::kWithdrawn); }
 
 void SuspectTrials::OnCrashed(std::uint64_t id, std::uint64_t server, Instant lost_at,
                               Instant now) {
--- a/src/libs/coordination/admission/suspect_trials.h
+++ b/src/libs/coordination/admission/suspect_trials.h
@@ -8,7 +8,6 @@
 #include <set>
 #include <span>
 #include <string>
-#include <string_view>
 #include <vector>
 
 #include "protocol/suspect_entry.h"
@@ -58,10 +57,10 @@
                       Instant now);
 
   // The run of the trial ended, and no crash is known.
-  void End(std::uint64_t id, Instant now);
+  void End(std::uint64_t id);
 
   // The server confirmed that it hasn't run the request.
-  void Withdraw(std::uint64_t id, Instant now);
+  void Withdraw(std::uint64_t id);
 
   // The run of the trial was lost at `lost_at` with a crash of this server incarnation.
   void OnCrashed(std::uint64_t id, std::uint64_t server, Instant lost_at, Instant now);
@@ -159,7 +158,4 @@
   std::vector<Own> own_;
 };
 
-// Returns how metrics and logs name a state.
-std::string_view TrialStateName(TrialState state);
-
 }  // namespace kumquat
--- a/tests/libs/coordination/admission/suspect_trials_test.cpp
+++ b/tests/libs/coordination/admission/suspect_trials_test.cpp
@@ -72,7 +72,7 @@
   CHECK(desk.trials.FindingOf(kRequest.front(), now, now) == TrialFinding::kOpen);
   Desk other;
   REQUIRE(other.WaitForTurn(kRequest, now));
-  other.trials.End(other.trials.Begin(kRequest, kRequest, now), now);
+  other.trials.End(other.trials.Begin(kRequest, kRequest, now));
   CHECK(other.Finding(kRequest, now + seconds(5)) == TrialFinding::kOpen);
 }
 
@@ -162,7 +162,7 @@
   Instant ends{0};
   for (; now - kStart < seconds(8) && order.size() < 6; now += kTick) {
     if (running && now >= ends) {
-      desks[runner].trials.End(*running, now);
+      desks[runner].trials.End(*running);
       running.reset();
     }
     for (std::size_t i = 0; i < desks.size(); ++i) {
@@ -205,7 +205,7 @@
   Desk desk;
   for (int i = 0; i < 2 * SuspectTrials::kMaxTrials; ++i) {
     REQUIRE(desk.WaitForTurn(kRequest, now));
-    desk.trials.Withdraw(desk.trials.Begin(kRequest, kRequest, now), now);
+    desk.trials.Withdraw(desk.trials.Begin(kRequest, kRequest, now));
   }
   CHECK(desk.Finding(kRequest, now) == TrialFinding::kOpen);
 }
