--- a/tests/process/forwarding/stand_in_server.cpp
+++ b/tests/process/forwarding/stand_in_server.cpp
@@ -41,7 +41,10 @@
   responder->Send(status, {{"Content-Type", "application/json"}}, ToJsonText(json));
 }
 
-std::string Event(int id) { return fmt::format("id: {}\ndata: piece {}\n\n", id, id); }
+std::string Event(int id, const std::string& software = {}) {
+  const std::string origin = software.empty() ? software : " of " + software;
+  return fmt::format("id: {}\ndata: piece {}{}\n\n", id, id, origin);
+}
 
 }  // namespace
 
@@ -70,7 +73,8 @@
       service_(std::move(service)),
       control_(std::move(control)),
       born_(kStartedAtMillis),
-      endpoint_(FreeEndpoint()) {
+      endpoint_(FreeEndpoint()),
+      announced_(endpoint_) {
   Listen();
   QObject::connect(&announce_timer_, &QTimer::timeout, &announce_timer_,
                    [this] { announcement_ = Announce(); });
@@ -84,7 +88,7 @@
   });
 }
 
-StandInServer::~StandInServer() { Engines().erase(endpoint_); }
+StandInServer::~StandInServer() { Engines().erase(announced_); }
 
 void StandInServer::SetMode(Mode mode) {
   mode_ = mode;
@@ -164,9 +168,9 @@
 
 std::unique_ptr<TestCall> StandInServer::Announce() {
   const QJsonObject body{{"service", ToQString(service_)},
-                         {"addr", ToQString(endpoint_.ToString())},
+                         {"addr", ToQString(announced_.ToString())},
                          {"zone", "d1"},
-                         {"version", "v1"},
+                         {"version", ToQString(software_.empty() ? std::string("v1") : software_)},
                          {"slots", slots_},
                          {"state", is_leaving_ ? "draining" : "ready"},
                          {"coldLeftMs", 0},
@@ -180,7 +184,7 @@
 
 void StandInServer::ActAsEngine() {
   is_engine_ = true;
-  Engines()[endpoint_] = this;
+  Engines()[announced_] = this;
 }
 
 void StandInServer::SetWeights(const std::string& model, int version) {
@@ -303,6 +307,23 @@
           {"Kumquatcross-Server-Stamp", "stamp." + id_}};
 }
 
+std::string StandInServer::EventOf(int id) const { return Event(id, software_); }
+
+void StandInServer::NoteArrival(const HttpRequest& request) {
+  Arrival arrival;
+  arrival.id = request.Header("Kumquatcross-Request-Id");
+  arrival.at = std::chrono::steady_clock::now();
+  const std::string left(request.Header("Kumquatcross-Deadline-Ms"));
+  if (!left.empty()) arrival.time_left = std::chrono::milliseconds(std::atoi(left.c_str()));
+  arrivals_.push_back(std::move(arrival));
+}
+
+void StandInServer::RefuseAsNotRun(const HttpRequest& request, const Responder& responder) const {
+  HttpHeaders head = Head(request);
+  head.emplace_back("Kumquatcross-Not-Run", "1");
+  responder->Send(503, head, "not run");
+}
+
 void StandInServer::Flood(const HttpRequest& request, const Responder& responder) {
   HttpHeaders head = Head(request);
   head.emplace_back("Content-Type", "text/event-stream");
@@ -312,6 +333,7 @@
 
 void StandInServer::Handle(const HttpRequest& request, const Responder& responder) {
   if (is_flooding()) return Flood(request, responder);
+  if (!request.Header("Kumquatcross-Request-Id").empty()) NoteArrival(request);
   if (request.Header("Kumquatcross-Expect-Instance") != id_) {
     responder->Send(421, Head(request), "");
     return;
@@ -322,11 +344,15 @@
   if (mode_ == Mode::kFails) return responder->Send(500, Head(request), "failed");
   const bool has_copy = !request.Header("Kv-From").empty();
   if (is_engine_ && (has_copy ? !TakesCopy(request) : order_.has_value())) {
-    HttpHeaders head = Head(request);
-    head.emplace_back("Kumquatcross-Not-Run", "1");
-    return responder->Send(503, head, "loading");
+    return RefuseAsNotRun(request, responder);
   }
+  const Fault fault = draw_fault_ ? draw_fault_(request) : Fault::kNone;
+  if (fault == Fault::kRefuses) return RefuseAsNotRun(request, responder);
+  arrivals_.back().has_run = true;
+  arrivals_.back().continues_run = has_copy;
   (has_copy ? continued_runs_ : runs_).push_back(request);
+  if (fault == Fault::kFails) return responder->Send(500, Head(request), "failed");
+  if (fault == Fault::kBreaks) return responder->Abort();
   if (answer_delay_.count() == 0) return Begin(request, responder);
   QTimer::singleShot(answer_delay_, &announce_timer_, [this, request, responder, born = born_] {
     if (server_ && born == born_) Begin(request, responder);
@@ -352,13 +378,13 @@
   responder->StartStream(200, head);
   const int after = LastEventId(request);
   if (mode_ == Mode::kBreaksStreams) {
-    for (int id = after + 1; id <= after + kEventsBeforeBreak; ++id) responder->Write(Event(id));
+    for (int id = after + 1; id <= after + kEventsBeforeBreak; ++id) responder->Write(EventOf(id));
     QTimer::singleShot(kTimeToSend, [responder] { responder->Abort(); });
     return;
   }
   if (mode_ == Mode::kStreamsSlowly) {
     std::vector<std::string> events;
-    for (int id = after + 1; id <= kEvents; ++id) events.push_back(Event(id));
+    for (int id = after + 1; id <= kEvents; ++id) events.push_back(EventOf(id));
     return WriteSlowly(std::move(events), kSlowPause, responder);
   }
   if (mode_ == Mode::kStreamsMuch) {
@@ -367,7 +393,7 @@
     return;
   }
   if (mode_ == Mode::kDribbles) {
-    responder->Write(Event(after + 1));
+    responder->Write(EventOf(after + 1));
     return WriteSlowly(std::vector<std::string>(kDribbledBytes, ":"), kBytePause, responder);
   }
   responder->Write(StreamFrom(after));
@@ -410,7 +436,7 @@
     if (run == works_.end() || run->second.responder != responder) return;
     const bool is_first = event == LastEventId(request);
     if (is_first && work.silent_after_event == 0) StartEvents(request, responder);
-    responder->Write(Event(event + 1));
+    responder->Write(EventOf(event + 1));
     WriteWhenDue(request, event + 1, responder);
   };
   QTimer::singleShot(pause, Qt::PreciseTimer, &announce_timer_, write);
--- a/tests/process/forwarding/stand_in_server.h
+++ b/tests/process/forwarding/stand_in_server.h
@@ -66,6 +66,13 @@
 
   void SetMode(Mode mode);
 
+  // Announces this software version from the next announcement on, and writes it into each event.
+  void SetSoftware(std::string version) { software_ = std::move(version); }
+
+  // Announces itself at this address, which has to lead to its own one. Call before ActAsEngine().
+  void AnnounceAt(Endpoint endpoint) { announced_ = std::move(endpoint); }
+  const Endpoint& endpoint() const { return endpoint_; }
+
   // Announces itself as an engine with these weights from the next announcement on.
   void SetWeights(const std::string& model, int version);
 
@@ -82,6 +89,30 @@
   int stopped_runs() const { return stopped_runs_; }
   int refused_copies() const { return refused_copies_; }
 
+  // What goes wrong with one request, beside what the mode says.
+  enum class Fault {
+    kNone,
+    // Says that it hasn't run it.
+    kRefuses,
+    kFails,
+    // Runs it and closes the connection without an answer.
+    kBreaks,
+  };
+  using DrawFault = std::function<Fault(const HttpRequest& request)>;
+  void SetDrawFault(DrawFault hook) { draw_fault_ = std::move(hook); }
+
+  // A request that has come, whether it was run or not.
+  struct Arrival {
+    std::string id;
+    std::chrono::steady_clock::time_point at;
+    // The time that it has left, as its head says; nullopt if it says nothing.
+    std::optional<std::chrono::milliseconds> time_left;
+    bool has_run = false;
+    // It goes on with a run that was accepted elsewhere.
+    bool continues_run = false;
+  };
+  const std::vector<Arrival>& arrivals() const { return arrivals_; }
+
   // From now on each request with this body crashes the server: it closes all its connections and
   // refuses new ones until it starts again, as a later incarnation, after kDownTime.
   void CrashOnBody(std::string body) { crash_body_ = std::move(body); }
@@ -159,6 +190,9 @@
   bool is_flooding() const { return mode_ == Mode::kFloods || mode_ == Mode::kFloodsEvent; }
   void Handle(const HttpRequest& request, const Responder& responder);
   HttpHeaders Head(const HttpRequest& request) const;
+  std::string EventOf(int id) const;
+  void NoteArrival(const HttpRequest& request);
+  void RefuseAsNotRun(const HttpRequest& request, const Responder& responder) const;
   void Stream(const HttpRequest& request, const Responder& responder);
   // Writes the pieces with a pause before each, and then ends the answer.
   void WriteSlowly(std::vector<std::string> pieces, std::chrono::milliseconds pause,
@@ -206,6 +240,9 @@
   bool is_leaving_ = false;
   int slots_ = 4;
   OnWorkEnded on_work_ended_;
+  DrawFault draw_fault_;
+  std::vector<Arrival> arrivals_;
+  std::string software_;
   Mode mode_ = Mode::kServes;
   QJsonArray models_;
   bool is_engine_ = false;
@@ -222,6 +259,7 @@
   std::vector<Responder> open_responders_;
   QTimer flood_timer_;
   Endpoint endpoint_;
+  Endpoint announced_;
   std::unique_ptr<HttpServer> server_;
   TestCaller caller_;
   std::unique_ptr<TestCall> announcement_;
