The time that a request has left is read when it is written

Servers saw requests with more time than their callers still waited: the router took the figure when it asked for a connection, and wrote it when the connection stood. A router that waits for its processor, is paused or meets a full accept queue in between hands on time that has passed.

Cause: a fact is fixed earlier than it is used. Change: BackendCallRequest may name fields that are read right before the request is written, and the time left is one.

--- a/src/kumquatrouter/forwarding/forward_codec.h
+++ b/src/kumquatrouter/forwarding/forward_codec.h
@@ -40,7 +40,8 @@
   BackendChoice backend;
   Endpoint endpoint;
   std::string organisation;
-  Duration time_left{0};
+  // Returns how long the caller still waits.
+  std::function<Duration()> time_left;
   // Id of the event after which a stream is resumed.
   std::optional<std::int64_t> resume_after;
   // Priority rank; 0 is the most urgent.
--- a/src/kumquatrouter/forwarding/forward_exchange.cpp
+++ b/src/kumquatrouter/forwarding/forward_exchange.cpp
@@ -394,7 +394,8 @@
   if (organisation_) call.organisation = organisation_->name;
   // The route's timeout also limits the router itself. The backend server gets the time that the
   // caller is willing to wait, or the route's timeout if the caller named none.
-  call.time_left = received_ + request_.time_left.value_or(route_->timeout) - Now();
+  const Instant gives_up_at = received_ + request_.time_left.value_or(route_->timeout);
+  call.time_left = [clock = services_.clock, gives_up_at] { return gives_up_at - clock(); };
   call.resume_after = command.resume_after;
   call.copy = command.copy;
   call.rank = Rank();
--- a/src/libs/transport/backend_client.cpp
+++ b/src/libs/transport/backend_client.cpp
@@ -38,14 +38,21 @@
                      [name](const char* other) { return EqualInAnyCase(name, other); });
 }
 
+std::string FieldsOf(const HttpHeaders& headers) {
+  std::string fields;
+  for (const auto& [name, value] : headers) {
+    if (!IsConnectionField(name)) fields += fmt::format("{}: {}\r\n", name, value);
+  }
+  return fields;
+}
+
 std::string HeadOf(const BackendCallRequest& request) {
   std::string head = fmt::format("{} {} HTTP/1.1\r\n", request.method, request.target);
   if (HeaderValue(request.headers, "Host").empty()) {
     head += fmt::format("Host: {}\r\n", request.endpoint.ToString());
   }
-  for (const auto& [name, value] : request.headers) {
-    if (!IsConnectionField(name)) head += fmt::format("{}: {}\r\n", name, value);
-  }
+  head += FieldsOf(request.headers);
+  if (request.headers_when_written) head += FieldsOf(request.headers_when_written());
   const bool has_length = !request.body.empty() || request.method != "GET";
   if (has_length) head += fmt::format("Content-Length: {}\r\n", request.body.size());
   return head + "\r\n";
--- a/src/libs/transport/backend_client.h
+++ b/src/libs/transport/backend_client.h
@@ -31,6 +31,9 @@
   // Path with query.
   std::string target = "/";
   HttpHeaders headers;
+  // Returns further fields, whose values depend on when the request is written; called right before
+  // that, which may be long after the call was started. May be empty.
+  std::function<HttpHeaders()> headers_when_written;
   std::string body;
   CallTimeouts timeouts;
   // Whether to open a connection of its own instead of one that was used before.
--- a/src/platform/front_edge.cpp
+++ b/src/platform/front_edge.cpp
@@ -173,7 +173,6 @@
   const auto add = [&](std::string_view name, std::string value) {
     headers.emplace_back(name, std::move(value));
   };
-  add(kDeadline, std::to_string(std::max<std::int64_t>(1, Milliseconds(call.time_left))));
   add(kExpectInstance, call.backend.backend_id);
   if (!call.organisation.empty()) add(kTenant, call.organisation);
   if (call.resume_after) add(kLastEventId, std::to_string(*call.resume_after));
@@ -194,6 +193,10 @@
   result.method = request.http.method;
   result.target = request.http.target;
   result.headers = HeadersFor(request, call);
+  result.headers_when_written = [time_left = call.time_left] {
+    const std::int64_t millis = std::max<std::int64_t>(1, Milliseconds(time_left()));
+    return HttpHeaders{{std::string(kDeadline), std::to_string(millis)}};
+  };
   result.body = request.http.body;
   result.is_own_answer = [id = request.id](int /*status*/, const HttpHeaders& headers) {
     const std::string_view echoed = HeaderValue(headers, kRequestId);
--- a/tests/platform/front_edge_test.cpp
+++ b/tests/platform/front_edge_test.cpp
@@ -31,7 +31,7 @@
   ForwardCall call;
   call.backend = {"e1", 5};
   call.organisation = "workshop";
-  call.time_left = std::chrono::milliseconds(1500);
+  call.time_left = [] { return std::chrono::milliseconds(1500); };
   call.cache_salt = "3";
   call.expected_weights = 3;
   return call;
@@ -66,7 +66,8 @@
   CHECK(Count(call.headers, "Kumquatcross-Cache-Salt") == 1);
   CHECK(HeaderValue(call.headers, "Kumquatcross-Cache-Salt") == "3");
   CHECK(HeaderValue(call.headers, "Kumquatcross-Tenant") == "workshop");
-  CHECK(HeaderValue(call.headers, "Kumquatcross-Deadline-Ms") == "1500");
+  CHECK(Count(call.headers, "Kumquatcross-Deadline-Ms") == 0);
+  CHECK(HeaderValue(call.headers_when_written(), "Kumquatcross-Deadline-Ms") == "1500");
   CHECK(HeaderValue(call.headers, "Kumquatcross-Expect-Instance") == "e1");
   CHECK(call.body == "body");
 }
