Logs tell the software version of servers, and what a caller resumes

Cause: a server's software version was decoded nowhere and Resumes wasn't read, so no log could tell the ways apart by which a stream is joined from two versions.

Change: announcements carry software_version, request_sent has it, with the event after which a stream goes on and the attempt that its caller resumes. A heartbeat without a version, or with one that is no text, comes from another writer and is refused, as for the other fields.

--- a/src/kumquatrouter/forwarding/forward_codec.h
+++ b/src/kumquatrouter/forwarding/forward_codec.h
@@ -30,6 +30,9 @@
   std::optional<Duration> time_left;
   // Id of the last event that the caller has received, if it resumes a stream.
   std::optional<std::int64_t> last_event;
+  // Id of the request that brought the caller the first event of that stream; empty if it names
+  // none.
+  std::string resumed_id;
   std::optional<Prompt> prompt;
   // Tokens of the prompt and of the longest answer together, if it names them.
   std::optional<std::int64_t> tokens;
--- a/src/kumquatrouter/forwarding/forward_exchange.cpp
+++ b/src/kumquatrouter/forwarding/forward_exchange.cpp
@@ -426,6 +426,7 @@
   attempt_ = std::make_unique<Attempt>();
   attempt_->number = number;
   attempt_->backend = command.backend;
+  attempt_->software_version = backend->software_version;
   attempt_->prompt_choice = std::exchange(next_choice_, std::nullopt);
   attempt_->continues_run = command.copy || command.resume_after;
   attempt_->resumes_copy = command.copy.has_value();
@@ -492,6 +493,9 @@
        {"cause", SendCauseName(command.cause)},
        {"backend", command.backend.backend_id},
        {"incarnation", command.backend.incarnation},
+       {"software", attempt_->software_version},
+       {"resumes", request_.resumed_id.empty() ? std::string_view{"-"} : request_.resumed_id},
+       {"after_event", command.resume_after.value_or(request_.last_event.value_or(0))},
        {"routing", routes_->table().version},
        {"weights", run_weights_},
        {"replaced_ms", replaced ? Milliseconds(*replaced) : -1},
--- a/src/kumquatrouter/forwarding/forward_exchange.h
+++ b/src/kumquatrouter/forwarding/forward_exchange.h
@@ -74,6 +74,7 @@
   struct Attempt {
     std::int64_t number = 0;
     BackendChoice backend;
+    std::string software_version;
     // The engine chosen for a request with a prompt, and the estimates that led to the choice.
     std::optional<PromptChoice> prompt_choice;
     DispatchId dispatch = 0;
--- a/src/libs/coordination/forwarding/backend_pool.cpp
+++ b/src/libs/coordination/forwarding/backend_pool.cpp
@@ -29,6 +29,7 @@
   backend->endpoint = record.endpoint;
   backend->failure_domain = record.failure_domain;
   backend->service = announcement.service;
+  backend->software_version = announcement.software_version;
   backend->slots = std::max<std::int64_t>(1, announcement.concurrent_requests);
   backend->is_leaving = record.leaving;
   for (const ModelVersion& model : announcement.models) {
--- a/src/libs/coordination/forwarding/backend_pool.h
+++ b/src/libs/coordination/forwarding/backend_pool.h
@@ -27,6 +27,8 @@
   Endpoint endpoint;
   std::string failure_domain;
   std::string service;
+  // Version of its software; empty if it isn't known.
+  std::string software_version;
   std::int64_t slots = 1;
   bool is_leaving = false;
   // Last known version of the weights, by model.
--- a/src/libs/protocol/announcement.cpp
+++ b/src/libs/protocol/announcement.cpp
@@ -97,6 +97,7 @@
           {"incarnation", static_cast<qint64>(announcement.incarnation)},
           {"sequence", static_cast<qint64>(announcement.sequence)},
           {"state", NameOf(kStateNames, announcement.state)},
+          {"software_version", ToQString(announcement.software_version)},
           {"models", models},
           {"model_slots", static_cast<qint64>(announcement.model_slots)},
           {"service", ToQString(announcement.service)},
@@ -117,6 +118,7 @@
       .Read("incarnation", &announcement.incarnation)
       .Read("sequence", &announcement.sequence)
       .ReadOptional("service", &announcement.service)
+      .ReadOptional("software_version", &announcement.software_version)
       .ReadOptional("model_slots", &announcement.model_slots, std::int64_t{0},
                     static_cast<std::int64_t>(kMaxModels))
       .ReadOptional("checks_fencing", &announcement.checks_fencing)
--- a/src/libs/protocol/announcement.h
+++ b/src/libs/protocol/announcement.h
@@ -45,6 +45,8 @@
   std::int64_t incarnation = 0;
   std::int64_t sequence = 0;
   BackendState state = BackendState::kServing;
+  // Version of the server's software, not of its models; empty if it names none.
+  std::string software_version;
   // Engines: what is loaded.
   std::vector<ModelVersion> models;
   // Engines: most models that can be loaded at once; 0 for as many as are loaded now.
--- a/src/platform/front_edge.cpp
+++ b/src/platform/front_edge.cpp
@@ -25,6 +25,7 @@
 constexpr std::string_view kExpectInstance = "Kumquatcross-Expect-Instance";
 constexpr std::string_view kExpectVersion = "Kumquatcross-Expect-Version";
 constexpr std::string_view kLastEventId = "Last-Event-Id";
+constexpr std::string_view kResumes = "Resumes";
 constexpr std::string_view kModel = "Kumquatcross-Model";
 constexpr std::string_view kTokenCount = "Kumquatcross-Token-Count";
 constexpr std::string_view kPromptPrefix = "Kumquatcross-Prompt-Prefix";
@@ -157,6 +158,7 @@
     request.time_left = milliseconds(*millis);
   }
   request.last_event = ParseNumber(http.Header(kLastEventId));
+  request.resumed_id = http.Header(kResumes);
   request.prompt = PromptOf(http);
   request.tokens = TokensOf(http);
   request.http = std::move(http);
--- a/src/platform/heartbeat.cpp
+++ b/src/platform/heartbeat.cpp
@@ -55,6 +55,7 @@
       .Read("seq", &announcement.sequence)
       .Read("service", &announcement.service)
       .Read("zone", &announcement.failure_domain)
+      .Read("version", &announcement.software_version)
       .Read("slots", &announcement.concurrent_requests, 1, kMaxSlots);
   ReadAddress(fields, &announcement.endpoint);
   ReadState(fields, &announcement.state);
--- a/tests/libs/protocol/announcement_test.cpp
+++ b/tests/libs/protocol/announcement_test.cpp
@@ -15,6 +15,7 @@
   engine.failure_domain = "north";
   engine.incarnation = 7;
   engine.sequence = 3;
+  engine.software_version = "2.1";
   engine.models = {{"seat-spec", "", "v1"}};
   engine.concurrent_requests = 8;
   engine.load = {1, 2, 3};
--- a/tests/platform/heartbeat_test.cpp
+++ b/tests/platform/heartbeat_test.cpp
@@ -8,14 +8,9 @@
 
 QJsonObject SomeHeartbeat() {
   const QJsonObject model{{"name", "lm"}, {"version", 3}};
-  return {{"service", "seat-lm"},
-          {"zone", "north"},
-          {"addr", "10.0.0.7:8080"},
-          {"born", 1700000000},
-          {"seq", 12},
-          {"slots", 24},
-          {"state", "ready"},
-          {"models", QJsonArray{model}}};
+  return {{"service", "seat-lm"}, {"zone", "north"},  {"addr", "10.0.0.7:8080"},
+          {"born", 1700000000},   {"seq", 12},        {"version", "v2.1"},
+          {"slots", 24},          {"state", "ready"}, {"models", QJsonArray{model}}};
 }
 
 std::optional<Announcement> Decode(const QJsonObject& json) {
@@ -34,13 +29,14 @@
   CHECK(said->kind == BackendKind::kEngine);
   REQUIRE(said->models.size() == 1);
   CHECK(said->models[0].version == "3");
+  CHECK(said->software_version == "v2.1");
   QJsonObject draining = SomeHeartbeat();
   draining["state"] = "draining";
   CHECK(Decode(draining)->state == BackendState::kLeaving);
 }
 
 TEST_CASE("A heartbeat that lacks a field or has one of another type is refused with a reason") {
-  for (const char* field : {"service", "addr", "born", "seq", "slots", "state"}) {
+  for (const char* field : {"service", "addr", "born", "seq", "slots", "state", "version"}) {
     CAPTURE(field);
     QJsonObject json = SomeHeartbeat();
     json.remove(QLatin1String(field));
