A stream goes on only at the software version that began it

Callers got streams whose events came from servers of two software versions: when they took a stream up at another router, and within one answer, when a router went on after a break or moved a run for new weights. Nothing showed it.

Cause: who may go on was decided in five places that asked for weights alone, and the fact that decides, at which version a stream began, was kept by no process.

Change: StreamVersion decides for each send that goes on. StreamOrigins keeps the origin of streams that callers may take up, at the router that began them and at three control replicas; OriginLookup asks for it. What nobody knows, and what has no server of its version left, is refused at once as not run, without Retry-After; an answer that has begun ends at once. Candidates are filtered by version before healthy ones are preferred. A silent attempt isn't given up for a version that no other server has.

--- a/src/kumquatcontrol/control_node.cpp
+++ b/src/kumquatcontrol/control_node.cpp
@@ -430,6 +430,11 @@
     desk_.Send(suspects->router, suspects_.TrialSummary());
   } else if (const auto* trials = std::get_if<TrialNews>(&*news)) {
     suspects_.Receive(*trials);
+  } else if (const auto* streams = std::get_if<StreamNews>(&*news)) {
+    for (const StreamRecord& stream : streams->streams) streams_.Add(stream, SteadyClock()());
+  } else if (const auto* asked = std::get_if<StreamAsked>(&*news)) {
+    desk_.Send(asked->router,
+               StreamTold{asked->number, streams_.Find(asked->key, SteadyClock()())});
   }
 }
 
@@ -564,6 +569,7 @@
   count("kumquat_hint_allowance_used_up_total", now.allowance_used_up,
         measured_hints_.allowance_used_up);
   count("kumquat_hint_changes_dropped_total", now.dropped, measured_hints_.dropped);
+  metrics_.Set("kumquat_stream_records", {}, static_cast<double>(streams_.size()));
   metrics_.Set("kumquat_parts_wanted", {}, static_cast<double>(wanted_parts_.size()));
   metrics_.Set("kumquat_hint_kept_bytes", {}, static_cast<double>(hints_.kept_bytes()));
   measured_hints_ = now;
--- a/src/kumquatcontrol/control_node.h
+++ b/src/kumquatcontrol/control_node.h
@@ -13,6 +13,7 @@
 
 #include "cache_keeper.h"
 #include "control_api.h"
+#include "coordination/forwarding/stream_origins.h"
 #include "coordination/hints/hint_outbox.h"
 #include "coordination/hints/wanted_parts.h"
 #include "coordination/limits/quota_ledger.h"
@@ -163,6 +164,8 @@
   DepartureService departures_;
   RouterDesk desk_;
   SuspectRelay suspects_;
+  // What routers tell of streams that callers may take up elsewhere.
+  StreamOrigins streams_;
   Metrics metrics_;
   CallerRefusalLog refusal_log_;
   std::unique_ptr<RpcServer> rpc_;
--- a/src/kumquatrouter/chat_exchange.cpp
+++ b/src/kumquatrouter/chat_exchange.cpp
@@ -138,7 +138,8 @@
   hooks.choose_backend = [this](std::span<const BackendChoice> avoid) {
     const auto engines = services_.engines->EnginesFor(demand_.model);
     const auto may_use = [&](const std::string& backend_id) {
-      return services_.strikes->MayPlace(digest_, backend_id, engines);
+      return services_.strikes->MayPlace(digest_, backend_id, engines) &&
+             version_.MayRun(SoftwareOf(backend_id));
     };
     if (!PassesSuspects()) return std::optional<BackendChoice>();
     auto backend = services_.engines->Choose(demand_, avoid, may_use);
@@ -154,6 +155,11 @@
   return hooks;
 }
 
+std::string ChatExchange::SoftwareOf(std::string_view backend_id) const {
+  const Member* member = services_.membership->table().Find(backend_id);
+  return member && member->record.backend ? member->record.backend->software_version : "";
+}
+
 // The request itself has strikes; here are the pieces of its prompt that other requests may share.
 const std::vector<Suspect>& ChatExchange::PartSuspects() {
   if (part_suspects_) return *part_suspects_;
@@ -233,6 +239,7 @@
   attempt_->id = command.attempt_id;
   attempt_->backend = command.backend;
   attempt_->continues_run = command.resume_offset > 0;
+  version_.RunSent(SoftwareOf(command.backend.backend_id));
   if (std::exchange(is_trial_, false)) {
     attempt_->trial = services_.crashes->watch().BeginTrial(SuspectsOfNextSend(), start_.request_id,
                                                             command.backend);
@@ -484,6 +491,7 @@
 }
 
 void ChatExchange::Execute(const stream_command::EmitText& command) {
+  version_.EventPassedOn();
   NoteTokenTimes();
   StartAnswer();
   if (!request_.stream) {
--- a/src/kumquatrouter/chat_exchange.h
+++ b/src/kumquatrouter/chat_exchange.h
@@ -5,10 +5,12 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "chat_request.h"
 #include "coordination/admission/strike_table.h"
+#include "coordination/forwarding/stream_version.h"
 #include "coordination/requests/stream_request.h"
 #include "engine_selector.h"
 #include "exchange.h"
@@ -89,6 +91,8 @@
   void EndTrial();
   std::vector<Suspect> RunSuspects() const { return {{digest_, kRequestDepth}}; }
   bool IsDead(const BackendChoice& backend) const;
+  // Returns the version of the server's software; empty if it isn't known.
+  std::string SoftwareOf(std::string_view backend_id) const;
   void OnData(const std::string& attempt_id, std::string_view data);
   void OnCallFailed(const std::string& attempt_id, CallFailure failure);
   // Gives up the answer, which takes too much of this process's memory.
@@ -115,6 +119,7 @@
   std::optional<std::vector<Suspect>> part_suspects_;
   ShareTicket ticket_;
   std::optional<StreamRequest> decisions_;
+  StreamVersion version_;
   std::optional<ChatAttempt> attempt_;
   // Whether the last choice kept suspects apart.
   bool is_choice_isolated_ = false;
--- a/src/kumquatrouter/forwarding/control_feed.cpp
+++ b/src/kumquatrouter/forwarding/control_feed.cpp
@@ -14,6 +14,8 @@
 // A replica that isn't a seed is dropped if for this long no replica has named it and it has sent
 // nothing.
 constexpr Duration kForgetReplicaAfter = std::chrono::seconds(30);
+// How many replicas keep the record of a stream: one more than may be lost at once.
+constexpr std::size_t kStreamReplicas = 3;
 
 // Removes this router's own part from sums of loads.
 void Subtract(const std::map<std::string, EngineLoad>& own_loads, std::vector<EngineLoad>* sums) {
@@ -89,6 +91,8 @@
     if (!connected) hooks_.on_replica_lost(endpoint.ToString());
     const auto found = replicas_.find(endpoint);
     if (connected && found != replicas_.end()) SendHello(*found->second.link);
+    // Another replica may keep this router's streams now, and one that has started has none.
+    ReportStreams(hooks_.streams());
   });
 }
 
@@ -191,6 +195,28 @@
   hooks_.on_trials(news);
 }
 
+void ControlFeed::Receive(const Endpoint& /*replica*/, const StreamNews& /*news*/) {}
+
+void ControlFeed::Receive(const Endpoint& /*replica*/, const StreamAsked& /*news*/) {}
+
+void ControlFeed::Receive(const Endpoint& /*replica*/, const StreamTold& news) {
+  hooks_.on_stream(news);
+}
+
+void ControlFeed::ReportStreams(const std::vector<StreamRecord>& streams) {
+  if (streams.empty()) return;
+  const std::string encoded = Encode(StreamNews{streams});
+  for (const std::string& replica :
+       RendezvousTop(options_.router, ConnectedReplicas(), kStreamReplicas)) {
+    replicas_.at(*ParseEndpoint(replica)).link->Send(FrameKind::kNews, encoded);
+  }
+}
+
+std::size_t ControlFeed::AskStream(std::int64_t number, const std::string& key) {
+  SendToAll(StreamAsked{options_.router, number, key});
+  return static_cast<std::size_t>(connected_replicas());
+}
+
 void ControlFeed::AskQuota(const QuotaAsked& asked) {
   const Instant now = hooks_.clock();
   if (!quota_unanswered_since_) quota_unanswered_since_ = now;
@@ -216,13 +242,18 @@
   }
 }
 
-// Returns the connection to the replica that relays this router's load reports; null if none is
-// connected. Rendezvous hashing spreads the routers over the replicas.
-FrameLink* ControlFeed::LoadRelayLink() {
+std::vector<std::string> ControlFeed::ConnectedReplicas() const {
   std::vector<std::string> connected;
   for (const auto& [endpoint, replica] : replicas_) {
     if (replica.link->connected()) connected.push_back(endpoint.ToString());
   }
+  return connected;
+}
+
+// Returns the connection to the replica that relays this router's load reports; null if none is
+// connected. Rendezvous hashing spreads the routers over the replicas.
+FrameLink* ControlFeed::LoadRelayLink() {
+  const std::vector<std::string> connected = ConnectedReplicas();
   if (connected.empty()) return nullptr;
   const auto relay = ParseEndpoint(RendezvousTop(options_.router, connected, 1).front());
   return replicas_.at(*relay).link.get();
--- a/src/kumquatrouter/forwarding/control_feed.h
+++ b/src/kumquatrouter/forwarding/control_feed.h
@@ -59,6 +59,9 @@
   // The same as suspect_summary, and on_suspects without an answer, for trials of suspects.
   std::function<TrialNews()> trial_summary;
   std::function<void(const TrialNews& news)> on_trials;
+  // Returns all streams that this router knows the origin of.
+  std::function<std::vector<StreamRecord>()> streams;
+  std::function<void(const StreamTold& told)> on_stream;
 };
 
 // Keeps a connection to each control replica and merges their updates. A replica with older state
@@ -89,6 +92,13 @@
   // routers.
   void ReportSuspects(const ControlNews& news);
 
+  // Reports streams to three of the connected replicas, the same ones as long as these don't
+  // change.
+  void ReportStreams(const std::vector<StreamRecord>& streams);
+
+  // Asks all connected replicas where a stream began; returns how many.
+  std::size_t AskStream(std::int64_t number, const std::string& key);
+
   // Asks the leader for units of quotas: through the replica that answered last, or all replicas if
   // that one has been silent.
   void AskQuota(const QuotaAsked& asked);
@@ -115,7 +125,11 @@
   void Receive(const Endpoint& replica, const QuotaAsked& news);
   void Receive(const Endpoint& replica, const QuotaGranted& news);
   void Receive(const Endpoint& replica, const TrialNews& news);
+  void Receive(const Endpoint& replica, const StreamNews& news);
+  void Receive(const Endpoint& replica, const StreamAsked& news);
+  void Receive(const Endpoint& replica, const StreamTold& news);
   void SendToAll(const ControlNews& news);
+  std::vector<std::string> ConnectedReplicas() const;
   FrameLink* LoadRelayLink();
   void DropUnknownReplicas();
 
--- a/src/kumquatrouter/forwarding/engines_of_run.cpp
+++ b/src/kumquatrouter/forwarding/engines_of_run.cpp
@@ -18,8 +18,12 @@
 
 }  // namespace
 
-EnginesOfRun::EnginesOfRun(ForwardServices& services, std::string service, std::string model)
-    : services_(services), service_(std::move(service)), model_(std::move(model)) {}
+EnginesOfRun::EnginesOfRun(ForwardServices& services, std::string service, std::string model,
+                           const StreamVersion& version)
+    : services_(services),
+      service_(std::move(service)),
+      model_(std::move(model)),
+      version_(version) {}
 
 std::vector<PooledBackend*> EnginesOfRun::MayBegin(std::vector<PooledBackend*> candidates) const {
   std::erase_if(candidates, [this](const PooledBackend* engine) {
@@ -35,7 +39,8 @@
 
 // A run that goes on at another engine counts as begun there.
 bool EnginesOfRun::MayContinue(const PooledBackend& engine, std::int64_t weights) const {
-  return !BeginsTooLate(engine, Duration(0)) && engine.VersionOf(model_) == weights;
+  return !BeginsTooLate(engine, Duration(0)) && engine.VersionOf(model_) == weights &&
+         version_.MayGoOn(engine.software_version);
 }
 
 std::vector<PooledBackend*> EnginesOfRun::MayContinue(std::span<const BackendChoice> avoid,
--- a/src/kumquatrouter/forwarding/engines_of_run.h
+++ b/src/kumquatrouter/forwarding/engines_of_run.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "coordination/forwarding/backend_pool.h"
+#include "coordination/forwarding/stream_version.h"
 #include "coordination/requests/backend_choice.h"
 #include "forwarding/forward_services.h"
 
@@ -16,8 +17,9 @@
 
 class EnginesOfRun {
  public:
-  // For requests to this service with this model; the services outlive the object.
-  EnginesOfRun(ForwardServices& services, std::string service, std::string model);
+  // For a request to this service with this model; the services and the version outlive the object.
+  EnginesOfRun(ForwardServices& services, std::string service, std::string model,
+               const StreamVersion& version);
 
   // Removes the candidates that don't have the model with weights recent enough for a new request.
   std::vector<PooledBackend*> MayBegin(std::vector<PooledBackend*> candidates) const;
@@ -26,7 +28,8 @@
   // that were replaced longer ago than the configured maximum lag.
   bool BeginsTooLate(const PooledBackend& engine, Duration expected_wait) const;
 
-  // Returns whether the engine has these weights, recent enough for a run that goes on there.
+  // Returns whether the engine has these weights, recent enough for a run that goes on there, and
+  // the software that goes on with it.
   bool MayContinue(const PooledBackend& engine, std::int64_t weights) const;
 
   // Chooses the least busy engine that could go on with a run on these weights; null if there is
@@ -54,6 +57,7 @@
   ForwardServices& services_;
   std::string service_;
   std::string model_;
+  const StreamVersion& version_;
 };
 
 }  // namespace kumquat
--- a/src/kumquatrouter/forwarding/forward_codec.h
+++ b/src/kumquatrouter/forwarding/forward_codec.h
@@ -30,6 +30,8 @@
   std::optional<Duration> time_left;
   // Id of the last event that the caller has received, if it resumes a stream.
   std::optional<std::int64_t> last_event;
+  // It names an event, even if that is no number.
+  bool names_last_event = false;
   // Id of the request that brought the caller the first event of that stream; empty if it names
   // none.
   std::string resumed_id;
--- a/src/kumquatrouter/forwarding/forward_exchange.cpp
+++ b/src/kumquatrouter/forwarding/forward_exchange.cpp
@@ -78,9 +78,76 @@
     Refuse({ErrorKind::kDraining, services_.admission->RetryAfterElsewhere()});
     return;
   }
+  TakesUpStream() ? FindOrigin() : AcquireQuota();
+}
+
+bool ForwardExchange::TakesUpStream() const {
+  return route_->is_stream && request_.last_event != 0 && request_.names_last_event;
+}
+
+void ForwardExchange::FindOrigin() {
+  services_.origins->Find(StreamKey(OrganisationName(), request_.resumed_id),
+                          [weak = weak_from_this()](const OriginAnswer& answer) {
+                            if (const auto exchange = weak.lock()) exchange->OnOriginFound(answer);
+                          });
+}
+
+void ForwardExchange::OnOriginFound(const OriginAnswer& answer) {
+  if (is_done_) return;
+  const auto self = shared_from_this();
+  const StreamOrigin origin = answer.origin.value_or(StreamOrigin{});
+  LogEvent(LogLevel::kInfo, "stream_taken_up",
+           {{"request", request_.id},
+            {"resumes", request_.resumed_id},
+            {"verdict", OriginVerdictName(answer.verdict)},
+            {"service", origin.service},
+            {"software", origin.software_version},
+            {"ms", Milliseconds(Now() - received_)}});
+  services_.metrics->Count(
+      "kumquat_forward_taken_up_total",
+      fmt::format("{},verdict=\"{}\"", RouteLabel(), OriginVerdictName(answer.verdict)));
+  if (answer.verdict == OriginVerdict::kUnconfirmed) {
+    return Refuse({ErrorKind::kStreamOriginUnknown, services_.admission->RetryAfterElsewhere()});
+  }
+  if (!answer.origin || !request_.last_event) {
+    return Refuse({ErrorKind::kStreamOriginUnknown, std::nullopt});
+  }
+  if (!LeadsTo(origin.service)) return Refuse({ErrorKind::kStreamVersionGone, std::nullopt});
+  if (Now() >= deadline_) return Refuse({ErrorKind::kDeadlineBeforeRun, std::nullopt});
+  UseService(origin.service);
+  stream_version_.TakeUp(origin.software_version);
   AcquireQuota();
 }
 
+bool ForwardExchange::LeadsTo(std::string_view service) const {
+  const auto& services = route_->services;
+  return routes_->FindService(service) &&
+         std::any_of(services.begin(), services.end(),
+                     [service](const auto& share) { return share.service == service; });
+}
+
+void ForwardExchange::UseService(std::string_view service) {
+  service_ = routes_->FindService(service);
+  engines_.reset();
+  if (request_.prompt) {
+    engines_.emplace(services_, service_->name, request_.prompt->model, stream_version_);
+  }
+}
+
+void ForwardExchange::RecordOrigin() const {
+  if (!route_->is_resumable) return;
+  const std::string& first_id = TakesUpStream() ? request_.resumed_id : request_.id;
+  const Duration lifetime = received_ + request_.time_left.value_or(route_->timeout) - Now();
+  services_.origins->Note({StreamKey(OrganisationName(), first_id),
+                           {service_->name, *stream_version_.required()},
+                           lifetime});
+}
+
+bool ForwardExchange::IsVersionGone() const {
+  const auto& required = stream_version_.required();
+  return required && !services_.pool.HasVersion(service_->name, *required);
+}
+
 std::int64_t ForwardExchange::QuotaUnits() const {
   const OrganisationQuota& quota = *organisation_->quota;
   if (!quota.counts_tokens) return 1;
@@ -151,8 +218,7 @@
     Refuse({ErrorKind::kNotAuthenticated, std::nullopt});
     return false;
   }
-  service_ = routes_->FindService(RouteIndex::PickService(*route_, services_.random));
-  if (request_.prompt) engines_.emplace(services_, service_->name, request_.prompt->model);
+  UseService(RouteIndex::PickService(*route_, services_.random));
   return true;
 }
 
@@ -221,6 +287,7 @@
   hooks.choose = [this](std::span<const BackendChoice> avoid) { return Choose(avoid); };
   hooks.is_hopeless = [this] { return IsHopeless(); };
   hooks.held_until = [this] { return held_until_; };
+  hooks.is_version_gone = [this] { return IsVersionGone(); };
   hooks.is_condemned = [this] { return IsCondemned(); };
   hooks.is_run_condemned = [this] { return IsRunCondemned(); };
   hooks.try_repeat = [this] { return TryRepeat(); };
@@ -234,7 +301,12 @@
     return engines_->ChooseToResume(avoid, run_weights_, moved_from_);
   };
   hooks.cancel = [this](std::int64_t /*number*/) { AbandonAttempt(); };
-  hooks.relay_head = [this](std::int64_t /*number*/) { RelayHead(); };
+  hooks.relay_head = [this](std::int64_t /*number*/) {
+    RelayHead();
+    if (!attempt_->is_event_stream) return;
+    stream_version_.EventPassedOn();
+    RecordOrigin();
+  };
   hooks.relay_event = [this](std::string_view event) { responder_->Write(event); };
   hooks.relay_end = [this] {
     responder_->End();
@@ -269,7 +341,11 @@
 std::optional<BackendChoice> ForwardExchange::Choose(std::span<const BackendChoice> avoid) {
   next_choice_.reset();
   expected_wait_.reset();
-  std::vector<PooledBackend*> candidates = services_.pool.Candidates(service_->name, avoid, Now());
+  const auto may_run = [this](const PooledBackend& backend) {
+    return stream_version_.MayRun(backend.software_version);
+  };
+  std::vector<PooledBackend*> candidates =
+      services_.pool.Candidates(service_->name, avoid, Now(), may_run);
   if (engines_) candidates = engines_->MayBegin(std::move(candidates));
   if (!PassesSuspects(candidates.size()) || candidates.empty()) return std::nullopt;
   // A trial goes where the fewest other runs may be lost with it.
@@ -444,6 +520,7 @@
   if (attempt_->prompt_choice) {
     attempt_->dispatch = services_.placement->Sent(*attempt_->prompt_choice, Now());
   }
+  if (!command.copy) stream_version_.RunSent(backend->software_version);
   if (request_.prompt && !command.copy) run_weights_ = backend->VersionOf(request_.prompt->model);
   ChooseCacheScope(command);
   ForwardCall forward = CallTo(*backend, command);
@@ -809,7 +886,9 @@
 void ForwardExchange::OnBackendUnreachable(const BackendChoice& backend, Duration silence) {
   if (SilentBackend(silence) != backend || attempt_->is_stopping()) return;
   // The probe may be wrong, so an attempt is only failed if the request can continue elsewhere.
-  const bool can_continue = services_.budget->available(service_->name) >= 1 &&
+  const auto& required = stream_version_.required();
+  const bool has_other = !required || services_.pool.HasVersion(service_->name, *required, backend);
+  const bool can_continue = services_.budget->available(service_->name) >= 1 && has_other &&
                             (decisions_->MayRepeatAfterLoss() || attempt_->backup);
   if (can_continue) OnCallFailed(attempt_->number, CallFailure::kSilent, "New connection failed.");
 }
@@ -846,6 +925,8 @@
 }
 
 std::optional<Duration> ForwardExchange::RetryAfter() const {
+  // What began the stream doesn't come back.
+  if (decisions_->end_reason() == EndReason::kVersionGone) return std::nullopt;
   const Duration time_left = deadline_ - Now();
   if (decisions_->end_reason() == EndReason::kBacklog) {
     return services_.admission->RetryAfterBacklog(route_->objective, *expected_wait_, time_left);
--- a/src/kumquatrouter/forwarding/forward_exchange.h
+++ b/src/kumquatrouter/forwarding/forward_exchange.h
@@ -11,6 +11,7 @@
 
 #include "coordination/forwarding/forward_request.h"
 #include "coordination/forwarding/run_cache_scope.h"
+#include "coordination/forwarding/stream_version.h"
 #include "forwarding/engines_of_run.h"
 #include "forwarding/forward_services.h"
 #include "forwarding/request_suspects.h"
@@ -116,6 +117,18 @@
   bool ResolveRoute();
   // Returns the priority rank of the request; lower ranks are served first, 0 is the most urgent.
   std::int64_t Rank() const;
+  // Returns whether the caller has events of a stream that this request is to go on with.
+  bool TakesUpStream() const;
+  // Finds out where the stream began that the caller takes up, and goes on there.
+  void FindOrigin();
+  void OnOriginFound(const OriginAnswer& answer);
+  bool LeadsTo(std::string_view service) const;
+  // The request goes to this service from now on.
+  void UseService(std::string_view service);
+  // The caller gets an event, and may take the stream up from now on.
+  void RecordOrigin() const;
+  // Returns whether no server is left that may go on with the stream.
+  bool IsVersionGone() const;
   // Decides on the request by its organisation's quota, and begins to forward it.
   void AcquireQuota();
   void OnQuotaDecided(const QuotaDecision& decision);
@@ -193,6 +206,7 @@
   const Route* route_ = nullptr;
   const RoutedOrganisation* organisation_ = nullptr;
   const Service* service_ = nullptr;
+  StreamVersion stream_version_;
   // Set for a request with a prompt.
   std::optional<EnginesOfRun> engines_;
   // Until when the request may wait for a trial of its suspects; nullopt if it isn't held back.
--- a/src/kumquatrouter/forwarding/forward_server.cpp
+++ b/src/kumquatrouter/forwarding/forward_server.cpp
@@ -76,6 +76,7 @@
       request_memory_(PartOfMemory(settings_.memory_mb, kRequestMemoryDivisor)),
       client_(MakeHttpBackendClient(&answer_memory_)),
       crash_watch_(settings_.instance, CrashHooks(), &metrics_),
+      origins_(OriginHooks()),
       feed_(
           {settings_.instance, settings_.failure_domain, WallClockMillis(),
            settings_.control_seeds},
@@ -101,7 +102,9 @@
            [this](const SuspectNews& news) { return crash_watch_.Receive(news); },
            [this](const QuotaGranted& granted) { quotas_.OnGranted(granted); },
            [this] { return crash_watch_.TrialSummary(); },
-           [this](const TrialNews& news) { crash_watch_.Receive(news); }}),
+           [this](const TrialNews& news) { crash_watch_.Receive(news); },
+           [this] { return origins_.Records(); },
+           [this](const StreamTold& told) { origins_.OnTold(told.number, told.origin); }}),
       loop_watch_(kSilenceCheckInterval, kLateTimerThreshold) {
   services_.failure_domain = settings_.failure_domain;
   services_.clock = clock;
@@ -109,6 +112,7 @@
   services_.codec = std::move(codec);
   services_.admission = &admission_;
   services_.crashes = &crash_watch_;
+  services_.origins = &origins_;
   services_.budget = &budget_;
   services_.quotas = &quotas_;
   services_.placement = &placement_;
@@ -189,6 +193,15 @@
   return hooks;
 }
 
+OriginLookupHooks ForwardServer::OriginHooks() {
+  OriginLookupHooks hooks;
+  hooks.clock = [this] { return services_.clock(); };
+  hooks.ask = [this](std::int64_t number, const std::string& key) {
+    return feed_.AskStream(number, key);
+  };
+  return hooks;
+}
+
 void ForwardServer::MeasureQuotas() {
   for (const std::string& organisation : quotas_.organisations()) {
     const auto status = quotas_.StatusOf(organisation);
@@ -459,6 +472,8 @@
 
 void ForwardServer::ReportLoad() {
   crash_watch_.ReportChanges();
+  feed_.ReportStreams(origins_.TakeNews());
+  origins_.Tick();
   const Instant now = services_.clock();
   const std::vector<std::uint64_t> keys = placement_.TakeInterest();
   if (!keys.empty()) feed_.ReportInterest(keys);
--- a/src/kumquatrouter/forwarding/forward_server.h
+++ b/src/kumquatrouter/forwarding/forward_server.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "coordination/forwarding/origin_lookup.h"
 #include "coordination/forwarding/router_count.h"
 #include "crash_watch.h"
 #include "forwarding/control_feed.h"
@@ -73,6 +74,7 @@
   void EndExchangesForShutdown();
   HttpServerLimits DefaultHttpLimits() const;
   QuotaHolderHooks QuotaHooks();
+  OriginLookupHooks OriginHooks();
   void MeasureQuotas();
   std::function<void(CallerRefusal reason)> CountRefusals();
 
@@ -93,6 +95,7 @@
   CallerRefusalLog refusal_log_;
   std::unique_ptr<BackendClient> client_;
   CrashWatch crash_watch_;
+  OriginLookup origins_;
   ControlFeed feed_;
   std::unique_ptr<HttpServer> server_;
   std::unique_ptr<HttpServer> ready_server_;
--- a/src/kumquatrouter/forwarding/forward_services.h
+++ b/src/kumquatrouter/forwarding/forward_services.h
@@ -12,6 +12,7 @@
 #include "coordination/forwarding/forward_admission.h"
 #include "coordination/forwarding/live_stores.h"
 #include "coordination/forwarding/move_window.h"
+#include "coordination/forwarding/origin_lookup.h"
 #include "coordination/forwarding/prompt_placement.h"
 #include "coordination/forwarding/repeat_budget.h"
 #include "coordination/forwarding/route_index.h"
@@ -50,6 +51,7 @@
   std::function<void(const std::string& service)> try_waiting;
   const ForwardAdmission* admission = nullptr;
   CrashWatch* crashes = nullptr;
+  OriginLookup* origins = nullptr;
   RepeatBudget* budget = nullptr;
   QuotaHolder* quotas = nullptr;
   PromptPlacement* placement = nullptr;
--- a/src/libs/coordination/forwarding/backend_pool.cpp
+++ b/src/libs/coordination/forwarding/backend_pool.cpp
@@ -70,12 +70,13 @@
 
 std::vector<PooledBackend*> BackendPool::Candidates(std::string_view service,
                                                     std::span<const BackendChoice> avoid,
-                                                    Instant now) {
+                                                    Instant now, const Filter& filter) {
   std::vector<PooledBackend*> usable;
   std::vector<PooledBackend*> unusable;
   for (const auto& [id, backend] : backends_) {
     if (backend->service != service || backend->is_leaving) continue;
     if (std::find(avoid.begin(), avoid.end(), backend->choice()) != avoid.end()) continue;
+    if (filter && !filter(*backend)) continue;
     (backend->is_usable(now) ? usable : unusable).push_back(backend.get());
   }
   return usable.empty() ? unusable : usable;
@@ -109,6 +110,15 @@
   });
 }
 
+bool BackendPool::HasVersion(std::string_view service, std::string_view software_version,
+                             const BackendChoice& except) const {
+  return std::any_of(backends_.begin(), backends_.end(), [&](const auto& entry) {
+    const PooledBackend& backend = *entry.second;
+    return backend.service == service && backend.software_version == software_version &&
+           !backend.is_leaving && backend.choice() != except;
+  });
+}
+
 void BackendPool::OnAnswer(PooledBackend& backend, bool is_failure) {
   backend.failures = 0;
   backend.backoff_until = Instant(0);
--- a/src/libs/coordination/forwarding/backend_pool.h
+++ b/src/libs/coordination/forwarding/backend_pool.h
@@ -75,11 +75,15 @@
   // Returns the backend server, owned by the pool; null when this incarnation isn't known.
   PooledBackend* Find(const BackendChoice& choice);
 
-  // Returns the backend servers of the service that are neither leaving nor in `avoid`, and of
-  // these only the usable ones (is_usable) if there are any. Otherwise the unusable ones are
-  // returned, since wrong health data must not take the whole service down.
+  using Filter = std::function<bool(const PooledBackend& backend)>;
+
+  // Returns the backend servers of the service that are neither leaving nor in `avoid` and pass the
+  // filter, if there is one, and of these only the usable ones (is_usable) if there are any.
+  // Otherwise the unusable ones are returned, since wrong health data must not take the whole
+  // service down.
   std::vector<PooledBackend*> Candidates(std::string_view service,
-                                         std::span<const BackendChoice> avoid, Instant now);
+                                         std::span<const BackendChoice> avoid, Instant now,
+                                         const Filter& filter = {});
 
   // Returns the backend servers that need a probe and whose backoff is over.
   std::vector<PooledBackend*> DueForProbe(Instant now);
@@ -92,6 +96,10 @@
   // Returns whether the pool has a backend server of the service that isn't leaving.
   bool HasAny(std::string_view service) const;
 
+  // The same for servers with this version of their software, other than `except`.
+  bool HasVersion(std::string_view service, std::string_view software_version,
+                  const BackendChoice& except = {}) const;
+
   void OnSent(PooledBackend& backend) { ++backend.in_flight; }
   void OnEnded(PooledBackend& backend) { --backend.in_flight; }
 
--- a/src/libs/coordination/forwarding/forward_request.cpp
+++ b/src/libs/coordination/forwarding/forward_request.cpp
@@ -68,6 +68,8 @@
       return "no_repeat";
     case EndReason::kHeld:
       return "held";
+    case EndReason::kVersionGone:
+      return "version_gone";
     case EndReason::kCondemned:
       return "condemned";
     case EndReason::kDeadline:
@@ -114,6 +116,10 @@
   if (!backend && runs_ > 0 && !avoid_.empty()) backend = hooks_.choose({});
   if (!backend) {
     state_ = State::kWaiting;
+    if (hooks_.is_version_gone()) {
+      return GiveUp(EndReason::kVersionGone, ErrorKind::kStreamInterrupted,
+                    ErrorKind::kStreamVersionGone);
+    }
     const auto held_until = hooks_.held_until();
     if (runs_ == 0 && !held_until && hooks_.is_hopeless && hooks_.is_hopeless()) {
       return GiveUp(EndReason::kBacklog, ErrorKind::kBackendServerFailed);
--- a/src/libs/coordination/forwarding/forward_request.h
+++ b/src/libs/coordination/forwarding/forward_request.h
@@ -100,6 +100,8 @@
   kNoRepeat,
   // It may crash servers, and waits for a trial that tells.
   kHeld,
+  // No server with the software that began the stream is left, or it isn't known which one that is.
+  kVersionGone,
   kCondemned,
   kDeadline,
   kShutdown,
@@ -130,6 +132,9 @@
   // Returns until when a request that `choose` has just held back, as it may crash the server that
   // runs it, may wait for that to be found out; nullopt if it isn't held back.
   std::function<std::optional<Instant>()> held_until = [] { return std::nullopt; };
+  // Returns whether no backend server is left that may go on with the stream, for which `choose`
+  // has just returned nothing.
+  std::function<bool()> is_version_gone = [] { return false; };
   // Returns whether the request is known to crash the backend servers that run it. Not asked about
   // a request that is past its beginning.
   std::function<bool()> is_condemned;
--- a/src/libs/protocol/control_news.cpp
+++ b/src/libs/protocol/control_news.cpp
@@ -5,6 +5,8 @@
 #include <QCborValue>
 #include <QtEndian>
 #include <algorithm>
+#include <limits>
+#include <map>
 #include <utility>
 
 namespace kumquat {
@@ -462,6 +464,77 @@
   return true;
 }
 
+// Keys and lifetimes in milliseconds of the streams of one origin stand in one byte string: 16
+// bytes and 4, the lowest first.
+constexpr qsizetype kStreamBytes = kStreamKeyBytes + sizeof(quint32);
+constexpr qsizetype kMaxOrigins = 4096;
+constexpr qsizetype kMaxStreams = 100'000;
+
+QByteArray StreamToBytes(const StreamRecord& record) {
+  const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(record.lifetime);
+  constexpr qint64 kMaxMillis = std::numeric_limits<quint32>::max();
+  QByteArray bytes = QByteArray::fromStdString(record.key).leftJustified(kStreamBytes, 0, true);
+  qToLittleEndian(static_cast<quint32>(std::clamp<qint64>(millis.count(), 0, kMaxMillis)),
+                  bytes.data() + kStreamKeyBytes);
+  return bytes;
+}
+
+QCborValue ToCbor(const StreamNews& news) {
+  std::map<std::pair<std::string, std::string>, QByteArray> by_origin;
+  for (const StreamRecord& record : news.streams) {
+    by_origin[{record.origin.service, record.origin.software_version}] += StreamToBytes(record);
+  }
+  QCborArray origins;
+  for (const auto& [origin, streams] : by_origin) {
+    origins.append(QCborArray{Bytes(origin.first), Bytes(origin.second), streams});
+  }
+  return QCborArray{origins};
+}
+
+bool FromCbor(const QCborArray& items, StreamNews* news) {
+  const QCborArray origins = items.at(0).toArray();
+  if (items.size() != 1 || origins.size() > kMaxOrigins) return false;
+  for (const QCborValue item : origins) {
+    const QCborArray fields = item.toArray();
+    const QByteArray streams = fields.at(2).toByteArray();
+    if (fields.size() != 3 || streams.size() % kStreamBytes != 0) return false;
+    if (streams.size() / kStreamBytes > kMaxStreams) return false;
+    for (qsizetype at = 0; at < streams.size(); at += kStreamBytes) {
+      const auto millis = qFromLittleEndian<quint32>(streams.constData() + at + kStreamKeyBytes);
+      news->streams.push_back({streams.mid(at, kStreamKeyBytes).toStdString(),
+                               {ToText(fields.at(0)), ToText(fields.at(1))},
+                               std::chrono::milliseconds(millis)});
+    }
+  }
+  return true;
+}
+
+QCborValue ToCbor(const StreamAsked& asked) {
+  return QCborArray{Bytes(asked.router), static_cast<qint64>(asked.number), Bytes(asked.key)};
+}
+
+bool FromCbor(const QCborArray& items, StreamAsked* asked) {
+  asked->router = ToText(items.at(0));
+  asked->number = items.at(1).toInteger();
+  asked->key = ToText(items.at(2));
+  return items.size() == 3 && asked->key.size() == kStreamKeyBytes;
+}
+
+QCborValue ToCbor(const StreamTold& told) {
+  QCborArray origin;
+  if (told.origin) {
+    origin = {Bytes(told.origin->service), Bytes(told.origin->software_version)};
+  }
+  return QCborArray{static_cast<qint64>(told.number), origin};
+}
+
+bool FromCbor(const QCborArray& items, StreamTold* told) {
+  told->number = items.at(0).toInteger();
+  const QCborArray origin = items.at(1).toArray();
+  if (!origin.isEmpty()) told->origin = {ToText(origin.at(0)), ToText(origin.at(1))};
+  return items.size() == 2 && (origin.isEmpty() || origin.size() == 2);
+}
+
 // Reads the alternative with this number, which is its place in the variant.
 template <std::size_t Index = 0>
 bool AlternativeFromCbor(qint64 number, const QCborArray& items, ControlNews* news) {
--- a/src/libs/protocol/control_news.h
+++ b/src/libs/protocol/control_news.h
@@ -11,6 +11,7 @@
 
 #include "protocol/document.h"
 #include "protocol/part_events.h"
+#include "protocol/stream_record.h"
 #include "protocol/suspect_entry.h"
 #include "utils/hooks.h"
 
@@ -249,10 +250,39 @@
   bool operator==(const TrialNews&) const = default;
 };
 
+// A router tells some replicas of streams whose first event it has passed on, or that it has gone
+// on with.
+struct StreamNews {
+  std::vector<StreamRecord> streams;
+
+  bool operator==(const StreamNews&) const = default;
+};
+
+// A router asks all replicas where a stream began. Each answers.
+struct StreamAsked {
+  std::string router;
+  // Grows with each question of the router.
+  std::int64_t number = 0;
+  // As StreamKey() gives it.
+  std::string key;
+
+  bool operator==(const StreamAsked&) const = default;
+};
+
+// A replica's answer to the question with this number.
+struct StreamTold {
+  std::int64_t number = 0;
+  // nullopt if the replica doesn't know it.
+  std::optional<StreamOrigin> origin;
+
+  bool operator==(const StreamTold&) const = default;
+};
+
 // New alternatives are added at the end, as their index identifies them in messages.
-using ControlNews = std::variant<RouterHello, DocumentNews, MemberNews, FleetNews, EngineNews,
-                                 CacheNews, CacheWanted, LoadNews, SuspectNews, HintNews,
-                                 PartsWanted, QuotaAsked, QuotaGranted, TrialNews>;
+using ControlNews =
+    std::variant<RouterHello, DocumentNews, MemberNews, FleetNews, EngineNews, CacheNews,
+                 CacheWanted, LoadNews, SuspectNews, HintNews, PartsWanted, QuotaAsked,
+                 QuotaGranted, TrialNews, StreamNews, StreamAsked, StreamTold>;
 
 std::string Encode(const ControlNews& news);
 
--- a/src/libs/protocol/error_kind.h
+++ b/src/libs/protocol/error_kind.h
@@ -27,6 +27,8 @@
   kDraining,
   kConfigurationUnconfirmed,
   kClaimUnavailable,
+  kStreamOriginUnknown,
+  kStreamVersionGone,
   kDeadlineBeforeRun,
   kDuplicateRunning,
   kIdempotencyConflict,
--- a/src/platform/front_edge.cpp
+++ b/src/platform/front_edge.cpp
@@ -158,6 +158,7 @@
     request.time_left = milliseconds(*millis);
   }
   request.last_event = ParseNumber(http.Header(kLastEventId));
+  request.names_last_event = !http.Header(kLastEventId).empty();
   request.resumed_id = http.Header(kResumes);
   request.prompt = PromptOf(http);
   request.tokens = TokensOf(http);
--- a/tests/libs/coordination/forwarding/backend_pool_test.cpp
+++ b/tests/libs/coordination/forwarding/backend_pool_test.cpp
@@ -31,6 +31,33 @@
 
 using IdList = std::vector<std::string>;
 
+TEST_CASE("A version of software is left while a server has it that isn't leaving") {
+  BackendPool pool;
+  const auto update = [&pool](const char* id, const char* version, bool is_leaving) {
+    MemberRecord record = Server(id, 1, is_leaving);
+    record.backend->software_version = version;
+    pool.Update(record);
+  };
+  update("a1", "v1", false);
+  update("a2", "v2", false);
+  CHECK(pool.HasVersion("s", "v1"));
+  CHECK_FALSE(pool.HasVersion("s", "v1", {"a1", 1}));
+  CHECK_FALSE(pool.HasVersion("other", "v1"));
+  CHECK_FALSE(pool.HasVersion("s", "v3"));
+  update("a1", "v1", true);
+  CHECK_FALSE(pool.HasVersion("s", "v1"));
+  CHECK(pool.HasVersion("s", "v2"));
+}
+
+// Guards against a stream that isn't sent to its only server, as others are healthier.
+TEST_CASE("Candidates are filtered before the healthy ones are preferred") {
+  BackendPool pool;
+  for (const char* id : {"a1", "a2"}) pool.Update(Server(id));
+  pool.Find({"a1", 1})->needs_probe = true;
+  const auto filter = [](const PooledBackend& backend) { return backend.id == "a1"; };
+  CHECK(Ids(pool.Candidates("s", {}, seconds(1), filter)) == IdList{"a1"});
+}
+
 TEST_CASE("Servers that are leaving, avoided or unreachable are no candidates") {
   BackendPool pool;
   for (const char* id : {"a1", "a2", "b1"}) pool.Update(Server(id));
--- a/tests/libs/coordination/forwarding/forward_request_test.cpp
+++ b/tests/libs/coordination/forwarding/forward_request_test.cpp
@@ -795,6 +795,37 @@
   CHECK(lost.is_waiting());
 }
 
+// Guards against streams that wait until their deadline for a server that doesn't come back.
+TEST_CASE("A stream ends at once when no server with its software is left") {
+  HookRecorder recorder;
+  ForwardHooks hooks = recorder.Hooks();
+  const auto choose = hooks.choose;
+  bool is_gone = true;
+  hooks.choose = [&](std::span<const BackendChoice> avoid) {
+    return is_gone ? std::nullopt : choose(avoid);
+  };
+  hooks.is_version_gone = [&] { return is_gone; };
+  ForwardPolicy policy = PolicyOf(true, true, true);
+  policy.queue_until = seconds(10);
+  policy.caller_last_event = 2;
+  ForwardRequest taken_up(policy, hooks);
+  taken_up.Start(seconds(1));
+  CHECK(taken_up.end_reason() == EndReason::kVersionGone);
+  REQUIRE(recorder.refusals.size() == 1);
+  CHECK(recorder.refusals[0].kind == ErrorKind::kStreamVersionGone);
+
+  is_gone = false;
+  policy.caller_last_event = 0;
+  ForwardRequest broken(policy, hooks);
+  broken.Start(seconds(1));
+  broken.OnHead(1, {200, false, true}, seconds(1));
+  broken.OnEvent(1, 1, "a", seconds(1));
+  is_gone = true;
+  broken.OnFailure(1, CallFailure::kBroken, seconds(1));
+  CHECK(broken.done());
+  CHECK(recorder.cuts == 1);
+}
+
 TEST_CASE("A request that joins others is sent only when it is tried") {
   HookRecorder recorder;
   ForwardRequest request(PolicyOf(true, false, false), recorder.Hooks());
