--- a/src/libs/coordination/forwarding/route_index.cpp
+++ b/src/libs/coordination/forwarding/route_index.cpp
@@ -32,7 +32,7 @@
 RouteIndex::RouteIndex(RoutingTable table) : table_(std::move(table)) {
   for (const Route& route : table_.routes) {
     const std::string_view prefix = route.path_prefix;
-    routes_[route.host + std::string(prefix.substr(0, prefix.size() - 1))] = &route;
+    routes_[route.host][std::string(prefix.substr(0, prefix.size() - 1))] = &route;
   }
   for (const RoutedOrganisation& organisation : table_.organisations) {
     for (const std::string& digest : organisation.key_digests) {
@@ -87,12 +87,13 @@
 }
 
 const Route* RouteIndex::FindRoute(std::string_view host, std::string_view path) const {
-  const std::string host_name = NormalisedHost(host);
+  const auto of_host = routes_.find(NormalisedHost(host));
+  if (of_host == routes_.end()) return nullptr;
   // Every prefix ends with a slash, so a lookup is needed only at each slash of the path.
   for (std::size_t slash = path.rfind('/'); slash != std::string_view::npos;
        slash = slash == 0 ? std::string_view::npos : path.rfind('/', slash - 1)) {
-    const auto found = routes_.find(host_name + std::string(path.substr(0, slash)));
-    if (found != routes_.end()) return found->second;
+    const auto found = of_host->second.find(std::string(path.substr(0, slash)));
+    if (found != of_host->second.end()) return found->second;
   }
   return nullptr;
 }
--- a/src/libs/coordination/forwarding/route_index.h
+++ b/src/libs/coordination/forwarding/route_index.h
@@ -56,8 +56,9 @@
   void NameSharedCacheScope();
 
   RoutingTable table_;
-  // By host and path prefix, without the prefix's trailing slash.
-  std::unordered_map<std::string, const Route*> routes_;
+  // By host, and by path prefix without its trailing slash. A caller may write what it likes into
+  // the host, slashes too.
+  std::unordered_map<std::string, std::unordered_map<std::string, const Route*>> routes_;
   // By digest of the API key.
   std::unordered_map<std::string, const RoutedOrganisation*> organisations_;
   std::map<std::string, const Service*, std::less<>> services_;
--- a/tests/libs/coordination/forwarding/route_index_test.cpp
+++ b/tests/libs/coordination/forwarding/route_index_test.cpp
@@ -41,6 +41,20 @@
   CHECK(name_of("a.example", "") == "-");
 }
 
+// Guards against callers that reach any path of a service, its interface for orders too.
+TEST_CASE("A host that holds a part of a route's path selects no route") {
+  RoutingTable table;
+  table.routes = {RouteAt("a.example", "/x/"), RouteAt("a.example", "/x/y/")};
+  const RouteIndex index(table);
+  for (const std::string host : {"a.example/x", "A.EXAMPLE/x", "a.example/x:80", "a.example/x/y",
+                                 "a.example/x/", "/a.example/x", ""}) {
+    CAPTURE(host);
+    for (const char* path : {"/order", "/", "/y/z", "/x/y/z"}) {
+      CHECK(index.FindRoute(host, path) == nullptr);
+    }
+  }
+}
+
 TEST_CASE("FindRoute agrees with a linear search over random routes") {
   CheckProperty("longest prefix", [] {
     const auto any_path = rc::gen::map(
