forward_repeat_soak_test: a server that is down refuses connections at its relay

Cause: the relay took connections for a crashed server and closed them, so routers saw broken answers instead of refused connections, and the idle server drew all requests of its version.

Change: the relay listens only while its server is up. The checks are as they were.

--- a/tests/process/forwarding/forward_repeat_soak_test.cpp
+++ b/tests/process/forwarding/forward_repeat_soak_test.cpp
@@ -91,6 +91,7 @@
   std::unique_ptr<StandInServer> server;
   // Callers reach the server through this, so that it can take requests in late.
   std::unique_ptr<Relay> relay;
+  std::uint16_t port = 0;
   milliseconds frozen_until{0};
 };
 
@@ -145,6 +146,7 @@
     engine.server = std::make_unique<StandInServer>(fmt::format("e{}", ++last_engine_), "desk",
                                                     bench_.control());
     engine.relay = std::make_unique<Relay>(engine.server->endpoint());
+    engine.port = engine.relay->endpoint().port;
     engine.server->AnnounceAt(engine.relay->endpoint());
     engine.server->SetMode(StandInServer::Mode::kWorksAsAsked);
     engine.server->SetSlots(kCallers);
@@ -160,6 +162,7 @@
     }
     for (Engine& engine : engines_) {
       if (engine.frozen_until > milliseconds(0) && Now() >= engine.frozen_until) Thaw(engine);
+      FollowServer(engine);
     }
     for (SoakCaller& caller : callers_) {
       if (caller.call && caller.call->done()) Collect(caller);
@@ -328,6 +331,18 @@
     engine.frozen_until = milliseconds(0);
   }
 
+  // While a server is down its address refuses connections, through the relay too.
+  static void FollowServer(const Engine& engine) {
+    Relay& relay = *engine.relay;
+    if (engine.server->is_up() == relay.isListening()) return;
+    if (!engine.server->is_up()) {
+      relay.close();
+      relay.Cut();
+    } else {
+      CHECK(relay.listen(QHostAddress::LocalHost, engine.port));
+    }
+  }
+
   void EndFaults() {
     for (int i = 0; i < kRouters; ++i) {
       if (routers_[i].is_paused) Resume(i);
