A take-up isn't called gone by a router that knows no server yet

Cause: a router that has just started refused a take-up for good, as it knew no server of the version, before it knew any. Found by reading. Change: the version counts as gone only where servers of the service are known. RouteIndex tells whether a route leads to a service.

The soak names take-ups in touch that brought no event.

--- a/src/kumquatrouter/forwarding/forward_exchange.cpp
+++ b/src/kumquatrouter/forwarding/forward_exchange.cpp
@@ -78,7 +78,8 @@
     Refuse({ErrorKind::kDraining, services_.admission->RetryAfterElsewhere()});
     return;
   }
-  TakesUpStream() ? FindOrigin() : AcquireQuota();
+  if (TakesUpStream()) return FindOrigin();
+  AcquireQuota();
 }
 
 bool ForwardExchange::TakesUpStream() const {
@@ -112,20 +113,14 @@
   if (!answer.origin || !request_.last_event) {
     return Refuse({ErrorKind::kStreamOriginUnknown, std::nullopt});
   }
-  if (!LeadsTo(origin.service)) return Refuse({ErrorKind::kStreamVersionGone, std::nullopt});
+  if (!RouteIndex::LeadsTo(*route_, origin.service))
+    return Refuse({ErrorKind::kStreamVersionGone, std::nullopt});
   if (Now() >= deadline_) return Refuse({ErrorKind::kDeadlineBeforeRun, std::nullopt});
   UseService(origin.service);
   stream_version_.TakeUp(origin.software_version);
   AcquireQuota();
 }
 
-bool ForwardExchange::LeadsTo(std::string_view service) const {
-  const auto& services = route_->services;
-  return routes_->FindService(service) &&
-         std::any_of(services.begin(), services.end(),
-                     [service](const auto& share) { return share.service == service; });
-}
-
 void ForwardExchange::UseService(std::string_view service) {
   service_ = routes_->FindService(service);
   engines_.reset();
@@ -145,7 +140,9 @@
 
 bool ForwardExchange::IsVersionGone() const {
   const auto& required = stream_version_.required();
-  return required && !services_.pool.HasVersion(service_->name, *required);
+  // A router that has just started may know no server yet.
+  const bool knows_servers = services_.pool.HasAny(service_->name);
+  return required && knows_servers && !services_.pool.HasVersion(service_->name, *required);
 }
 
 std::int64_t ForwardExchange::QuotaUnits() const {
--- a/src/kumquatrouter/forwarding/forward_exchange.h
+++ b/src/kumquatrouter/forwarding/forward_exchange.h
@@ -122,7 +122,6 @@
   // Finds out where the stream began that the caller takes up, and goes on there.
   void FindOrigin();
   void OnOriginFound(const OriginAnswer& answer);
-  bool LeadsTo(std::string_view service) const;
   // The request goes to this service from now on.
   void UseService(std::string_view service);
   // The caller gets an event, and may take the stream up from now on.
--- a/src/libs/coordination/forwarding/route_index.cpp
+++ b/src/libs/coordination/forwarding/route_index.cpp
@@ -120,4 +120,9 @@
   return route.services.back().service;
 }
 
+bool RouteIndex::LeadsTo(const Route& route, std::string_view service) {
+  return std::any_of(route.services.begin(), route.services.end(),
+                     [service](const ServiceShare& share) { return share.service == service; });
+}
+
 }  // namespace kumquat
--- a/src/libs/coordination/forwarding/route_index.h
+++ b/src/libs/coordination/forwarding/route_index.h
@@ -51,6 +51,9 @@
   // is a part of `route`.
   static const std::string& PickService(const Route& route, const Random& random);
 
+  // Returns whether the service is one of the route's.
+  static bool LeadsTo(const Route& route, std::string_view service);
+
  private:
   void FindUrgentRanks();
   void NameSharedCacheScope();
--- a/tests/process/forwarding/forward_repeat_soak_test.cpp
+++ b/tests/process/forwarding/forward_repeat_soak_test.cpp
@@ -252,6 +252,7 @@
     Starts& starts = is_taken_up ? taken_up_ : begun_;
     ++starts.all;
     if (brings_event) ++starts.served;
+    if (!brings_event) starts.without_event.push_back(request.id);
   }
 
   bool WasInTouch(const SoakCall& call, milliseconds until) const {
@@ -491,6 +492,8 @@
         "repeats: {} streams joined; in touch {} of {} begun and {} of {} taken up brought events",
         joined_.size(), begun_.served, begun_.all, taken_up_.served, taken_up_.all));
     for (const std::string& id : joined_) MESSAGE(fmt::format("repeats: {} is joined", id));
+    MESSAGE(fmt::format("repeats: taken up without an event: {}",
+                        fmt::join(taken_up_.without_event, " ")));
     CHECK(joined_.empty());
     const bool is_judged = taken_up_.all >= kJudgedTakeUps;
     if (is_judged) CHECK(2 * taken_up_.served * begun_.all >= begun_.served * taken_up_.all);
@@ -517,6 +520,7 @@
   struct Starts {
     int all = 0;
     int served = 0;
+    std::vector<std::string> without_event;
   };
   Starts begun_;
   Starts taken_up_;
