--- a/tests/libs/protocol/error_kind_test.cpp
+++ b/tests/libs/protocol/error_kind_test.cpp
@@ -34,8 +34,8 @@
   for (const ErrorAnswer& row : ErrorAnswers()) {
     const bool temporary = row.http_status == 503 || row.http_status == 429;
     // What began the stream doesn't come back.
-    const bool is_final = row.kind == ErrorKind::kStreamOriginUnknown ||
-                          row.kind == ErrorKind::kStreamVersionGone;
+    const bool is_final =
+        row.kind == ErrorKind::kStreamOriginUnknown || row.kind == ErrorKind::kStreamVersionGone;
     if (temporary) CHECK(row.retry_after.has_value() == !is_final);
     if (temporary) CHECK(row.ran == Ran::kNo);
   }
