--- a/tests/libs/protocol/control_news_test.cpp
+++ b/tests/libs/protocol/control_news_test.cpp
@@ -69,7 +69,7 @@
                               Duration(7)}},
                 {ServerCrash{0xfedcba9876543211, Duration(3)}}},
       StreamNews{{{"0123456789abcdef", {"desk", "v1"}, std::chrono::milliseconds(4321)},
-                  {std::string("\0123456789abcde", 16), {"desk", "v2"}, Duration(0)}}},
+                  {std::string(1, '\0') + "123456789abcdef", {"desk", "v2"}, Duration(0)}}},
       StreamAsked{"r1", 9, "0123456789abcdef"},
       StreamTold{9, StreamOrigin{"desk", "v1"}},
       StreamTold{10, std::nullopt}};
