Tests: what the linter found

Change: the order of SystemBenchOptions keeps its positional users, a structured binding isn't captured, a result is used, a vector reserves.

--- a/tests/process/forwarding/forward_repeat_soak_test.cpp
+++ b/tests/process/forwarding/forward_repeat_soak_test.cpp
@@ -400,7 +400,8 @@
   // A server that crashed meanwhile counts all the same, which is stricter than the rule.
   void CheckRuns(const std::map<std::string, std::vector<ArrivalAt>>& by_id) const {
     int over_attempts = 0;
-    for (const auto& [id, arrivals] : by_id) {
+    for (const auto& [request_id, arrivals] : by_id) {
+      const std::string& id = request_id;
       const auto runs = std::count_if(arrivals.begin(), arrivals.end(), [](const ArrivalAt& one) {
         return one.arrival.has_run && !one.arrival.continues_run;
       });
--- a/tests/process/forwarding/forward_time_left_test.cpp
+++ b/tests/process/forwarding/forward_time_left_test.cpp
@@ -6,6 +6,7 @@
 
 #include <QElapsedTimer>
 #include <algorithm>
+#include <cerrno>
 #include <string>
 #include <vector>
 
@@ -41,7 +42,8 @@
     // Fill the queue of connections that aren't accepted.
     for (int i = 0; i < kFillers; ++i) {
       const int filler = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-      ::connect(filler, generic, size);
+      const bool is_connected = ::connect(filler, generic, size) == 0;
+      CHECK((is_connected || errno == EINPROGRESS));
       fillers_.push_back(filler);
     }
   }
@@ -109,6 +111,7 @@
   since_sent.start();
   CHECK(SpinUntil([&] { return since_sent.elapsed() > kTimeToLearn.count(); }));
   since_sent.start();
+  calls.reserve(kCalls);
   for (int i = 0; i < kCalls; ++i) {
     calls.push_back(bench.Start(0, "/again/look", &id, {},
                                 {{"Kumquatcross-Deadline-Ms", std::to_string(kDeadline.count())}}));
--- a/tests/process/router/system_bench.h
+++ b/tests/process/router/system_bench.h
@@ -35,10 +35,10 @@
 struct SystemBenchOptions {
   int answer_tokens = 40;
   int token_interval_ms = 10;
-  // Versions of the engines' software; an empty one isn't announced.
-  std::array<std::string, 3> engine_software = {};
   // More lines for the routers' settings files, as whole tables.
   std::string router_tables = {};
+  // Versions of the engines' software; an empty one isn't announced.
+  std::array<std::string, 3> engine_software = {};
 };
 
 class SystemBench {
