--- a/tests/process/forwarding/forward_process_test.cpp
+++ b/tests/process/forwarding/forward_process_test.cpp
@@ -243,7 +243,7 @@
 // Heartbeats of another writer, each odd in one way.
 std::vector<std::string> OddHeartbeats() {
   const auto beat = [](const std::string& fields) {
-    return R"({"service":"desk","zone":"d1","state":"ready","models":[],"seq":1,"born":1,)" +
+    return R"({"service":"desk","zone":"d1","version":"v1","state":"ready","models":[],"seq":1,"born":1,)" +
            fields + "}";
   };
   std::string models;
@@ -258,7 +258,7 @@
           beat(R"("slots":1,"addr":"127.0.0.1:70000")"),
           beat(R"("slots":1,"addr":"999.1.1.1:80")"),
           beat(R"("slots":1,"seq":1e300,"born":1e300,)" + address),
-          R"({"service":"desk","zone":"d1","state":"ready","models":[)" + models +
+          R"({"service":"desk","zone":"d1","version":"v1","state":"ready","models":[)" + models +
               R"(],"seq":1,"born":1,"slots":1,)" + address + "}",
           beat(R"("slots":1,"service":")" + std::string(5000, 'x') + R"(",)" + address)};
 }
@@ -279,7 +279,7 @@
   const auto long_id = bench.caller().Run(
       bench.control()[0], "PUT", "/instances/" + std::string(2000, 'i'),
       {{"Content-Type", "application/json"}},
-      R"({"service":"desk","zone":"d1","state":"ready","models":[],"seq":1,"born":1,"slots":1,)"
+      R"({"service":"desk","zone":"d1","version":"v1","state":"ready","models":[],"seq":1,"born":1,"slots":1,)"
       R"("addr":"127.0.0.1:9"})");
   CHECK(long_id->status == 400);
   // A router that starts now gets the whole table of servers, and then hears of a later server.
@@ -313,9 +313,10 @@
   });
   const auto announced = bench.caller().Run(
       bench.control()[0], "PUT", "/instances/raw", {{"Content-Type", "application/json"}},
-      fmt::format(R"({{"service":"desk","zone":"d1","state":"ready","models":[],"seq":1,"born":1,)"
-                  R"("slots":4,"addr":"127.0.0.1:{}"}})",
-                  unframed.serverPort()));
+      fmt::format(
+          R"({{"service":"desk","zone":"d1","version":"v1","state":"ready","models":[],"seq":1,"born":1,)"
+          R"("slots":4,"addr":"127.0.0.1:{}"}})",
+          unframed.serverPort()));
   REQUIRE(announced->status == 200);
   CHECK(SpinUntil([&] { return bench.Run(0, "/again/look", &id)->body == "looked"; }));
   body = StandInServer::StreamFrom(0);
