--- a/src/libs/coordination/forwarding/stream_version.h
+++ b/src/libs/coordination/forwarding/stream_version.h
@@ -14,26 +14,20 @@
 class StreamVersion {
  public:
   // The caller takes up a stream that began at this version.
-  void TakeUp(std::string_view software_version) { stream_ = software_version; }
+  void TakeUp(std::string_view software_version);
 
   // A run is sent to a server of this version without the memory of another run.
-  void RunSent(std::string_view software_version) { run_ = software_version; }
+  void RunSent(std::string_view software_version);
 
   // An event of the run in progress is passed on.
-  void EventPassedOn() {
-    if (!stream_) stream_ = run_;
-  }
+  void EventPassedOn();
 
   // Returns whether a server of this version may run the request, from its beginning or after the
   // last event that was passed on.
-  bool MayRun(std::string_view software_version) const {
-    return !stream_ || *stream_ == software_version;
-  }
+  bool MayRun(std::string_view software_version) const;
 
   // Returns whether a server of this version may go on with the memory of the last run.
-  bool MayGoOn(std::string_view software_version) const {
-    return run_ == software_version && MayRun(software_version);
-  }
+  bool MayGoOn(std::string_view software_version) const;
 
   // Returns the version that the stream has to go on at; nullopt while any server may begin it.
   const std::optional<std::string>& required() const { return stream_; }
