stream_version_test: versions are formatted, not joined

Cause: g++ 12 at -O3 takes one known character joined with a temporary for overlapping memory (docs/incidents/build-x86-64.md), and the Release build stopped.

--- a/tests/libs/coordination/forwarding/stream_version_test.cpp
+++ b/tests/libs/coordination/forwarding/stream_version_test.cpp
@@ -1,5 +1,7 @@
 #include "coordination/forwarding/stream_version.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <array>
 #include <map>
@@ -43,7 +45,7 @@
   void Step() {
     switch (Draw(6)) {
       case 0:
-        servers_[Draw(servers_.size())] = "v" + std::to_string(++last_version_ % 4);
+        servers_[Draw(servers_.size())] = fmt::format("v{}", ++last_version_ % 4);
         return;
       case 1:
         return Begin();
@@ -76,7 +78,7 @@
 
   void Begin() {
     Stream stream;
-    stream.key = StreamKey("a", std::to_string(streams_.size()));
+    stream.key = StreamKey("a", fmt::format("{}", streams_.size()));
     stream.server_version = servers_[Draw(servers_.size())];
     stream.version.RunSent(stream.server_version);
     streams_.push_back(std::move(stream));
